--- /dev/null
+++ b/src/base/csp/csp.test.ts
@@ -0,0 +1,122 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createManualClock } from "../createManualClock";
+import { FailureKind } from "../failure";
+import {
+    closeChannel,
+    createChannel,
+    createTimeout,
+    offerMessage,
+    Overflow,
+    pollMessage,
+    put,
+    receiveMessage,
+    selectMessage,
+    sendMessage,
+    startTask,
+    superviseTask,
+    take,
+    waitFor,
+} from "./index";
+
+describe("channels", () => {
+    it("carry messages in order and give undefined after closing", async () => {
+        const numbers = createChannel<number>(2);
+        const taken: (number | undefined)[] = [];
+        startTask("producer", function* () {
+            for (const number of [1, 2, 3]) {
+                yield* put(numbers, number);
+            }
+            closeChannel(numbers);
+        });
+        await startTask("consumer", function* () {
+            for (let index = 0; index < 4; index++) {
+                taken.push(yield* take(numbers));
+            }
+        }).ended;
+        assert.deepEqual(taken, [1, 2, 3, undefined]);
+    });
+
+    it("refuse an offer when full or closed", () => {
+        const channel = createChannel<number>(1);
+        assert.equal(offerMessage(channel, 1), true);
+        assert.equal(offerMessage(channel, 2), false);
+        assert.equal(pollMessage(channel), 1);
+        closeChannel(channel);
+        assert.equal(offerMessage(channel, 3), false);
+        assert.equal(pollMessage(channel), undefined);
+    });
+
+    it("drop the oldest message when told so", () => {
+        const channel = createChannel<number>(1, { overflow: Overflow.DropOldest });
+        offerMessage(channel, 1);
+        offerMessage(channel, 2);
+        assert.equal(pollMessage(channel), 2);
+    });
+
+    it("let callbacks send and promises receive", async () => {
+        const channel = createChannel<string>();
+        const received = receiveMessage(channel);
+        assert.equal(await sendMessage(channel, "hello"), true);
+        assert.equal(await received, "hello");
+    });
+});
+
+describe("selectMessage", () => {
+    it("names the channel that answered", async () => {
+        const slow = createChannel<number>();
+        const ready = createChannel<string>(1);
+        offerMessage(ready, "now");
+        await startTask("selector", function* () {
+            const event = yield* selectMessage({ slow, ready });
+            assert.deepEqual(event, { from: "ready", message: "now" });
+        }).ended;
+    });
+
+    it("gives undefined when a timeout passes first", async () => {
+        const slow = createChannel<number>();
+        const end = await startTask("selector", function* () {
+            const event = yield* selectMessage({ slow, late: createTimeout(5) });
+            assert.deepEqual(event, { from: "late", message: undefined });
+        }).ended;
+        assert.equal(end.failure, undefined);
+    });
+});
+
+describe("startTask", () => {
+    it("turns a throw into a typed failure and disposes what the task owned", async () => {
+        let disposed = false;
+        const end = await startTask("broken", function* (owned) {
+            owned.add({ dispose: () => (disposed = true) });
+            yield* waitFor(Promise.reject(new Error("socket reset")));
+        }).ended;
+        assert.equal(end.failure?.kind, FailureKind.TaskFailed);
+        assert.match(end.failure?.message ?? "", /socket reset/);
+        assert.equal(disposed, true);
+    });
+});
+
+describe("superviseTask", () => {
+    it("restarts a failing task until it returns", async () => {
+        const clock = createManualClock();
+        const failures: FailureKind[] = [];
+        let starts = 0;
+        const end = superviseTask(
+            "flaky",
+            function* () {
+                starts++;
+                if (starts < 3) {
+                    throw new Error("not yet");
+                }
+                yield* waitFor(Promise.resolve());
+            },
+            { clock, reportFailure: (name, failure) => failures.push(failure.kind) },
+        );
+        while (starts < 3) {
+            await new Promise(resolve => setImmediate(resolve));
+            clock.advanceMs(1_000);
+        }
+        assert.equal((await end).failure, undefined);
+        assert.deepEqual(failures, [FailureKind.TaskFailed, FailureKind.TaskFailed]);
+    });
+});
--- /dev/null
+++ b/src/base/csp/jsCspModule.d.ts
@@ -0,0 +1,4 @@
+declare module "js-csp" {
+    const csp: unknown;
+    export default csp;
+}
--- /dev/null
+++ b/src/base/csp/waitFor.ts
@@ -0,0 +1,38 @@
+/**
+ * @module Waiting for a promise inside a task.
+ */
+import type { Channel, Step } from "./channel";
+import { createChannel } from "./createChannel";
+import { jsCsp } from "./jsCsp";
+import { take } from "./take";
+
+interface Settled<T> {
+    readonly value?: T;
+    readonly error?: unknown;
+    readonly isRejected: boolean;
+}
+
+/**
+ * Waits for a promise and gives its value; a rejection is thrown into the task.
+ *
+ * @param promise - The promise
+ * @returns The promise's value
+ * @example
+ * const result = yield* waitFor(table.read("config/head"));
+ */
+export function* waitFor<T>(promise: PromiseLike<T>): Step<T> {
+    const settled = yield* take(createSettledChannel(promise));
+    if (settled === undefined || settled.isRejected) {
+        throw settled?.error;
+    }
+    return settled.value as T;
+}
+
+function createSettledChannel<T>(promise: PromiseLike<T>): Channel<Settled<T>> {
+    const channel = createChannel<Settled<T>>(1);
+    promise.then(
+        value => jsCsp.putAsync(channel, { value, isRejected: false }),
+        (error: unknown) => jsCsp.putAsync(channel, { error, isRejected: true }),
+    );
+    return channel;
+}
