--- /dev/null
+++ b/src/tasks/directory/decodeNotices.ts
@@ -0,0 +1,32 @@
+/**
+ * @module Reading what other nodes say of leaving VMs.
+ */
+import { z } from "zod";
+import type { VmNotice } from "./directoryState";
+
+const NOTICES_SCHEMA = z.array(z.tuple([z.string(), z.number().int(), z.number()]));
+
+/**
+ * Decodes notices of another node. A malformed payload, for example of a newer release, gives none.
+ *
+ * @param payload - What `encodeNotices` gave
+ * @returns The notices
+ * @example
+ * decodeNotices(update.payload);
+ */
+export function decodeNotices(payload: Uint8Array): readonly VmNotice[] {
+    const parsed = NOTICES_SCHEMA.safeParse(parseJson(payload));
+    return (parsed.data ?? []).map(([vmId, incarnation, reclaimAtWallMs]) => ({
+        vmId,
+        incarnation,
+        reclaimAtWallMs: reclaimAtWallMs > 0 ? reclaimAtWallMs : undefined,
+    }));
+}
+
+function parseJson(payload: Uint8Array): unknown {
+    try {
+        return JSON.parse(Buffer.from(payload).toString("utf8"));
+    } catch {
+        return undefined;
+    }
+}
