--- /dev/null
+++ b/src/faces/failureStatus.ts
@@ -0,0 +1,47 @@
+/**
+ * @module The HTTP status of each kind of failure.
+ */
+import { FailureKind } from "../base/failure";
+
+/** HTTP status by kind of failure. */
+export const FAILURE_STATUS: Readonly<Record<FailureKind, number>> = {
+    [FailureKind.MalformedBody]: 400,
+    [FailureKind.InvalidText]: 400,
+    [FailureKind.BodyTooLarge]: 413,
+    [FailureKind.InvalidRequest]: 400,
+    [FailureKind.NotFound]: 404,
+    [FailureKind.MethodNotAllowed]: 405,
+    [FailureKind.Unauthenticated]: 401,
+    [FailureKind.Forbidden]: 403,
+    [FailureKind.UnknownClass]: 400,
+    [FailureKind.UnknownModel]: 404,
+    [FailureKind.UnknownService]: 404,
+    [FailureKind.CallerTooSlow]: 408,
+    [FailureKind.CallerGone]: 499,
+    [FailureKind.TooManyConnections]: 503,
+    [FailureKind.IdempotencyKeyReused]: 422,
+    [FailureKind.IdempotencyKeyRequired]: 400,
+    [FailureKind.IdempotencyKeyInProgress]: 409,
+    [FailureKind.Overloaded]: 429,
+    [FailureKind.TargetUnreachable]: 503,
+    [FailureKind.CostCeilingExceeded]: 503,
+    [FailureKind.ShuttingDown]: 503,
+    [FailureKind.NoEndpoint]: 503,
+    [FailureKind.DeadlineExceeded]: 504,
+    [FailureKind.EndpointFailed]: 502,
+    [FailureKind.EndpointSilent]: 504,
+    [FailureKind.EndpointRefused]: 502,
+    [FailureKind.OutcomeUnknown]: 502,
+    [FailureKind.Cancelled]: 409,
+    [FailureKind.StoreUnavailable]: 503,
+    [FailureKind.StoreConflict]: 409,
+    [FailureKind.StoreOutcomeUnknown]: 503,
+    [FailureKind.PlatformRefused]: 502,
+    [FailureKind.InvalidConfiguration]: 422,
+    [FailureKind.RevisionConflict]: 409,
+    [FailureKind.InvalidSettings]: 500,
+    [FailureKind.LeaseLost]: 503,
+    [FailureKind.TaskFailed]: 500,
+    [FailureKind.InvariantBroken]: 500,
+    [FailureKind.Internal]: 500,
+};
--- /dev/null
+++ b/src/faces/sendFailure.ts
@@ -0,0 +1,36 @@
+/**
+ * @module Failure responses.
+ */
+import type { ServerResponse } from "node:http";
+import { type Failure, FailureKind } from "../base/failure";
+import { sendJson } from "./_lib/sendJson";
+import { buildFailureBody } from "./buildFailureBody";
+import { FAILURE_STATUS } from "./failureStatus";
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Tells the caller of a failure, with the status of its kind and a retry hint where it has one. When the response has
+ * begun already, the connection is cut, so that the caller can't take the part for the whole.
+ *
+ * @param response - Where to
+ * @param failure - The failure
+ * @param requestId - The request's id, where one was given out
+ * @example
+ * sendFailure(response, createFailure(FailureKind.NotFound, "No such job."), requestId);
+ */
+export function sendFailure(response: ServerResponse, failure: Failure, requestId?: string): void {
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    const headers: Record<string, string> = {};
+    if (failure.retryAfterMs !== undefined) {
+        headers["retry-after"] = String(Math.ceil(failure.retryAfterMs / MS_PER_SECOND));
+        headers["retry-after-ms"] = String(Math.ceil(failure.retryAfterMs));
+    }
+    if (failure.kind === FailureKind.Unauthenticated) {
+        headers["www-authenticate"] = "Bearer";
+    }
+    sendJson(response, FAILURE_STATUS[failure.kind], buildFailureBody(failure, requestId), headers);
+}
