--- /dev/null
+++ b/src/adapters/_lib/createConnectionPool.ts
@@ -0,0 +1,39 @@
+/**
+ * @module Connections of an adapter. HTTP/1.1 carries one request at a time on each, so none shares its fate with two.
+ */
+import http from "node:http";
+import type { Disposable } from "../../base/disposableStore";
+import { CONNECTIONS_PER_HOST, IDLE_CONNECTIONS_PER_HOST } from "../constants";
+import type { HttpTarget } from "./httpTarget";
+
+/** Kept connections of an adapter. */
+export interface ConnectionPool extends Disposable {
+    readonly agent: http.Agent;
+    /** Closes idle connections to a target, for when one of them was found dead. */
+    dropIdleConnections(target: HttpTarget): void;
+}
+
+/**
+ * Creates a pool.
+ *
+ * @param options - `connectionsPerHost`: cap on open connections to one address and port
+ * @returns The pool, empty
+ * @example
+ * const pool = createConnectionPool();
+ */
+export function createConnectionPool(options: { readonly connectionsPerHost?: number } = {}): ConnectionPool {
+    const agent = new http.Agent({
+        keepAlive: true,
+        maxSockets: options.connectionsPerHost ?? CONNECTIONS_PER_HOST,
+        maxFreeSockets: IDLE_CONNECTIONS_PER_HOST,
+        scheduling: "lifo",
+    });
+    return {
+        agent,
+        dropIdleConnections: target => {
+            const name = agent.getName({ host: target.address, port: target.port });
+            [...(agent.freeSockets[name] ?? [])].forEach(socket => socket.destroy());
+        },
+        dispose: () => agent.destroy(),
+    };
+}
--- /dev/null
+++ b/src/adapters/httpCloud/createHttpCloud.ts
@@ -0,0 +1,70 @@
+/**
+ * @module The platform's cloud API over HTTP.
+ */
+import { err, ok } from "neverthrow";
+import { z } from "zod";
+import { createFailure } from "../../base/createFailure";
+import type { Disposable } from "../../base/disposableStore";
+import { FailureKind } from "../../base/failure";
+import type { CloudPort } from "../../ports/cloud";
+import { callPlatform } from "../_lib/callPlatform";
+import { createPlatformConnection, type PlatformAdapterOptions } from "../_lib/createPlatformConnection";
+import { parseAnswer } from "../_lib/parseAnswer";
+import { refuseAnswer } from "../_lib/refuseAnswer";
+
+const startedSchema = z.object({ vmId: z.string() });
+const priceSchema = z.object({
+    region: z.string(),
+    failureDomain: z.string(),
+    machineClass: z.string(),
+    isReclaimable: z.boolean(),
+    microsPerHour: z.number(),
+});
+const pricesSchema = z.object({ prices: z.array(priceSchema) });
+const noticesSchema = z.object({
+    notices: z.array(z.object({ vmId: z.string(), reclaimAtWallMs: z.number() })),
+});
+
+const OK_STATUS = 200;
+const CONFLICT_STATUS = 409;
+
+/**
+ * Creates the adapter to the cloud API.
+ *
+ * @param options - Address, port and bounds of the waits
+ * @returns The API; disposing it closes its connections
+ * @example
+ * const cloud = createHttpCloud({ address: "127.0.0.1", port: 7000 });
+ * const started = await cloud.startVm(order);
+ */
+export function createHttpCloud(options: PlatformAdapterOptions): CloudPort & Disposable {
+    const connection = createPlatformConnection(options);
+    const readList = async <T>(path: string, schema: z.ZodType<T>) => {
+        const answer = await callPlatform(connection, { method: "GET", path });
+        return answer.andThen(({ status, body }) => {
+            const value = status === OK_STATUS ? parseAnswer(body, schema) : undefined;
+            return value === undefined ? refuseAnswer(status, false) : ok(value);
+        });
+    };
+    return {
+        startVm: async order => {
+            const body = Buffer.from(JSON.stringify(order));
+            const answer = await callPlatform(connection, { method: "POST", path: "/cloud/vms", body });
+            return answer.andThen(({ status, body: answerBody }) => {
+                if (status === CONFLICT_STATUS) {
+                    return err(createFailure(FailureKind.PlatformRefused, "The platform refused to start the VM."));
+                }
+                const value = status === OK_STATUS ? parseAnswer(answerBody, startedSchema) : undefined;
+                return value === undefined ? refuseAnswer(status, status === OK_STATUS) : ok(value);
+            });
+        },
+        stopVm: async vmId => {
+            const path = `/cloud/vms/${encodeURIComponent(vmId)}`;
+            const answer = await callPlatform(connection, { method: "DELETE", path });
+            return answer.andThen(({ status }) => (status === OK_STATUS ? ok(undefined) : refuseAnswer(status, false)));
+        },
+        listPrices: async () => (await readList("/cloud/prices", pricesSchema)).map(value => value.prices),
+        listReclaimNotices: async () => (await readList("/cloud/notices", noticesSchema)).map(value => value.notices),
+        dispose: connection.pool.dispose,
+    };
+}
--- /dev/null
+++ b/src/adapters/httpVmList/createHttpVmList.ts
@@ -0,0 +1,52 @@
+/**
+ * @module The platform's list of VMs over HTTP.
+ */
+import { ok } from "neverthrow";
+import { z } from "zod";
+import type { Disposable } from "../../base/disposableStore";
+import { VmRole, VmState } from "../../model/endpoint";
+import type { VmListPort } from "../../ports/cloud";
+import { callPlatform } from "../_lib/callPlatform";
+import { createPlatformConnection, type PlatformAdapterOptions } from "../_lib/createPlatformConnection";
+import { parseAnswer } from "../_lib/parseAnswer";
+import { refuseAnswer } from "../_lib/refuseAnswer";
+
+const vmSchema = z.object({
+    vmId: z.string(),
+    role: z.enum(VmRole),
+    region: z.string(),
+    failureDomain: z.string(),
+    address: z.string(),
+    port: z.number(),
+    state: z.enum(VmState),
+    reclaimAtWallMs: z.number().optional(),
+    machineClass: z.string(),
+    isReclaimable: z.boolean(),
+    serviceName: z.string().optional(),
+    version: z.string().optional(),
+    incarnation: z.number(),
+});
+const listSchema = z.object({ vms: z.array(vmSchema) });
+
+/**
+ * Creates the adapter to the list of VMs.
+ *
+ * @param options - Address, port and bounds of the waits
+ * @returns The list; disposing it closes its connections
+ * @example
+ * const vmList = createHttpVmList({ address: "127.0.0.1", port: 7000 });
+ * const vms = await vmList.listVms();
+ */
+export function createHttpVmList(options: PlatformAdapterOptions): VmListPort & Disposable {
+    const connection = createPlatformConnection(options);
+    return {
+        listVms: async () => {
+            const answer = await callPlatform(connection, { method: "GET", path: "/vms" });
+            return answer.andThen(({ status, body }) => {
+                const value = parseAnswer(body, listSchema);
+                return value === undefined ? refuseAnswer(status, false) : ok(value.vms);
+            });
+        },
+        dispose: connection.pool.dispose,
+    };
+}
