--- /dev/null
+++ b/src/base/metrics/metric.ts
@@ -0,0 +1,177 @@
+/**
+ * @module The names of all metrics. `docs/METRICS.md` lists exactly these.
+ */
+
+/** What a metric counts. */
+export enum MetricKind {
+    /** Grows by what is added to it. */
+    Counter = "counter",
+    /** Shows the newest value. */
+    Gauge = "gauge",
+    /** A distribution of durations. */
+    Timing = "timing",
+}
+
+/** Units of metrics. */
+export enum MetricUnit {
+    Count = "count",
+    Milliseconds = "ms",
+    Bytes = "bytes",
+    Tokens = "tokens",
+    Ratio = "ratio",
+    Micros = "millionths of the currency",
+}
+
+/** Tags of metrics. Each has few values; nothing that grows with requests is a tag. */
+export enum MetricTag {
+    Account = "account",
+    Class = "class",
+    Invariant = "invariant",
+    Operation = "operation",
+    Outcome = "outcome",
+    Service = "service",
+    Task = "task",
+    Topic = "topic",
+    Version = "version",
+}
+
+/** Every metric. */
+export enum Metric {
+    RequestsReceived = "requests.received",
+    RequestsFinished = "requests.finished",
+    RequestsOpen = "requests.open",
+    ConnectionsOpen = "connections.open",
+    FirstTokenTime = "answers.first_token",
+    TokenGap = "answers.token_gap",
+    AnswerTime = "answers.whole",
+    TokensPrompt = "tokens.prompt",
+    TokensCached = "tokens.cached",
+    TokensGenerated = "tokens.generated",
+    TokensRecomputed = "tokens.recomputed",
+    AdmissionWaiting = "admission.waiting",
+    AdmissionWait = "admission.wait",
+    AdmissionRefused = "admission.refused",
+    Attempts = "routing.attempts",
+    RetriesRefused = "routing.retries_refused",
+    Resumes = "routing.resumes",
+    LateAnswersDropped = "routing.late_answers_dropped",
+    EstimateError = "routing.estimate_error",
+    SilentConnections = "routing.silent_connections",
+    ClaimsMade = "claims.made",
+    ClaimsUnknown = "claims.unknown",
+    JobsAccepted = "jobs.accepted",
+    JobsEnded = "jobs.ended",
+    JobsOpen = "jobs.open",
+    StoreOperations = "store.operations",
+    StoreTime = "store.time",
+    ConfigurationRevision = "configuration.revision",
+    ConfigurationDelay = "configuration.delay",
+    NodesLive = "nodes.live",
+    NodesSuspect = "nodes.suspect",
+    ExchangeBytes = "exchange.bytes",
+    ExchangeDropped = "exchange.dropped",
+    VmsLeaving = "vms.leaving",
+    MoveShare = "versions.share",
+    MovesEnded = "versions.moves_ended",
+    VersionsBraked = "versions.braked",
+    FleetVms = "fleet.vms",
+    FleetStartsRefused = "fleet.starts_refused",
+    FleetCost = "fleet.cost_per_hour",
+    LeasesLost = "leases.lost",
+    InvariantBreaches = "invariants.breaches",
+    TaskRestarts = "tasks.restarts",
+    OperatorRequests = "operators.requests",
+    ResidentMemory = "process.resident_memory",
+    EventLoopDelay = "process.event_loop_delay",
+}
+
+/** What is known of a metric. */
+export interface MetricDescription {
+    readonly kind: MetricKind;
+    readonly unit: MetricUnit;
+    readonly tags: readonly MetricTag[];
+    readonly description: string;
+}
+
+const { Counter, Gauge, Timing } = MetricKind;
+const { Bytes, Count, Micros, Milliseconds, Ratio, Tokens } = MetricUnit;
+const { Account, Class, Invariant, Operation, Outcome, Service, Task, Topic, Version } = MetricTag;
+
+/** Kind, unit, tags and meaning of each metric. */
+export const METRIC_DESCRIPTIONS: Readonly<Record<Metric, MetricDescription>> = {
+    [Metric.RequestsReceived]: define(Counter, Count, [Account, Class], "Requests whose class is known"),
+    [Metric.RequestsFinished]: define(Counter, Count, [Class, Outcome], "Requests ended, by `ok` or kind of failure"),
+    [Metric.RequestsOpen]: define(Gauge, Count, [], "Requests in progress on this node"),
+    [Metric.ConnectionsOpen]: define(Gauge, Count, [], "Open connections of callers"),
+    [Metric.FirstTokenTime]: define(Timing, Milliseconds, [Class], "From the request to its first token"),
+    [Metric.TokenGap]: define(Timing, Milliseconds, [Class], "Time between token batches of a stream"),
+    [Metric.AnswerTime]: define(Timing, Milliseconds, [Class], "From the request to the end of its answer"),
+    [Metric.TokensPrompt]: define(Counter, Tokens, [Class], "Prompt tokens of finished requests"),
+    [Metric.TokensCached]: define(Counter, Tokens, [Class], "Prompt tokens found in a prefix cache"),
+    [Metric.TokensGenerated]: define(Counter, Tokens, [Class], "Tokens sent to callers"),
+    [Metric.TokensRecomputed]: define(Counter, Tokens, [Class], "Tokens prefilled again by a resumed request"),
+    [Metric.AdmissionWaiting]: define(Gauge, Count, [Class], "Requests waiting for admission"),
+    [Metric.AdmissionWait]: define(Timing, Milliseconds, [Class], "Time that admitted requests have waited"),
+    [Metric.AdmissionRefused]: define(Counter, Count, [Class, Outcome], "Requests refused, by kind of failure"),
+    [Metric.Attempts]: define(Counter, Count, [Service, Version, Outcome], "Attempts at endpoints, by how they ended"),
+    [Metric.RetriesRefused]: define(Counter, Count, [Class], "Retries that the retry budget refused"),
+    [Metric.Resumes]: define(Counter, Count, [Class], "Streams resumed on another model runner"),
+    [Metric.LateAnswersDropped]: define(Counter, Count, [Service], "Answers of attempts that were over already"),
+    [Metric.EstimateError]: define(
+        Timing,
+        Milliseconds,
+        [Service],
+        "Distance of estimated and seen time to first token",
+    ),
+    [Metric.SilentConnections]: define(Counter, Count, [Service], "Connections closed because nothing came any more"),
+    [Metric.ClaimsMade]: define(Counter, Count, [Service, Outcome], "Execution claims of calls that may run once only"),
+    [Metric.ClaimsUnknown]: define(Counter, Count, [Service], "Claims whose outcome stayed unknown"),
+    [Metric.JobsAccepted]: define(Counter, Count, [Class], "Durable jobs accepted"),
+    [Metric.JobsEnded]: define(Counter, Count, [Class, Outcome], "Durable jobs ended, by state"),
+    [Metric.JobsOpen]: define(Gauge, Count, [], "Durable jobs that this node works on"),
+    [Metric.StoreOperations]: define(
+        Counter,
+        Count,
+        [Operation, Outcome],
+        "Calls to the platform's table and object store",
+    ),
+    [Metric.StoreTime]: define(Timing, Milliseconds, [Operation], "Duration of calls to the platform's store"),
+    [Metric.ConfigurationRevision]: define(Gauge, Count, [], "Revision in force on this node"),
+    [Metric.ConfigurationDelay]: define(
+        Timing,
+        Milliseconds,
+        [],
+        "From the commit of a change to its application here",
+    ),
+    [Metric.NodesLive]: define(Gauge, Count, [], "Nodes believed alive"),
+    [Metric.NodesSuspect]: define(Gauge, Count, [], "Nodes suspected of having failed"),
+    [Metric.ExchangeBytes]: define(Counter, Bytes, [Topic], "Bytes sent to other nodes"),
+    [Metric.ExchangeDropped]: define(Counter, Count, [Topic], "Updates dropped to stay inside the byte budget"),
+    [Metric.VmsLeaving]: define(Gauge, Count, [], "VMs known to be leaving"),
+    [Metric.MoveShare]: define(Gauge, Ratio, [Service], "Share of new requests that goes to the new version"),
+    [Metric.MovesEnded]: define(Counter, Count, [Service, Outcome], "Version moves ended, by `done` or `taken_back`"),
+    [Metric.VersionsBraked]: define(
+        Counter,
+        Count,
+        [Service, Version],
+        "Versions that this node stopped sending work to",
+    ),
+    [Metric.FleetVms]: define(Gauge, Count, [Service], "VMs that the fleet plan asks for"),
+    [Metric.FleetStartsRefused]: define(Counter, Count, [Service], "Starts of VMs that the platform refused"),
+    [Metric.FleetCost]: define(Gauge, Micros, [Service], "Price an hour of the VMs in use"),
+    [Metric.LeasesLost]: define(Counter, Count, [Task], "Leases lost before they were given up"),
+    [Metric.InvariantBreaches]: define(Counter, Count, [Invariant], "Invariants found broken"),
+    [Metric.TaskRestarts]: define(Counter, Count, [Task], "Tasks started again after a failure"),
+    [Metric.OperatorRequests]: define(Counter, Count, [Operation, Outcome], "Requests of operators"),
+    [Metric.ResidentMemory]: define(Gauge, Bytes, [], "Resident memory of the process"),
+    [Metric.EventLoopDelay]: define(Timing, Milliseconds, [], "How late timers of the process fire"),
+};
+
+function define(
+    kind: MetricKind,
+    unit: MetricUnit,
+    tags: readonly MetricTag[],
+    description: string,
+): MetricDescription {
+    return { kind, unit, tags, description };
+}
