--- a/src/decisions/leases/applyLeaseEvents.ts
+++ b/src/decisions/leases/applyLeaseEvents.ts
@@ -49,9 +49,9 @@
             ? state
             : takeEffect(state, write, { row: write.row, rowVersion, firstSeenAtMs: nowMs });
     },
-    [LeaseWriteOutcome.Conflict]: (state, token) => ({ ...removeWrite(state, token), seen: undefined }),
+    [LeaseWriteOutcome.Conflict]: (state, token) => ({ ...removeWrite(state, token), needsRead: true }),
     [LeaseWriteOutcome.Refused]: removeWrite,
-    [LeaseWriteOutcome.Unknown]: state => state,
+    [LeaseWriteOutcome.Unknown]: state => ({ ...state, needsRead: true }),
 };
 
 /**
@@ -75,7 +75,7 @@
     }
     const sent = state.sent.filter(write => write.expectedVersion === read?.rowVersion);
     const held = state.held?.rowVersion === read?.rowVersion ? state.held : undefined;
-    return { ...state, seen, sent, held };
+    return { ...state, seen, sent, held, needsRead: false };
 }
 
 /**
@@ -94,7 +94,7 @@
 
 function takeEffect(state: LeaseState, write: SentWrite, seen: LeaseObservation): LeaseState {
     if (write.row.holderId === undefined || seen.rowVersion === undefined) {
-        return { ...state, seen, held: undefined, sent: [] };
+        return { ...state, seen, held: undefined, sent: [], needsRead: false };
     }
     const isRenewal = state.held?.epoch === write.row.epoch;
     const held = {
@@ -103,7 +103,7 @@
         acquiredAtMs: isRenewal && state.held !== undefined ? state.held.acquiredAtMs : write.sentAtMs,
         validUntilMs: write.sentAtMs + write.row.durationMs - state.terms.marginMs,
     };
-    return { ...state, seen, held, sent: [] };
+    return { ...state, seen, held, sent: [], needsRead: false };
 }
 
 function removeWrite(state: LeaseState, token: string): LeaseState {
--- a/src/decisions/leases/createLeaseState.ts
+++ b/src/decisions/leases/createLeaseState.ts
@@ -12,5 +12,5 @@
  * createLeaseState({ holderId: "node-1", durationMs: 10_000, marginMs: 500 });
  */
 export function createLeaseState(terms: LeaseTerms): LeaseState {
-    return { terms, seen: undefined, held: undefined, sent: [] };
+    return { terms, seen: undefined, held: undefined, sent: [], needsRead: true };
 }
--- a/src/decisions/leases/decideLeaseStep.ts
+++ b/src/decisions/leases/decideLeaseStep.ts
@@ -16,7 +16,7 @@
  */
 export function decideLeaseStep(state: LeaseState, nowMs: number): LeaseStep {
     const { seen, held, terms } = state;
-    if (state.sent.length > 0 || seen === undefined) {
+    if (state.needsRead || seen === undefined) {
         return { kind: LeaseStepKind.Read };
     }
     if (held !== undefined && nowMs < held.validUntilMs) {
--- a/src/decisions/leases/leaseState.ts
+++ b/src/decisions/leases/leaseState.ts
@@ -55,6 +55,8 @@
     readonly held: HeldLease | undefined;
     /** Writes whose outcome is open. All are conditional on the same row version, so at most one can take effect. */
     readonly sent: readonly SentWrite[];
+    /** True while the row must be read before anything more is written. */
+    readonly needsRead: boolean;
 }
 
 /** What a node can do next about a lease. */
--- /dev/null
+++ b/src/tasks/leases/_lib/createLeaseKeeper.ts
@@ -0,0 +1,87 @@
+/**
+ * @module One lease of this node: the steps that acquire, renew and release it at the store.
+ */
+import { err, type Result } from "neverthrow";
+import { ulid } from "ulid";
+import { assertInvariant, Invariant } from "../../../base/assertInvariant";
+import type { Clock } from "../../../base/clock";
+import { createFailure } from "../../../base/createFailure";
+import { type Failure, FailureKind } from "../../../base/failure";
+import { applyLeaseAnswer, applyLeaseRead, recordLeaseWrite } from "../../../decisions/leases/applyLeaseEvents";
+import { createLeaseState } from "../../../decisions/leases/createLeaseState";
+import {
+    type LeaseRow,
+    type LeaseState,
+    type LeaseTerms,
+    LeaseWriteOutcome,
+} from "../../../decisions/leases/leaseState";
+import type { TablePort } from "../../../ports/table";
+import { STORE_CALL_TIMEOUT_MS } from "./constants";
+import { decodeLeaseRow, toLeaseKey } from "./leaseRows";
+
+/** What a keeper needs. */
+export interface LeaseKeeperOptions {
+    readonly name: string;
+    readonly terms: LeaseTerms;
+    readonly table: TablePort;
+    readonly clock: Clock;
+}
+
+/** One lease's state and the two calls that change it. Calls are made one at a time. */
+export interface LeaseKeeper {
+    readState(): LeaseState;
+    /** Reads the row and settles writes whose outcome was open. */
+    readFromStore(): Promise<Result<void, Failure>>;
+    /** Writes the row, conditional on the version expected. */
+    writeToStore(row: LeaseRow, expectedVersion: number | undefined): Promise<Result<void, Failure>>;
+}
+
+const OUTCOMES: Partial<Record<FailureKind, LeaseWriteOutcome>> = {
+    [FailureKind.StoreConflict]: LeaseWriteOutcome.Conflict,
+    [FailureKind.StoreUnavailable]: LeaseWriteOutcome.Refused,
+};
+
+/** Creates a keeper that knows nothing of the row yet. */
+export function createLeaseKeeper(options: LeaseKeeperOptions): LeaseKeeper {
+    const { name, terms, table, clock } = options;
+    const key = toLeaseKey(name);
+    let state = createLeaseState(terms);
+    const waitBounded = <T>(call: Promise<Result<T, Failure>>): Promise<Result<T, Failure>> => {
+        const lost = createFailure(FailureKind.StoreOutcomeUnknown, "The store gave no answer in time.");
+        return Promise.race([call, clock.waitMs(STORE_CALL_TIMEOUT_MS).then(() => err(lost))]);
+    };
+    const setState = (next: LeaseState) => {
+        const before = state.held;
+        const now = next.seen?.row;
+        const isOtherHolder = now?.epoch === before?.epoch && now?.holderId !== undefined;
+        assertInvariant(
+            before === undefined || !isOtherHolder || now?.holderId === terms.holderId,
+            Invariant.OneHolderPerEpoch,
+            `lease ${name}, epoch ${before?.epoch}: ${terms.holderId} and ${now?.holderId}`,
+        );
+        state = next;
+    };
+    return {
+        readState: () => state,
+        readFromStore: async () => {
+            const row = (await waitBounded(table.readRow(key))).andThen(decodeLeaseRow);
+            return row.map(read => setState(applyLeaseRead(state, read, clock.readMonotonicMs())));
+        },
+        writeToStore: async (row, expectedVersion) => {
+            const token = ulid();
+            const transaction = {
+                token,
+                conditions: [{ key, version: expectedVersion }],
+                writes: [{ key, value: JSON.stringify(row) }],
+            };
+            state = recordLeaseWrite(state, { token, sentAtMs: clock.readMonotonicMs(), row, expectedVersion });
+            const answer = await waitBounded(table.commitTransaction(transaction));
+            const outcome = answer.isOk()
+                ? LeaseWriteOutcome.Accepted
+                : (OUTCOMES[answer.error.kind] ?? LeaseWriteOutcome.Unknown);
+            const rowVersion = answer.isOk() ? answer.value[0] : undefined;
+            setState(applyLeaseAnswer(state, token, outcome, { rowVersion, nowMs: clock.readMonotonicMs() }));
+            return answer.map(() => undefined);
+        },
+    };
+}
--- /dev/null
+++ b/src/tasks/leases/_lib/leaseRows.ts
@@ -0,0 +1,33 @@
+/**
+ * @module Lease rows in the table.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { createFailure } from "../../../base/createFailure";
+import { type Failure, FailureKind } from "../../../base/failure";
+import type { ReadRow } from "../../../decisions/leases/leaseState";
+import type { TableRow } from "../../../ports/table";
+
+const ROW_SCHEMA = z.object({
+    holderId: z.string().optional(),
+    epoch: z.number().int().positive(),
+    durationMs: z.number().positive(),
+});
+
+/** Gives the key of a lease's row. */
+export function toLeaseKey(name: string): string {
+    return `lease/${name}`;
+}
+
+/** Reads a lease row. */
+export function decodeLeaseRow(row: TableRow | undefined): Result<ReadRow | undefined, Failure> {
+    if (row === undefined) {
+        return ok(undefined);
+    }
+    try {
+        const { holderId, epoch, durationMs } = ROW_SCHEMA.parse(JSON.parse(row.value));
+        return ok({ row: { holderId, epoch, durationMs }, rowVersion: row.version, token: row.token });
+    } catch {
+        return err(createFailure(FailureKind.Internal, `Lease row ${row.key} is unreadable.`));
+    }
+}
