--- a/src/base/csp/createTimeout.ts
+++ b/src/base/csp/createTimeout.ts
@@ -5,7 +5,8 @@
 import { jsCsp } from "./jsCsp";
 
 /**
- * Creates a channel that closes after a time. It never carries a message.
+ * Creates a channel that closes after a time. It never carries a message. The time always runs to its end; where a wait
+ * is often cut short, use `createTimer`.
  *
  * @param delayMs - Milliseconds until it closes
  * @returns The channel; taking from it waits for the time to pass
--- a/src/base/csp/csp.test.ts
+++ b/src/base/csp/csp.test.ts
@@ -6,6 +6,7 @@
     closeChannel,
     createChannel,
     createTimeout,
+    createTimer,
     offerMessage,
     Overflow,
     pollMessage,
@@ -83,6 +84,21 @@
     });
 });
 
+describe("createTimer", () => {
+    it("expires after its time", async () => {
+        await startTask("waiter", function* () {
+            const event = yield* selectMessage({ expired: createTimer(5).expired });
+            assert.deepEqual(event, { from: "expired", message: undefined });
+        }).ended;
+    });
+
+    it("holds nothing back once disposed", async () => {
+        const timer = createTimer(1_000_000);
+        timer.dispose();
+        assert.equal(await receiveMessage(timer.expired), undefined);
+    });
+});
+
 describe("startTask", () => {
     it("turns a throw into a typed failure and disposes what the task owned", async () => {
         let disposed = false;
--- a/src/base/csp/index.ts
+++ b/src/base/csp/index.ts
@@ -4,6 +4,7 @@
 export { type Channel, Overflow, type Step } from "./channel";
 export { closeChannel } from "./closeChannel";
 export { createChannel } from "./createChannel";
+export { createTimer, type Timer } from "./createTimer";
 export { createTimeout } from "./createTimeout";
 export { offerMessage } from "./offerMessage";
 export { pollMessage } from "./pollMessage";
--- a/src/faces/_lib/writeWithBackPressure.ts
+++ b/src/faces/_lib/writeWithBackPressure.ts
@@ -2,7 +2,7 @@
  * @module Writing a response no faster than its reader takes it.
  */
 import type { ServerResponse } from "node:http";
-import { type Channel, createChannel, createTimeout, offerMessage, selectMessage, type Step } from "../../base/csp";
+import { type Channel, createChannel, createTimer, offerMessage, selectMessage, type Step } from "../../base/csp";
 
 /** How a write went. */
 export enum WriteResult {
@@ -33,7 +33,9 @@
     const onClose = () => void offerMessage(drained, false);
     response.once("drain", onDrain);
     response.once("close", onClose);
-    const event = yield* selectMessage({ drained, late: createTimeout(timeoutMs) });
+    const timer = createTimer(timeoutMs);
+    const event = yield* selectMessage({ drained, late: timer.expired });
+    timer.dispose();
     response.off("drain", onDrain);
     response.off("close", onClose);
     if (event.from === "late") {
--- a/src/faces/callerDependencies.ts
+++ b/src/faces/callerDependencies.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationClient } from "../tasks/configuration/configurationClient";
 import type { ExecutionClient } from "../tasks/execution/executionClient";
 import type { JobClient } from "../tasks/jobs/jobClient";
+import type { BodyLimits } from "./_lib/readBody";
 
 /** Handles that the handlers use. */
 export interface CallerDependencies {
@@ -12,5 +13,5 @@
     readonly configuration: ConfigurationClient;
     readonly execution: ExecutionClient;
     readonly jobs: JobClient;
-    readonly limits: { readonly bodyBytes: number };
+    readonly limits: BodyLimits;
 }
--- a/src/faces/callerListener.ts
+++ b/src/faces/callerListener.ts
@@ -4,20 +4,6 @@
 import type { DumpSource } from "../base/dump";
 import type { Failure } from "../base/failure";
 
-/** Limits that protect the process from callers. */
-export interface CallerLimits {
-    /** Largest request body. */
-    readonly bodyBytes: number;
-    /** Longest time for the headers to arrive, in milliseconds. */
-    readonly headerMs: number;
-    /** Longest time for headers and body to arrive, in milliseconds. */
-    readonly requestMs: number;
-    /** How long a connection may stay open without a request, in milliseconds. */
-    readonly idleMs: number;
-    readonly connections: number;
-    readonly openRequests: number;
-}
-
 /** TLS key and certificate chain, both PEM. */
 export interface TlsIdentity {
     readonly key: string;
--- a/src/faces/constants.ts
+++ b/src/faces/constants.ts
@@ -31,3 +31,6 @@
 
 /** Answer bytes a slow reader may leave unsent in this process before the runner is held back. */
 export const RESPONSE_BUFFER_BYTES = 65_536;
+
+/** Longest time for headers and body of a request to arrive, however steadily they trickle in. */
+export const LONGEST_ARRIVAL_MS = 300_000;
--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -13,10 +13,16 @@
 import { sendJson } from "./_lib/sendJson";
 import type { Account } from "../model/configuration";
 import { authenticateAccount } from "./authenticateAccount";
+import type { CallerLimits } from "../settings/settings";
 import type { CallerDependencies } from "./callerDependencies";
-import type { CallerLimits, CallerListener, ExchangeSummary, TlsIdentity } from "./callerListener";
+import type { CallerListener, ExchangeSummary, TlsIdentity } from "./callerListener";
 import { buildCallerRoutes, type CallerRoute, matchCallerRoute, type MatchedRoute } from "./callerRoutes";
-import { CONNECTION_CHECK_INTERVAL_MS, LARGEST_HEADER_BYTES, RESPONSE_BUFFER_BYTES } from "./constants";
+import {
+    CONNECTION_CHECK_INTERVAL_MS,
+    LARGEST_HEADER_BYTES,
+    LONGEST_ARRIVAL_MS,
+    RESPONSE_BUFFER_BYTES,
+} from "./constants";
 import type { ExchangeEnd, HttpExchange } from "./httpExchange";
 import { createOpenRequests } from "./_lib/createOpenRequests";
 import { sendFailure } from "./sendFailure";
@@ -171,7 +177,7 @@
 function createServer(options: CallerListenerOptions, handleRequest: http.RequestListener): http.Server | https.Server {
     const settings = {
         headersTimeout: options.limits.headerMs,
-        requestTimeout: options.limits.requestMs,
+        requestTimeout: LONGEST_ARRIVAL_MS,
         keepAliveTimeout: options.limits.idleMs,
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         maxHeaderSize: LARGEST_HEADER_BYTES,
--- a/src/faces/createChatCompletionHandler.ts
+++ b/src/faces/createChatCompletionHandler.ts
@@ -30,7 +30,7 @@
  */
 export function createChatCompletionHandler(dependencies: CallerDependencies): ExchangeHandler {
     return function* (exchange) {
-        const body = yield* waitFor(readBody(exchange.request, dependencies.limits.bodyBytes));
+        const body = yield* waitFor(readBody(exchange.request, dependencies.limits));
         const parsed = body.andThen(parseJson).andThen(parseChatRequest);
         if (parsed.isErr()) {
             return endWithFailure(exchange, parsed.error);
--- a/src/faces/createServiceHandler.ts
+++ b/src/faces/createServiceHandler.ts
@@ -41,7 +41,7 @@
  */
 export function createServiceHandler(dependencies: CallerDependencies): ExchangeHandler {
     return function* (exchange) {
-        const body = yield* waitFor(readBody(exchange.request, dependencies.limits.bodyBytes));
+        const body = yield* waitFor(readBody(exchange.request, dependencies.limits));
         if (body.isErr()) {
             return endWithFailure(exchange, body.error);
         }
--- a/src/faces/sendFailure.ts
+++ b/src/faces/sendFailure.ts
@@ -9,6 +9,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+// After these the rest of the request is not worth reading.
+const CLOSING_KINDS: ReadonlySet<FailureKind> = new Set([FailureKind.CallerTooSlow, FailureKind.BodyTooLarge]);
+
 /**
  * Tells the caller of a failure, with the status of its kind and a retry hint where it has one. When the response has
  * begun already, the connection is cut, so that the caller can't take the part for the whole.
@@ -32,5 +35,8 @@
     if (failure.kind === FailureKind.Unauthenticated) {
         headers["www-authenticate"] = "Bearer";
     }
+    if (CLOSING_KINDS.has(failure.kind)) {
+        headers["connection"] = "close";
+    }
     sendJson(response, FAILURE_STATUS[failure.kind], buildFailureBody(failure, requestId), headers);
 }
