--- a/src/adapters/_lib/createPlatformConnection.ts
+++ b/src/adapters/_lib/createPlatformConnection.ts
@@ -1,8 +1,8 @@
 /**
  * @module The connection of an adapter to the platform.
  */
-import type { CallTimeouts } from "./callHttp";
-import type { PlatformConnection } from "./callPlatform";
+import type { CallTimeouts } from "./sendHttpCall";
+import type { PlatformConnection } from "./sendPlatformCall";
 import { createConnectionPool } from "./createConnectionPool";
 import type { HttpTarget } from "./httpTarget";
 
--- a/src/adapters/_lib/callHttp.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -43,6 +43,8 @@
           readonly status: number;
           readonly headers: Readonly<Record<string, string>>;
           readonly body: Buffer;
+          /** True if the answer echoes this call's `x-request-id`. */
+          readonly isEchoed: boolean;
       }
     | {
           readonly isAnswered: false;
@@ -64,9 +66,9 @@
  * @param pool - Kept connections; absent: a new connection for this call alone
  * @returns The outcome; the promise never rejects
  * @example
- * const outcome = await callHttp(target, { method: "GET", path: "/vms" }, pool);
+ * const outcome = await sendHttpCall(target, { method: "GET", path: "/vms" }, pool);
  */
-export function callHttp(target: HttpTarget, call: HttpCall, pool?: ConnectionPool): Promise<HttpOutcome> {
+export function sendHttpCall(target: HttpTarget, call: HttpCall, pool?: ConnectionPool): Promise<HttpOutcome> {
     const callId = `${processId}-${++callsStarted}`;
     return new Promise(resolve => {
         const request = http.request({
@@ -132,6 +134,7 @@
                     status: response.statusCode ?? 0,
                     headers: convertHeaders(response.headers),
                     body: Buffer.concat(chunks),
+                    isEchoed: echoed === callId,
                 });
             });
         });
--- a/src/adapters/_lib/callPlatform.ts
+++ b/src/adapters/_lib/sendPlatformCall.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { createFailure } from "../../base/createFailure";
 import { type Failure, FailureKind } from "../../base/failure";
-import { callHttp, type CallTimeouts, type HttpCall, type HttpOutcome } from "./callHttp";
+import { sendHttpCall, type CallTimeouts, type HttpCall, type HttpOutcome } from "./sendHttpCall";
 import type { ConnectionPool } from "./createConnectionPool";
 import type { HttpTarget } from "./httpTarget";
 
@@ -33,14 +33,14 @@
  * @param call - The call
  * @returns The answer (status below 500, not 429), or the failure
  * @example
- * const answer = await callPlatform(connection, { method: "GET", path: "/vms" });
+ * const answer = await sendPlatformCall(connection, { method: "GET", path: "/vms" });
  */
-export async function callPlatform(
+export async function sendPlatformCall(
     connection: PlatformConnection,
     call: HttpCall,
 ): Promise<Result<PlatformAnswer, Failure>> {
     const timeouts = connection.timeouts;
-    const outcome = await callHttp(connection.target, { ...call, timeouts }, connection.pool);
+    const outcome = await sendHttpCall(connection.target, { ...call, timeouts }, connection.pool);
     if (outcome.isAnswered && outcome.status < FIRST_SERVER_ERROR_STATUS && outcome.status !== THROTTLED_STATUS) {
         return ok({ status: outcome.status, body: outcome.body });
     }
--- a/src/adapters/constants.ts
+++ b/src/adapters/constants.ts
@@ -28,3 +28,6 @@
 
 /** Longest line or event of a stream; a longer one fails the stream. */
 export const LARGEST_STREAM_EVENT_BYTES = 1024 * 1024;
+
+/** Longest wait for KV cache to move from one runner to another. */
+export const TRANSFER_TIMEOUT_MS = 30_000;
--- a/src/adapters/httpCloud/createHttpCloud.ts
+++ b/src/adapters/httpCloud/createHttpCloud.ts
@@ -7,7 +7,7 @@
 import type { Disposable } from "../../base/disposableStore";
 import { FailureKind } from "../../base/failure";
 import type { CloudPort } from "../../ports/cloud";
-import { callPlatform } from "../_lib/callPlatform";
+import { sendPlatformCall } from "../_lib/sendPlatformCall";
 import { createPlatformConnection, type PlatformAdapterOptions } from "../_lib/createPlatformConnection";
 import { parseAnswer } from "../_lib/parseAnswer";
 import { refuseAnswer } from "../_lib/refuseAnswer";
@@ -40,7 +40,7 @@
 export function createHttpCloud(options: PlatformAdapterOptions): CloudPort & Disposable {
     const connection = createPlatformConnection(options);
     const readList = async <T>(path: string, schema: z.ZodType<T>) => {
-        const answer = await callPlatform(connection, { method: "GET", path });
+        const answer = await sendPlatformCall(connection, { method: "GET", path });
         return answer.andThen(({ status, body }) => {
             const value = status === OK_STATUS ? parseAnswer(body, schema) : undefined;
             return value === undefined ? refuseAnswer(status, false) : ok(value);
@@ -49,7 +49,7 @@
     return {
         startVm: async order => {
             const body = Buffer.from(JSON.stringify(order));
-            const answer = await callPlatform(connection, { method: "POST", path: "/cloud/vms", body });
+            const answer = await sendPlatformCall(connection, { method: "POST", path: "/cloud/vms", body });
             return answer.andThen(({ status, body: answerBody }) => {
                 if (status === CONFLICT_STATUS) {
                     return err(createFailure(FailureKind.PlatformRefused, "The platform refused to start the VM."));
@@ -60,7 +60,7 @@
         },
         stopVm: async vmId => {
             const path = `/cloud/vms/${encodeURIComponent(vmId)}`;
-            const answer = await callPlatform(connection, { method: "DELETE", path });
+            const answer = await sendPlatformCall(connection, { method: "DELETE", path });
             return answer.andThen(({ status }) => (status === OK_STATUS ? ok(undefined) : refuseAnswer(status, false)));
         },
         listPrices: async () => (await readList("/cloud/prices", pricesSchema)).map(value => value.prices),
--- a/src/adapters/httpObjects/createHttpObjects.ts
+++ b/src/adapters/httpObjects/createHttpObjects.ts
@@ -7,7 +7,7 @@
 import type { Disposable } from "../../base/disposableStore";
 import { FailureKind } from "../../base/failure";
 import type { ObjectsPort } from "../../ports/objects";
-import { callPlatform } from "../_lib/callPlatform";
+import { sendPlatformCall } from "../_lib/sendPlatformCall";
 import { createPlatformConnection, type PlatformAdapterOptions } from "../_lib/createPlatformConnection";
 import { formatListingQuery } from "../_lib/formatListingQuery";
 import { parseAnswer } from "../_lib/parseAnswer";
@@ -29,7 +29,7 @@
 export function createHttpObjects(options: PlatformAdapterOptions): ObjectsPort & Disposable {
     const connection = createPlatformConnection(options);
     const writeCall = async (method: string, key: string, body?: Buffer) => {
-        const answer = await callPlatform(connection, { method, path: formatObjectPath(key), body });
+        const answer = await sendPlatformCall(connection, { method, path: formatObjectPath(key), body });
         return answer.andThen(({ status }) =>
             status < FIRST_ERROR_STATUS ? ok(undefined) : refuseAnswer(status, false),
         );
@@ -42,7 +42,7 @@
                 return ok(Buffer.alloc(0));
             }
             const headers = range === undefined ? undefined : { range: `bytes=${range.start}-${range.end - 1}` };
-            const answer = await callPlatform(connection, { method: "GET", path: formatObjectPath(key), headers });
+            const answer = await sendPlatformCall(connection, { method: "GET", path: formatObjectPath(key), headers });
             return answer.andThen(({ status, body }) => {
                 if (status === NOT_FOUND_STATUS) {
                     return err(createFailure(FailureKind.NotFound, `There is no object ${key}.`));
@@ -52,7 +52,7 @@
         },
         listObjects: async (prefix, listing) => {
             const path = `/object-keys?${formatListingQuery(prefix, listing)}`;
-            const answer = await callPlatform(connection, { method: "GET", path });
+            const answer = await sendPlatformCall(connection, { method: "GET", path });
             return answer.andThen(({ status, body }) => {
                 const value = status < FIRST_ERROR_STATUS ? parseAnswer(body, keysSchema) : undefined;
                 return value === undefined ? refuseAnswer(status, false) : ok(value.keys);
--- a/src/adapters/httpTable/createHttpTable.ts
+++ b/src/adapters/httpTable/createHttpTable.ts
@@ -7,7 +7,7 @@
 import type { Disposable } from "../../base/disposableStore";
 import { FailureKind } from "../../base/failure";
 import type { TablePort } from "../../ports/table";
-import { callPlatform } from "../_lib/callPlatform";
+import { sendPlatformCall } from "../_lib/sendPlatformCall";
 import { createPlatformConnection, type PlatformAdapterOptions } from "../_lib/createPlatformConnection";
 import { formatListingQuery } from "../_lib/formatListingQuery";
 import { parseAnswer } from "../_lib/parseAnswer";
@@ -35,7 +35,7 @@
     const connection = createPlatformConnection(options);
     return {
         readRow: async key => {
-            const answer = await callPlatform(connection, {
+            const answer = await sendPlatformCall(connection, {
                 method: "GET",
                 path: `/table/row?${new URLSearchParams({ key }).toString()}`,
             });
@@ -46,7 +46,7 @@
         },
         listRows: async (prefix, listing) => {
             const path = `/table/rows?${formatListingQuery(prefix, listing)}`;
-            const answer = await callPlatform(connection, { method: "GET", path });
+            const answer = await sendPlatformCall(connection, { method: "GET", path });
             return answer.andThen(({ status, body }) => {
                 const value = status === OK_STATUS ? parseAnswer(body, rowsAnswerSchema) : undefined;
                 return value === undefined ? refuseAnswer(status, false) : ok(value.rows);
@@ -54,7 +54,7 @@
         },
         commitTransaction: async transaction => {
             const body = Buffer.from(JSON.stringify(transaction));
-            const answer = await callPlatform(connection, { method: "POST", path: "/table/transactions", body });
+            const answer = await sendPlatformCall(connection, { method: "POST", path: "/table/transactions", body });
             return answer.andThen(({ status, body: answerBody }) => {
                 if (status === CONFLICT_STATUS) {
                     const keys = parseAnswer(answerBody, conflictSchema)?.keys ?? [];
--- a/src/adapters/httpVmList/createHttpVmList.ts
+++ b/src/adapters/httpVmList/createHttpVmList.ts
@@ -6,7 +6,7 @@
 import type { Disposable } from "../../base/disposableStore";
 import { VmRole, VmState } from "../../model/endpoint";
 import type { VmListPort } from "../../ports/cloud";
-import { callPlatform } from "../_lib/callPlatform";
+import { sendPlatformCall } from "../_lib/sendPlatformCall";
 import { createPlatformConnection, type PlatformAdapterOptions } from "../_lib/createPlatformConnection";
 import { parseAnswer } from "../_lib/parseAnswer";
 import { refuseAnswer } from "../_lib/refuseAnswer";
@@ -41,7 +41,7 @@
     const connection = createPlatformConnection(options);
     return {
         listVms: async () => {
-            const answer = await callPlatform(connection, { method: "GET", path: "/vms" });
+            const answer = await sendPlatformCall(connection, { method: "GET", path: "/vms" });
             return answer.andThen(({ status, body }) => {
                 const value = parseAnswer(body, listSchema);
                 return value === undefined ? refuseAnswer(status, false) : ok(value.vms);
--- a/src/standins/_lib/silenceSocket.ts
+++ b/src/standins/_lib/setSocketSilent.ts
@@ -10,9 +10,9 @@
  * @param socket - The stand-in's end of the connection
  * @param silent - Where silenced sockets are remembered
  * @example
- * silenceSocket(socket, silent);
+ * setSocketSilent(socket, silent);
  */
-export function silenceSocket(socket: Socket, silent: WeakSet<Socket>): void {
+export function setSocketSilent(socket: Socket, silent: WeakSet<Socket>): void {
     silent.add(socket);
     const dropBytes = (...parts: unknown[]): boolean => {
         const done = parts.find(part => typeof part === "function") as (() => void) | undefined;
--- a/src/standins/_lib/startStandinServer.ts
+++ b/src/standins/_lib/startStandinServer.ts
@@ -12,7 +12,7 @@
 import { handleControlCall } from "./handleControlCall";
 import { readCall } from "./readCall";
 import { runCall } from "./runCall";
-import { silenceSocket } from "./silenceSocket";
+import { setSocketSilent } from "./setSocketSilent";
 import type { StandinRoute } from "./standinCall";
 
 /** What every stand-in can be given. */
@@ -82,7 +82,7 @@
     function setFaults(rules: readonly FaultRule[]): void {
         gate.setRules(rules);
         if (rules.some(rule => rule.kind === FaultKind.ConnectionsSilent)) {
-            sockets.forEach(socket => silenceSocket(socket, silent));
+            sockets.forEach(socket => setSocketSilent(socket, silent));
         }
         applyListening(rules.some(rule => rule.kind === FaultKind.Down));
         options.handleRules?.(rules);
--- a/src/standins/constants.ts
+++ b/src/standins/constants.ts
@@ -46,3 +46,12 @@
 
 /** Bytes a second that the weight store gives out to all readers together. */
 export const WEIGHT_BYTES_PER_SECOND = 16_000_000_000;
+
+/** Bytes a second at which one runner reads KV cache from another. */
+export const TRANSFER_BYTES_PER_SECOND = 1_250_000_000;
+
+/** Longest wait for weights from the weight store, which serves its readers one after the other. */
+export const WEIGHT_WAIT_MS = 600_000;
+
+/** Shortest duration of a call to an application runner. */
+export const APPLICATION_LATENCY_MS = 5;
