--- /dev/null
+++ b/src/decisions/outcomes/addFirstAttempt.ts
@@ -0,0 +1,21 @@
+/**
+ * @module What a request earns for the retry budget.
+ */
+import { RETRY_RATIO, RETRY_SAVINGS_LIMIT } from "./constants";
+import type { RetryBudget } from "./retryBudget";
+
+/**
+ * Counts the first attempt of a request, which allows a fixed share of an extra one.
+ *
+ * @param budget - The budget of the request's class and service
+ * @returns The budget afterwards
+ * @example
+ * budget = addFirstAttempt(budget);
+ */
+export function addFirstAttempt(budget: RetryBudget): RetryBudget {
+    return {
+        ...budget,
+        available: Math.min(RETRY_SAVINGS_LIMIT, budget.available + RETRY_RATIO),
+        firstAttempts: budget.firstAttempts + 1,
+    };
+}
--- /dev/null
+++ b/src/decisions/outcomes/claims/encodeClaim.ts
@@ -0,0 +1,16 @@
+/**
+ * @module Claims as text in table rows.
+ */
+import type { ClaimRecord } from "./claimRecord";
+
+/**
+ * Encodes a claim.
+ *
+ * @param record - The claim
+ * @returns JSON text
+ * @example
+ * table.commitTransaction({ ..., writes: [{ key, value: encodeClaim(record) }] });
+ */
+export function encodeClaim(record: ClaimRecord): string {
+    return JSON.stringify(record);
+}
--- /dev/null
+++ b/src/tasks/claims/createClaimTask.ts
@@ -0,0 +1,197 @@
+/**
+ * @module Claims idempotency keys in the table before anything is sent, and records outcomes under them.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { assertInvariant, Invariant } from "../../base/assertInvariant";
+import type { Clock } from "../../base/clock";
+import { createFailure } from "../../base/createFailure";
+import type { DumpSource } from "../../base/dump";
+import { Execution, type Failure, FailureKind } from "../../base/failure";
+import {
+    advanceClaim,
+    beginClaim,
+    ClaimEnd,
+    type ClaimProcedure,
+    type ClaimStep,
+    ClaimStepKind,
+    TableAnswerKind,
+} from "../../decisions/outcomes/claims/advanceClaim";
+import { type ClaimRecord, ClaimState } from "../../decisions/outcomes/claims/claimRecord";
+import { type ClaimAsk, ClaimVerdict, decideClaim } from "../../decisions/outcomes/claims/decideClaim";
+import type { ObjectsPort } from "../../ports/objects";
+import type { TablePort } from "../../ports/table";
+import { waitForStore } from "./_lib/waitForStore";
+import { buildClaimEntry, toCommitAnswer, toReadAnswer } from "./_lib/claimTable";
+import { createHeldClaim, type HeldClaimParts } from "./_lib/createHeldClaim";
+import { hashClaim } from "./_lib/hashClaim";
+import { type ClaimAnswer, ClaimAnswerKind, type ClaimClient, type ClaimRequest } from "./claimClient";
+import type { CommitClient } from "./commitClient";
+import { CLAIM_GRACE_MS, STORE_RETRY_PAUSE_MS } from "./constants";
+
+/** What the claim task needs. */
+export interface ClaimTaskOptions {
+    readonly nodeId: string;
+    readonly table: TablePort;
+    readonly objects: ObjectsPort;
+    readonly commits: CommitClient;
+    readonly clock: Clock;
+}
+
+/** The claims of this node. */
+export type ClaimTask = ClaimClient & DumpSource;
+
+type EndStep = Extract<ClaimStep, { readonly kind: ClaimStepKind.End }>;
+
+/**
+ * Creates the claims of this node.
+ *
+ * @param options - Store, group commit and clock
+ * @returns The client
+ * @example
+ * const claims = createClaimTask({ nodeId, table, objects, commits, clock });
+ */
+export function createClaimTask(options: ClaimTaskOptions): ClaimTask {
+    const { clock, table } = options;
+    const held = new Map<string, string>();
+    const counts = { held: 0, replayed: 0, unknown: 0, reused: 0, inProgress: 0, storeDown: 0, unsettled: 0 };
+
+    const convertEnd = async (key: string, step: EndStep, ask: ClaimAsk): Promise<Result<ClaimAnswer, Failure>> => {
+        switch (step.end) {
+            case ClaimEnd.Held:
+                counts.held++;
+                assertInvariant(!held.has(key), Invariant.AtMostOnce, `two holders of a claim: ${ask.requestId}`);
+                held.set(key, ask.requestId);
+                return ok({
+                    kind: ClaimAnswerKind.Held,
+                    claim: createHeldClaim(
+                        { ...options, key, counts, onEnded: () => held.delete(key) },
+                        { ...step, requestId: ask.requestId },
+                    ),
+                });
+            case ClaimEnd.Replay:
+                counts.replayed++;
+                return readOutcome(options, step.record);
+            case ClaimEnd.InProgress:
+                counts.inProgress++;
+                return err(createInProgress(step.record, clock.readWallMs()));
+            case ClaimEnd.Unknown:
+                counts.unknown++;
+                return err(createOutcomeUnknown());
+            case ClaimEnd.Reused:
+                counts.reused++;
+                return err(createFailure(FailureKind.IdempotencyKeyReused, "The key was used for another request."));
+            case ClaimEnd.StoreDown:
+                counts.storeDown++;
+                return err(createStoreDown());
+        }
+    };
+
+    return {
+        name: "claims",
+        lookUpKey: async request => {
+            const key = toClaimKey(request);
+            const ask = buildAsk(options, request);
+            const answer = toReadAnswer(await waitForStore(clock, table.readRow(key)));
+            if (answer.kind === TableAnswerKind.Row) {
+                const { verdict } = decideClaim(answer.record, ask, clock.readWallMs());
+                if (verdict === ClaimVerdict.Write || verdict === ClaimVerdict.SettleUnknown) {
+                    return ok({ kind: ClaimAnswerKind.Free });
+                }
+            }
+            const { step } = advanceClaim(beginClaim(ask), answer, clock.readWallMs());
+            return step.kind === ClaimStepKind.End ? convertEnd(key, step, ask) : ok({ kind: ClaimAnswerKind.Free });
+        },
+        acquireClaim: async request => {
+            const key = toClaimKey(request);
+            const ask = buildAsk(options, request);
+            for (;;) {
+                const { step, hasLostAnswer } = await runProcedure(options, key, ask);
+                const canWait = clock.readMonotonicMs() + STORE_RETRY_PAUSE_MS < request.waitUntilMs;
+                if (step.kind === ClaimStepKind.End && (step.end !== ClaimEnd.StoreDown || !canWait)) {
+                    abandonLostClaim({ ...options, key, counts, onEnded: () => undefined }, step, ask, hasLostAnswer);
+                    return convertEnd(key, step, ask);
+                }
+                await clock.waitMs(STORE_RETRY_PAUSE_MS);
+            }
+        },
+        dumpState: () => ({ ...counts, holding: held.size }),
+    };
+}
+
+async function runProcedure(options: ClaimTaskOptions, key: string, ask: ClaimAsk): Promise<ClaimProcedure> {
+    let procedure = beginClaim(ask);
+    for (;;) {
+        const { step } = procedure;
+        if (step.kind === ClaimStepKind.End) {
+            return procedure;
+        }
+        const answer =
+            step.kind === ClaimStepKind.Read
+                ? toReadAnswer(await waitForStore(options.clock, options.table.readRow(key)))
+                : toCommitAnswer(await options.commits.commitEntry(buildClaimEntry(key, step.record, step.version)));
+        procedure = advanceClaim(procedure, answer, options.clock.readWallMs());
+    }
+}
+
+/** A claim that was given up may stand in the table all the same; it is recorded as not run, as far as possible. */
+function abandonLostClaim(parts: HeldClaimParts, step: EndStep, ask: ClaimAsk, hasLostAnswer: boolean): void {
+    if (step.end === ClaimEnd.StoreDown && hasLostAnswer) {
+        void createHeldClaim(parts, { requestId: ask.requestId }).settle({ state: ClaimState.NotRun }, 0);
+    }
+}
+
+async function readOutcome(
+    options: ClaimTaskOptions,
+    record: ClaimRecord | undefined,
+): Promise<Result<ClaimAnswer, Failure>> {
+    const outcome = record?.outcome;
+    if (outcome === undefined) {
+        return err(createOutcomeUnknown());
+    }
+    if (outcome.isInline) {
+        return ok({ kind: ClaimAnswerKind.Replay, outcome: outcome.text });
+    }
+    const body = await waitForStore(options.clock, options.objects.readObject(outcome.objectKey));
+    return body
+        .map(bytes => ({ kind: ClaimAnswerKind.Replay as const, outcome: bytes.toString("utf8") }))
+        .mapErr(failure => ({ ...failure, execution: Execution.Ran, retryAfterMs: STORE_RETRY_PAUSE_MS }));
+}
+
+function toClaimKey(request: ClaimRequest): string {
+    return `claims/${hashClaim(request.accountName, request.idempotencyKey)}`;
+}
+
+function buildAsk(options: ClaimTaskOptions, request: ClaimRequest): ClaimAsk {
+    const leftMs = request.deadlineAtMs - options.clock.readMonotonicMs();
+    return {
+        bodyHash: hashClaim(request.body),
+        requestId: request.requestId,
+        nodeId: options.nodeId,
+        validUntilWallMs: Math.ceil(options.clock.readWallMs() + leftMs + CLAIM_GRACE_MS),
+    };
+}
+
+function createInProgress(record: ClaimRecord | undefined, nowWallMs: number): Failure {
+    const leftMs = Math.max(0, (record?.validUntilWallMs ?? nowWallMs) - nowWallMs);
+    return createFailure(FailureKind.IdempotencyKeyInProgress, "An earlier request with this key is in progress.", {
+        execution: Execution.Unknown,
+        retryAfterMs: Math.max(STORE_RETRY_PAUSE_MS, Math.min(leftMs, CLAIM_GRACE_MS)),
+    });
+}
+
+function createOutcomeUnknown(): Failure {
+    return createFailure(
+        FailureKind.OutcomeUnknown,
+        "It is not known whether an earlier request with this key was executed. It will not be executed again.",
+        { execution: Execution.Unknown },
+    );
+}
+
+function createStoreDown(): Failure {
+    return createFailure(
+        FailureKind.StoreUnavailable,
+        "The store that guards against a second execution is away. This request was not sent; " +
+            "what became of earlier requests with its key could not be read.",
+        { retryAfterMs: 1_000 },
+    );
+}
