--- a/src/adapters/httpVmList/createHttpVmList.ts
+++ b/src/adapters/httpVmList/createHttpVmList.ts
@@ -4,28 +4,13 @@
 import { ok } from "neverthrow";
 import { z } from "zod";
 import type { Disposable } from "../../base/disposableStore";
-import { VmRole, VmState } from "../../model/endpoint";
 import type { VmListPort } from "../../ports/cloud";
 import { sendPlatformCall } from "../_lib/sendPlatformCall";
 import { createPlatformConnection, type PlatformAdapterOptions } from "../_lib/createPlatformConnection";
 import { parseAnswer } from "../_lib/parseAnswer";
 import { refuseAnswer } from "../_lib/refuseAnswer";
+import { vmSchema } from "./vmSchema";
 
-const vmSchema = z.object({
-    vmId: z.string(),
-    role: z.enum(VmRole),
-    region: z.string(),
-    failureDomain: z.string(),
-    address: z.string(),
-    port: z.number(),
-    state: z.enum(VmState),
-    reclaimAtWallMs: z.number().optional(),
-    machineClass: z.string(),
-    isReclaimable: z.boolean(),
-    serviceName: z.string().optional(),
-    version: z.string().optional(),
-    incarnation: z.number(),
-});
 const listSchema = z.object({ vms: z.array(vmSchema) });
 
 /**
--- a/src/standins/constants.ts
+++ b/src/standins/constants.ts
@@ -38,6 +38,9 @@
 /** Age of the VM list. */
 export const VM_LIST_LAG_MS = 2_000;
 
+/** Earlier states of the VM list that are kept to answer with an old one. */
+export const KEPT_SNAPSHOTS = 1_000;
+
 /** Time between a start order and the VM being live. */
 export const VM_START_MS = 500;
 
--- a/src/standins/createApplicationRunnerStandin.ts
+++ b/src/standins/createApplicationRunnerStandin.ts
@@ -61,15 +61,17 @@
     const latencyMs = options.latencyMs ?? APPLICATION_LATENCY_MS;
     const version = options.version ?? "v1";
     const executions: ServiceExecution[] = [];
+    const countsByKey = new Map<string, number>();
     let running = 0;
     const readFacts = (): FaultFacts => ({ version, running });
-    const countExecutions = (key: string) => executions.filter(execution => execution.key === key).length;
+    const countExecutions = (key: string) => countsByKey.get(key) ?? 0;
 
     const executeCall = async (call: StandinCall): Promise<StandinReply> => {
         const facts = { ...readFacts(), route: call.path };
         const key = readHeader(call, "idempotency-key") ?? readHeader(call, "redwinglift-request-id") ?? "";
         running++;
         history.recordSample();
+        countsByKey.set(key, countExecutions(key) + 1);
         executions.push({ key, method: call.method, path: call.path, body: call.body.toString("utf8") });
         const slowMs = server.gate.strike(FaultKind.VersionSlow, facts)?.delayMs ?? 0;
         await clock.waitMs(latencyMs * (1 + random.drawFraction()) + slowMs);
@@ -79,10 +81,9 @@
         if (server.gate.strike(FaultKind.VersionFailing, facts) !== undefined) {
             return { status: 500, body: { error: { message: "The service failed." } }, headers };
         }
-        const count = key === "" ? 1 : countExecutions(key);
         return {
             status: 200,
-            body: { service: options.serviceName, version, path: call.path, executions: count },
+            body: { service: options.serviceName, version, path: call.path, executions: countExecutions(key) },
             headers,
         };
     };
--- a/src/standins/createModelRunnerStandin.ts
+++ b/src/standins/createModelRunnerStandin.ts
@@ -7,6 +7,7 @@
 import { sendPlatformCall } from "../adapters/_lib/sendPlatformCall";
 import { createPlatformConnection } from "../adapters/_lib/createPlatformConnection";
 import { parseAnswer } from "../adapters/_lib/parseAnswer";
+import type { RunnerState } from "../ports/modelRunner";
 import { createSystemClock } from "../base/createSystemClock";
 import type { Disposable } from "../base/disposableStore";
 import { FaultKind, type FaultFacts, type FaultSwitches } from "./fault";
@@ -38,6 +39,8 @@
     readonly loadLagMs?: number;
     /** The platform whose weight store is read before a version or adapter is in place; absent: at once. */
     readonly weightStore?: HttpTarget;
+    /** Called after an order was carried out. */
+    readonly handleExecuted?: (state: RunnerState) => void;
     readonly transferBytesPerSecond?: number;
 }
 
@@ -81,6 +84,7 @@
 
     const orders = createOrderBook({
         version: options.version ?? "v1",
+        handleExecuted: options.handleExecuted,
         checksFencing: () =>
             (options.checksFencing ?? true) && readGate().strike(FaultKind.FencingIgnored) === undefined,
         loadWeights: name =>
--- a/src/standins/createPlatformStandin.ts
+++ b/src/standins/createPlatformStandin.ts
@@ -1,11 +1,14 @@
 /**
  * @module A stand-in for the platform: table, object store, list of VMs, cloud API and weight store on one port.
  */
+import { parseAnswer } from "../adapters/_lib/parseAnswer";
+import { vmSchema } from "../adapters/httpVmList/vmSchema";
 import { createSystemClock } from "../base/createSystemClock";
 import type { Disposable } from "../base/disposableStore";
 import { type VmRecord, VmState } from "../model/endpoint";
 import type { VmPrice } from "../ports/cloud";
 import type { TableRow } from "../ports/table";
+import type { StandinCall, StandinReply } from "./_lib/standinCall";
 import { type StandinOptions, startStandinServer } from "./_lib/startStandinServer";
 import {
     PLATFORM_READS_PER_SECOND,
@@ -45,6 +48,7 @@
     readonly objects: ReadonlyMap<string, Buffer>;
     /** Adds a VM that the cloud API did not start, such as a node. */
     addVm(vm: VmRecord): void;
+    updateVm(vmId: string, change: Partial<VmRecord>): void;
     removeVm(vmId: string): void;
     /** The VMs as they are, without the list's lag. */
     listVmsNow(): readonly VmRecord[];
@@ -77,6 +81,18 @@
         const extraMs = server.gate.strike(FaultKind.VmListLagging)?.delayMs ?? 0;
         return { status: 200, body: { vms: registry.listLagging(lagMs + extraMs) } };
     };
+    const addListedVm = (call: StandinCall): StandinReply => {
+        const vm = parseAnswer(call.body, vmSchema);
+        if (vm === undefined) {
+            return { status: 400, body: { effect: "none" } };
+        }
+        registry.addVm(vm);
+        return { status: 200 };
+    };
+    const removeListedVm = (call: StandinCall): StandinReply => {
+        removeVm(call.path.slice("/vms/".length));
+        return { status: 200 };
+    };
     const reclaimVms = (vmIds: readonly string[], noticeMs: number) => {
         const reclaimAtWallMs = clock.readWallMs() + noticeMs;
         vmIds.forEach(vmId => registry.updateVm(vmId, { state: VmState.Leaving, reclaimAtWallMs }));
@@ -103,6 +119,8 @@
             ...createTableRoutes({ rows, ...limits }),
             ...createObjectRoutes({ objects, ...limits }),
             { method: "GET", path: "/vms", handle: listVms },
+            { method: "POST", path: "/vms", handle: addListedVm },
+            { method: "DELETE", path: "/vms/", handle: removeListedVm },
             ...createCloudRoutes({
                 registry,
                 clock,
@@ -125,6 +143,7 @@
         rows,
         objects,
         addVm: registry.addVm,
+        updateVm: registry.updateVm,
         removeVm,
         listVmsNow: registry.listNow,
         reclaimVms,
--- a/src/standins/modelRunner/createOrderBook.ts
+++ b/src/standins/modelRunner/createOrderBook.ts
@@ -29,6 +29,8 @@
     readonly version: string;
     /** Whether orders with an old epoch are refused. */
     readonly checksFencing: () => boolean;
+    /** Called after an order was carried out. */
+    readonly handleExecuted?: (state: RunnerState) => void;
     /** Fetches weights; an order whose weights can't be fetched has no effect. */
     readonly loadWeights: (name: string) => Promise<Result<unknown, Failure>>;
 }
@@ -68,6 +70,7 @@
         }
         state = EFFECTS[order.kind](order.argument);
         executed.push(order);
+        options.handleExecuted?.(state);
     };
     return {
         readState: () => (options.checksFencing() ? state : { ...state, epoch: undefined }),
--- a/src/standins/platform/createCloudRoutes.ts
+++ b/src/standins/platform/createCloudRoutes.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "../../base/clock";
 import { VmRole, VmState } from "../../model/endpoint";
 import type { VmOrder, VmPrice } from "../../ports/cloud";
+import type { HttpTarget } from "../../adapters/_lib/httpTarget";
 import type { FaultGate } from "../_lib/createFaultGate";
 import type { StandinCall, StandinReply, StandinRoute } from "../_lib/standinCall";
 import { LOOPBACK_ADDRESS } from "../constants";
@@ -13,11 +14,8 @@
 
 /** Starts and stops what runs on a VM. */
 export interface VmHooks {
-    /** Starts the VM's program; gives where it listens. */
-    readonly startProgram?: (
-        order: VmOrder,
-        vmId: string,
-    ) => Promise<{ readonly address: string; readonly port: number }>;
+    /** Starts the VM's program; gives where it listens, if it does. */
+    readonly startProgram?: (order: VmOrder, vmId: string) => Promise<HttpTarget | undefined>;
     readonly stopProgram?: (vmId: string) => void;
 }
 
--- a/src/standins/platform/createVmRegistry.ts
+++ b/src/standins/platform/createVmRegistry.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../../base/clock";
 import { type VmRecord, VmState } from "../../model/endpoint";
 import type { ReclaimNotice } from "../../ports/cloud";
+import { KEPT_SNAPSHOTS } from "../constants";
 
 /** The VMs as they are now, and as they were. */
 export interface VmRegistry {
@@ -22,8 +23,6 @@
     readonly vms: readonly VmRecord[];
 }
 
-const KEPT_SNAPSHOTS = 10_000;
-
 /**
  * Creates an empty registry.
  *
