--- /dev/null
+++ b/src/createNodeParts.ts
@@ -0,0 +1,59 @@
+/**
+ * @module The outside of a real node: system clock, logs, metrics and adapters, from its settings.
+ */
+import { randomInt } from "node:crypto";
+import { createHttpApplicationRunner } from "./adapters/httpApplicationRunner/createHttpApplicationRunner";
+import { createHttpCloud } from "./adapters/httpCloud/createHttpCloud";
+import { createHttpModelRunner } from "./adapters/httpModelRunner/createHttpModelRunner";
+import { createHttpObjects } from "./adapters/httpObjects/createHttpObjects";
+import { createHttpTable } from "./adapters/httpTable/createHttpTable";
+import { createHttpVmList } from "./adapters/httpVmList/createHttpVmList";
+import { createDisposableStore } from "./base/createDisposableStore";
+import { createRandom } from "./base/createRandom";
+import { createSystemClock } from "./base/createSystemClock";
+import { createLog } from "./base/log/createLog";
+import { createMetrics } from "./base/metrics/createMetrics";
+import type { NodeParts } from "./nodeParts";
+import type { Settings } from "./settings/settings";
+
+const LARGEST_SEED = 2 ** 31 - 1;
+
+/**
+ * Creates the outside of a node.
+ *
+ * @param settings - The node's settings
+ * @returns The parts; dispose them after the node
+ * @example
+ * const parts = createNodeParts(settings);
+ */
+export function createNodeParts(settings: Settings): NodeParts {
+    const owned = createDisposableStore();
+    const log = createLog({ level: settings.logLevel, format: settings.logFormat }).withFields({
+        node: settings.nodeId,
+    });
+    const metrics = owned.add(
+        createMetrics({
+            target: settings.statsd,
+            commonTags: { node: settings.nodeId, region: settings.region },
+            reportError: error => log.warn("metrics were not sent", { reason: error.message }),
+        }),
+    );
+    return {
+        clock: createSystemClock(),
+        random: createRandom(randomInt(LARGEST_SEED)),
+        log,
+        metrics,
+        table: owned.add(createHttpTable(parseTarget(settings.platform.tableUrl))),
+        objects: owned.add(createHttpObjects(parseTarget(settings.platform.objectsUrl))),
+        cloud: owned.add(createHttpCloud(parseTarget(settings.platform.cloudUrl))),
+        vmList: owned.add(createHttpVmList(parseTarget(settings.platform.vmListUrl))),
+        modelRunners: owned.add(createHttpModelRunner()),
+        applicationRunners: owned.add(createHttpApplicationRunner()),
+        dispose: () => owned.dispose(),
+    };
+}
+
+function parseTarget(url: string): { readonly address: string; readonly port: number } {
+    const { hostname, port } = new URL(url);
+    return { address: hostname.replace(/^\[|\]$/g, ""), port: Number(port === "" ? 80 : port) };
+}
