--- a/src/dev/createEmbeddedNodes.ts
+++ b/src/dev/createEmbeddedNodes.ts
@@ -8,7 +8,7 @@
 import type { Settings } from "../settings/settings";
 import { type RunningNode, wireNode } from "../wire";
 import type { DeploymentPreset } from "./deploymentPreset";
-import type { EmbeddedPlatform } from "./embeddedPlatform";
+import type { EmbeddedPlatform } from "./createEmbeddedPlatform";
 
 /** What the embedded nodes need to know. */
 export interface EmbeddedNodesOptions {
--- a/src/wholePath.test.ts
+++ b/src/wholePath.test.ts
@@ -3,9 +3,8 @@
 import OpenAI from "openai";
 import { LogLevel } from "./base/log/log";
 import { createEmbeddedNodes } from "./dev/createEmbeddedNodes";
-import { createEmbeddedPlatform } from "./dev/createEmbeddedPlatform";
+import { createEmbeddedPlatform, type EmbeddedPlatform } from "./dev/createEmbeddedPlatform";
 import { DEPLOYMENT_PRESETS, PresetName } from "./dev/deploymentPreset";
-import type { EmbeddedPlatform } from "./dev/embeddedPlatform";
 import { installPresetConfiguration } from "./dev/installPresetConfiguration";
 import type { RunningNode } from "./wire";
 
@@ -17,7 +16,7 @@
 let nodes: readonly RunningNode[];
 
 before(async () => {
-    embedded = await createEmbeddedPlatform(PRESET, { runner: { engine: { tokenGapMs: 1 } } });
+    embedded = await createEmbeddedPlatform(PRESET, { modelRunner: { engine: { tokenGapMs: 1 } } });
     nodes = await createEmbeddedNodes(PRESET, embedded, { operatorKey: "rwl_operator", logLevel: LogLevel.Error });
     await Promise.all(nodes.map(node => node.whenReady));
     const installed = await installPresetConfiguration(PRESET, nodes[0]!.configuration, ACCOUNT_KEY);
