--- a/src/standins/_lib/runCall.ts
+++ b/src/standins/_lib/runCall.ts
@@ -72,6 +72,10 @@
         call.request.socket.destroy();
         return;
     }
+    if (gate.strike(FaultKind.AnswerCut, facts) !== undefined) {
+        sendHalf(call, reply);
+        return;
+    }
     const previous = lastReplies.get(gate);
     lastReplies.set(gate, { call, reply });
     if (previous !== undefined && gate.strike(FaultKind.AnswerCrossed, facts) !== undefined) {
@@ -85,6 +89,12 @@
     sendReply(call, reply);
 }
 
+function sendHalf(call: StandinCall, reply: StandinReply): void {
+    const body = JSON.stringify(reply.body ?? {});
+    call.response.writeHead(reply.status, { "content-length": body.length + 1 });
+    call.response.write(body.slice(0, Math.ceil(body.length / 2)), () => call.request.socket.destroy());
+}
+
 function sendDoubled(call: StandinCall, reply: StandinReply): void {
     const { socket } = call.request;
     const sent: Buffer[] = [];
--- a/src/standins/fault.ts
+++ b/src/standins/fault.ts
@@ -17,6 +17,8 @@
     AnswerLostBeforeEffect = "answer_lost_before_effect",
     /** The call takes effect and the connection is reset instead of an answer. */
     AnswerLostAfterEffect = "answer_lost_after_effect",
+    /** The call takes effect and the connection is reset in the middle of the answer. */
+    AnswerCut = "answer_cut",
     /** The answer is sent twice on the same connection. */
     AnswerDoubled = "answer_doubled",
     /** The answer of another call is sent. */
