Retry, resume, hedge and move requests between endpoints

Cause: a request must survive failing, silent and reclaimed endpoints without multiplying load or repeating what may not be repeated. Change: one task a chat request that reads its attempts, notices and timers; retry budgets; probes on new connections; wave planning with cache moves and prefill; claims around non-idempotent work; drain. Conclusion: compiles into the whole path unchanged; claims and metrics are optional parts until they are wired.

--- a/src/tasks/execution/createExecutionTask.ts
+++ b/src/tasks/execution/createExecutionTask.ts
@@ -1,152 +1,201 @@
 /**
  * @module Executes requests: one js-csp task a request.
  */
-import { err, type Result } from "neverthrow";
-import { closeChannel, createChannel, put, startTask, type Step, take, waitFor } from "../../base/csp";
+import { err, ok, type Result } from "neverthrow";
+import { assertInvariant, Invariant } from "../../base/assertInvariant";
 import { createFailure } from "../../base/createFailure";
+import { closeChannel, createChannel, sendMessage, startTask } from "../../base/csp";
+import type { DumpSource } from "../../base/dump";
 import { Execution, type Failure, FailureKind } from "../../base/failure";
-import { type AttemptId, type ChatRequest, GenerationEventKind, type RequestContext } from "../../model/request";
-import type { ServiceCall } from "../../model/request";
+import type { RequestContext, ServiceCall } from "../../model/request";
 import type { ServiceAnswer } from "../../ports/applicationRunner";
-import type { Channel } from "../../base/csp";
-import { AttemptReportKind, type RouteQuery } from "../routing/routingClient";
-import { ANSWER_CHANNEL_CAPACITY, CHAT_ROUTE } from "./constants";
+import { type ChatRun, ControlKind } from "./_lib/chatRun";
+import { createChatRun } from "./_lib/createChatRun";
+import { createReclaimPlanner } from "./_lib/createReclaimPlanner";
+import type { ExecutionCounts, ExecutionShared } from "./_lib/executionShared";
+import { sendControl } from "./_lib/sendControl";
+import { ANSWER_CHANNEL_CAPACITY, DEFAULT_RECLAIM_TERMS, DRAIN_POLL_MS } from "./constants";
 import { type AnswerEvent, AnswerEventKind, type ExecutionClient } from "./executionClient";
 import type { ExecutionParts } from "./executionParts";
+import { runChat } from "./runChat";
+import { runServiceCall } from "./runServiceCall";
+
+/** How a shutdown went. */
+export interface DrainResult {
+    /** Requests that were still running at the bound and were ended visibly. */
+    readonly cut: number;
+}
+
+/** The running execution of requests. */
+export interface ExecutionTask extends ExecutionClient, DumpSource {
+    /**
+     * Refuses new requests and waits for those in progress, at most `boundMs`. What still runs then is ended with a
+     * failure; nothing is cut before. Listeners are closed after this.
+     */
+    drain(boundMs: number): Promise<DrainResult>;
+    /** Counts since the start, for dumps and benches. */
+    readCounts(): Readonly<ExecutionCounts>;
+}
+
+/** A request in progress, and how a shutdown ends it. */
+interface Live {
+    readonly stop: () => void;
+}
 
 /**
  * Creates the execution of requests.
  *
- * @param parts - Admission, routing, runners and clock
+ * @param parts - Admission, routing, runners, claims and clock
  * @returns The client for the callers' faces and the jobs
  * @example
  * const execution = createExecutionTask(parts);
  * const chat = execution.startChat(context, request);
  */
-export function createExecutionTask(parts: ExecutionParts): ExecutionClient {
-    return {
-        startChat: (context, chat) => {
+export function createExecutionTask(parts: ExecutionParts): ExecutionTask {
+    const shared = createShared(parts);
+    const live = new Map<string, Live>();
+    const task: ExecutionTask = {
+        name: "execution",
+        startChat: (context, chat, options = {}) => {
             const answers = createChannel<AnswerEvent>(ANSWER_CHANNEL_CAPACITY);
             const cancelled = new AbortController();
-            const task = startTask(`chat ${context.requestId}`, () =>
-                runChat(parts, context, chat, answers, cancelled.signal),
-            );
-            void task.ended.then(() => closeChannel(answers));
-            return { answers, cancel: () => cancelled.abort() };
+            const cancel = () => cancelled.abort();
+            if (shared.drainUntilMs !== undefined) {
+                void refuseChat(answers);
+                return { answers, cancel };
+            }
+            const run = createChatRun(shared, context, chat, answers, cancelled.signal, options.resumedTexts ?? []);
+            cancelled.signal.addEventListener("abort", () => stopRun(run, ControlKind.Cancelled));
+            live.set(context.requestId, { stop: () => stopRun(run, ControlKind.ShutdownExpired) });
+            const ended = startTask(`chat ${context.requestId}`, () => runChat(run)).ended;
+            void ended.then(end => finishChat(run, end.failure)).then(() => live.delete(context.requestId));
+            return { answers, cancel };
         },
-        callService: (context, call, cancelled) => runServiceCall(parts, context, call, cancelled),
+        callService: (context, call, cancelled) => {
+            if (shared.drainUntilMs !== undefined) {
+                return Promise.resolve(err(createShuttingDown()));
+            }
+            const stopped = AbortSignal.any([cancelled, trackCall(shared, live, context)]);
+            return startServiceCall(shared, context, call, stopped).finally(() => live.delete(context.requestId));
+        },
+        drain: async boundMs => {
+            const { clock } = parts;
+            const untilMs = clock.readMonotonicMs() + boundMs;
+            shared.drainUntilMs = untilMs;
+            while (live.size > 0 && clock.readMonotonicMs() < untilMs) {
+                await clock.waitMs(Math.min(DRAIN_POLL_MS, untilMs - clock.readMonotonicMs()));
+            }
+            const left = [...live.values()];
+            left.forEach(request => request.stop());
+            return { cut: left.length };
+        },
+        readCounts: () => ({ ...shared.counts }),
+        dumpState: () => ({
+            counts: shared.counts,
+            open: live.size,
+            isDraining: shared.drainUntilMs !== undefined,
+            budgets: Object.fromEntries(shared.budgets),
+            answerTokens: Object.fromEntries(shared.answerTokens),
+        }),
     };
+    return task;
 }
 
-function* runChat(
-    parts: ExecutionParts,
-    context: RequestContext,
-    chat: ChatRequest,
-    answers: Channel<AnswerEvent>,
-    cancelled: AbortSignal,
-): Step<void> {
-    const prompt = parts.describePrompt(chat);
-    const size = { promptTokens: prompt.promptTokens, maximumTokens: chat.maximumTokens };
-    const admitted = yield* waitFor(parts.admission.requestAdmission({ context, serviceName: chat.model, ...size }));
-    if (admitted.isErr()) {
-        yield* put(answers, { kind: AnswerEventKind.Failed, failure: admitted.error });
-        return;
-    }
-    const usedTokens = yield* runAttempt(parts, context, chat, answers, cancelled);
-    parts.admission.finishRequest(context.requestId, usedTokens);
+function createShared(parts: ExecutionParts): ExecutionShared {
+    return {
+        parts,
+        counts: {
+            requests: 0,
+            extraAttempts: 0,
+            hedges: 0,
+            resumes: 0,
+            refusedByBudget: 0,
+            silentConnections: 0,
+            recomputedTokens: 0,
+            cacheMoves: 0,
+            prefillMoves: 0,
+            shed: 0,
+            droppedEvents: 0,
+            trimmedEvents: 0,
+            cutByShutdown: 0,
+        },
+        budgets: new Map(),
+        answerTokens: new Map(),
+        planner: createReclaimPlanner({
+            clock: parts.clock,
+            readTerms: parts.readReclaimTerms ?? (() => DEFAULT_RECLAIM_TERMS),
+        }),
+        drainUntilMs: undefined,
+    };
 }
 
-function* runAttempt(
-    parts: ExecutionParts,
-    context: RequestContext,
-    chat: ChatRequest,
-    answers: Channel<AnswerEvent>,
-    cancelled: AbortSignal,
-): Step<number> {
-    const id: AttemptId = { requestId: context.requestId, attempt: 1 };
-    const prompt = parts.describePrompt(chat);
-    const query = buildQuery(context, id, chat.model, CHAT_ROUTE);
-    const route = yield* waitFor(
-        parts.routing.chooseEndpoint({ ...query, ...prompt, maximumTokens: chat.maximumTokens }),
-    );
-    if (route.isErr()) {
-        yield* put(answers, { kind: AnswerEventKind.Failed, failure: route.error });
-        return 0;
+function stopRun(run: ChatRun, kind: ControlKind.Cancelled | ControlKind.ShutdownExpired): void {
+    const { admission } = run.shared.parts;
+    if (run.attemptNumber === 0) {
+        admission.cancelAdmission(run.context.requestId);
     }
-    const { endpoint } = route.value;
-    const sentAtMs = parts.clock.readMonotonicMs();
-    const generation = parts.models.openGeneration(endpoint, { id, chat, priority: 0, resumedTexts: [] });
-    const stop = () => generation.cancel();
-    cancelled.addEventListener("abort", stop);
-    let outputTokens = 0;
-    for (;;) {
-        const event = yield* take(generation.events);
-        const elapsedMs = parts.clock.readMonotonicMs() - sentAtMs;
-        const report = { id, endpointId: endpoint.endpointId, elapsedMs };
-        if (event === undefined || event.kind === GenerationEventKind.Failed) {
-            const failure = event?.failure ?? createEndedEarly();
-            parts.routing.recordReport({ ...report, kind: AttemptReportKind.Failed, tokens: 0, failure });
-            yield* put(answers, { kind: AnswerEventKind.Failed, failure });
-            break;
-        }
-        if (event.kind === GenerationEventKind.Finished) {
-            parts.routing.recordReport({ ...report, kind: AttemptReportKind.Finished, tokens: 0 });
-            yield* put(answers, { kind: AnswerEventKind.Finished, reason: event.reason, usage: event.usage });
-            break;
-        }
-        const kind = outputTokens === 0 ? AttemptReportKind.FirstToken : AttemptReportKind.Tokens;
-        outputTokens += event.batch.texts.length;
-        parts.routing.recordReport({ ...report, kind, tokens: event.batch.texts.length });
-        yield* put(answers, { kind: AnswerEventKind.Tokens, batch: event.batch });
+    sendControl(run, { kind });
+}
+
+async function refuseChat(answers: ChatRun["answers"]): Promise<void> {
+    await sendMessage(answers, { kind: AnswerEventKind.Failed, failure: createShuttingDown() });
+    closeChannel(answers);
+}
+
+/** A task that broke down has not told its caller anything; the caller hears of it here. */
+async function finishChat(run: ChatRun, failure: Failure | undefined): Promise<void> {
+    if (failure !== undefined) {
+        run.shared.parts.reportEvent("chat task failed", { requestId: run.context.requestId, kind: failure.kind });
+        const told = { ...failure, execution: Execution.Unknown };
+        run.live.forEach(attempt => attempt.generation.cancel());
+        run.shared.parts.admission.finishRequest(run.context.requestId, 0);
+        await Promise.race([
+            sendMessage(run.answers, { kind: AnswerEventKind.Failed, failure: told }),
+            waitForAbort(run),
+        ]);
     }
-    cancelled.removeEventListener("abort", stop);
-    return prompt.promptTokens + outputTokens;
+    closeChannel(run.answers);
 }
 
-function buildQuery(context: RequestContext, id: AttemptId, serviceName: string, route: string): RouteQuery {
-    return {
-        id,
-        context,
-        serviceName,
-        route,
-        prefixHashes: [],
-        promptTokens: 0,
-        maximumTokens: 0,
-        excludedEndpointIds: [],
-    };
+function waitForAbort(run: ChatRun): Promise<void> {
+    return new Promise(resolve => run.cancelled.addEventListener("abort", () => resolve()));
 }
 
-function createEndedEarly(): Failure {
-    return createFailure(FailureKind.EndpointFailed, "The runner ended the stream early.", {
-        execution: Execution.Unknown,
-    });
+function trackCall(shared: ExecutionShared, live: Map<string, Live>, context: RequestContext): AbortSignal {
+    const stopped = new AbortController();
+    const stop = () => {
+        const nowMs = shared.parts.clock.readMonotonicMs();
+        const isBoundReached = nowMs >= (shared.drainUntilMs ?? Number.POSITIVE_INFINITY);
+        assertInvariant(isBoundReached, Invariant.NoStreamCutByShutdown, `call ${context.requestId} cut early`);
+        shared.counts.cutByShutdown++;
+        shared.parts.admission.cancelAdmission(context.requestId);
+        stopped.abort();
+    };
+    live.set(context.requestId, { stop });
+    return stopped.signal;
 }
 
-async function runServiceCall(
-    parts: ExecutionParts,
+async function startServiceCall(
+    shared: ExecutionShared,
     context: RequestContext,
     call: ServiceCall,
     cancelled: AbortSignal,
 ): Promise<Result<ServiceAnswer, Failure>> {
-    const size = { promptTokens: 1, maximumTokens: 0 };
-    const admitted = await parts.admission.requestAdmission({ context, serviceName: call.serviceName, ...size });
-    if (admitted.isErr()) {
-        return err(admitted.error);
+    let answer: Result<ServiceAnswer, Failure> | undefined;
+    const onAbort = () => shared.parts.admission.cancelAdmission(context.requestId);
+    const end = await startTask(`call ${context.requestId}`, function* (owned) {
+        cancelled.addEventListener("abort", onAbort);
+        owned.add({ dispose: () => cancelled.removeEventListener("abort", onAbort) });
+        answer = yield* runServiceCall(shared, context, call, cancelled);
+    }).ended;
+    if (answer !== undefined) {
+        return answer.isOk() ? ok(answer.value) : err(answer.error);
     }
-    const id: AttemptId = { requestId: context.requestId, attempt: 1 };
-    const route = await parts.routing.chooseEndpoint(buildQuery(context, id, call.serviceName, call.path));
-    if (route.isErr()) {
-        parts.admission.finishRequest(context.requestId, 0);
-        return err(route.error);
-    }
-    const { endpoint } = route.value;
-    const sentAtMs = parts.clock.readMonotonicMs();
-    const timeoutMs = context.deadlineAtMs - sentAtMs;
-    const answer = await parts.applications.callService(endpoint, id, call, { timeoutMs, cancelled });
-    const elapsedMs = parts.clock.readMonotonicMs() - sentAtMs;
-    const failure = answer.isErr() ? answer.error : undefined;
-    const kind = answer.isErr() ? AttemptReportKind.Failed : AttemptReportKind.Finished;
-    parts.routing.recordReport({ kind, id, endpointId: endpoint.endpointId, elapsedMs, tokens: 0, failure });
-    parts.admission.finishRequest(context.requestId, 1);
-    return answer;
+    shared.parts.admission.finishRequest(context.requestId, 0);
+    const failure = end.failure ?? createFailure(FailureKind.TaskFailed, "The call ended without an answer.");
+    return err({ ...failure, execution: Execution.Unknown });
+}
+
+function createShuttingDown(): Failure {
+    return createFailure(FailureKind.ShuttingDown, "The node is shutting down.", { retryAfterMs: 0 });
 }
--- a/src/tasks/execution/executionClient.ts
+++ b/src/tasks/execution/executionClient.ts
@@ -31,10 +31,16 @@
     cancel(): void;
 }
 
+/** How a chat request is executed. */
+export interface ChatOptions {
+    /** Tokens of the answer that there are already, one text each; the answer's events begin after them. */
+    readonly resumedTexts?: readonly string[];
+}
+
 /** Handle of the execution of requests: admission, claims, routing, attempts. */
 export interface ExecutionClient {
     /** Executes a chat request. Every failure, also a refusal, arrives as the last event. */
-    startChat(context: RequestContext, chat: ChatRequest): ChatExecution;
+    startChat(context: RequestContext, chat: ChatRequest, options?: ChatOptions): ChatExecution;
     /** Executes a call to an application runner. */
     callService(
         context: RequestContext,
