--- a/src/adapters/contracts/defineApplicationRunnerContract.ts
+++ b/src/adapters/contracts/defineApplicationRunnerContract.ts
@@ -112,15 +112,17 @@
 
     void describe(`${name} takes an answer for its own call only`, () => {
         void it(
-            "when answers come twice on a kept connection",
+            "when an earlier answer comes a second time on the kept connection",
             withSubject(async subject => {
-                subject.faults.setFaults([{ kind: FaultKind.AnswerDoubled, route: "/first" }]);
+                subject.faults.setFaults([
+                    { kind: FaultKind.AnswerDoubled, route: "/first", delayMs: 100 },
+                    { kind: FaultKind.VersionSlow, route: "/second", delayMs: 300 },
+                ]);
                 assert.ok((await callService(subject, "a", { path: "/first" })).isOk());
-                const later = await callService(subject, "b", { path: "/second" });
-                const path = later.map(answer => (JSON.parse(answer.body.toString()) as { path: string }).path);
-                assert.notEqual(path.unwrapOr(""), "/first");
-                const failure = later.isErr() ? later.error.execution : Execution.Unknown;
-                assert.equal(failure, Execution.Unknown);
+                const failure = (await callService(subject, "b", { path: "/second" }))._unsafeUnwrapErr();
+                assert.equal(failure.kind, FailureKind.EndpointFailed);
+                assert.equal(failure.execution, Execution.Unknown);
+                assert.equal(subject.countExecutions("b"), 1);
             }),
         );
     });
--- a/src/standins/_lib/runCall.ts
+++ b/src/standins/_lib/runCall.ts
@@ -82,8 +82,9 @@
         sendReply({ ...previous.call, response: call.response }, previous.reply);
         return;
     }
-    if (gate.strike(FaultKind.AnswerDoubled, facts) !== undefined) {
-        sendDoubled(call, reply);
+    const doubled = gate.strike(FaultKind.AnswerDoubled, facts);
+    if (doubled !== undefined) {
+        sendDoubled(call, reply, () => clock.waitMs(doubled.delayMs ?? 0));
         return;
     }
     sendReply(call, reply);
@@ -95,7 +96,7 @@
     call.response.write(body.slice(0, Math.ceil(body.length / 2)), () => call.request.socket.destroy());
 }
 
-function sendDoubled(call: StandinCall, reply: StandinReply): void {
+function sendDoubled(call: StandinCall, reply: StandinReply, waitBeforeSecond: () => Promise<void>): void {
     const { socket } = call.request;
     const sent: Buffer[] = [];
     const write = socket.write.bind(socket) as (...parts: unknown[]) => boolean;
@@ -108,7 +109,7 @@
     Object.assign(socket, { write: recordWrite });
     call.response.once("finish", () => {
         Object.assign(socket, { write });
-        write(Buffer.concat(sent));
+        void waitBeforeSecond().then(() => write(Buffer.concat(sent)));
     });
     sendReply(call, reply);
 }
--- a/src/standins/fault.ts
+++ b/src/standins/fault.ts
@@ -19,7 +19,7 @@
     AnswerLostAfterEffect = "answer_lost_after_effect",
     /** The call takes effect and the connection is reset in the middle of the answer. */
     AnswerCut = "answer_cut",
-    /** The answer is sent twice on the same connection. */
+    /** The answer is sent twice on the same connection, the second time `delayMs` later. */
     AnswerDoubled = "answer_doubled",
     /** The answer of another call is sent. */
     AnswerCrossed = "answer_crossed",
--- a/src/standins/modelRunner/createStreamWriter.ts
+++ b/src/standins/modelRunner/createStreamWriter.ts
@@ -46,8 +46,9 @@
     let tokensWritten = 0;
     let lastWriteMs = clock.readMonotonicMs();
 
-    const isEnded = () =>
-        response.destroyed || response.writableEnded || tokensWritten >= (faults.silentAfterTokens ?? Infinity);
+    const lastToken = Math.min(faults.silentAfterTokens ?? Infinity, faults.cutAfterTokens ?? Infinity);
+
+    const isEnded = () => response.destroyed || response.writableEnded || tokensWritten >= lastToken;
     const sendText = (text: string) => {
         if (response.destroyed || response.writableEnded) {
             return;
