--- /dev/null
+++ b/src/tasks/execution/_testing/createFakeFleet.ts
@@ -0,0 +1,247 @@
+/**
+ * @module Runners, routing and admission in memory, with faults. Answers are known in advance, so that every byte that
+ * a caller gets can be checked.
+ */
+import { err, ok } from "neverthrow";
+import type { ManualClock } from "../../../base/createManualClock";
+import { createFailure } from "../../../base/createFailure";
+import { type Channel, closeChannel, createChannel, offerMessage } from "../../../base/csp";
+import { Execution, FailureKind } from "../../../base/failure";
+import { hashText } from "../../../base/hashText";
+import { type Endpoint, VmRole } from "../../../model/endpoint";
+import type { ApplicationRunnerPort } from "../../../ports/applicationRunner";
+import type { ModelRunnerPort } from "../../../ports/modelRunner";
+import type { AdmissionClient } from "../../admission/admissionClient";
+import { AttemptReportKind, type EndpointNotice, type RoutingClient } from "../../routing/routingClient";
+import { CallFault, type StreamFault } from "./faults";
+import { openFakeGeneration } from "./openFakeGeneration";
+
+/** Settings of the fake fleet. */
+export interface FakeFleetOptions {
+    readonly clock: ManualClock;
+    readonly endpoints: number;
+    /** Draws the fault of each attempt at a model runner. */
+    readonly drawStreamFault?: (requestId: string, attempt: number) => StreamFault;
+    /** Draws the fault of each call to an application runner. */
+    readonly drawCallFault?: (requestId: string, attempt: number) => CallFault;
+    readonly canTransfer?: boolean;
+    readonly firstTokenMs?: number;
+    readonly tokenGapMs?: number;
+}
+
+/** One runner as the fake sees it. */
+export interface FakeEndpoint {
+    readonly endpoint: Endpoint;
+    isLeaving: boolean;
+    isGone: boolean;
+    readonly watchers: Set<Channel<EndpointNotice>>;
+    readonly whenGone: Set<() => void>;
+}
+
+/** What the fake has seen. */
+export interface FleetRecord {
+    /** Attempts whose bytes were sent, by request. */
+    readonly sent: Map<string, number>;
+    /** Effects of service calls, by request. */
+    readonly effects: Map<string, number>;
+    /** Attempts that routing has counted and not heard the end of. */
+    readonly counted: Set<string>;
+    /** Admitted requests that have not been finished. */
+    readonly admitted: Set<string>;
+    readonly wrongResumes: string[];
+    readonly workToLeaving: string[];
+    attempts: number;
+    probes: number;
+    exports: number;
+}
+
+/** A fake fleet. */
+export interface FakeFleet {
+    readonly models: ModelRunnerPort;
+    readonly applications: ApplicationRunnerPort;
+    readonly routing: RoutingClient;
+    readonly admission: AdmissionClient;
+    readonly endpoints: readonly FakeEndpoint[];
+    readonly record: FleetRecord;
+    /** Gives a reclaim notice; the endpoint is gone `noticeMs` later. */
+    reclaimEndpoint(index: number, noticeMs: number): void;
+    /** Ends an endpoint without notice; it comes back after `restartMs`. */
+    failEndpoint(index: number, restartMs: number): void;
+}
+
+/**
+ * Creates a fleet of idle runners.
+ *
+ * @param options - Clock, size and faults
+ * @returns The ports and clients, and what they have seen
+ * @example
+ * const fleet = createFakeFleet({ clock, endpoints: 4 });
+ */
+export function createFakeFleet(options: FakeFleetOptions): FakeFleet {
+    const { clock } = options;
+    const record: FleetRecord = {
+        sent: new Map(),
+        effects: new Map(),
+        counted: new Set(),
+        admitted: new Set(),
+        wrongResumes: [],
+        workToLeaving: [],
+        attempts: 0,
+        probes: 0,
+        exports: 0,
+    };
+    const endpoints = Array.from({ length: options.endpoints }, (_unused, index) => createEndpoint(index));
+    const find = (endpointId: string) => endpoints.find(other => other.endpoint.endpointId === endpointId);
+    const endEndpoint = (fake: FakeEndpoint) => {
+        fake.isGone = true;
+        [...fake.whenGone].forEach(listener => listener());
+        fake.whenGone.clear();
+    };
+    return {
+        endpoints,
+        record,
+        models: createModels(options, record, find),
+        applications: createApplications(options, record, find),
+        routing: createRouting(endpoints, record),
+        admission: {
+            requestAdmission: request => {
+                record.admitted.add(request.context.requestId);
+                return Promise.resolve(ok(undefined));
+            },
+            cancelAdmission: () => undefined,
+            finishRequest: requestId => void record.admitted.delete(requestId),
+        },
+        reclaimEndpoint: (index, noticeMs) => {
+            const fake = endpoints[index] as FakeEndpoint;
+            fake.isLeaving = true;
+            const notice = { endpointId: fake.endpoint.endpointId, goneAtMs: clock.readMonotonicMs() + noticeMs };
+            fake.watchers.forEach(watcher => offerMessage(watcher, notice));
+            void clock.waitMs(noticeMs).then(() => endEndpoint(fake));
+        },
+        failEndpoint: (index, restartMs) => {
+            const fake = endpoints[index] as FakeEndpoint;
+            endEndpoint(fake);
+            void clock.waitMs(restartMs).then(() => {
+                fake.isGone = false;
+            });
+        },
+    };
+}
+
+function createEndpoint(index: number): FakeEndpoint {
+    const endpoint: Endpoint = {
+        endpointId: `runner-${index}`,
+        role: VmRole.ModelRunner,
+        address: "127.0.0.1",
+        port: 1,
+        serviceName: "chat",
+        version: "1",
+        machineClass: "a",
+        isReclaimable: true,
+        region: "north",
+        failureDomain: `north-${index % 3}`,
+    };
+    return { endpoint, isLeaving: false, isGone: false, watchers: new Set(), whenGone: new Set() };
+}
+
+function createRouting(endpoints: readonly FakeEndpoint[], record: FleetRecord): RoutingClient {
+    return {
+        chooseEndpoint: query => {
+            const open = endpoints.filter(
+                ({ endpoint, isLeaving }) => !isLeaving && !query.excludedEndpointIds.includes(endpoint.endpointId),
+            );
+            const chosen = open[hashText(`${query.id.requestId}/${query.id.attempt}`) % Math.max(1, open.length)];
+            if (chosen === undefined) {
+                return Promise.resolve(err(createFailure(FailureKind.NoEndpoint, "There is no endpoint.")));
+            }
+            record.attempts++;
+            record.counted.add(`${query.id.requestId}/${query.id.attempt}`);
+            return Promise.resolve(ok({ endpoint: chosen.endpoint, estimatedFirstTokenMs: 100 }));
+        },
+        recordReport: report => {
+            const isEnd = report.kind !== AttemptReportKind.FirstToken && report.kind !== AttemptReportKind.Tokens;
+            if (isEnd) {
+                record.counted.delete(`${report.id.requestId}/${report.id.attempt}`);
+            }
+        },
+        watchEndpoint: endpointId => {
+            const notices = createChannel<EndpointNotice>(4);
+            const watchers = endpoints.find(fake => fake.endpoint.endpointId === endpointId)?.watchers;
+            watchers?.add(notices);
+            return {
+                notices,
+                release: () => {
+                    watchers?.delete(notices);
+                    closeChannel(notices);
+                },
+            };
+        },
+    };
+}
+
+type Find = (endpointId: string) => FakeEndpoint | undefined;
+
+function createModels(options: FakeFleetOptions, record: FleetRecord, find: Find): ModelRunnerPort {
+    const { clock } = options;
+    const refuse = () => err(createFailure(FailureKind.EndpointRefused, "Not served by the fake."));
+    const caches = new Set<string>();
+    return {
+        openGeneration: (endpoint, request) =>
+            openFakeGeneration({ options, record, caches }, find(endpoint.endpointId) as FakeEndpoint, request),
+        probeRunner: async endpoint => {
+            record.probes++;
+            await clock.waitMs(2);
+            const isGone = find(endpoint.endpointId)?.isGone ?? true;
+            return isGone ? err(createFailure(FailureKind.EndpointSilent, "No sign of life.")) : ok(undefined);
+        },
+        exportCache: async (endpoint, id) => {
+            await clock.waitMs(20);
+            if (options.canTransfer === false || (find(endpoint.endpointId)?.isGone ?? true)) {
+                return refuse();
+            }
+            record.exports++;
+            const cacheId = `${id.requestId}/${id.attempt}`;
+            caches.add(cacheId);
+            return ok({ cacheId, bytes: 1_000, tokens: 1_000_000 });
+        },
+        importCache: async (endpoint, from) => {
+            await clock.waitMs(20);
+            const isLost = [endpoint, from].some(({ endpointId }) => find(endpointId)?.isGone ?? true);
+            return isLost ? refuse() : ok(undefined);
+        },
+        readLoad: () => Promise.resolve(refuse()),
+        listCacheEvents: () => Promise.resolve(refuse()),
+        sendOrder: () => Promise.resolve(refuse()),
+        readState: () => Promise.resolve(refuse()),
+    };
+}
+
+function createApplications(options: FakeFleetOptions, record: FleetRecord, find: Find): ApplicationRunnerPort {
+    const { clock } = options;
+    const refuse = () => err(createFailure(FailureKind.EndpointRefused, "Not served by the fake."));
+    return {
+        callService: async (endpoint, id, call, { timeoutMs }) => {
+            const isGone = find(endpoint.endpointId)?.isGone ?? true;
+            const drawn = options.drawCallFault?.(id.requestId, id.attempt) ?? CallFault.None;
+            const fault = isGone ? CallFault.Refused : drawn;
+            if (fault === CallFault.Refused) {
+                return err(createFailure(FailureKind.EndpointFailed, "The connection was refused."));
+            }
+            record.sent.set(id.requestId, (record.sent.get(id.requestId) ?? 0) + 1);
+            await clock.waitMs(10);
+            if (fault !== CallFault.LostBefore) {
+                record.effects.set(id.requestId, (record.effects.get(id.requestId) ?? 0) + 1);
+            }
+            if (fault === CallFault.Silent) {
+                await clock.waitMs(timeoutMs);
+            }
+            if (fault !== CallFault.None) {
+                const execution = { execution: Execution.Unknown };
+                return err(createFailure(FailureKind.EndpointSilent, "The answer was lost.", execution));
+            }
+            return ok({ status: 200, headers: {}, body: Buffer.from(`done ${call.body.toString("utf8")}`) });
+        },
+        readLoad: () => Promise.resolve(refuse()),
+        probeRunner: () => Promise.resolve(ok(undefined)),
+    };
+}
