Take batches of messages from a channel

Change: takeBatch waits for one message and polls those behind it, at most 256. Conclusion: tasks with busy inboxes should use it.

--- a/src/base/csp/csp.test.ts
+++ b/src/base/csp/csp.test.ts
@@ -17,6 +17,7 @@
     startTask,
     superviseTask,
     take,
+    takeBatch,
     waitFor,
 } from "./index";
 
@@ -63,6 +64,26 @@
     });
 });
 
+describe("takeBatch", () => {
+    it("gives all waiting messages at once, in order, and undefined after closing", async () => {
+        const channel = createChannel<number>(512);
+        const batches: (readonly number[] | undefined)[] = [];
+        for (let index = 0; index < 300; index++) {
+            offerMessage(channel, index);
+        }
+        await startTask("consumer", function* () {
+            batches.push(yield* takeBatch(channel), yield* takeBatch(channel));
+            closeChannel(channel);
+            batches.push(yield* takeBatch(channel));
+        }).ended;
+        assert.deepEqual(
+            batches.map(batch => batch?.length),
+            [256, 44, undefined],
+        );
+        assert.deepEqual(batches.slice(0, 2).flat(), [...Array(300).keys()]);
+    });
+});
+
 describe("selectMessage", () => {
     it("names the channel that answered", async () => {
         const slow = createChannel<number>();
--- a/src/base/csp/index.ts
+++ b/src/base/csp/index.ts
@@ -15,4 +15,5 @@
 export { startTask, type Task, type TaskEnd } from "./startTask";
 export { superviseTask, type SupervisionOptions } from "./superviseTask";
 export { take } from "./take";
+export { takeBatch } from "./takeBatch";
 export { waitFor } from "./waitFor";
