Decide admission fairly and route by estimated first token

Change: start-time fair queueing with an asserted floor; routing state with staleness correction, prefix hints, subsets, outlier removal by endpoint and route, digests; tasks that carry them.

--- /dev/null
+++ b/src/decisions/admission/decideArrival.ts
@@ -0,0 +1,63 @@
+/**
+ * @module Whether an arriving request may wait.
+ */
+import { createFailure } from "../../base/createFailure";
+import { type Failure, FailureKind } from "../../base/failure";
+import { hashText } from "../../base/hashText";
+import type { ServiceCapacity } from "../routing/serviceCapacity";
+import type { AdmissionPool, WaitingRequest } from "./admissionPool";
+import {
+    LONGEST_RETRY_HINT_MS,
+    NO_ENDPOINT_RETRY_HINT_MS,
+    RETRY_HINT_SPREAD_SHARE,
+    SHORTEST_RETRY_HINT_MS,
+    WAITING_LIMIT,
+} from "./constants";
+import { estimateDrainRate } from "./estimateDrainRate";
+import { estimateWait } from "./estimateWait";
+
+/**
+ * Decides whether a request may wait, or is refused at once because its target can't be met. Nothing of a refused
+ * request has been run.
+ *
+ * @param pool - The pool
+ * @param request - The arriving request
+ * @param capacity - What routing sees, with the price of the cheapest endpoint that meets the target
+ * @param nowMs - Now, in monotonic milliseconds
+ * @returns `undefined` if it may wait, else the refusal: `TargetUnreachable` and `CostCeilingExceeded` without retry
+ *     hint, since waiting would not help; `Overloaded` with one
+ * @example
+ * const refusal = decideArrival(pool, request, { ...capacity, costAtTargetMicros }, nowMs);
+ */
+export function decideArrival(
+    pool: AdmissionPool,
+    request: WaitingRequest,
+    capacity: ServiceCapacity & { readonly costAtTargetMicros: number | undefined },
+    nowMs: number,
+): Failure | undefined {
+    if (capacity.liveEndpoints === 0) {
+        return createRefusal(request, "No endpoint of this service is live.", NO_ENDPOINT_RETRY_HINT_MS);
+    }
+    if (capacity.costAtTargetMicros === undefined) {
+        return createFailure(FailureKind.TargetUnreachable, "No endpoint meets the latency target, even when idle.");
+    }
+    if (capacity.costAtTargetMicros > request.costCeilingMicros) {
+        const details = { cheapestMicros: capacity.costAtTargetMicros, ceilingMicros: request.costCeilingMicros };
+        const message = "The cheapest endpoint that meets the target costs more than the class allows.";
+        return createFailure(FailureKind.CostCeilingExceeded, message, { details });
+    }
+    if (pool.queued.size >= WAITING_LIMIT) {
+        return createRefusal(request, "Too many requests wait on this node.", NO_ENDPOINT_RETRY_HINT_MS);
+    }
+    const waitMs = estimateWait(pool, request, estimateDrainRate(pool, capacity, request));
+    const excessMs = waitMs - (request.latestStartAtMs - nowMs);
+    return excessMs > 0
+        ? createRefusal(request, "The latency target can't be met behind the requests that wait.", excessMs)
+        : undefined;
+}
+
+function createRefusal(request: WaitingRequest, message: string, waitMs: number): Failure {
+    const spread = 1 + (RETRY_HINT_SPREAD_SHARE * hashText(request.requestId)) / 2 ** 32;
+    const hintMs = Math.min(LONGEST_RETRY_HINT_MS, Math.max(SHORTEST_RETRY_HINT_MS, waitMs * spread));
+    return createFailure(FailureKind.Overloaded, message, { retryAfterMs: Math.ceil(hintMs) });
+}
--- /dev/null
+++ b/src/decisions/routing/applyLoadReport.ts
@@ -0,0 +1,70 @@
+/**
+ * @module Taking in an endpoint's load report.
+ */
+import type { EndpointLoad } from "../../model/endpoint";
+import type { Candidate } from "./candidate";
+import {
+    CACHE_EVIDENCE_REQUESTS,
+    CACHE_USE_LIMIT,
+    HISTORY_STEPS,
+    OTHERS_WEIGHT,
+    SLOTS_GROWTH,
+    SLOTS_LIMIT,
+    SLOTS_NEARLY_FULL_SHARE,
+    SLOTS_SHRINK,
+    TICK_MS,
+} from "./constants";
+
+/**
+ * Takes in a report. What this node had in progress when the endpoint sampled it is taken off, so that what other nodes
+ * had remains; this node's own part is known exactly at any time.
+ *
+ * @param candidate - The endpoint; changed in place
+ * @param load - The report
+ * @param nowMs - When it was received, in monotonic milliseconds
+ * @example
+ * applyLoadReport(candidate, load, clock.readMonotonicMs());
+ */
+export function applyLoadReport(candidate: Candidate, load: EndpointLoad, nowMs: number): void {
+    const sampledAtMs = nowMs - load.ageMs - candidate.networkMs / 2;
+    if (candidate.sampledAtMs !== undefined && sampledAtMs < candidate.sampledAtMs) {
+        return;
+    }
+    const step = findStep(sampledAtMs, nowMs);
+    const ownInFlight = candidate.history.inFlight[step] ?? 0;
+    const ownPrefill = candidate.history.prefillTokens[step] ?? 0;
+    const isFirst = candidate.sampledAtMs === undefined;
+    candidate.sampledAtMs = sampledAtMs;
+    candidate.sampledOthersInFlight = Math.max(0, load.running + load.waiting - ownInFlight);
+    candidate.sampledOthersPrefillTokens = Math.max(0, load.pendingPrefillTokens - ownPrefill);
+    const weight = isFirst ? 1 : OTHERS_WEIGHT;
+    candidate.meanOthersInFlight += weight * (candidate.sampledOthersInFlight - candidate.meanOthersInFlight);
+    candidate.meanOthersPrefillTokens +=
+        weight * (candidate.sampledOthersPrefillTokens - candidate.meanOthersPrefillTokens);
+    candidate.othersInFlight = candidate.sampledOthersInFlight;
+    candidate.othersPrefillTokens = candidate.sampledOthersPrefillTokens;
+    if (load.prefillTokensPerSecond > 0) {
+        candidate.prefillTokensPerMs = load.prefillTokensPerSecond / 1_000;
+    }
+    if (load.tokenGapMs > 0) {
+        candidate.tokenGapMs = load.tokenGapMs;
+    }
+    updateSlots(candidate, load);
+}
+
+function findStep(sampledAtMs: number, nowMs: number): number {
+    const oldest = Math.floor(nowMs / TICK_MS) - HISTORY_STEPS + 1;
+    const step = Math.max(0, oldest, Math.floor(sampledAtMs / TICK_MS));
+    return step % HISTORY_STEPS;
+}
+
+function updateSlots(candidate: Candidate, load: EndpointLoad): void {
+    if (load.waiting > 0) {
+        candidate.slots = Math.max(1, load.running, candidate.slots * SLOTS_SHRINK);
+    } else if (load.running >= candidate.slots * SLOTS_NEARLY_FULL_SHARE) {
+        candidate.slots = Math.min(SLOTS_LIMIT, Math.max(load.running, candidate.slots * SLOTS_GROWTH));
+    }
+    if (load.running >= CACHE_EVIDENCE_REQUESTS && load.cacheUse > 0) {
+        candidate.slots = Math.min(candidate.slots, (load.running * CACHE_USE_LIMIT) / load.cacheUse);
+    }
+}
--- /dev/null
+++ b/src/decisions/routing/createOutcomeRecord.ts
@@ -0,0 +1,24 @@
+/**
+ * @module Builds outcome records.
+ */
+import type { OutcomeRecord } from "./candidate";
+
+/**
+ * Creates the record of an endpoint or route that nothing was sent to yet.
+ *
+ * @returns The record
+ * @example
+ * const outcomes = createOutcomeRecord();
+ */
+export function createOutcomeRecord(): OutcomeRecord {
+    return {
+        failuresInRow: 0,
+        failingSinceMs: -Infinity,
+        recentFailures: 0,
+        recentSuccesses: 0,
+        lastSuccessAtMs: -Infinity,
+        removedUntilMs: -Infinity,
+        isOnTrial: false,
+        removalMs: 0,
+    };
+}
--- /dev/null
+++ b/src/decisions/routing/readServiceCapacity.ts
@@ -0,0 +1,50 @@
+/**
+ * @module The capacity that admission works with.
+ */
+import { hashText } from "../../base/hashText";
+import type { Configuration } from "../../model/configuration";
+import { hashPair } from "./_lib/hashPair";
+import { SLOT_ROUNDING_MS } from "./constants";
+import { findMove } from "./findMove";
+import type { RoutingState } from "./routingState";
+import type { ServiceCapacity } from "./serviceCapacity";
+import { summarizeCapacity } from "./summarizeCapacity";
+
+/** What the capacity depends on besides the state. */
+export interface CapacityOptions {
+    readonly configuration: Configuration;
+    readonly isBraked: (serviceName: string, version: string) => boolean;
+    readonly costCeilingMicros: number;
+    /** Monotonic milliseconds. */
+    readonly nowMs: number;
+}
+
+/**
+ * Reads what this node can use of a service now.
+ *
+ * @param state - The state
+ * @param serviceName - The service
+ * @param options - Configuration, brakes, cost ceiling and time
+ * @returns The capacity; no endpoint for an unknown service
+ * @example
+ * readServiceCapacity(state, "news", options).freeSlots;
+ */
+export function readServiceCapacity(
+    state: RoutingState,
+    serviceName: string,
+    options: CapacityOptions,
+): ServiceCapacity {
+    const { configuration, isBraked, costCeilingMicros, nowMs } = options;
+    const service = state.services.get(serviceName);
+    const definition = configuration.services[serviceName];
+    const move = definition === undefined ? undefined : findMove(configuration, definition);
+    const used = move === undefined ? [definition?.version] : [move.fromVersion, move.toVersion];
+    const roundingSeed = Math.floor(nowMs / SLOT_ROUNDING_MS) >>> 0;
+    return summarizeCapacity(service?.candidates ?? [], {
+        costCeilingMicros,
+        isVersionUsed: version => used.includes(version) && !isBraked(serviceName, version),
+        demandShare: service?.demandShare ?? 0,
+        roundingFraction: hashPair(hashText(state.nodeId), roundingSeed) / 2 ** 32,
+        estimateErrorMs: service?.errorMs ?? 0,
+    });
+}
--- /dev/null
+++ b/src/decisions/routing/recordAttemptReport.ts
@@ -0,0 +1,87 @@
+/**
+ * @module Taking in what became of attempts.
+ */
+import { type Failure, FailureKind } from "../../base/failure";
+import { VmRole } from "../../model/endpoint";
+import { type AttemptReport, AttemptReportKind } from "../../tasks/routing/routingClient";
+import { buildAttemptKey } from "./buildAttemptKey";
+import { BIAS_LIMIT_MS, ERROR_QUANTILE, ERROR_STEP_MS, REFUSED_BIAS_MS } from "./constants";
+import { recordEnded } from "./recordEnded";
+import { recordFailure, Removal } from "./recordFailure";
+import { recordFirstToken } from "./recordFirstToken";
+import { recordSuccess } from "./recordSuccess";
+import type { AttemptState, RoutingState, ServiceState } from "./routingState";
+
+type Handler = (state: RoutingState, attempt: AttemptState, report: AttemptReport, nowMs: number) => void;
+
+const HANDLERS: Readonly<Record<AttemptReportKind, Handler>> = {
+    [AttemptReportKind.FirstToken]: (state, attempt, report) => recordFirst(attempt, report.elapsedMs),
+    [AttemptReportKind.Tokens]: () => undefined,
+    [AttemptReportKind.Finished]: (state, attempt, report, nowMs) => {
+        if (attempt.candidate.endpoint.role === VmRole.ApplicationRunner) {
+            recordFirst(attempt, report.elapsedMs);
+        }
+        recordSuccess(attempt.candidate, attempt.route, nowMs);
+        endAttempt(state, attempt, report, report.elapsedMs);
+    },
+    [AttemptReportKind.Failed]: (state, attempt, report, nowMs) => {
+        applyFailure(state, attempt, report.failure, nowMs);
+        endAttempt(state, attempt, report);
+    },
+    [AttemptReportKind.Cancelled]: (state, attempt, report) => endAttempt(state, attempt, report),
+};
+
+/**
+ * Takes in a report about an attempt. Reports of unknown attempts, for example doubled ones, are ignored.
+ *
+ * @param state - The state; changed in place
+ * @param report - The report
+ * @param nowMs - Now, in monotonic milliseconds
+ * @returns The attempt as it was, if it is known
+ * @example
+ * recordAttemptReport(state, report, clock.readMonotonicMs());
+ */
+export function recordAttemptReport(
+    state: RoutingState,
+    report: AttemptReport,
+    nowMs: number,
+): AttemptState | undefined {
+    const attempt = state.attempts.get(buildAttemptKey(report.id));
+    if (attempt !== undefined) {
+        HANDLERS[report.kind](state, attempt, report, nowMs);
+    }
+    return attempt;
+}
+
+function recordFirst(attempt: AttemptState, elapsedMs: number): void {
+    if (attempt.hasFirstToken) {
+        return;
+    }
+    attempt.hasFirstToken = true;
+    recordFirstToken(attempt.candidate, attempt, elapsedMs);
+    attempt.prefillTokens = 0;
+    updateError(attempt.service, elapsedMs - attempt.estimateMs);
+}
+
+function updateError(service: ServiceState, errorMs: number): void {
+    const share = errorMs > service.errorMs ? ERROR_QUANTILE : ERROR_QUANTILE - 1;
+    service.errorMs = Math.min(BIAS_LIMIT_MS, Math.max(0, service.errorMs + ERROR_STEP_MS * share));
+}
+
+function applyFailure(state: RoutingState, attempt: AttemptState, failure: Failure | undefined, nowMs: number): void {
+    const { candidate, service, route } = attempt;
+    if (failure?.kind === FailureKind.EndpointRefused) {
+        candidate.biasMs = Math.min(BIAS_LIMIT_MS, candidate.biasMs + REFUSED_BIAS_MS);
+    }
+    if (failure?.kind !== FailureKind.EndpointFailed && failure?.kind !== FailureKind.EndpointSilent) {
+        return;
+    }
+    const removal = recordFailure(candidate, route, service.candidates, nowMs);
+    state.counters.removedEndpoints += removal === Removal.Endpoint ? 1 : 0;
+    state.counters.removedRoutes += removal === Removal.Route ? 1 : 0;
+}
+
+function endAttempt(state: RoutingState, attempt: AttemptState, report: AttemptReport, durationMs?: number): void {
+    state.attempts.delete(buildAttemptKey(report.id));
+    recordEnded(attempt.candidate, { prefillTokens: attempt.prefillTokens, durationMs });
+}
--- /dev/null
+++ b/src/decisions/routing/refreshRouting.ts
@@ -0,0 +1,89 @@
+/**
+ * @module Bringing routing up to the present.
+ */
+import { applyLoadDigest } from "./applyLoadDigest";
+import { computeDemandShare } from "./computeDemandShare";
+import { computeDigestPeriod } from "./computeDigestPeriod";
+import {
+    ATTEMPT_CHECK_TICKS,
+    ATTEMPT_MEMORY_MS,
+    DIGEST_PERIODS_VALID,
+    ERROR_FADE,
+    HISTORY_STEPS,
+    TICK_MS,
+} from "./constants";
+import { hashName } from "./hashName";
+import { recordEnded } from "./recordEnded";
+import { refreshCandidate } from "./refreshCandidate";
+import type { Candidate } from "./candidate";
+import type { RoutingState, ServiceState } from "./routingState";
+
+/**
+ * Brings the estimates up to the present; called once each tick.
+ *
+ * @param state - The state; changed in place
+ * @param nowMs - Now, in monotonic milliseconds
+ * @example
+ * refreshRouting(state, clock.readMonotonicMs());
+ */
+export function refreshRouting(state: RoutingState, nowMs: number): void {
+    dropOldDigests(state, nowMs);
+    const step = Math.floor(nowMs / TICK_MS);
+    for (const load of state.domainLoads.values()) {
+        load.history[step % HISTORY_STEPS] = load.inFlight;
+    }
+    for (const service of state.services.values()) {
+        service.errorMs *= ERROR_FADE;
+        service.demandShare = computeDemandShare(state, service, nowMs);
+        for (const candidate of service.candidates) {
+            refreshCandidate(candidate, nowMs, computeOthersChange(state, service, candidate, step));
+        }
+    }
+    for (const candidate of state.candidates.values()) {
+        startTrials(candidate, nowMs);
+    }
+    if (step % ATTEMPT_CHECK_TICKS === 0) {
+        dropLostAttempts(state, nowMs);
+    }
+}
+
+function dropLostAttempts(state: RoutingState, nowMs: number): void {
+    for (const [key, attempt] of state.attempts) {
+        if (attempt.sentAtMs + ATTEMPT_MEMORY_MS < nowMs) {
+            state.attempts.delete(key);
+            recordEnded(attempt.candidate, { prefillTokens: attempt.prefillTokens });
+        }
+    }
+}
+
+function dropOldDigests(state: RoutingState, nowMs: number): void {
+    const validMs = DIGEST_PERIODS_VALID * computeDigestPeriod(state.nodeCount);
+    for (const [nodeId, { receivedAtMs }] of state.digests) {
+        if (receivedAtMs + validMs < nowMs) {
+            applyLoadDigest(state, nodeId, undefined, nowMs);
+        }
+    }
+}
+
+function computeOthersChange(state: RoutingState, service: ServiceState, candidate: Candidate, step: number): number {
+    const domainHash = hashName(candidate.endpoint.failureDomain);
+    const load = state.domainLoads.get(service.serviceHash * 65_536 + domainHash);
+    if (load === undefined || candidate.sampledAtMs === undefined) {
+        return 0;
+    }
+    const oldest = Math.max(0, step - HISTORY_STEPS + 1);
+    const sampled = Math.max(oldest, Math.floor(candidate.sampledAtMs / TICK_MS));
+    const before = load.history[sampled % HISTORY_STEPS] ?? 0;
+    return (load.inFlight - before) / Math.max(1, service.liveByDomain.get(domainHash) ?? 1);
+}
+
+function startTrials(candidate: Candidate, nowMs: number): void {
+    if (candidate.removedRoutes === 0) {
+        return;
+    }
+    for (const onRoute of candidate.routes.values()) {
+        if (onRoute.removedUntilMs !== -Infinity && onRoute.removedUntilMs <= nowMs) {
+            onRoute.isOnTrial = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/decisions/routing/summarizeCapacity.ts
@@ -0,0 +1,73 @@
+/**
+ * @module What a node can use of a service.
+ */
+import { VmRole } from "../../model/endpoint";
+import type { Candidate } from "./candidate";
+import { ENDPOINT_QUEUE_MS, INITIAL_PREFILL_TOKENS_PER_MS, INITIAL_TOKEN_GAP_MS } from "./constants";
+import { estimateQueue } from "./estimateQueue";
+import { isOutcomeUsable } from "./isOutcomeUsable";
+import type { ServiceCapacity } from "./serviceCapacity";
+
+/** What the summary depends on besides the endpoints. */
+export interface CapacityQuery {
+    readonly costCeilingMicros: number;
+    /** Whether a version gets work. */
+    readonly isVersionUsed: (version: string) => boolean;
+    /** This node's share of the demand for the endpoints, 0 to 1. */
+    readonly demandShare: number;
+    /** A number in [0, 1) by which a fraction of a slot is rounded; it differs between nodes. */
+    readonly roundingFraction: number;
+    readonly estimateErrorMs: number;
+}
+
+/**
+ * Summarises the endpoints of a service. Free slots are those of endpoints whose inner queue is short; this node takes
+ * its share by demand, since the other nodes see the same free slots.
+ *
+ * @param candidates - The endpoints of the service that this node uses
+ * @param query - What is asked
+ * @returns The capacity
+ * @example
+ * summarizeCapacity(candidates, query).freeSlots;
+ */
+export function summarizeCapacity(candidates: readonly Candidate[], query: CapacityQuery): ServiceCapacity {
+    let liveEndpoints = 0;
+    let ownInFlight = 0;
+    let free = 0;
+    let best: Candidate | undefined;
+    let bestMs = Infinity;
+    for (const candidate of candidates) {
+        ownInFlight += candidate.ownInFlight;
+        if (!isCounted(candidate, query)) {
+            continue;
+        }
+        liveEndpoints++;
+        const queueMs = estimateQueue(candidate);
+        const open = candidate.slots - candidate.ownInFlight - candidate.othersInFlight;
+        free += queueMs <= ENDPOINT_QUEUE_MS ? Math.max(0, open) : 0;
+        const firstTokenMs = candidate.networkMs + queueMs + candidate.biasMs;
+        if (firstTokenMs < bestMs) {
+            bestMs = firstTokenMs;
+            best = candidate;
+        }
+    }
+    const serviceMs = best?.endpoint.role === VmRole.ApplicationRunner ? best.durationMs : 0;
+    return {
+        liveEndpoints,
+        ownInFlight,
+        freeSlots: Math.floor(free * query.demandShare + query.roundingFraction),
+        bestFirstTokenMs: best === undefined ? 0 : bestMs + serviceMs,
+        prefillTokensPerSecond: 1_000 * (best?.prefillTokensPerMs ?? INITIAL_PREFILL_TOKENS_PER_MS),
+        tokenGapMs: best?.tokenGapMs ?? INITIAL_TOKEN_GAP_MS,
+        estimateErrorMs: query.estimateErrorMs,
+    };
+}
+
+function isCounted(candidate: Candidate, query: CapacityQuery): boolean {
+    return (
+        !candidate.isLeaving &&
+        candidate.costMicros <= query.costCeilingMicros &&
+        isOutcomeUsable(candidate.outcomes, candidate.ownInFlight) &&
+        query.isVersionUsed(candidate.endpoint.version)
+    );
+}
--- a/src/tasks/admission/createAdmissionTask.ts
+++ b/src/tasks/admission/createAdmissionTask.ts
@@ -3,18 +3,31 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../../base/clock";
+import { createDisposableStore } from "../../base/createDisposableStore";
 import { createFailure } from "../../base/createFailure";
+import { closeChannel, createChannel, offerMessage, superviseTask, takeBatch, waitFor } from "../../base/csp";
 import type { Disposable } from "../../base/disposableStore";
 import type { DumpSource } from "../../base/dump";
 import { type Failure, FailureKind } from "../../base/failure";
+import type { AdmissionPool, WaitingRequest } from "../../decisions/admission/admissionPool";
+import { buildWaitingRequest } from "../../decisions/admission/buildWaitingRequest";
+import { cancelRequest } from "../../decisions/admission/cancelRequest";
+import { createAdmissionPool } from "../../decisions/admission/createAdmissionPool";
+import { decideArrival } from "../../decisions/admission/decideArrival";
+import { dispatchRequest } from "../../decisions/admission/dispatchRequest";
+import { dropLostRequests } from "../../decisions/admission/dropLostRequests";
+import { finishAdmitted } from "../../decisions/admission/finishAdmitted";
+import { queueRequest } from "../../decisions/admission/queueRequest";
 import type { CapacitySource } from "../../decisions/routing/serviceCapacity";
 import type { ConfigurationClient } from "../configuration/configurationClient";
-import type { AdmissionClient } from "./admissionClient";
+import type { AdmissionClient, AdmissionRequest } from "./admissionClient";
+import { ARRIVALS_LIMIT, INBOX_CAPACITY, TICK_MS } from "./constants";
+import { dumpPools } from "./dumpPools";
 
 /** What the admission task needs. */
 export interface AdmissionDependencies {
     readonly clock: Clock;
-    readonly configuration: ConfigurationClient;
+    readonly configuration: Pick<ConfigurationClient, "readCurrent">;
     readonly capacity: CapacitySource;
     readonly reportFailure: (name: string, failure: Failure) => void;
 }
@@ -25,6 +38,21 @@
     stopAdmitting(): void;
 }
 
+type Reply = (result: Result<void, Failure>) => void;
+
+enum MessageKind {
+    Arrival = "arrival",
+    Cancel = "cancel",
+    Finish = "finish",
+    Tick = "tick",
+}
+
+type Message =
+    | { readonly kind: MessageKind.Arrival; readonly request: AdmissionRequest; readonly reply: Reply }
+    | { readonly kind: MessageKind.Cancel; readonly requestId: string }
+    | { readonly kind: MessageKind.Finish; readonly requestId: string; readonly usedTokens: number }
+    | { readonly kind: MessageKind.Tick };
+
 /**
  * Creates the admission task.
  *
@@ -34,26 +62,150 @@
  * const admission = createAdmissionTask({ clock, configuration, capacity: routing, reportFailure });
  */
 export function createAdmissionTask(dependencies: AdmissionDependencies): AdmissionTask {
-    const admitted = new Set<string>();
+    const { clock, capacity, configuration } = dependencies;
+    const store = createDisposableStore();
+    const inbox = createChannel<Message>(INBOX_CAPACITY);
+    const pools = new Map<string, AdmissionPool>();
+    const poolsByRequest = new Map<string, AdmissionPool>();
+    const replies = new Map<string, Reply>();
+    const counters = { admitted: 0, refused: 0, dropped: 0, cancelled: 0, lostMessages: 0 };
+    let arrivalsInInbox = 0;
     let isStopping = false;
-    return {
-        name: "admission",
-        requestAdmission: async (request): Promise<Result<void, Failure>> => {
-            if (isStopping) {
-                return err(createFailure(FailureKind.ShuttingDown, "This node is shutting down."));
+
+    const replyTo = (requestId: string, result: Result<void, Failure>) => {
+        const reply = replies.get(requestId);
+        replies.delete(requestId);
+        if (result.isErr()) {
+            poolsByRequest.delete(requestId);
+        }
+        reply?.(result);
+    };
+    const readPool = (serviceName: string) => {
+        const pool = pools.get(serviceName) ?? createAdmissionPool();
+        pools.set(serviceName, pool);
+        return pool;
+    };
+    const dispatchPool = (serviceName: string, pool: AdmissionPool) => {
+        const nowMs = clock.readMonotonicMs();
+        for (const lost of dropLostRequests(pool, nowMs)) {
+            counters.dropped++;
+            const message = "The latency target could not be met any more while the request waited.";
+            replyTo(lost.requestId, err(createFailure(FailureKind.TargetUnreachable, message, { retryAfterMs: 500 })));
+        }
+        const hasRoom = (request: WaitingRequest) => {
+            const seen = capacity.readCapacity(serviceName, request.costCeilingMicros);
+            return seen.freeSlots - Math.max(0, pool.admitted.size - seen.ownInFlight) >= 1;
+        };
+        for (
+            let next = dispatchRequest(pool, hasRoom, nowMs);
+            next !== undefined;
+            next = dispatchRequest(pool, hasRoom, nowMs)
+        ) {
+            counters.admitted++;
+            replyTo(next.requestId, ok(undefined));
+        }
+    };
+    const handleArrival = (request: AdmissionRequest, reply: Reply) => {
+        const { context, serviceName, promptTokens } = request;
+        const workClass = configuration.readCurrent().classes[context.className];
+        if (workClass === undefined) {
+            reply(err(createFailure(FailureKind.UnknownClass, `There is no class ${context.className}.`)));
+            return;
+        }
+        const pool = readPool(serviceName);
+        const seen = capacity.readCapacity(serviceName, workClass.costCeilingMicros);
+        const waiting = buildWaitingRequest(pool, request, workClass, seen);
+        const costAtTargetMicros = capacity.findCostAtTarget(serviceName, promptTokens, workClass.latencyTargetMs);
+        capacity.recordDemand(serviceName, waiting.costTokens);
+        const refusal = decideArrival(pool, waiting, { ...seen, costAtTargetMicros }, clock.readMonotonicMs());
+        if (refusal !== undefined) {
+            counters.refused++;
+            reply(err(refusal));
+            return;
+        }
+        queueRequest(pool, waiting);
+        poolsByRequest.set(waiting.requestId, pool);
+        replies.set(waiting.requestId, reply);
+        dispatchPool(serviceName, pool);
+    };
+    const handlers: { readonly [K in MessageKind]: (message: Extract<Message, { kind: K }>) => void } = {
+        [MessageKind.Arrival]: ({ request, reply }) => {
+            arrivalsInInbox--;
+            try {
+                handleArrival(request, reply);
+            } catch (error) {
+                reply(err(createFailure(FailureKind.Internal, "Admission failed.")));
+                throw error;
+            }
+        },
+        [MessageKind.Cancel]: ({ requestId }) => {
+            const pool = poolsByRequest.get(requestId);
+            if (pool !== undefined && cancelRequest(pool, requestId)) {
+                counters.cancelled++;
+                replyTo(requestId, err(createFailure(FailureKind.Cancelled, "The request was given up.")));
+            } else if (pool !== undefined) {
+                finishAdmitted(pool, requestId, undefined, clock.readMonotonicMs());
+                poolsByRequest.delete(requestId);
+            }
+        },
+        [MessageKind.Finish]: ({ requestId, usedTokens }) => {
+            const pool = poolsByRequest.get(requestId);
+            if (pool !== undefined) {
+                finishAdmitted(pool, requestId, usedTokens, clock.readMonotonicMs());
+                poolsByRequest.delete(requestId);
+            }
+        },
+        [MessageKind.Tick]: () => undefined,
+    };
+
+    const supervision = { clock, reportFailure: dependencies.reportFailure };
+    void superviseTask(
+        "admission",
+        function* () {
+            for (let batch = yield* takeBatch(inbox); batch !== undefined; batch = yield* takeBatch(inbox)) {
+                batch.forEach(message => handlers[message.kind](message as never));
+                pools.forEach((pool, serviceName) => dispatchPool(serviceName, pool));
             }
-            if (dependencies.capacity.readCapacity(request.serviceName).liveEndpoints === 0) {
-                return err(createFailure(FailureKind.Overloaded, "No endpoint is live.", { retryAfterMs: 1_000 }));
+            const failure = createFailure(FailureKind.ShuttingDown, "This node has stopped.");
+            [...replies.keys()].forEach(requestId => replyTo(requestId, err(failure)));
+        },
+        supervision,
+    );
+    void superviseTask(
+        "admission-tick",
+        function* () {
+            while (!store.isDisposed) {
+                yield* waitFor(clock.waitMs(TICK_MS));
+                offerMessage(inbox, { kind: MessageKind.Tick });
             }
-            admitted.add(request.context.requestId);
-            return ok(undefined);
         },
-        cancelAdmission: requestId => void admitted.delete(requestId),
-        finishRequest: requestId => void admitted.delete(requestId),
+        supervision,
+    );
+    store.add({ dispose: () => closeChannel(inbox) });
+    const offer = (message: Message) => {
+        counters.lostMessages += offerMessage(inbox, message) || store.isDisposed ? 0 : 1;
+    };
+
+    return {
+        name: "admission",
+        requestAdmission: request =>
+            new Promise(reply => {
+                const isFull = arrivalsInInbox >= ARRIVALS_LIMIT;
+                if (isStopping || store.isDisposed) {
+                    reply(err(createFailure(FailureKind.ShuttingDown, "This node is shutting down.")));
+                } else if (isFull || !offerMessage(inbox, { kind: MessageKind.Arrival, request, reply })) {
+                    const message = "Too many requests arrive at this node.";
+                    reply(err(createFailure(FailureKind.Overloaded, message, { retryAfterMs: 1_000 })));
+                } else {
+                    arrivalsInInbox++;
+                }
+            }),
+        cancelAdmission: requestId => offer({ kind: MessageKind.Cancel, requestId }),
+        finishRequest: (requestId, usedTokens) => offer({ kind: MessageKind.Finish, requestId, usedTokens }),
         stopAdmitting: () => {
             isStopping = true;
         },
-        dumpState: () => ({ admitted: admitted.size, isStopping }),
-        dispose: () => admitted.clear(),
+        dumpState: () => ({ isStopping, counters, pools: dumpPools(pools) }),
+        dispose: () => store.dispose(),
     };
 }
--- a/src/tasks/routing/createRoutingTask.ts
+++ b/src/tasks/routing/createRoutingTask.ts
@@ -1,23 +1,47 @@
 /**
  * @module The task that chooses the endpoint of each attempt.
  */
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import type { Clock } from "../../base/clock";
+import { createDisposableStore } from "../../base/createDisposableStore";
 import { createFailure } from "../../base/createFailure";
 import type { Random } from "../../base/createRandom";
-import { type Channel, closeChannel, createChannel, offerMessage } from "../../base/csp";
+import { closeChannel, createChannel, offerMessage, superviseTask, takeBatch, waitFor } from "../../base/csp";
 import type { Disposable } from "../../base/disposableStore";
 import type { DumpSource } from "../../base/dump";
 import { type Failure, FailureKind } from "../../base/failure";
+import { applyCacheEvents } from "../../decisions/routing/applyCacheEvents";
+import { applyEndpoints } from "../../decisions/routing/applyEndpoints";
+import { applyLoadDigest } from "../../decisions/routing/applyLoadDigest";
+import { applyLoadReport } from "../../decisions/routing/applyLoadReport";
+import { applyPrices } from "../../decisions/routing/applyPrices";
+import { buildLoadDigest } from "../../decisions/routing/buildLoadDigest";
+import { computeDigestPeriod } from "../../decisions/routing/computeDigestPeriod";
+import { TICK_MS } from "../../decisions/routing/constants";
+import { createRoutingState } from "../../decisions/routing/createRoutingState";
+import { decideRoute } from "../../decisions/routing/decideRoute";
+import { decodeLoadDigest } from "../../decisions/routing/decodeLoadDigest";
+import { encodeLoadDigest } from "../../decisions/routing/encodeLoadDigest";
+import { findCostAtTarget } from "../../decisions/routing/findCostAtTarget";
+import { readServiceCapacity } from "../../decisions/routing/readServiceCapacity";
+import { recordAttemptReport } from "../../decisions/routing/recordAttemptReport";
+import { recordDemand } from "../../decisions/routing/recordDemand";
+import { recordProbe } from "../../decisions/routing/recordProbe";
+import { refreshRouting } from "../../decisions/routing/refreshRouting";
 import type { CapacitySource } from "../../decisions/routing/serviceCapacity";
-import { type Endpoint, type Placement, type VmRecord, VmRole, VmState } from "../../model/endpoint";
-import type { NodeExchange } from "../../nodes/nodeExchange";
+import type { Endpoint, Placement, VmRecord } from "../../model/endpoint";
+import { ExchangeTopic, type NodeExchange } from "../../nodes/nodeExchange";
 import type { ApplicationRunnerPort } from "../../ports/applicationRunner";
-import type { CloudPort } from "../../ports/cloud";
+import type { CloudPort, VmPrice } from "../../ports/cloud";
 import type { ModelRunnerPort } from "../../ports/modelRunner";
 import type { ConfigurationClient } from "../configuration/configurationClient";
 import type { DirectoryClient } from "../directory/directoryClient";
-import type { AttemptReport, EndpointNotice, Route, RoutingClient } from "./routingClient";
+import { CHOICES_LIMIT, INBOX_CAPACITY, PRICE_PERIOD_MS } from "./constants";
+import { createEndpointPolls } from "./createEndpointPolls";
+import { createEndpointWatchers } from "./createEndpointWatchers";
+import { dumpRouting } from "./dumpRouting";
+import type { AttemptReport, Route, RoutingClient } from "./routingClient";
+import { type RoutingMessage, RoutingMessageKind as Kind } from "./routingMessage";
 
 /** What the routing task needs. */
 export interface RoutingDependencies {
@@ -26,7 +50,7 @@
     readonly nodeId: string;
     /** Where this node stands. */
     readonly placement: Placement;
-    readonly configuration: ConfigurationClient;
+    readonly configuration: Pick<ConfigurationClient, "readCurrent">;
     readonly directory: DirectoryClient;
     readonly exchange: NodeExchange;
     readonly modelRunners: Pick<ModelRunnerPort, "readLoad" | "listCacheEvents" | "probeRunner">;
@@ -37,12 +61,17 @@
     readonly reportFailure: (name: string, failure: Failure) => void;
 }
 
+/** Receives each report about an attempt, with the endpoint it went to and its route. */
+export type ReportListener = (report: AttemptReport, endpoint: Endpoint, route: string) => void;
+
 /** The running routing task. */
 export interface RoutingTask extends RoutingClient, CapacitySource, DumpSource, Disposable {
-    /** Calls `listener` for each report about an attempt, with the endpoint it went to and its route. */
-    subscribeReports(listener: (report: AttemptReport, endpoint: Endpoint, route: string) => void): () => void;
+    /** Calls `listener` for each report about a known attempt; the returned function ends that. */
+    subscribeReports(listener: ReportListener): () => void;
 }
 
+type Handlers = { readonly [K in Kind]: (message: Extract<RoutingMessage, { kind: K }>) => void };
+
 /**
  * Creates the routing task.
  *
@@ -52,95 +81,172 @@
  * const routing = createRoutingTask({ clock, random, nodeId, placement, ...others });
  */
 export function createRoutingTask(dependencies: RoutingDependencies): RoutingTask {
-    const inFlight = new Map<string, number>();
-    const attempts = new Map<string, { readonly endpoint: Endpoint; readonly route: string }>();
-    const reportListeners = new Set<(report: AttemptReport, endpoint: Endpoint, route: string) => void>();
-    const watchers = new Map<string, Set<Channel<EndpointNotice>>>();
-    const listEndpoints = (serviceName: string) =>
-        dependencies.directory
-            .listVms()
-            .filter(vm => vm.role !== VmRole.Node && vm.state === VmState.Live && vm.serviceName === serviceName);
-    const unsubscribe = dependencies.directory.subscribeChanges(vms => {
-        const known = new Map(vms.map(vm => [vm.vmId, vm]));
-        for (const [endpointId, channels] of watchers) {
-            const vm = known.get(endpointId);
-            if (vm?.state !== VmState.Live) {
-                channels.forEach(channel => offerMessage(channel, createNotice(endpointId, vm, dependencies.clock)));
-            }
+    const { clock, random, configuration, directory, exchange, isBraked } = dependencies;
+    const state = createRoutingState(dependencies.nodeId, dependencies.placement);
+    const store = createDisposableStore();
+    const inbox = createChannel<RoutingMessage>(INBOX_CAPACITY);
+    const watchers = createEndpointWatchers(clock);
+    const listeners = new Set<ReportListener>();
+    const counters = { choices: 0, refused: 0, lostMessages: 0 };
+    let choicesInInbox = 0;
+    let digestDueAtMs = 0;
+    let prices: readonly VmPrice[] = [];
+
+    const offer = (message: RoutingMessage) => {
+        counters.lostMessages += offerMessage(inbox, message) || store.isDisposed ? 0 : 1;
+    };
+    const polls = createEndpointPolls({ ...dependencies, offer });
+    const choose: Handlers[Kind.Choice] = ({ query, reply }) => {
+        const nowMs = clock.readMonotonicMs();
+        let result: Result<Route, Failure> = err(createFailure(FailureKind.Internal, "Routing failed."));
+        choicesInInbox--;
+        try {
+            result = decideRoute(state, query, { configuration: configuration.readCurrent(), random, isBraked, nowMs });
+        } finally {
+            counters.choices++;
+            counters.refused += result.isErr() ? 1 : 0;
+            reply(result);
         }
-    });
-    return {
-        name: "routing",
-        chooseEndpoint: async (query): Promise<Result<Route, Failure>> => {
-            const candidates = listEndpoints(query.serviceName).filter(
-                vm =>
-                    !query.excludedEndpointIds.includes(vm.vmId) &&
-                    !dependencies.isBraked(query.serviceName, vm.version ?? ""),
-            );
-            const [best] = candidates.sort(
-                (left, right) => (inFlight.get(left.vmId) ?? 0) - (inFlight.get(right.vmId) ?? 0),
-            );
-            if (best === undefined) {
-                return err(createFailure(FailureKind.NoEndpoint, "No endpoint can take the request."));
-            }
-            const endpoint = {
-                ...best,
-                endpointId: best.vmId,
-                serviceName: query.serviceName,
-                version: best.version ?? "",
-            } as Endpoint;
-            inFlight.set(best.vmId, (inFlight.get(best.vmId) ?? 0) + 1);
-            attempts.set(`${query.id.requestId}/${query.id.attempt}`, { endpoint, route: query.route });
-            return ok({ endpoint, estimatedFirstTokenMs: 100 });
+    };
+    const recordReport: Handlers[Kind.Report] = ({ report }) => {
+        const attempt = recordAttemptReport(state, report, clock.readMonotonicMs());
+        if (attempt === undefined) {
+            return;
+        }
+        if (report.failure?.kind === FailureKind.EndpointSilent) {
+            polls.probeEndpoint(attempt.candidate);
+        }
+        listeners.forEach(listener => listener(report, attempt.candidate.endpoint, attempt.route));
+    };
+    const publishDigest = (nowMs: number) => {
+        if (nowMs < digestDueAtMs) {
+            return;
+        }
+        const digest = encodeLoadDigest(buildLoadDigest(state, nowMs));
+        const periodMs = computeDigestPeriod(state.nodeCount, digest.length);
+        digestDueAtMs = nowMs + periodMs * (0.75 + 0.5 * random.drawFraction());
+        exchange.publishUpdate(ExchangeTopic.LoadDigest, "", digest);
+    };
+    const handlers: Handlers = {
+        [Kind.Choice]: choose,
+        [Kind.Report]: recordReport,
+        [Kind.Vms]: ({ vms }) => {
+            applyEndpoints(state, vms);
+            applyPrices(state, prices);
         },
-        recordReport: report => {
-            const key = `${report.id.requestId}/${report.id.attempt}`;
-            const attempt = attempts.get(key);
-            if (attempt === undefined) {
-                return;
+        [Kind.Load]: ({ candidate, load }) => {
+            if (load !== undefined) {
+                applyLoadReport(candidate, load, clock.readMonotonicMs());
             }
-            reportListeners.forEach(listener => listener(report, attempt.endpoint, attempt.route));
-            if (["finished", "failed", "cancelled"].includes(report.kind)) {
-                attempts.delete(key);
-                inFlight.set(report.endpointId, (inFlight.get(report.endpointId) ?? 1) - 1);
+            polls.recordRead(candidate, load === undefined);
+        },
+        [Kind.CacheEvents]: ({ candidate, events }) => {
+            const service = state.services.get(candidate.endpoint.serviceName);
+            if (service?.candidates.includes(candidate) === true) {
+                state.counters.lostCacheEvents += applyCacheEvents(service.index, candidate, events);
             }
+            polls.recordCacheEvents(candidate, events.length);
         },
-        watchEndpoint: endpointId => {
-            const notices = createChannel<EndpointNotice>(4);
-            const channels = watchers.get(endpointId) ?? new Set();
-            watchers.set(endpointId, channels.add(notices));
-            return {
-                notices,
-                release: () => {
-                    channels.delete(notices);
-                    closeChannel(notices);
-                },
-            };
+        [Kind.Probe]: ({ candidate, isAlive }) => {
+            const peers = state.services.get(candidate.endpoint.serviceName)?.candidates ?? [];
+            recordProbe(candidate, isAlive, peers, clock.readMonotonicMs());
         },
-        subscribeReports: listener => {
-            reportListeners.add(listener);
-            return () => reportListeners.delete(listener);
+        [Kind.Prices]: message => {
+            prices = message.prices;
+            applyPrices(state, prices);
         },
-        readCapacity: serviceName => {
-            const liveEndpoints = listEndpoints(serviceName).length;
-            return {
-                liveEndpoints,
-                freeSlots: liveEndpoints * 16,
-                totalSlots: liveEndpoints * 16,
-                bestFirstTokenMs: 50,
-                prefillTokensPerSecond: 5_000,
-                estimateErrorMs: 0,
-                cheapestCostMicros: 0,
-            };
+        [Kind.Digest]: ({ nodeId, payload }) => {
+            applyLoadDigest(state, nodeId, decodeLoadDigest(payload), clock.readMonotonicMs());
+        },
+        [Kind.Tick]: () => {
+            const nowMs = clock.readMonotonicMs();
+            state.nodeCount = Math.max(1, exchange.listLiveNodeIds().length);
+            refreshRouting(state, nowMs);
+            polls.startDue(state, nowMs);
+            publishDigest(nowMs);
         },
-        dumpState: () => ({ inFlight: Object.fromEntries(inFlight) }),
-        dispose: unsubscribe,
     };
-}
 
-function createNotice(endpointId: string, vm: VmRecord | undefined, clock: Clock): EndpointNotice {
-    if (vm?.reclaimAtWallMs === undefined) {
-        return { endpointId };
-    }
-    return { endpointId, goneAtMs: clock.readMonotonicMs() + vm.reclaimAtWallMs - clock.readWallMs() };
+    const supervision = { clock, reportFailure: dependencies.reportFailure };
+    void superviseTask(
+        "routing",
+        function* () {
+            for (let batch = yield* takeBatch(inbox); batch !== undefined; batch = yield* takeBatch(inbox)) {
+                batch.forEach(message => handlers[message.kind](message as never));
+            }
+        },
+        supervision,
+    );
+    const startLoop = (name: string, periodMs: number, run: () => Promise<void>) => {
+        void superviseTask(
+            name,
+            function* () {
+                while (!store.isDisposed) {
+                    yield* waitFor(run());
+                    yield* waitFor(clock.waitMs(periodMs));
+                }
+            },
+            supervision,
+        );
+    };
+    startLoop("routing-tick", TICK_MS, async () => offer({ kind: Kind.Tick }));
+    startLoop("routing-prices", PRICE_PERIOD_MS, async () => {
+        const listed = await dependencies.cloud.listPrices();
+        if (listed.isOk()) {
+            offer({ kind: Kind.Prices, prices: listed.value });
+        }
+    });
+    const applyVms = (vms: readonly VmRecord[]) => {
+        watchers.updateVms(vms);
+        offer({ kind: Kind.Vms, vms });
+    };
+    applyVms(directory.listVms());
+    store.add({ dispose: directory.subscribeChanges(applyVms) });
+    store.add({
+        dispose: exchange.subscribeTopic(ExchangeTopic.LoadDigest, ({ fromNodeId, payload }) => {
+            offer({ kind: Kind.Digest, nodeId: fromNodeId, payload });
+        }),
+    });
+    store.add({ dispose: () => closeChannel(inbox) });
+
+    return {
+        name: "routing",
+        chooseEndpoint: query =>
+            new Promise(reply => {
+                const isFull = choicesInInbox >= CHOICES_LIMIT;
+                if (isFull || !offerMessage(inbox, { kind: Kind.Choice, query, reply })) {
+                    const message = "Routing can't take the request now.";
+                    reply(err(createFailure(FailureKind.NoEndpoint, message, { retryAfterMs: 1_000 })));
+                } else {
+                    choicesInInbox++;
+                }
+            }),
+        recordReport: report => offer({ kind: Kind.Report, report }),
+        watchEndpoint: watchers.watchEndpoint,
+        subscribeReports: listener => {
+            listeners.add(listener);
+            return () => listeners.delete(listener);
+        },
+        readCapacity: (serviceName, costCeilingMicros) =>
+            readServiceCapacity(state, serviceName, {
+                configuration: configuration.readCurrent(),
+                isBraked,
+                costCeilingMicros,
+                nowMs: clock.readMonotonicMs(),
+            }),
+        findCostAtTarget: (serviceName, promptTokens, targetMs) =>
+            findCostAtTarget(state.services.get(serviceName)?.candidates ?? [], promptTokens, targetMs),
+        recordDemand: (serviceName, costTokens) => {
+            const service = state.services.get(serviceName);
+            if (service !== undefined) {
+                recordDemand(service, costTokens, clock.readMonotonicMs());
+            }
+        },
+        dumpState: () => ({
+            ...counters,
+            watched: watchers.countWatched(),
+            ...(dumpRouting(state, clock.readMonotonicMs()) as object),
+        }),
+        dispose: () => store.dispose(),
+    };
 }
