Add the command line

Cause: operators and the daemon itself need one program. Conclusion: main.ts starts serve and dev lazily.

--- a/src/main.ts
+++ b/src/main.ts
@@ -1,9 +1,24 @@
 /**
- * @module The command line.
+ * @module The program's entry.
  */
-import { cac } from "cac";
+import { randomBytes } from "node:crypto";
+import fs from "node:fs";
+import { createSystemClock } from "./base/createSystemClock";
+import type { CliContext } from "./cli/cliContext";
+import { runCli } from "./cli/runCli";
 
-const program = cac("redwinglift");
-program.version(process.env["REDWINGLIFT_VERSION"] ?? "development");
-program.help();
-program.parse();
+const context: CliContext = {
+    environment: process.env,
+    clock: createSystemClock(),
+    programVersion: process.env["REDWINGLIFT_VERSION"] ?? "development",
+    write: text => void process.stdout.write(text),
+    writeError: text => void process.stderr.write(text),
+    readFile: file => fs.readFileSync(file, "utf8"),
+    createRandomBytes: count => randomBytes(count),
+    runServe: async settings => (await import("./serve/runServe")).runServe(settings),
+    runDev: async options => (await import("./dev/runDev")).runDev(options),
+};
+
+void runCli(process.argv.slice(2), context).then(exitCode => {
+    process.exitCode = exitCode;
+});
--- a/src/settings/_lib/checkSettingValues.ts
+++ b/src/settings/_lib/checkSettingValues.ts
@@ -1,7 +1,7 @@
 /**
  * @module Checks between settings.
  */
-import net from "node:net";
+import { isLoopbackAddress } from "../../base/isLoopbackAddress";
 import { SETTING_DEFINITIONS, type SettingName, type SettingValues } from "../settingDefinitions";
 import { toFlagName } from "../settingNames";
 
@@ -42,8 +42,6 @@
     "platformVmListUrl",
 ];
 
-const LOOPBACK = createLoopbackList();
-
 /**
  * Checks settings against each other and reads the files they name.
  *
@@ -71,7 +69,7 @@
         return [...missing.map(name => `${toFlag(name)}: must be given too, as ${toFlag(given[0])} is`), ...unreadable];
     }
     const address = values[names.address];
-    if (address === undefined || values[names.allowPlain] !== false || isLoopback(String(address))) {
+    if (address === undefined || values[names.allowPlain] !== false || isLoopbackAddress(String(address))) {
         return [];
     }
     const wanted = names.files.map(toFlag).join(", ");
@@ -84,7 +82,7 @@
         return [];
     }
     const url = new URL(text);
-    const isSafe = url.protocol === "https:" || isLoopback(url.hostname.replace(/^\[|\]$/g, ""));
+    const isSafe = url.protocol === "https:" || isLoopbackAddress(url.hostname);
     return isSafe ? [] : [`${toFlag(name)}: plain only to loopback; use https or give --platform-allow-plain`];
 }
 
@@ -124,18 +122,6 @@
     }
 }
 
-function isLoopback(address: string): boolean {
-    const family = net.isIP(address);
-    return family === 0 ? address === "localhost" : LOOPBACK.check(address, family === 6 ? "ipv6" : "ipv4");
-}
-
-function createLoopbackList(): net.BlockList {
-    const list = new net.BlockList();
-    list.addSubnet("127.0.0.0", 8, "ipv4");
-    list.addAddress("::1", "ipv6");
-    return list;
-}
-
 function toFlag(name: SettingName | undefined): string {
     return `--${toFlagName(name ?? "")}`;
 }
