--- /dev/null
+++ b/src/tasks/membership/membershipTask.test.ts
@@ -0,0 +1,179 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { MemberCondition } from "../../decisions/membership/member";
+import { createSimulation, type Simulation, type SimulationOptions } from "../../nodes/_testing/createSimulation";
+import { ExchangeTopic } from "../../nodes/nodeExchange";
+
+let simulation: Simulation | undefined;
+const start = (options: SimulationOptions): Simulation => {
+    simulation = createSimulation(options);
+    return simulation;
+};
+afterEach(() => {
+    simulation?.dispose();
+    assert.deepEqual(simulation?.failures, []);
+});
+
+const knowsAll = ({ nodes }: Simulation, count: number) =>
+    nodes.every(node => node.membership.listLiveNodeIds().length === count);
+const findCondition = (simulated: Simulation, viewer: number, nodeId: string) =>
+    simulated.nodes[viewer]?.membership.listMembers().find(member => member.nodeId === nodeId)?.condition;
+
+describe("membership of many nodes", () => {
+    it("forms from the platform's list within seconds", async () => {
+        const simulated = start({ nodeCount: 30 });
+        const tookMs = await simulated.runUntil(() => knowsAll(simulated, 30), 15_000);
+        assert.ok(tookMs !== undefined, "all nodes know all nodes");
+    });
+
+    it("finds a dead node within 15 s on every other node, and no other node dead", async () => {
+        const simulated = start({ nodeCount: 20 });
+        await simulated.runFor(10_000);
+        simulated.network.removeHost("node-7");
+        const others = simulated.nodes.filter(node => node.nodeId !== "node-7");
+        const knowDead = () =>
+            others.every(node =>
+                node.membership
+                    .listMembers()
+                    .some(member => member.nodeId === "node-7" && member.condition === MemberCondition.Dead),
+            );
+        assert.ok((await simulated.runUntil(knowDead, 15_000)) !== undefined);
+        assert.ok(others.every(node => node.membership.listLiveNodeIds().length === 19));
+    });
+
+    it("knows of a leaving node within 3 s", async () => {
+        const simulated = start({ nodeCount: 20 });
+        await simulated.runFor(10_000);
+        const leaving = simulated.nodes[3]!;
+        void leaving.membership.leave();
+        const others = simulated.nodes.filter(node => node !== leaving);
+        const know = () => others.every(node => !node.membership.listLiveNodeIds().includes(leaving.nodeId));
+        assert.ok((await simulated.runUntil(know, 3_000)) !== undefined);
+        assert.equal(findCondition(simulated, 0, leaving.nodeId), MemberCondition.Left);
+    });
+
+    it("takes a paused node for dead neither while others may excuse it nor after it wakes", async () => {
+        const simulated = start({ nodeCount: 12 });
+        await simulated.runFor(10_000);
+        simulated.network.pauseHost("node-2");
+        await simulated.runFor(4_000);
+        simulated.network.resumeHost("node-2");
+        await simulated.runFor(5_000);
+        assert.ok(knowsAll(simulated, 12));
+        assert.ok(simulated.nodes.every((_node, index) => findCondition(simulated, index, "node-2") === 0));
+    });
+
+    it("keeps a lost region's nodes as suspects and takes them back when it heals after minutes", async () => {
+        const simulated = start({ nodeCount: 18 });
+        await simulated.runFor(10_000);
+        const isFar = (nodeId: string) =>
+            simulated.nodes.find(node => node.nodeId === nodeId)?.place.region === "region-2";
+        simulated.network.setPartition((from, to) => isFar(from) !== isFar(to));
+        await simulated.runFor(180_000);
+        const dead = simulated.nodes.flatMap(node =>
+            node.membership.listMembers().filter(member => member.condition === MemberCondition.Dead),
+        );
+        assert.equal(dead.length, 0, "one lost region is no death");
+        assert.deepEqual(
+            simulated.nodes.map(node => node.membership.listLiveNodeIds().length).sort(),
+            [...Array<number>(12).fill(12), ...Array<number>(6).fill(6)].sort(),
+            "both sides keep to themselves",
+        );
+        simulated.network.setPartition(() => false);
+        assert.ok((await simulated.runUntil(() => knowsAll(simulated, 18), 60_000)) !== undefined, "heals");
+    });
+
+    it("tells a restarted process from its predecessor", async () => {
+        const simulated = start({ nodeCount: 9 });
+        await simulated.runFor(10_000);
+        const old = simulated.nodes[4]!;
+        const before = simulated.nodes[0]!.membership.listMembers().find(member => member.nodeId === "node-4")!;
+        old.membership.dispose();
+        old.host.transport.dispose();
+        simulated.nodes.splice(4, 1);
+        simulated.addNode("node-4", old.place);
+        const knowNew = () =>
+            simulated.nodes.every(node =>
+                node.membership
+                    .listMembers()
+                    .some(member => member.nodeId === "node-4" && member.incarnation > before.incarnation),
+            );
+        assert.ok((await simulated.runUntil(knowNew, 5_000)) !== undefined);
+        const after = simulated.nodes[0]!.membership.listMembers().find(member => member.nodeId === "node-4")!;
+        assert.notEqual(after.port, before.port);
+    });
+
+    it("replaces a silent link without suspecting anyone", async () => {
+        const simulated = start({ nodeCount: 6 });
+        await simulated.runFor(10_000);
+        const suspected: string[] = [];
+        simulated.nodes.forEach(node =>
+            node.membership.subscribeMembers(member => {
+                if (member.condition !== MemberCondition.Alive) {
+                    suspected.push(member.nodeId);
+                }
+            }),
+        );
+        simulated.nodes.forEach(left =>
+            simulated.nodes.forEach(right => simulated.network.silenceLink(left.nodeId, right.nodeId)),
+        );
+        await simulated.runFor(15_000);
+        assert.deepEqual(suspected, []);
+        assert.ok(knowsAll(simulated, 6));
+    });
+});
+
+describe("updates between nodes", () => {
+    it("reach every node within 2 s when urgent, and are repaired where the push was lost", async () => {
+        const simulated = start({ nodeCount: 27 });
+        await simulated.runFor(10_000);
+        const seen = new Set<string>();
+        simulated.nodes.forEach(node =>
+            node.membership.subscribeTopic(ExchangeTopic.Brake, () => seen.add(node.nodeId)),
+        );
+        simulated.nodes[0]!.membership.publishUpdate(ExchangeTopic.Brake, "move-1", Buffer.from("b"));
+        assert.ok((await simulated.runUntil(() => seen.size === 26, 2_000)) !== undefined);
+
+        simulated.network.setPartition((from, to) => from === "node-5" || to === "node-5");
+        seen.clear();
+        simulated.nodes[1]!.membership.publishUpdate(ExchangeTopic.Brake, "move-2", Buffer.from("b"));
+        await simulated.runFor(4_000);
+        assert.ok(!seen.has("node-5"));
+        await simulated.runFor(20_000);
+        simulated.network.setPartition(() => false);
+        assert.ok((await simulated.runUntil(() => seen.has("node-5"), 30_000)) !== undefined, "repaired by digest");
+    });
+
+    it("show who has applied a revision", async () => {
+        const simulated = start({ nodeCount: 15 });
+        await simulated.runFor(10_000);
+        simulated.nodes.slice(1).forEach(node => node.membership.publishRevision(7));
+        const lacking = () =>
+            simulated.nodes[2]!.membership.listRevisions()
+                .filter(node => node.revision < 7)
+                .map(node => node.nodeId);
+        assert.ok((await simulated.runUntil(() => lacking().length === 1, 10_000)) !== undefined);
+        assert.deepEqual(lacking(), ["node-0"]);
+    });
+
+    it("stay inside 5 KB a second a node under a flood of updates", async () => {
+        const simulated = start({ nodeCount: 27 });
+        await simulated.runFor(10_000);
+        const countBytes = () =>
+            simulated.nodes.map(node => {
+                const { sentBytes, receivedBytes } = node.membership.countTraffic();
+                return sentBytes + receivedBytes;
+            });
+        const before = countBytes();
+        for (let second = 0; second < 60; second++) {
+            simulated.nodes.forEach(node => {
+                for (let key = 0; key < 10; key++) {
+                    node.membership.publishUpdate(ExchangeTopic.LoadDigest, `runner-${key}`, Buffer.alloc(200, second));
+                }
+            });
+            await simulated.runFor(1_000);
+        }
+        const perSecond = countBytes().map((bytes, index) => (bytes - before[index]!) / 60);
+        assert.ok(Math.max(...perSecond) <= 5_000, `most ${Math.round(Math.max(...perSecond))} bytes a second`);
+    });
+});
