--- a/src/cli/_lib/numberMarks.ts
+++ b/src/cli/_lib/numberMarks.ts
@@ -40,6 +40,18 @@
     return typeof value === "string" && value.startsWith(MARK) ? value.slice(1) : value;
 }
 
+/**
+ * Removes the marks from a message that quotes words.
+ *
+ * @param message - Any text
+ * @returns The text without marks
+ * @example
+ * removeAllMarks(error.message);
+ */
+export function removeAllMarks(message: string): string {
+    return message.replaceAll(MARK, "");
+}
+
 function addMark(word: string): string {
     return word !== "" && Number.isFinite(Number(word)) ? `${MARK}${word}` : word;
 }
--- a/src/cli/commands/programCommands.ts
+++ b/src/cli/commands/programCommands.ts
@@ -1,15 +1,19 @@
 /**
  * @module Commands that run until they are told to end.
  */
-import { ok, safeTry } from "neverthrow";
+import { err, ok, type Result, safeTry } from "neverthrow";
+import { createFailure } from "../../base/createFailure";
+import { type Failure, FailureKind } from "../../base/failure";
 import { LogLevel } from "../../base/log/log";
 import { PresetName } from "../../dev/deploymentPreset";
 import { describeSettings } from "../../settings/describeSettings";
 import { readSettings } from "../../settings/readSettings";
 import { SETTING_DEFINITIONS, type SettingDefinition } from "../../settings/settingDefinitions";
 import { toFlagName, toVariableName } from "../../settings/settingNames";
+import type { Settings } from "../../settings/settings";
 import { formatTable } from "../_lib/formatTable";
 import { parseInteger, readOption } from "../_lib/readOption";
+import type { CliContext } from "../cliContext";
 import type { CommandDefinition, CommandOutput, CommandOptions, OptionDefinition } from "../commandDefinition";
 
 /** Options of the command line itself, which are no settings. */
@@ -38,7 +42,7 @@
             "REDWINGLIFT_NODE_ID=node-1 redwinglift serve --print-settings",
         ],
         takesAnyOption: true,
-        run: ({ options, context }) =>
+        run: ({ words, options, context }) =>
             safeTry(async function* () {
                 const flags = pickFlags(options);
                 if (options["printSettings"] === true) {
@@ -48,7 +52,7 @@
                         `${options["json"] === undefined ? formatTable(["setting", "value", "source"], rows) : JSON.stringify(shown)}\n`,
                     );
                 }
-                const settings = yield* readSettings(flags, context.environment, { readFile: context.readFile });
+                const settings = yield* readServeSettings(words, flags, context);
                 const exitCode = options["printSettings"] === true ? 0 : await context.runServe(settings);
                 return ok<CommandOutput>({ value: undefined, text: "", exitCode });
             }),
@@ -89,6 +93,20 @@
     };
 }
 
+function readServeSettings(
+    words: readonly string[],
+    flags: CommandOptions,
+    context: CliContext,
+): Result<Settings, Failure> {
+    const settings = readSettings(flags, context.environment, { readFile: context.readFile });
+    if (words.length === 0) {
+        return settings;
+    }
+    const others = settings.isErr() ? (settings.error.details?.["problems"] as readonly string[]) : [];
+    const problems = [...words.map(word => `${word}: not expected`), ...others];
+    return err(createFailure(FailureKind.InvalidSettings, "Settings are not valid.", { details: { problems } }));
+}
+
 function pickFlags(options: CommandOptions): CommandOptions {
     return Object.fromEntries(Object.entries(options).filter(([name]) => !OWN_OPTIONS.has(name)));
 }
--- a/src/cli/runCli.ts
+++ b/src/cli/runCli.ts
@@ -9,7 +9,7 @@
 import { createUsageFailure } from "./_lib/createUsageFailure";
 import { formatFailure } from "./_lib/formatFailure";
 import { joinCommandWords } from "./_lib/joinCommandWords";
-import { addMarks, removeMarks } from "./_lib/numberMarks";
+import { addMarks, removeAllMarks, removeMarks } from "./_lib/numberMarks";
 import type { CliContext } from "./cliContext";
 import type { CommandDefinition, CommandOptions, CommandOutput } from "./commandDefinition";
 import { COMMANDS } from "./commands";
@@ -94,7 +94,9 @@
             options: Object.fromEntries(options),
         };
     } catch (error) {
-        return createUsageFailure(error instanceof Error ? `${error.message}.` : "The command line is not valid.");
+        return createUsageFailure(
+            error instanceof Error ? `${removeAllMarks(error.message)}.` : "The command line is not valid.",
+        );
     }
 }
 
@@ -119,10 +121,10 @@
     const command = program.matchedCommand;
     if (definition.takesAnyOption !== true) {
         command?.checkUnknownOptions();
+        command?.checkUnusedArgs();
     }
     command?.checkOptionValue();
     command?.checkRequiredArgs();
-    command?.checkUnusedArgs();
 }
 
 function describeUnknown(program: CAC): string {
