--- /dev/null
+++ b/src/adapters/badServers.test.ts
@@ -0,0 +1,126 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Execution, FailureKind } from "../base/failure";
+import { VmRole } from "../model/endpoint";
+import { createChat, readEvents } from "./contracts/_lib/generations";
+import { startRawServer } from "./contracts/_lib/startRawServer";
+import { createEndpoint } from "./contracts/createEndpoint";
+import { createHttpModelRunner } from "./httpModelRunner/createHttpModelRunner";
+import { createHttpTable } from "./httpTable/createHttpTable";
+
+const TIMEOUTS = { connectMs: 500, firstByteMs: 200, silenceMs: 200 };
+const HEAD = "HTTP/1.1 200 OK\r\n";
+const STREAM_HEAD = `${HEAD}content-type: text/event-stream\r\n\r\n`;
+const TOKEN = 'data: {"choices":[{"delta":{"content":"a"}}]}\n\n';
+
+interface BadServer {
+    readonly name: string;
+    readonly parts: readonly string[];
+    readonly endsAfter?: boolean;
+    readonly repeats?: boolean;
+}
+
+const BAD_ANSWERS: readonly BadServer[] = [
+    { name: "never answers", parts: [] },
+    { name: "stops inside the head", parts: ["HTTP/1.1 200"] },
+    { name: "stops inside the body", parts: [`${HEAD}content-length: 100\r\n\r\n{"row":`] },
+    { name: "closes inside the body", parts: [`${HEAD}content-length: 100\r\n\r\n{"row":`], endsAfter: true },
+    { name: "closes without a word", parts: [], endsAfter: true },
+    { name: "answers with something else than HTTP", parts: ["SSH-2.0-OpenSSH\r\n"], endsAfter: true },
+    { name: "answers with something else than JSON", parts: [`${HEAD}content-length: 5\r\n\r\nhello`] },
+    { name: "answers with other JSON", parts: [`${HEAD}content-length: 14\r\n\r\n{"row":"none"}`] },
+    { name: "has an endless head", parts: [HEAD, "x: y\r\n"], repeats: true },
+    { name: "answers with a server error", parts: ["HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\n\r\n"] },
+];
+
+const BAD_STREAMS: readonly (BadServer & { readonly tokens: number; readonly kind: FailureKind })[] = [
+    { name: "never answers", parts: [], tokens: 0, kind: FailureKind.EndpointSilent },
+    { name: "begins and falls silent", parts: [STREAM_HEAD, TOKEN], tokens: 1, kind: FailureKind.EndpointSilent },
+    {
+        name: "ends without a finish reason",
+        parts: [STREAM_HEAD, TOKEN, "data: [DONE]\n\n"],
+        tokens: 1,
+        kind: FailureKind.EndpointFailed,
+    },
+    {
+        name: "closes before the end",
+        parts: [STREAM_HEAD, TOKEN],
+        endsAfter: true,
+        tokens: 1,
+        kind: FailureKind.EndpointFailed,
+    },
+    {
+        name: "sends a chunk that is no JSON",
+        parts: [STREAM_HEAD, TOKEN, "data: {\n\n"],
+        tokens: 1,
+        kind: FailureKind.EndpointFailed,
+    },
+    {
+        name: "sends an endless event",
+        parts: [STREAM_HEAD, "data: ", "x".repeat(10_000)],
+        repeats: true,
+        tokens: 0,
+        kind: FailureKind.EndpointFailed,
+    },
+];
+
+describe("A table answer is an unknown outcome of a commit, and a read is unavailable, when the server", () => {
+    for (const { name, parts, ...options } of BAD_ANSWERS) {
+        it(name, async () => {
+            const server = await startRawServer(parts, options);
+            const table = createHttpTable({ ...server, timeouts: TIMEOUTS });
+            const committed = await table.commitTransaction({ token: "t", conditions: [], writes: [] });
+            const read = await table.readRow("a");
+            table.dispose();
+            server.dispose();
+            assert.equal(committed._unsafeUnwrapErr().kind, FailureKind.StoreOutcomeUnknown);
+            assert.equal(read._unsafeUnwrapErr().kind, FailureKind.StoreUnavailable);
+        });
+    }
+});
+
+describe("A generation ends with a failure of unknown execution when the engine", () => {
+    for (const { name, parts, tokens, kind, ...options } of BAD_STREAMS) {
+        it(name, async () => {
+            const server = await startRawServer(parts, options);
+            const runners = createHttpModelRunner({ timeouts: TIMEOUTS });
+            const read = await readEvents(
+                runners.openGeneration(createEndpoint(VmRole.ModelRunner, server), {
+                    id: { requestId: "r", attempt: 1 },
+                    chat: createChat(5),
+                    priority: 0,
+                    resumedTexts: [],
+                }),
+            );
+            runners.dispose();
+            server.dispose();
+            assert.equal(read.failure?.kind, kind);
+            assert.equal(read.failure?.execution, Execution.Unknown);
+            assert.equal(read.texts.length, tokens);
+        });
+    }
+});
+
+describe("An engine without the extension", () => {
+    it("gives tokens under the request's own identity, numbered in order", async () => {
+        const end = 'data: {"choices":[{"delta":{},"finish_reason":"stop"}]}\n\ndata: [DONE]\n\n';
+        const server = await startRawServer([STREAM_HEAD, TOKEN, TOKEN, end]);
+        const runners = createHttpModelRunner({ timeouts: TIMEOUTS });
+        const read = await readEvents(
+            runners.openGeneration(createEndpoint(VmRole.ModelRunner, server), {
+                id: { requestId: "r", attempt: 2 },
+                chat: createChat(5),
+                priority: 0,
+                resumedTexts: ["one", "two"],
+            }),
+        );
+        runners.dispose();
+        server.dispose();
+        assert.ok(read.isFinished);
+        assert.deepEqual(
+            read.events.flatMap(event => ("batch" in event ? [event.batch.offset] : [])),
+            [2, 3],
+        );
+        assert.ok(read.ids.every(id => id.requestId === "r" && id.attempt === 2));
+    });
+});
--- a/src/adapters/contracts/defineTableContract.ts
+++ b/src/adapters/contracts/defineTableContract.ts
@@ -111,8 +111,9 @@
                 assert.equal(subject.readRowBehind("a")?.token, `t-${winners[0]}`);
             }),
         );
-        void it("and is unavailable, with a retry hint, over the write limit", async () => {
+        void it("and is unavailable, with a retry hint, over the write limit", async context => {
             const subject = await createSubject({ writesPerSecond: 2 });
+            context.after(() => subject.dispose());
             const results = await Promise.all(
                 [1, 2, 3, 4, 5, 6].map(index => commit(subject, [{ key: `k${index}`, value: "1" }])),
             );
@@ -123,7 +124,6 @@
                 [1, 2, 3, 4, 5, 6].filter(index => subject.readRowBehind(`k${index}`)).length,
                 6 - refused.length,
             );
-            subject.dispose();
         });
     });
 
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -141,11 +141,18 @@
         const parser = createParser({
             maxBufferSize: LARGEST_STREAM_EVENT_BYTES,
             onEvent: event => handleData(event.data),
-            onError: () => undefined,
+            onError: error => {
+                if (error.type === "max-buffer-size-exceeded") {
+                    failWith(FailureKind.EndpointFailed, "The engine sent an event that is too large.");
+                }
+            },
         });
         boundWait(silenceMs, "event");
         stream.setEncoding("utf8");
         stream.on("data", (text: string) => {
+            if (pipe.isEnded) {
+                return;
+            }
             boundWait(silenceMs, "event");
             parser.feed(text);
         });
--- a/src/standins/fault.ts
+++ b/src/standins/fault.ts
@@ -84,6 +84,9 @@
 
 /** Fault switches that every stand-in has. */
 export interface FaultSwitches {
-    /** Replaces the rules in force. The same rules can be posted as `{ "faults": [...] }` to `/faults`. */
+    /**
+     * Replaces the rules in force. The same rules can be posted as `{ "faults": [...] }` to `/faults`; `down` and
+     * `connections_silent` to the control port, since they strike the connection that carries them too.
+     */
     setFaults(rules: readonly FaultRule[]): void;
 }
