Prove leases by exploration, seeded runs and fault cases

Cause: the exploration of all interleavings found two holders while a release was on its way; seeded runs found that a caller which tries now and then never saw a dead holder's lease lapse. Change: a lease is not acted under once its release is sent; observations of rows outlive a single acquisition.

--- a/src/decisions/leases/applyLeaseEvents.ts
+++ b/src/decisions/leases/applyLeaseEvents.ts
@@ -4,7 +4,8 @@
 import { type LeaseObservation, type LeaseState, LeaseWriteOutcome, type ReadRow, type SentWrite } from "./leaseState";
 
 /**
- * Records that a write is about to be sent. Call it before the write leaves, since the lease counts from then.
+ * Records that a write is about to be sent. Call it before the write leaves, since the lease counts from then. A lease
+ * that is being released is no longer acted under, since the answer to the release may come late or never.
  *
  * @param state - The state before
  * @param write - The write
@@ -13,7 +14,9 @@
  * recordLeaseWrite(state, { token, sentAtMs: clock.readMonotonicMs(), row, expectedVersion });
  */
 export function recordLeaseWrite(state: LeaseState, write: SentWrite): LeaseState {
-    return { ...state, sent: [...state.sent, write] };
+    const isRelease = write.row.holderId === undefined;
+    const held = isRelease && state.held !== undefined ? { ...state.held, validUntilMs: write.sentAtMs } : state.held;
+    return { ...state, held, sent: [...state.sent, write] };
 }
 
 /**
--- a/src/tasks/leases/_lib/constants.ts
+++ b/src/tasks/leases/_lib/constants.ts
@@ -18,3 +18,5 @@
 export const RELEASE_TRIES = 3;
 /** Longest time from the check of a lease until its order has reached the endpoint or never will. */
 export const ORDER_FLIGHT_MAX_MS = 5_000;
+/** Leases of other nodes whose rows are remembered. */
+export const OBSERVATIONS_MAX = 10_000;
--- a/src/tasks/leases/_lib/createLeaseKeeper.ts
+++ b/src/tasks/leases/_lib/createLeaseKeeper.ts
@@ -10,6 +10,7 @@
 import { applyLeaseAnswer, applyLeaseRead, recordLeaseWrite } from "../../../decisions/leases/applyLeaseEvents";
 import { createLeaseState } from "../../../decisions/leases/createLeaseState";
 import {
+    type LeaseObservation,
     type LeaseRow,
     type LeaseState,
     type LeaseTerms,
@@ -25,6 +26,10 @@
     readonly terms: LeaseTerms;
     readonly table: TablePort;
     readonly clock: Clock;
+    /** What was seen of the row before. */
+    readonly firstSeen?: LeaseObservation;
+    /** Hears what is seen of the row. */
+    readonly onSeen?: (observation: LeaseObservation) => void;
 }
 
 /** One lease's state and the two calls that change it. Calls are made one at a time. */
@@ -45,7 +50,7 @@
 export function createLeaseKeeper(options: LeaseKeeperOptions): LeaseKeeper {
     const { name, terms, table, clock } = options;
     const key = toLeaseKey(name);
-    let state = createLeaseState(terms);
+    let state: LeaseState = { ...createLeaseState(terms), seen: options.firstSeen };
     const waitBounded = <T>(call: Promise<Result<T, Failure>>): Promise<Result<T, Failure>> => {
         const lost = createFailure(FailureKind.StoreOutcomeUnknown, "The store gave no answer in time.");
         return Promise.race([call, clock.waitMs(STORE_CALL_TIMEOUT_MS).then(() => err(lost))]);
@@ -60,6 +65,9 @@
             `lease ${name}, epoch ${before?.epoch}: ${terms.holderId} and ${now?.holderId}`,
         );
         state = next;
+        if (next.seen !== undefined) {
+            options.onSeen?.(next.seen);
+        }
     };
     return {
         readState: () => state,
--- a/src/tasks/leases/createLeaseTask.ts
+++ b/src/tasks/leases/createLeaseTask.ts
@@ -1,6 +1,7 @@
 /**
  * @module The task that acquires leases for this node and keeps them.
  */
+import { LRUCache } from "lru-cache";
 import { err, ok, type Result } from "neverthrow";
 import { ulid } from "ulid";
 import type { Clock } from "../../base/clock";
@@ -10,9 +11,15 @@
 import { Execution, type Failure, FailureKind } from "../../base/failure";
 import { isLeaseHeld } from "../../decisions/leases/applyLeaseEvents";
 import { decideLeaseStep } from "../../decisions/leases/decideLeaseStep";
-import { type LeaseStep, LeaseStepKind } from "../../decisions/leases/leaseState";
+import { type LeaseObservation, type LeaseStep, LeaseStepKind } from "../../decisions/leases/leaseState";
 import type { TablePort } from "../../ports/table";
-import { ACQUIRE_TRIES, LEASE_DURATION_MS, LEASE_MARGIN_SHARE, RETRY_DELAY_MS } from "./_lib/constants";
+import {
+    ACQUIRE_TRIES,
+    LEASE_DURATION_MS,
+    LEASE_MARGIN_SHARE,
+    OBSERVATIONS_MAX,
+    RETRY_DELAY_MS,
+} from "./_lib/constants";
 import { createLeaseHandle } from "./_lib/createLeaseHandle";
 import { createLeaseKeeper, type LeaseKeeper } from "./_lib/createLeaseKeeper";
 import { decodeLeaseRow, toLeaseKey } from "./_lib/leaseRows";
@@ -41,6 +48,8 @@
     const { table, clock } = options;
     const holderId = `${options.nodeId}/${ulid()}`;
     const handles = new Set<LeaseHandle>();
+    /** Since when each lease's row has been as it is: a caller that tries now and then need not start to wait anew. */
+    const observations = new LRUCache<string, LeaseObservation>({ max: OBSERVATIONS_MAX });
     let disposed = false;
 
     const startHandle = (name: string, keeper: LeaseKeeper): Result<LeaseHandle, Failure> => {
@@ -62,7 +71,8 @@
     const acquireLease = async (name: string, acquire: AcquireOptions = {}): Promise<Result<LeaseHandle, Failure>> => {
         const durationMs = acquire.durationMs ?? LEASE_DURATION_MS;
         const terms = { holderId, durationMs, marginMs: durationMs * LEASE_MARGIN_SHARE };
-        const keeper = createLeaseKeeper({ name, terms, table, clock });
+        const onSeen = (observation: LeaseObservation) => void observations.set(name, observation);
+        const keeper = createLeaseKeeper({ name, terms, table, clock, firstSeen: observations.get(name), onSeen });
         const giveUpAtMs = clock.readMonotonicMs() + (acquire.waitMs ?? 0);
         let failure = createFailure(FailureKind.StoreUnavailable, "The store gave no answer.");
         for (let tries = 0; tries < ACQUIRE_TRIES && !disposed;) {
