--- a/src/decisions/routing/createRoutingState.ts
+++ b/src/decisions/routing/createRoutingState.ts
@@ -25,6 +25,7 @@
         digests: new Map(),
         domainLoads: new Map(),
         nodeCount: 1,
+        lastStep: -1,
         scratch: { candidates: [], scores: [] },
         counters: { removedEndpoints: 0, removedRoutes: 0, lostCacheEvents: 0 },
     };
--- a/src/decisions/routing/refreshCandidate.ts
+++ b/src/decisions/routing/refreshCandidate.ts
@@ -19,13 +19,16 @@
  * @param candidate - The endpoint; changed in place
  * @param nowMs - Now, in monotonic milliseconds
  * @param othersChange - Change of other nodes' requests at this endpoint since its sample, by their digests
+ * @param firstStep - First step of the history that is not written yet; ticks may come late
  * @example
- * refreshCandidate(candidate, clock.readMonotonicMs(), 0);
+ * refreshCandidate(candidate, clock.readMonotonicMs(), 0, state.lastStep + 1);
  */
-export function refreshCandidate(candidate: Candidate, nowMs: number, othersChange: number): void {
-    const step = Math.floor(nowMs / TICK_MS) % HISTORY_STEPS;
-    candidate.history.inFlight[step] = candidate.ownInFlight;
-    candidate.history.prefillTokens[step] = candidate.ownPrefillTokens;
+export function refreshCandidate(candidate: Candidate, nowMs: number, othersChange: number, firstStep: number): void {
+    const lastStep = Math.floor(nowMs / TICK_MS);
+    for (let step = firstStep; step <= lastStep; step++) {
+        candidate.history.inFlight[step % HISTORY_STEPS] = candidate.ownInFlight;
+        candidate.history.prefillTokens[step % HISTORY_STEPS] = candidate.ownPrefillTokens;
+    }
     candidate.biasMs *= BIAS_FADE;
     candidate.costMicros = computeCost(candidate);
     if (candidate.sampledAtMs === undefined) {
--- a/src/decisions/routing/refreshRouting.ts
+++ b/src/decisions/routing/refreshRouting.ts
@@ -29,14 +29,18 @@
 export function refreshRouting(state: RoutingState, nowMs: number): void {
     dropOldDigests(state, nowMs);
     const step = Math.floor(nowMs / TICK_MS);
+    const firstStep = Math.max(state.lastStep + 1, step - HISTORY_STEPS + 1);
+    state.lastStep = step;
     for (const load of state.domainLoads.values()) {
-        load.history[step % HISTORY_STEPS] = load.inFlight;
+        for (let missing = firstStep; missing <= step; missing++) {
+            load.history[missing % HISTORY_STEPS] = load.inFlight;
+        }
     }
     for (const service of state.services.values()) {
         service.errorMs *= ERROR_FADE;
         service.demandShare = computeDemandShare(state, service, nowMs);
         for (const candidate of service.candidates) {
-            refreshCandidate(candidate, nowMs, computeOthersChange(state, service, candidate, step));
+            refreshCandidate(candidate, nowMs, computeOthersChange(state, service, candidate, step), firstStep);
         }
     }
     for (const candidate of state.candidates.values()) {
--- a/src/decisions/routing/routingState.ts
+++ b/src/decisions/routing/routingState.ts
@@ -67,6 +67,8 @@
     readonly domainLoads: Map<number, DomainLoad>;
     /** Live nodes, this one included. */
     nodeCount: number;
+    /** Number of the last tick that the histories hold. */
+    lastStep: number;
     readonly scratch: ChoiceScratch;
     readonly counters: { removedEndpoints: number; removedRoutes: number; lostCacheEvents: number };
 }
