Keep durable jobs that survive their node

Cause: an accepted job must end visibly whatever VM is lost, at a cost in writes that does not grow with jobs. Conclusion: ready to be wired.

--- /dev/null
+++ b/src/decisions/outcomes/jobs/jobRows.ts
@@ -0,0 +1,123 @@
+/**
+ * @module Keys and texts of the rows of durable jobs.
+ */
+import { z } from "zod";
+import { Execution, FailureKind } from "../../../base/failure";
+import { FinishReason } from "../../../model/request";
+import { JobState } from "../../../tasks/jobs/jobClient";
+import { CLEANING_BUCKET_MS, LAST_JOB_ID_MS } from "./constants";
+import type { JobRecord, OpenJob } from "./jobRecord";
+
+/** Prefix of the rows of jobs that have not ended. */
+export const OPEN_PREFIX = "jobs/open/";
+/** Prefix of the rows that cleaning works through. */
+export const ENDED_PREFIX = "jobs/ended/";
+/** Prefix of the objects that hold bodies. */
+export const BODY_PREFIX = "jobs/bodies/";
+
+const HEX = 16;
+const ID_TIME_DIGITS = 12;
+const BUCKET_DIGITS = 8;
+
+const FAILURE = z.object({
+    kind: z.enum(FailureKind),
+    message: z.string(),
+    execution: z.enum(Execution),
+    retryAfterMs: z.number().optional(),
+    details: z.record(z.string(), z.unknown()).optional(),
+});
+const USAGE = z.object({ promptTokens: z.number(), outputTokens: z.number(), cachedTokens: z.number() });
+const RECORD = z.object({
+    jobId: z.string(),
+    accountName: z.string(),
+    className: z.string(),
+    isIdempotent: z.boolean(),
+    model: z.string(),
+    state: z.enum(JobState),
+    acceptedAtWallMs: z.number(),
+    deadlineWallMs: z.number(),
+    body: z.object({ objectKey: z.string(), start: z.number(), end: z.number() }),
+    keyRow: z.string().optional(),
+    endedAtWallMs: z.number().optional(),
+    answer: z.object({ text: z.string(), reason: z.enum(FinishReason), usage: USAGE }).optional(),
+    answerObject: z.string().optional(),
+    failure: FAILURE.optional(),
+});
+const OPEN = z.object({
+    jobId: z.string(),
+    accountName: z.string(),
+    holder: z.string(),
+    epoch: z.number(),
+    deadlineWallMs: z.number(),
+});
+
+/**
+ * Builds a job's id. Ids sort newest first, so that a listing needs no sorting and no further index.
+ *
+ * @param acceptedAtWallMs - Epoch milliseconds
+ * @param randomText - Tells jobs of one millisecond apart
+ * @returns The id
+ * @example
+ * buildJobId(clock.readWallMs(), ulid().slice(10));
+ */
+export function buildJobId(acceptedAtWallMs: number, randomText: string): string {
+    const inverted = LAST_JOB_ID_MS - Math.floor(acceptedAtWallMs);
+    return `${inverted.toString(HEX).padStart(ID_TIME_DIGITS, "0")}-${randomText.toLowerCase()}`;
+}
+
+/**
+ * Builds the prefix of an account's job rows.
+ *
+ * @param accountName - The account
+ * @returns The prefix
+ * @example
+ * table.listRows(buildAccountPrefix("depot"));
+ */
+export function buildAccountPrefix(accountName: string): string {
+    return `jobs/account/${encodeURIComponent(accountName)}/`;
+}
+
+/**
+ * Builds the prefix of ended jobs and bodies of a time.
+ *
+ * @param prefix - `ENDED_PREFIX` or `BODY_PREFIX`
+ * @param wallMs - Epoch milliseconds
+ * @returns A prefix that sorts by time
+ * @example
+ * buildBucketPrefix(ENDED_PREFIX, nowWallMs);
+ */
+export function buildBucketPrefix(prefix: string, wallMs: number): string {
+    return `${prefix}${String(Math.floor(wallMs / CLEANING_BUCKET_MS)).padStart(BUCKET_DIGITS, "0")}/`;
+}
+
+/**
+ * Decodes a job's row.
+ *
+ * @param text - The row's value
+ * @returns The job, or `undefined` if the text is none
+ * @example
+ * const record = decodeJob(row.value);
+ */
+export function decodeJob(text: string): JobRecord | undefined {
+    return parseJson(RECORD, text);
+}
+
+/**
+ * Decodes the row of a job that has not ended.
+ *
+ * @param text - The row's value
+ * @returns The open job, or `undefined` if the text is none
+ * @example
+ * const open = decodeOpenJob(row.value);
+ */
+export function decodeOpenJob(text: string): OpenJob | undefined {
+    return parseJson(OPEN, text);
+}
+
+function parseJson<T>(schema: z.ZodType<T>, text: string): T | undefined {
+    try {
+        return schema.parse(JSON.parse(text));
+    } catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/tasks/jobs/_lib/readJobRows.ts
@@ -0,0 +1,69 @@
+/**
+ * @module Reading a job's rows.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { createFailure } from "../../../base/createFailure";
+import { type Failure, FailureKind } from "../../../base/failure";
+import { buildJobKey, buildOpenKey } from "../../../decisions/outcomes/jobs/buildJobEntries";
+import type { JobRecord, OpenJob, Versioned } from "../../../decisions/outcomes/jobs/jobRecord";
+import { decodeJob, decodeOpenJob } from "../../../decisions/outcomes/jobs/jobRows";
+import { waitForStore } from "../../claims/_lib/waitForStore";
+import type { JobTaskOptions } from "./jobShared";
+
+/** A job's rows; `open` is absent once the job has ended. */
+export interface JobRows {
+    readonly job: Versioned<JobRecord>;
+    readonly open?: Versioned<OpenJob>;
+}
+
+const JOB_ID = /^[0-9a-f]{12}-[0-9a-z]{1,32}$/;
+
+/**
+ * Reads a job's row, and its open row if it has not ended.
+ *
+ * @param options - Table and clock
+ * @param accountName - The account that asks
+ * @param jobId - The job
+ * @returns The rows, `NotFound` if the account has no such job, or `StoreUnavailable`
+ * @example
+ * const rows = await readJobRows(options, "depot", jobId);
+ */
+export async function readJobRows(
+    options: Pick<JobTaskOptions, "table" | "clock">,
+    accountName: string,
+    jobId: string,
+): Promise<Result<JobRows, Failure>> {
+    const { table, clock } = options;
+    if (!JOB_ID.test(jobId)) {
+        return err(createNotFound());
+    }
+    const row = await waitForStore(clock, table.readRow(buildJobKey({ accountName, jobId })));
+    if (row.isErr()) {
+        return err(createUnreadable(row.error));
+    }
+    const record = row.value === undefined ? undefined : decodeJob(row.value.value);
+    if (row.value === undefined || record === undefined) {
+        return err(createNotFound());
+    }
+    const job = { record, version: row.value.version };
+    if (record.endedAtWallMs !== undefined) {
+        return ok({ job });
+    }
+    const openRow = await waitForStore(clock, table.readRow(buildOpenKey(jobId)));
+    if (openRow.isErr()) {
+        return err(createUnreadable(openRow.error));
+    }
+    const open = openRow.value === undefined ? undefined : decodeOpenJob(openRow.value.value);
+    return ok(
+        open === undefined ? { job } : { job, open: { record: open, version: openRow.value?.version as number } },
+    );
+}
+
+function createNotFound(): Failure {
+    return createFailure(FailureKind.NotFound, "The account has no such job.");
+}
+
+function createUnreadable(failure: Failure): Failure {
+    const message = `The job could not be read: ${failure.message}`;
+    return createFailure(FailureKind.StoreUnavailable, message, { retryAfterMs: 1_000 });
+}
--- /dev/null
+++ b/src/tasks/jobs/_lib/startRun.ts
@@ -0,0 +1,59 @@
+/**
+ * @module Starting and stopping the execution of jobs that this node holds.
+ */
+import { assertInvariant, Invariant } from "../../../base/assertInvariant";
+import { startTask } from "../../../base/csp";
+import { Metric } from "../../../base/metrics/metric";
+import { RUNNING_JOBS } from "../constants";
+import type { JobRun, JobShared } from "./jobShared";
+import { runJob } from "./runJob";
+
+/**
+ * Starts a job, or lets it wait until fewer are running.
+ *
+ * @param shared - The job task
+ * @param run - The job, held by this node
+ * @example
+ * startRun(shared, run);
+ */
+export function startRun(shared: JobShared, run: JobRun): void {
+    const { jobId } = run.job.record;
+    const other = shared.runs.get(jobId);
+    const isOther = other !== undefined && !other.isStopped && other.open.record.epoch === run.open.record.epoch;
+    assertInvariant(!isOther, Invariant.OneHolderPerEpoch, `job ${jobId} started twice`);
+    if (shared.runs.size >= RUNNING_JOBS) {
+        shared.waiting.push(run);
+        return;
+    }
+    shared.runs.set(jobId, run);
+    shared.options.metrics?.setGauge(Metric.JobsOpen, shared.runs.size);
+    void startTask(`job ${jobId}`, () => runJob(shared, run)).ended.then(end => {
+        if (end.failure !== undefined) {
+            shared.options.reportEvent("job task failed", { jobId, kind: end.failure.kind });
+        }
+        if (shared.runs.get(jobId) === run) {
+            shared.runs.delete(jobId);
+        }
+        startNext(shared);
+    });
+}
+
+/**
+ * Stops a job here; its rows are left as they are.
+ *
+ * @param run - The job
+ * @example
+ * stopRun(run);
+ */
+export function stopRun(run: JobRun): void {
+    const state = run;
+    state.isStopped = true;
+    run.chat?.cancel();
+}
+
+function startNext(shared: JobShared): void {
+    const next = shared.waiting.shift();
+    if (next !== undefined && !next.isStopped && !shared.isDraining) {
+        startRun(shared, next);
+    }
+}
