--- a/src/cli/commands/commands.test.ts
+++ b/src/cli/commands/commands.test.ts
@@ -177,6 +177,7 @@
         "status",
         "node list",
         "vm list",
+        "runner list",
         "fleet",
         "invariant list",
         "job list depot",
--- a/src/cli/commands/stateCommands.ts
+++ b/src/cli/commands/stateCommands.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result, safeTry } from "neverthrow";
 import type { Failure } from "../../base/failure";
-import type { VmRecord } from "../../model/endpoint";
+import { type VmRecord, VmRole } from "../../model/endpoint";
 import type { NodeRevision } from "../../nodes/revisionExchange";
 import type { Dump } from "../../queries/collectDump";
 import type { InvariantView } from "../../queries/listInvariants";
@@ -79,6 +79,12 @@
             ],
         ),
     },
+    {
+        name: "runner list",
+        description: "List the model runners and application runners that a node knows",
+        examples: ["redwinglift runner list"],
+        run: invocation => listRunners(invocation),
+    },
     {
         name: "fleet",
         description: "Count the VMs behind each service",
@@ -143,6 +149,25 @@
         });
 }
 
+function listRunners(invocation: Invocation): PromiseLike<Result<CommandOutput, Failure>> {
+    return safeTry(async function* () {
+        const client = yield* invocation.connect();
+        const answer = yield* await client.readQuery<Items<VmRecord>>("/vms");
+        const items = answer.items.filter(vm => vm.role !== VmRole.Node);
+        const rows = items.map(vm => [
+            vm.vmId,
+            vm.role,
+            vm.serviceName ?? "",
+            vm.version ?? "",
+            `${vm.address}:${vm.port}`,
+            vm.state,
+            vm.reclaimAtWallMs === undefined ? "" : formatInstant(vm.reclaimAtWallMs),
+        ]);
+        const head = ["runner", "role", "service", "version", "address", "state", "reclaim at"];
+        return ok<CommandOutput>({ value: { items }, text: formatTable(head, rows) });
+    });
+}
+
 function listJobs(invocation: Invocation): PromiseLike<Result<CommandOutput, Failure>> {
     const [account = ""] = invocation.words;
     return safeTry(async function* () {
