--- a/src/decisions/membership/digests.ts
+++ b/src/decisions/membership/digests.ts
@@ -102,7 +102,7 @@
     const place = {
         group: hash % DIGEST_GROUPS,
         part: Math.floor(hash / DIGEST_GROUPS) % DIGEST_GROUPS,
-        sum: hashText(`${entryId}|${entry.stamp}`, 1),
+        sum: hashText(`${entryId}|${entry.stamp}|${Buffer.from(entry.payload).toString("latin1")}`, 1),
     };
     places.set(entry, place);
     return place;
--- a/src/nodes/createTlsWatcher.ts
+++ b/src/nodes/createTlsWatcher.ts
@@ -14,14 +14,15 @@
 export interface NodeTlsFiles {
     readonly certificateFile: string;
     readonly keyFile: string;
-    /** Certificates of the authorities that sign nodes' certificates; several during a change of authority. */
-    readonly authorityFile: string;
+    /** Certificates of the authorities that sign the peers' certificates; absent where peers show none. */
+    readonly authorityFile?: string;
 }
 
 /** The contents of the files, checked to fit together. */
 export interface TlsMaterial {
     readonly certificate: Buffer;
     readonly key: Buffer;
+    /** Empty where there is no authority file. */
     readonly authorities: Buffer;
 }
 
@@ -85,19 +86,20 @@
 
 async function readMaterial(files: NodeTlsFiles): Promise<TlsMaterial> {
     try {
-        const [certificate, key, authorities] = await Promise.all(
-            [files.certificateFile, files.keyFile, files.authorityFile].map(file => fs.readFile(file)),
-        );
-        const material = { certificate, key, authorities } as TlsMaterial;
-        createSecureContext({ cert: material.certificate, key: material.key, ca: material.authorities });
-        return material;
+        const [certificate, key, authorities] = await Promise.all([
+            fs.readFile(files.certificateFile),
+            fs.readFile(files.keyFile),
+            files.authorityFile === undefined ? Buffer.alloc(0) : fs.readFile(files.authorityFile),
+        ]);
+        createSecureContext({ cert: certificate, key, ca: authorities.length > 0 ? authorities : undefined });
+        return { certificate, key, authorities };
     } catch (error) {
         throw new FailureError(createUnusable(error instanceof Error ? error.message : "unknown"));
     }
 }
 
 function createUnusable(reason: string): Failure {
-    return createFailure(FailureKind.InvalidSettings, `The node link's key and certificates can't be used: ${reason}`);
+    return createFailure(FailureKind.InvalidSettings, `The key and certificates can't be used: ${reason}`);
 }
 
 function isSameMaterial(left: TlsMaterial, right: TlsMaterial): boolean {
