--- a/src/tasks/execution/_testing/createFakeFleet.ts
+++ b/src/tasks/execution/_testing/createFakeFleet.ts
@@ -25,6 +25,8 @@
     /** Draws the fault of each call to an application runner. */
     readonly drawCallFault?: (requestId: string, attempt: number) => CallFault;
     readonly canTransfer?: boolean;
+    /** Milliseconds that routing takes (default 0). */
+    readonly routingMs?: number;
     readonly firstTokenMs?: number;
     readonly tokenGapMs?: number;
 }
@@ -102,7 +104,7 @@
         record,
         models: createModels(options, record, find),
         applications: createApplications(options, record, find),
-        routing: createRouting(endpoints, record),
+        routing: createRouting(options, endpoints, record),
         admission: {
             requestAdmission: request => {
                 record.admitted.add(request.context.requestId);
@@ -144,19 +146,26 @@
     return { endpoint, isLeaving: false, isGone: false, watchers: new Set(), whenGone: new Set() };
 }
 
-function createRouting(endpoints: readonly FakeEndpoint[], record: FleetRecord): RoutingClient {
+function createRouting(
+    options: FakeFleetOptions,
+    endpoints: readonly FakeEndpoint[],
+    record: FleetRecord,
+): RoutingClient {
     return {
-        chooseEndpoint: query => {
+        chooseEndpoint: async query => {
+            if (options.routingMs !== undefined) {
+                await options.clock.waitMs(options.routingMs);
+            }
             const open = endpoints.filter(
                 ({ endpoint, isLeaving }) => !isLeaving && !query.excludedEndpointIds.includes(endpoint.endpointId),
             );
             const chosen = open[hashText(`${query.id.requestId}/${query.id.attempt}`) % Math.max(1, open.length)];
             if (chosen === undefined) {
-                return Promise.resolve(err(createFailure(FailureKind.NoEndpoint, "There is no endpoint.")));
+                return err(createFailure(FailureKind.NoEndpoint, "There is no endpoint."));
             }
             record.attempts++;
             record.counted.add(`${query.id.requestId}/${query.id.attempt}`);
-            return Promise.resolve(ok({ endpoint: chosen.endpoint, estimatedFirstTokenMs: 100 }));
+            return ok({ endpoint: chosen.endpoint, estimatedFirstTokenMs: 100 });
         },
         recordReport: report => {
             const isEnd = report.kind !== AttemptReportKind.FirstToken && report.kind !== AttemptReportKind.Tokens;
--- a/src/tasks/execution/_testing/faults.ts
+++ b/src/tasks/execution/_testing/faults.ts
@@ -27,6 +27,8 @@
     Gap = "gap",
     /** A batch overlaps the one before. */
     Overlap = "overlap",
+    /** Delivered positions come again with other text. */
+    Contradicting = "contradicting",
     /** Tokens of another request come in between. */
     Foreign = "foreign",
     /** Tokens of an earlier attempt come in between. */
--- a/src/tasks/execution/_testing/openFakeGeneration.ts
+++ b/src/tasks/execution/_testing/openFakeGeneration.ts
@@ -171,6 +171,13 @@
         case StreamFault.Overlap:
             await send(tokens(id, before, whole.slice(before, offset + 1)));
             return false;
+        case StreamFault.Contradicting:
+            if (before === offset) {
+                await stream.breakStream(Execution.Unknown); // nothing is delivered yet that could be contradicted
+                return true;
+            }
+            await send(tokens(id, before, ["not the same"]));
+            return false;
         case StreamFault.Foreign:
             await send(tokens({ requestId: "other", attempt: id.attempt }, offset, ["not yours"]));
             return false;
--- a/src/tasks/execution/chatFaults.test.ts
+++ b/src/tasks/execution/chatFaults.test.ts
@@ -97,6 +97,35 @@
     });
 });
 
+describe("a request that is cancelled while routing chooses", () => {
+    it("gives the endpoint back", async () => {
+        const world = createExecutionWorld({ routingMs: 100 });
+        const chat = world.execution.startChat(buildContext(world, "cancelled"), buildChat());
+        await runVirtualTime(world.clock, world.clock.waitMs(20));
+        chat.cancel();
+        await runVirtualTime(world.clock, world.clock.waitMs(200));
+        assert.equal(world.fleet.record.attempts, 1);
+        assertNothingLeft(world);
+    });
+});
+
+describe("a late first token", () => {
+    it("is hedged inside the budget, and the answer comes from one attempt alone", async () => {
+        const drawStreamFault = (_requestId: string, attempt: number) =>
+            attempt === 1 ? StreamFault.Slow : StreamFault.None;
+        const world = createExecutionWorld({ drawStreamFault });
+        const context = buildContext(world, "late");
+        const answer = await runVirtualTime(
+            world.clock,
+            collectAnswer(world.execution.startChat(context, buildChat())),
+        );
+        assertAnswerHolds(world, context, answer);
+        assert.equal(world.execution.readCounts().hedges, 1);
+        assert.equal(world.execution.readCounts().extraAttempts, 1);
+        assertNothingLeft(world);
+    });
+});
+
 describe("a slow reader", () => {
     it("holds the stream up without being taken for a silent runner, and can still cancel", async () => {
         const world = createExecutionWorld();
--- a/src/tasks/execution/serviceFaults.test.ts
+++ b/src/tasks/execution/serviceFaults.test.ts
@@ -150,6 +150,17 @@
         assert.equal(countEffects(world), 1);
     });
 
+    it("wait inside their latency target for a store that comes back", async () => {
+        let isAway = true;
+        const world = createExecutionWorld(
+            {},
+            { drawFault: () => (isAway ? StoreFault.Unavailable : StoreFault.None) },
+        );
+        void world.clock.waitMs(2_000).then(() => (isAway = false));
+        assert.ok((await sendCall(world, "first", "key")).isOk());
+        assert.equal(countEffects(world), 1);
+    });
+
     it("are answered when the outcome can't be recorded, and never run again", async () => {
         let isAway = false;
         const world = createExecutionWorld(
