--- a/src/queries/_lib/redactState.ts
+++ b/src/queries/_lib/redactState.ts
@@ -7,8 +7,8 @@
 const CONTENT_FIELD = /^(body|prompt|content|messages|text|texts|answer)$/i;
 /** Deeper values are left out; no task's state needs more. */
 const MOST_DEPTH = 12;
-/** Most entries shown of one list or map. */
-const MOST_ENTRIES = 2_000;
+/** Most entries shown of one list or map; a task shows an entry for each runner of the planned 3,200. */
+const MOST_ENTRIES = 5_000;
 const LONGEST_TEXT = 2_000;
 
 /**
@@ -42,11 +42,14 @@
         return `[${value.byteLength} bytes]`;
     }
     if (Array.isArray(value) || value instanceof Set) {
-        return [...value].slice(0, MOST_ENTRIES).map(entry => redactValue(entry, depth));
+        const entries = [...value];
+        const shown = entries.slice(0, MOST_ENTRIES).map(entry => redactValue(entry, depth));
+        return entries.length > MOST_ENTRIES ? [...shown, `[${entries.length - MOST_ENTRIES} more]`] : shown;
     }
     const entries = value instanceof Map ? [...value] : Object.entries(value);
-    const copies = entries.slice(0, MOST_ENTRIES).map(([name, entry]) => redactField(String(name), entry, depth));
-    return Object.fromEntries(copies);
+    const shown = entries.slice(0, MOST_ENTRIES).map(([name, entry]) => redactField(String(name), entry, depth));
+    const rest = entries.length > MOST_ENTRIES ? [["[more]", entries.length - MOST_ENTRIES] as const] : [];
+    return Object.fromEntries([...shown, ...rest]);
 }
 
 function redactField(name: string, value: unknown, depth: number): readonly [string, unknown] {
