Let operators start, take back and remove version moves, nothing else

Cause: a change through the operators' listener could declare a move done, raise its share or remove its record while traffic was split; records of ended moves could not be removed by a command. Change: an operator's change of a move is checked against the move in force; version remove. Conclusion: the share of a move belongs to its holder alone.

--- a/src/cli/commands/commands.test.ts
+++ b/src/cli/commands/commands.test.ts
@@ -99,6 +99,15 @@
         assert.equal(findMove()?.state, MoveState.TakenBack);
         assert.equal((await harness.runLine("version take-back assistant")).exitCode, ExitCode.Usage);
         assert.equal((await harness.runLine("version watch assistant")).exitCode, ExitCode.Refused);
+        await harness.runLines(`version remove ${name}`);
+        assert.equal(findMove(), undefined);
+    });
+
+    it("keep the record of a move in progress", async () => {
+        await harness.runLines(SET_SERVICE, "version move assistant --to 2.0 --done-by +45m");
+        const outcome = await harness.runLine(`version remove ${findMove()?.name}`);
+        assert.equal(outcome.exitCode, ExitCode.Refused);
+        assert.match(outcome.error, /is in progress; take it back before removing it/);
     });
 
     it("watch a move until it is done", async () => {
--- a/src/cli/commands/versionCommands.ts
+++ b/src/cli/commands/versionCommands.ts
@@ -5,7 +5,7 @@
 import { ulid } from "ulid";
 import { createFailure } from "../../base/createFailure";
 import { FailureKind } from "../../base/failure";
-import { MoveState, type Service, type VersionMove } from "../../model/configuration";
+import { type AcceptedChange, MoveState, type Service, type VersionMove } from "../../model/configuration";
 import { BASED_ON_OPTION, chooseBaseRevision, readItem, setItem } from "../_lib/changeItem";
 import { createUsageFailure } from "../_lib/createUsageFailure";
 import { formatTable } from "../_lib/formatTable";
@@ -147,6 +147,25 @@
                 return ok<CommandOutput>({ value: { revision: accepted.revision, move: value }, text });
             }),
     },
+    {
+        name: "version remove",
+        parameters: "<move>",
+        description: "Remove the record of a move that has ended",
+        options: [BASED_ON_OPTION],
+        examples: ["redwinglift version remove move-01je0000000000000000000000"],
+        run: ({ words: [name = ""], options, connect }) =>
+            safeTry(async function* () {
+                const client = yield* connect();
+                const { revision, item } = yield* await readItem<VersionMove>(client, PATH, name);
+                if (item === undefined) {
+                    return err(createFailure(FailureKind.NotFound, `There is no version move ${name}.`));
+                }
+                const base = yield* chooseBaseRevision(options, revision);
+                const path = `${PATH}/${encodeURIComponent(name)}?basedOnRevision=${base}`;
+                const accepted = yield* await client.sendCommand<AcceptedChange>("DELETE", path);
+                return ok<CommandOutput>({ value: accepted, text: `${name} removed at revision ${accepted.revision}` });
+            }),
+    },
 ];
 
 function parseComing(text: string, nowWallMs: number): number | undefined {
--- a/src/commands/buildCommandRoutes.ts
+++ b/src/commands/buildCommandRoutes.ts
@@ -3,11 +3,12 @@
  */
 import { err, type Result } from "neverthrow";
 import type { Failure } from "../base/failure";
-import { type ItemChange, ItemKind } from "../model/configuration";
+import { type ConfigurationChange, ItemKind } from "../model/configuration";
 import type { OperatorDependencies } from "../operator/operatorDependencies";
 import type { OperatorRoute } from "../operator/operatorRoute";
+import { checkMoveChanges } from "./checkMoveChanges";
 import { parseChange } from "./parseChange";
-import { parseItemChange, parseRemoval } from "./parseItemChange";
+import { type BasedItemChange, parseItemChange, parseRemoval } from "./parseItemChange";
 
 const KIND_PATHS: Readonly<Record<ItemKind, string>> = {
     [ItemKind.Class]: "classes",
@@ -31,10 +32,7 @@
             operation: "apply_change",
             method: "POST",
             path: "/changes",
-            handler: async ({ body }) => {
-                const change = parseChange(body);
-                return change.isErr() ? err(change.error) : dependencies.configuration.commitChange(change.value);
-            },
+            handler: ({ body }) => commitChange(dependencies, parseChange(body)),
         },
         ...Object.values(ItemKind).flatMap(kind => buildItemCommands(kind, dependencies)),
         {
@@ -70,13 +68,19 @@
     ];
 }
 
-async function commitItem(
+function commitItem(
     dependencies: OperatorDependencies,
-    parsed: Result<{ readonly basedOnRevision: number; readonly item: ItemChange }, Failure>,
+    parsed: Result<BasedItemChange, Failure>,
 ): Promise<Result<unknown, Failure>> {
-    if (parsed.isErr()) {
-        return err(parsed.error);
-    }
-    const { basedOnRevision, item } = parsed.value;
-    return dependencies.configuration.commitChange({ basedOnRevision, items: [item] });
+    const change = parsed.map(({ basedOnRevision, item }) => ({ basedOnRevision, items: [item] }));
+    return commitChange(dependencies, change);
+}
+
+async function commitChange(
+    dependencies: OperatorDependencies,
+    parsed: Result<ConfigurationChange, Failure>,
+): Promise<Result<unknown, Failure>> {
+    const { clock, configuration } = dependencies;
+    const checked = parsed.andThen(change => checkMoveChanges(configuration.readCurrent(), change, clock.readWallMs()));
+    return checked.isErr() ? err(checked.error) : configuration.commitChange(checked.value);
 }
