Wire the whole node: links, jobs, claims, leases, operators, drain, keys

Cause: the thin node knew neither other nodes nor jobs; a test run hung 120 s after its end. Change: full wiring; serve with drain and dump signal; keys watched; a node is ready only once it has a list of VMs; waits of the system clock no longer keep a finished process alive (the hang was a price poll waiting 60 s).

--- a/src/base/createSystemClock.ts
+++ b/src/base/createSystemClock.ts
@@ -4,7 +4,8 @@
 import type { Clock } from "./clock";
 
 /**
- * Creates a clock over the machine's monotonic and wall clocks.
+ * Creates a clock over the machine's monotonic and wall clocks. A wait alone does not keep the process alive, so that
+ * periodic work does not hold up its end; open listeners and connections do.
  *
  * @returns A clock whose waits are real timers
  * @example
@@ -15,6 +16,6 @@
     return {
         readMonotonicMs: () => performance.now(),
         readWallMs: () => Date.now(),
-        waitMs: delayMs => new Promise(resolve => setTimeout(resolve, Math.max(0, delayMs))),
+        waitMs: delayMs => new Promise(resolve => setTimeout(resolve, Math.max(0, delayMs)).unref()),
     };
 }
--- a/src/decisions/versions/constants.ts
+++ b/src/decisions/versions/constants.ts
@@ -17,6 +17,9 @@
 /** Part of a move's whole time that is spent observing at share 1, where that is shorter. */
 export const OBSERVATION_PART = 0.2;
 
+/** Part of a move's whole time before which it is not done, so that faults that begin later can still show. */
+export const EARLIEST_FINISH_PART = 0.5;
+
 /** Attempts on the new version that allow a step before its planned time. */
 export const OBSERVATIONS_FOR_STEP = 50;
 
--- a/src/decisions/versions/decideMoveStep.ts
+++ b/src/decisions/versions/decideMoveStep.ts
@@ -3,6 +3,7 @@
  */
 import { MoveState, type VersionMove } from "../../model/configuration";
 import {
+    EARLIEST_FINISH_PART,
     FINISH_MARGIN_MS,
     LONGEST_OBSERVATION_MS,
     MOVE_SHARES,
@@ -16,6 +17,7 @@
 interface MoveTimes {
     /** When the decision to finish must have been made at the latest. */
     readonly lastFinishWallMs: number;
+    readonly earliestFinishWallMs: number;
     /** Length of the observation at share 1. */
     readonly observationMs: number;
     /** Planned stay at each share before that. */
@@ -78,10 +80,11 @@
 
 function decideFinish(move: VersionMove, facts: MoveFacts, times: MoveTimes, stayedMs: number): MoveStep {
     const isLastMoment = facts.nowWallMs >= times.lastFinishWallMs;
+    const isWatchedEnough = stayedMs >= times.observationMs && facts.nowWallMs >= times.earliestFinishWallMs;
     if (facts.supportableShare < 1) {
         return buildStep(MoveStepKind.Wait, 1, "The new version has too few endpoints to carry everything.");
     }
-    if (stayedMs >= times.observationMs && (hasEvidence(facts) || (isLastMoment && hasLeastEvidence(facts)))) {
+    if (isWatchedEnough && (hasEvidence(facts) || (isLastMoment && hasLeastEvidence(facts)))) {
         return buildStep(MoveStepKind.Finish, 1, `${facts.attemptsSinceStep} attempts at full share without a fault.`);
     }
     return buildStep(MoveStepKind.Wait, 1, "Observing the new version at full share.");
@@ -93,7 +96,8 @@
     const wholeMs = Math.max(0, lastFinishWallMs - startedWallMs);
     const observationMs = Math.min(LONGEST_OBSERVATION_MS, wholeMs * OBSERVATION_PART);
     const stayMs = (wholeMs - observationMs) / MOVE_SHARES.length;
-    return { lastFinishWallMs, observationMs, stayMs, settleMs: Math.min(SETTLE_MS, stayMs) };
+    const earliestFinishWallMs = startedWallMs + wholeMs * EARLIEST_FINISH_PART;
+    return { lastFinishWallMs, earliestFinishWallMs, observationMs, stayMs, settleMs: Math.min(SETTLE_MS, stayMs) };
 }
 
 function hasEvidence(facts: MoveFacts): boolean {
--- a/src/dev/runDev.ts
+++ b/src/dev/runDev.ts
@@ -37,7 +37,7 @@
 export async function runDev(options: DevOptions): Promise<number> {
     const preset = DEPLOYMENT_PRESETS[options.preset ?? PresetName.Small];
     const owned = createDisposableStore();
-    const embedded = owned.add(await createEmbeddedPlatform(preset));
+    const embedded = owned.add(await createEmbeddedPlatform(preset, { platform: { vmListLagMs: 0 } }));
     const nodes = await createEmbeddedNodes(preset, embedded, {
         operatorKey: OPERATOR_KEY,
         logLevel: options.logLevel ?? LogLevel.Warn,
--- a/src/faces/callerListener.ts
+++ b/src/faces/callerListener.ts
@@ -34,6 +34,7 @@
     refuseNew(): void;
     /** Resolves when no request is in progress, or with the number still open when `timeoutMs` has passed. */
     waitUntilIdle(timeoutMs: number): Promise<number>;
+    countOpenRequests(): number;
     /** Uses another certificate for new connections. */
     replaceIdentity(identity: TlsIdentity): void;
     /** Closes the listener and all its connections. */
--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -119,6 +119,7 @@
             isRefusing = true;
         },
         waitUntilIdle: timeoutMs => openRequests.waitUntilNone(timeoutMs),
+        countOpenRequests: () => openRequests.count(),
         replaceIdentity: identity => {
             if (server instanceof https.Server) {
                 server.setSecureContext({ key: identity.key, cert: identity.certificate });
--- /dev/null
+++ b/src/serve/runServe.ts
@@ -0,0 +1,65 @@
+/**
+ * @module `redwinglift serve`: one node as a process.
+ */
+import { FailureError } from "../base/failureError";
+import { createNodeParts } from "../createNodeParts";
+import type { Settings } from "../settings/settings";
+import { type RunningNode, wireNode } from "../wire";
+
+const DRAIN_SIGNALS = ["SIGTERM", "SIGINT"] as const;
+const DUMP_SIGNAL = "SIGUSR2";
+
+/**
+ * Runs a node until a signal ends it. `SIGTERM` and `SIGINT` drain it; a second one ends it at once. `SIGUSR2` writes a
+ * dump of its state to the standard error stream as one line of JSON.
+ *
+ * @param settings - Its checked settings
+ * @returns The exit code: 0 after a complete drain, 1 if requests were still open at its bound
+ * @example
+ * process.exitCode = await runServe(settings);
+ */
+export async function runServe(settings: Settings): Promise<number> {
+    const parts = createNodeParts(settings);
+    const { log } = parts;
+    process.on("unhandledRejection", reason => logStray(parts.log, "unhandled rejection", reason));
+    process.on("uncaughtException", error => logStray(parts.log, "uncaught exception", error));
+    const node = await wireNode(settings, parts);
+    process.on(DUMP_SIGNAL, () => void process.stderr.write(`${JSON.stringify(node.dumpState())}\n`));
+    log.info("node started", {
+        callerPort: node.callerPort,
+        operatorPort: node.operatorPort,
+        nodeLinkPort: node.nodeLinkPort,
+        version: process.env["REDWINGLIFT_VERSION"] ?? "development",
+    });
+    void node.whenReady.then(() => log.info("node ready", { revision: node.configuration.readCurrent().revision }));
+    const signal = await waitForSignal();
+    log.info("node leaving", { signal, drainMs: settings.drainMs });
+    const cutRequests = await drainUntilSignal(node, settings.drainMs);
+    node.dispose();
+    parts.dispose();
+    log.info("node ended", { cutRequests });
+    return cutRequests === 0 ? 0 : 1;
+}
+
+function waitForSignal(): Promise<string> {
+    return new Promise(resolve => {
+        DRAIN_SIGNALS.forEach(signal => process.once(signal, () => resolve(signal)));
+    });
+}
+
+function drainUntilSignal(node: RunningNode, boundMs: number): Promise<number> {
+    return new Promise(resolve => {
+        DRAIN_SIGNALS.forEach(signal => process.once(signal, () => resolve(node.countOpenRequests())));
+        void node.drain(boundMs).then(resolve);
+    });
+}
+
+function logStray(
+    log: { error(message: string, fields: Record<string, string>): void },
+    what: string,
+    reason: unknown,
+) {
+    const text =
+        reason instanceof FailureError ? reason.message : reason instanceof Error ? reason.stack : String(reason);
+    log.error(what, { reason: text ?? "" });
+}
--- a/src/wholePath.test.ts
+++ b/src/wholePath.test.ts
@@ -16,7 +16,10 @@
 let nodes: readonly RunningNode[];
 
 before(async () => {
-    embedded = await createEmbeddedPlatform(PRESET, { modelRunner: { engine: { tokenGapMs: 1 } } });
+    embedded = await createEmbeddedPlatform(PRESET, {
+        modelRunner: { engine: { tokenGapMs: 1 } },
+        platform: { vmListLagMs: 0 },
+    });
     nodes = await createEmbeddedNodes(PRESET, embedded, { operatorKey: "rwl_operator", logLevel: LogLevel.Error });
     await Promise.all(nodes.map(node => node.whenReady));
     const installed = await installPresetConfiguration(PRESET, nodes[0]!.configuration, ACCOUNT_KEY);
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -1,89 +1,209 @@
 /**
  * @module The one module that builds a node from its parts.
  */
-import fs from "node:fs";
-import { err, ok } from "neverthrow";
 import { setBreachListener } from "./base/assertInvariant";
 import { createDisposableStore } from "./base/createDisposableStore";
-import { createFailure } from "./base/createFailure";
+import type { DisposableStore } from "./base/disposableStore";
 import type { DumpSource } from "./base/dump";
-import { type Failure, FailureKind } from "./base/failure";
+import type { Failure } from "./base/failure";
 import { Metric } from "./base/metrics/metric";
-import type { ExchangeSummary } from "./faces/callerListener";
+import type { CallerListener, ExchangeSummary } from "./faces/callerListener";
 import { createCallerListener } from "./faces/createCallerListener";
-import type { NodeExchange } from "./nodes/nodeExchange";
+import { watchIdentity } from "./faces/watchIdentity";
+import { createDeferredExchange } from "./nodes/createDeferredExchange";
+import { createGrpcTransport } from "./nodes/createGrpcTransport";
+import { createTlsWatcher } from "./nodes/createTlsWatcher";
 import type { NodeParts } from "./nodeParts";
+import { createOperatorListener } from "./operator/createOperatorListener";
+import { collectDump } from "./queries/collectDump";
 import { validateConfiguration } from "./queries/validateConfiguration";
-import type { ListenerSettings, Settings } from "./settings/settings";
+import type { Settings } from "./settings/settings";
 import { createAdmissionTask } from "./tasks/admission/createAdmissionTask";
+import { createClaimTask } from "./tasks/claims/createClaimTask";
+import { createGroupCommitTask } from "./tasks/claims/createGroupCommitTask";
+import type { ConfigurationTask } from "./tasks/configuration/createConfigurationTask";
 import { createConfigurationTask } from "./tasks/configuration/createConfigurationTask";
-import type { ConfigurationClient } from "./tasks/configuration/configurationClient";
 import { createDirectoryTask } from "./tasks/directory/createDirectoryTask";
-import { createExecutionTask } from "./tasks/execution/createExecutionTask";
-import { describePrompt } from "./tasks/execution/describePrompt";
-import type { JobClient } from "./tasks/jobs/jobClient";
+import { createExecutionTask, type ExecutionTask } from "./tasks/execution/createExecutionTask";
+import { createJobTask, type JobTask } from "./tasks/jobs/createJobTask";
+import { createLeaseTask } from "./tasks/leases/createLeaseTask";
+import { createMembershipTask, type MembershipTask } from "./tasks/membership/createMembershipTask";
 import { createRoutingTask } from "./tasks/routing/createRoutingTask";
 
+/** How long the balancer may still send callers after the node has said that it leaves. */
+const BALANCER_NOTICE_MS = 3_000;
+
 /** A running node. */
 export interface RunningNode {
     readonly nodeId: string;
     readonly callerPort: number;
+    readonly operatorPort: number;
     readonly nodeLinkPort: number;
-    readonly configuration: ConfigurationClient;
-    readonly dumpSources: readonly DumpSource[];
+    readonly configuration: ConfigurationTask;
+    readonly membership: MembershipTask;
+    readonly execution: ExecutionTask;
     /** Resolves once the node may be given callers. */
     readonly whenReady: Promise<void>;
+    /** Collects the state of every task. */
+    dumpState(): unknown;
+    countOpenRequests(): number;
+    /**
+     * Leaves: tells balancer and nodes, hands jobs on, refuses new requests after a moment and finishes those in
+     * progress. Resolves with the number of requests that its bound cut.
+     */
+    drain(boundMs: number): Promise<number>;
     /** Stops at once; what is in progress is cut. */
     dispose(): void;
 }
 
+interface Work {
+    readonly execution: ExecutionTask;
+    readonly jobs: JobTask;
+    readonly dumpSources: readonly DumpSource[];
+}
+
+interface Agreement {
+    readonly configuration: ConfigurationTask;
+    readonly membership: MembershipTask;
+    readonly directory: ReturnType<typeof createDirectoryTask>;
+    readonly leases: ReturnType<typeof createLeaseTask>;
+    readonly nodeLinkPort: number;
+}
+
+interface Wiring {
+    readonly settings: Settings;
+    readonly parts: NodeParts;
+    readonly owned: DisposableStore;
+    readonly reportFailure: (name: string, failure: Failure) => void;
+    readonly reportEvent: (name: string, details: Readonly<Record<string, unknown>>) => void;
+}
+
 /**
  * Builds and starts a node.
  *
  * @param settings - Its checked settings
  * @param parts - The outside
- * @returns The running node; rejects if an address can't be listened on
+ * @returns The running node; rejects if an address can't be listened on or a key can't be used
  * @example
  * const node = await wireNode(settings, createNodeParts(settings));
  * await node.whenReady;
  */
 export async function wireNode(settings: Settings, parts: NodeParts): Promise<RunningNode> {
-    const { clock, random, log, metrics } = parts;
-    const owned = createDisposableStore({
-        reportError: error => log.error("closing failed", { reason: String(error) }),
-    });
-    const reportFailure = (name: string, failure: Failure) => {
-        log.warn("a task failed or was refused", { task: name, kind: failure.kind, reason: failure.message });
+    const wiring = createWiring(settings, parts);
+    try {
+        return await wireTasks(wiring);
+    } catch (error) {
+        wiring.owned.dispose();
+        throw error;
+    }
+}
+
+async function wireTasks(wiring: Wiring): Promise<RunningNode> {
+    const { settings, parts, owned } = wiring;
+    const agreement = await wireAgreement(wiring);
+    const work = wireWork(wiring, agreement);
+    const callers = await wireCallers(wiring, agreement, work);
+    const dumpSources: readonly DumpSource[] = [
+        agreement.configuration,
+        agreement.membership,
+        agreement.directory,
+        agreement.leases,
+        ...work.dumpSources,
+        callers,
+    ];
+    const operators = await wireOperators(wiring, agreement, work, dumpSources);
+    return {
+        nodeId: settings.nodeId,
+        callerPort: callers.port,
+        operatorPort: operators.port,
+        nodeLinkPort: agreement.nodeLinkPort,
+        configuration: agreement.configuration,
+        membership: agreement.membership,
+        execution: work.execution,
+        whenReady: Promise.all([agreement.configuration.whenReady, waitForFirstVms(agreement)]).then(() => undefined),
+        dumpState: () =>
+            collectDump({ node: describeNode(settings), clock: parts.clock, listDumpSources: () => dumpSources }),
+        countOpenRequests: () => callers.countOpenRequests(),
+        drain: boundMs => drainNode(wiring, agreement, work, callers, boundMs),
+        dispose: () => owned.dispose(),
     };
+}
+
+function createWiring(settings: Settings, parts: NodeParts): Wiring {
+    const { log, metrics } = parts;
     setBreachListener((invariant, detail) => {
         log.error("an invariant does not hold", { invariant, detail });
         metrics.count(Metric.InvariantBreaches, { invariant });
     });
-    const exchange = createAloneExchange(settings.nodeId);
-    const placement = { region: settings.region, failureDomain: settings.failureDomain };
+    return {
+        settings,
+        parts,
+        owned: createDisposableStore({ reportError: error => log.error("closing failed", { reason: String(error) }) }),
+        reportFailure: (task, failure) =>
+            log.warn("a task reports a failure", { task, kind: failure.kind, reason: failure.message }),
+        reportEvent: (name, details) => log.debug(name, { details: JSON.stringify(details) }),
+    };
+}
 
+async function wireAgreement(wiring: Wiring): Promise<Agreement> {
+    const { settings, parts, owned, reportFailure } = wiring;
+    const { clock, random } = parts;
+    const { nodeId, region, failureDomain } = settings;
+    const { tls } = settings.nodeLink;
+    const watchOptions = { clock, reportFailure: (failure: Failure) => reportFailure("node-keys", failure) };
+    const transport = owned.add(
+        await createGrpcTransport({
+            address: settings.nodeLink.address,
+            port: settings.nodeLink.port,
+            clock,
+            tls: tls && owned.add(await createTlsWatcher(tls, watchOptions)),
+            // The settings have refused plain links beyond loopback unless the operator allowed them.
+            allowsPlain: true,
+        }),
+    );
+    const exchange = createDeferredExchange(nodeId);
+    const { vmList, cloud } = parts;
+    const directory = owned.add(createDirectoryTask({ clock, random, vmList, cloud, exchange, reportFailure }));
+    const membership = owned.add(
+        createMembershipTask({
+            nodeId,
+            self: { address: settings.nodeLink.address, port: transport.port, region, failureDomain },
+            transport,
+            clock,
+            random,
+            directory,
+            reportFailure,
+        }),
+    );
+    exchange.setTarget(membership);
     const configuration = owned.add(
         createConfigurationTask({
-            nodeId: settings.nodeId,
+            nodeId,
             table: parts.table,
             clock,
             random,
             validate: validateConfiguration,
+            exchange: membership,
             reportFailure,
         }),
     );
-    const directory = owned.add(
-        createDirectoryTask({ clock, random, vmList: parts.vmList, cloud: parts.cloud, exchange, reportFailure }),
-    );
+    const leases = owned.add(createLeaseTask({ nodeId, table: parts.table, clock }));
+    return { configuration, membership, directory, leases, nodeLinkPort: transport.port };
+}
+
+function wireWork(wiring: Wiring, agreement: Agreement): Work {
+    const { settings, parts, owned, reportFailure, reportEvent } = wiring;
+    const { clock, random, table, objects, metrics } = parts;
+    const { nodeId } = settings;
     const routing = owned.add(
         createRoutingTask({
             clock,
             random,
-            nodeId: settings.nodeId,
-            placement,
-            configuration,
-            directory,
-            exchange,
+            nodeId,
+            placement: { region: settings.region, failureDomain: settings.failureDomain },
+            configuration: agreement.configuration,
+            directory: agreement.directory,
+            exchange: agreement.membership,
             modelRunners: parts.modelRunners,
             applicationRunners: parts.applicationRunners,
             cloud: parts.cloud,
@@ -91,61 +211,127 @@
             reportFailure,
         }),
     );
-    const admission = owned.add(createAdmissionTask({ clock, configuration, capacity: routing, reportFailure }));
+    const admission = owned.add(
+        createAdmissionTask({ clock, configuration: agreement.configuration, capacity: routing, reportFailure }),
+    );
+    const commits = owned.add(createGroupCommitTask({ table, clock }));
+    const claims = createClaimTask({ nodeId, table, objects, commits, clock });
     const execution = createExecutionTask({
         admission,
         routing,
         models: parts.modelRunners,
         applications: parts.applicationRunners,
         clock,
-        describePrompt,
-        reportEvent: (name, details) => log.debug(name, { details: JSON.stringify(details) }),
+        claims,
+        metrics,
+        reportEvent,
     });
-    const callers = owned.add(
+    const jobs = owned.add(
+        createJobTask({
+            nodeId,
+            table,
+            objects,
+            commits,
+            leases: agreement.leases,
+            execution,
+            clock,
+            random,
+            listLiveNodeIds: () => agreement.membership.listLiveNodeIds(),
+            reportEvent,
+            metrics,
+        }),
+    );
+    return { execution, jobs, dumpSources: [routing, admission, commits, claims, execution, jobs] };
+}
+
+async function wireCallers(wiring: Wiring, agreement: Agreement, work: Work): Promise<CallerListener> {
+    const { settings, parts, owned, reportFailure } = wiring;
+    const { clock } = parts;
+    const { address, port, tls } = settings.callers;
+    const reportKeys = (failure: Failure) => reportFailure("caller-keys", failure);
+    const identity = await watchIdentity(tls, { clock, owned, reportFailure: reportKeys });
+    const listener = owned.add(
         await createCallerListener(
-            { clock, configuration, execution, jobs: createRefusingJobs() },
+            { clock, configuration: agreement.configuration, execution: work.execution, jobs: work.jobs },
             {
-                address: settings.callers.address,
-                port: settings.callers.port,
-                identity: readIdentity(settings.callers),
+                address,
+                port,
+                identity: identity.first,
                 limits: settings.callerLimits,
-                isReady: () => configuration.isReady(),
+                isReady: () => isReady(agreement),
                 reportEnd: summary => recordExchange(parts, summary),
             },
         ),
     );
-    return {
-        nodeId: settings.nodeId,
-        callerPort: callers.port,
-        nodeLinkPort: 0,
-        configuration,
-        dumpSources: [configuration, directory, routing, admission, callers],
-        whenReady: configuration.whenReady,
-        dispose: () => owned.dispose(),
-    };
+    identity.attach(listener);
+    return listener;
 }
 
-function createAloneExchange(nodeId: string): NodeExchange {
-    return {
-        publishUpdate: () => undefined,
-        subscribeTopic: () => () => undefined,
-        listLiveNodeIds: () => [nodeId],
-    };
+async function wireOperators(wiring: Wiring, agreement: Agreement, work: Work, dumpSources: readonly DumpSource[]) {
+    const { settings, parts, owned, reportFailure } = wiring;
+    const { clock, log, metrics } = parts;
+    const { address, port, tls } = settings.operators;
+    const reportKeys = (failure: Failure) => reportFailure("operator-keys", failure);
+    const identity = await watchIdentity(tls, { clock, owned, reportFailure: reportKeys });
+    const listener = owned.add(
+        await createOperatorListener(
+            {
+                clock,
+                node: describeNode(settings),
+                isReady: () => isReady(agreement),
+                configuration: agreement.configuration,
+                directory: agreement.directory,
+                nodes: agreement.membership,
+                jobs: work.jobs,
+                listDumpSources: () => dumpSources,
+            },
+            { address, port, identity: identity.first, keyHashes: settings.operatorKeyHashes, log, metrics },
+        ),
+    );
+    identity.attach(listener);
+    return listener;
+}
+
+// Without a list of VMs the node would have no endpoint to send a request to.
+function isReady(agreement: Agreement): boolean {
+    return agreement.configuration.isReady() && agreement.directory.listVms().length > 0;
+}
+
+function waitForFirstVms(agreement: Agreement): Promise<void> {
+    return new Promise(resolve => {
+        const release = agreement.directory.subscribeChanges(vms => {
+            if (vms.length > 0) {
+                release();
+                resolve();
+            }
+        });
+    });
 }
 
-function createRefusingJobs(): JobClient {
-    const failure = createFailure(FailureKind.StoreUnavailable, "Jobs are not served yet.");
-    const refuse = () => Promise.resolve(err(failure));
-    return { submitJob: refuse, readJob: refuse, listJobs: () => Promise.resolve(ok([])), cancelJob: refuse };
+async function drainNode(
+    wiring: Wiring,
+    agreement: Agreement,
+    work: Work,
+    callers: CallerListener,
+    boundMs: number,
+): Promise<number> {
+    const { clock } = wiring.parts;
+    const endAtMs = clock.readMonotonicMs() + boundMs;
+    const computeRest = () => Math.max(0, endAtMs - clock.readMonotonicMs());
+    callers.announceLeaving();
+    await Promise.all([
+        agreement.membership.leave(),
+        work.jobs.drain(computeRest()),
+        clock.waitMs(Math.min(BALANCER_NOTICE_MS, boundMs)),
+    ]);
+    callers.refuseNew();
+    await work.execution.drain(computeRest());
+    return callers.waitUntilIdle(computeRest());
 }
 
-function readIdentity(listener: ListenerSettings) {
-    return listener.tls === undefined
-        ? undefined
-        : {
-              key: fs.readFileSync(listener.tls.keyFile, "utf8"),
-              certificate: fs.readFileSync(listener.tls.certificateFile, "utf8"),
-          };
+function describeNode(settings: Settings) {
+    const { nodeId, vmId, region, failureDomain } = settings;
+    return { nodeId, vmId, region, failureDomain, programVersion: process.env["REDWINGLIFT_VERSION"] ?? "development" };
 }
 
 function recordExchange(parts: NodeParts, summary: ExchangeSummary): void {
