Free a connection whose stream ended while its reader was slow

Cause: a stream that ended while paused was never read to its end, so its connection stayed in use for good; the silence timer could also run while the reader, not the engine, was the slow side. Conclusion: a contract test causes it (16 tokens, the channel's size); without the mend it fails.

--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -3,9 +3,12 @@
  */
 import http from "node:http";
 import { ulid } from "ulid";
-import { CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, LARGEST_ANSWER_BYTES, SILENCE_TIMEOUT_MS } from "../constants";
+import { CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, SILENCE_TIMEOUT_MS } from "../constants";
 import type { ConnectionPool } from "./createConnectionPool";
+import { createWaitBound } from "./createWaitBound";
+import { describeError } from "./describeError";
 import type { HttpTarget } from "./httpTarget";
+import { readWholeAnswer } from "./readWholeAnswer";
 import { trackSentBytes } from "./trackSentBytes";
 
 /** Bounds of the waits of a call, in milliseconds. */
@@ -54,6 +57,9 @@
           readonly message: string;
       };
 
+/** Losses after which other kept connections to the same place are not trusted either. */
+const DISTRUST_REASONS: ReadonlySet<LossReason> = new Set([LossReason.Silent, LossReason.Unusable]);
+
 const processId = ulid();
 let callsStarted = 0;
 
@@ -70,72 +76,43 @@
  */
 export function sendHttpCall(target: HttpTarget, call: HttpCall, pool?: ConnectionPool): Promise<HttpOutcome> {
     const callId = `${processId}-${++callsStarted}`;
+    const { connectMs, firstByteMs, silenceMs } = call.timeouts ?? {};
     return new Promise(resolve => {
-        const request = http.request({
-            host: target.address,
-            port: target.port,
-            method: call.method,
-            path: call.path,
-            agent: pool?.agent ?? false,
-            headers: {
-                ...call.headers,
-                "x-request-id": callId,
-                "content-length": call.body?.length ?? 0,
-                ...(pool === undefined ? { connection: "close" } : {}),
-            },
-        });
-        let timer: NodeJS.Timeout | undefined;
-        const boundWait = (delayMs: number, waitedFor: string) => {
-            clearTimeout(timer);
-            timer = setTimeout(() => endCall(LossReason.Silent, `No ${waitedFor} within ${delayMs} ms.`), delayMs);
-        };
-        const sent = trackSentBytes(request, () =>
-            boundWait(call.timeouts?.firstByteMs ?? FIRST_BYTE_TIMEOUT_MS, "answer"),
-        );
+        const request = createRequest(target, call, callId, pool);
+        const bound = createWaitBound(message => endCall(LossReason.Silent, message));
+        const sent = trackSentBytes(request, () => bound.beginWait(firstByteMs ?? FIRST_BYTE_TIMEOUT_MS, "answer"));
         const settle = (outcome: HttpOutcome) => {
-            clearTimeout(timer);
+            bound.endWait();
             call.cancelled?.removeEventListener("abort", cancelCall);
             resolve(outcome);
         };
         const endCall = (reason: LossReason, message: string) => {
             settle({ isAnswered: false, reason, hasSentBytes: sent.hasSentBytes(), message });
             request.destroy();
-            if (reason === LossReason.Silent || reason === LossReason.Unusable) {
+            if (DISTRUST_REASONS.has(reason)) {
                 pool?.dropIdleConnections(target);
             }
         };
         const cancelCall = () => endCall(LossReason.Cancelled, "The call was cancelled.");
+        const failBroken = (error: Error) => endCall(LossReason.Broken, describeError(error));
+        const beginSilence = () => bound.beginWait(silenceMs ?? SILENCE_TIMEOUT_MS, "more of the answer");
 
-        boundWait(call.timeouts?.connectMs ?? CONNECT_TIMEOUT_MS, "connection");
-        request.on("error", error => endCall(LossReason.Broken, describeError(error)));
+        bound.beginWait(connectMs ?? CONNECT_TIMEOUT_MS, "connection");
+        request.on("error", failBroken);
         request.on("response", response => {
-            const silenceMs = call.timeouts?.silenceMs ?? SILENCE_TIMEOUT_MS;
-            const chunks: Buffer[] = [];
-            let bytes = 0;
-            boundWait(silenceMs, "more of the answer");
-            response.on("data", (chunk: Buffer) => {
-                boundWait(silenceMs, "more of the answer");
-                bytes += chunk.length;
-                chunks.push(chunk);
-                if (bytes > LARGEST_ANSWER_BYTES) {
-                    endCall(LossReason.Unusable, "The answer is too large.");
-                }
-            });
-            response.on("aborted", () => endCall(LossReason.Broken, "The connection closed inside the answer."));
-            response.on("error", error => endCall(LossReason.Broken, describeError(error)));
-            response.on("end", () => {
-                const echoed = response.headers["x-request-id"];
-                if (echoed !== undefined && echoed !== callId) {
-                    endCall(LossReason.Unusable, "The answer belongs to another call.");
-                    return;
-                }
-                settle({
-                    isAnswered: true,
-                    status: response.statusCode ?? 0,
-                    headers: convertHeaders(response.headers),
-                    body: Buffer.concat(chunks),
-                    isEchoed: echoed === callId,
-                });
+            beginSilence();
+            readWholeAnswer(response, {
+                handlePart: beginSilence,
+                handleTooLarge: () => endCall(LossReason.Unusable, "The answer is too large."),
+                handleError: failBroken,
+                handleWhole: body => {
+                    const echoed = response.headers["x-request-id"];
+                    if (echoed !== undefined && echoed !== callId) {
+                        endCall(LossReason.Unusable, "The answer belongs to another call.");
+                    } else {
+                        settle(createAnswer(response, body, echoed === callId));
+                    }
+                },
             });
         });
         if (call.cancelled?.aborted === true) {
@@ -147,14 +124,27 @@
     });
 }
 
-function describeError(error: Error): string {
-    return (error as NodeJS.ErrnoException).code ?? error.message;
+function createRequest(target: HttpTarget, call: HttpCall, callId: string, pool?: ConnectionPool): http.ClientRequest {
+    return http.request({
+        host: target.address,
+        port: target.port,
+        method: call.method,
+        path: call.path,
+        agent: pool?.agent ?? false,
+        headers: {
+            ...call.headers,
+            "x-request-id": callId,
+            "content-length": call.body?.length ?? 0,
+            ...(pool === undefined ? { connection: "close" } : {}),
+        },
+    });
 }
 
-function convertHeaders(headers: http.IncomingHttpHeaders): Readonly<Record<string, string>> {
-    return Object.fromEntries(
-        Object.entries(headers).flatMap(([name, value]) =>
+function createAnswer(response: http.IncomingMessage, body: Buffer, isEchoed: boolean): HttpOutcome {
+    const headers = Object.fromEntries(
+        Object.entries(response.headers).flatMap(([name, value]) =>
             value === undefined ? [] : [[name, Array.isArray(value) ? value.join(", ") : value]],
         ),
     );
+    return { isAnswered: true, status: response.statusCode ?? 0, headers, body, isEchoed };
 }
--- a/src/adapters/contracts/defineGenerationContract.ts
+++ b/src/adapters/contracts/defineGenerationContract.ts
@@ -26,6 +26,9 @@
     readonly starts: number;
 }
 
+/** Time for what the engine has sent to reach the adapter. */
+const ARRIVAL_MS = 100;
+
 const UNKNOWN = { execution: Execution.Unknown, hasSentBytes: true };
 const { EndpointFailed, EndpointSilent, EndpointRefused } = FailureKind;
 const GENERATION_FAULTS: readonly GenerationFault[] = [
@@ -185,6 +188,20 @@
                 expectWholeAnswer(createChat(200), read.texts);
             }),
         );
+        void it(
+            "on connections that are used again, wherever in the answer a reader was slow",
+            withSubject(async subject => {
+                const lengths = Array.from({ length: 10 }, (_, index) => 12 + index);
+                for (const round of ["first", "second"]) {
+                    const generations = lengths.map(tokens => openGeneration(subject, `${round}-${tokens}`, tokens));
+                    await waitUntil(() => subject.countActive() === 0, "the engine is done");
+                    await sleep(ARRIVAL_MS);
+                    const reads = await Promise.all(generations.map(generation => readEvents(generation)));
+                    assert.ok(reads.every(read => read.isFinished));
+                }
+                assert.equal(subject.countConnections(), lengths.length);
+            }),
+        );
         void it(
             "until they are cancelled, which also ends them at the engine",
             withSubject(async subject => {
--- a/src/adapters/contracts/modelRunnerSubject.ts
+++ b/src/adapters/contracts/modelRunnerSubject.ts
@@ -15,6 +15,8 @@
     countActive(): number;
     /** How often generation of a request began at the first runner. */
     countStarts(requestId: string): number;
+    /** Connections open to the first runner. */
+    countConnections(): number;
     /** Tokens the second runner has prefilled. */
     countPrefilledElsewhere(): number;
 }
--- a/src/adapters/httpModelRunner/createHttpModelRunner.test.ts
+++ b/src/adapters/httpModelRunner/createHttpModelRunner.test.ts
@@ -20,6 +20,7 @@
         countOrders: token => runner.listExecutedOrders().filter(order => order.token === token).length,
         countActive: runner.countActive,
         countStarts: runner.countStarts,
+        countConnections: runner.countConnections,
         countPrefilledElsewhere: otherRunner.countPrefilledTokens,
         dispose: () => {
             adapter.dispose();
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -2,24 +2,20 @@
  * @module One generation over HTTP: a request, a stream of server-sent events, every wait bounded.
  */
 import http from "node:http";
-import { createParser } from "eventsource-parser";
 import { createFailure } from "../../base/createFailure";
-import { Execution, FailureKind } from "../../base/failure";
+import { Execution, type Failure, FailureKind } from "../../base/failure";
 import type { Endpoint } from "../../model/endpoint";
-import { FinishReason, GenerationEventKind, type Usage } from "../../model/request";
+import { GenerationEventKind } from "../../model/request";
 import type { Generation, GenerationRequest } from "../../ports/modelRunner";
-import type { CallTimeouts } from "../_lib/sendHttpCall";
 import type { ConnectionPool } from "../_lib/createConnectionPool";
+import { createWaitBound } from "../_lib/createWaitBound";
+import { describeError } from "../_lib/describeError";
+import type { CallTimeouts } from "../_lib/sendHttpCall";
 import { trackSentBytes } from "../_lib/trackSentBytes";
-import {
-    CONNECT_TIMEOUT_MS,
-    FIRST_BYTE_TIMEOUT_MS,
-    LARGEST_STREAM_EVENT_BYTES,
-    SILENCE_TIMEOUT_MS,
-} from "../constants";
+import { CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, SILENCE_TIMEOUT_MS } from "../constants";
+import { type AnswerEnd, createChunkReader } from "./createChunkReader";
 import { createEventPipe } from "./createEventPipe";
 import { formatGeneration } from "./formatGeneration";
-import { parseChunk } from "./parseChunk";
 import { readRefusal } from "./readRefusal";
 
 /** What a generation needs. */
@@ -30,9 +26,8 @@
     readonly sendCancel: () => void;
 }
 
-const END_OF_STREAM = "[DONE]";
 const OK_STATUS = 200;
-const NO_USAGE: Usage = { promptTokens: 0, outputTokens: 0, cachedTokens: 0 };
+const EARLY_END = "The stream ended before the answer did.";
 
 /**
  * Opens a generation.
@@ -50,129 +45,93 @@
     options: HttpGenerationOptions,
 ): Generation {
     const { id } = request;
-    const { timeouts = {}, pool } = options;
-    const silenceMs = timeouts.silenceMs ?? SILENCE_TIMEOUT_MS;
-    const body = formatGeneration(request);
+    const { pool } = options;
+    const { connectMs, firstByteMs, silenceMs = SILENCE_TIMEOUT_MS } = options.timeouts ?? {};
     const callId = `${id.requestId}/${id.attempt}`;
+    const body = formatGeneration(request);
+    const call = createRequest(endpoint, body.length, callId, pool);
     let response: http.IncomingMessage | undefined;
-    let timer: NodeJS.Timeout | undefined;
-    let nextOffset = request.resumedTexts.length;
-    let finish: { readonly reason: FinishReason; readonly usage: Usage } | undefined;
+    let isReaderSlow = false;
 
-    const clientRequest = http.request({
-        host: endpoint.address,
-        port: endpoint.port,
-        method: "POST",
-        path: "/v1/chat/completions",
-        agent: pool.agent,
-        headers: { "content-type": "application/json", "content-length": body.length, "x-request-id": callId },
-    });
-    const boundWait = (delayMs: number, waitedFor: string) => {
-        clearTimeout(timer);
-        timer = setTimeout(
-            () => failWith(FailureKind.EndpointSilent, `The engine sent no ${waitedFor} for ${delayMs} ms.`),
-            delayMs,
-        );
-    };
+    const bound = createWaitBound(message =>
+        pipe.isEnded ? call.destroy() : failWith(FailureKind.EndpointSilent, message),
+    );
+    const sent = trackSentBytes(call, () => bound.beginWait(firstByteMs ?? FIRST_BYTE_TIMEOUT_MS, "answer"));
+    const beginSilence = () => bound.beginWait(silenceMs, "event");
     const pipe = createEventPipe(isBlocked => {
+        isReaderSlow = isBlocked;
         if (isBlocked) {
-            clearTimeout(timer);
+            bound.endWait();
             response?.pause();
         } else {
-            boundWait(silenceMs, "event");
+            beginSilence();
             response?.resume();
         }
     });
-    const sent = trackSentBytes(clientRequest, () =>
-        boundWait(timeouts.firstByteMs ?? FIRST_BYTE_TIMEOUT_MS, "answer"),
-    );
-
-    const failWith = (kind: FailureKind, message: string, execution?: Execution, details?: Record<string, unknown>) => {
+    const endWith = (failure: Failure) => {
+        bound.endWait();
+        pipe.endWith({ kind: GenerationEventKind.Failed, id, failure });
+        call.destroy();
+    };
+    const failWith = (kind: FailureKind, message: string) => {
         if (pipe.isEnded) {
             return;
         }
-        clearTimeout(timer);
-        const known = execution ?? (sent.hasSentBytes() ? Execution.Unknown : Execution.NotRun);
-        const failure = createFailure(kind, message, { execution: known, details });
-        pipe.endWith({ kind: GenerationEventKind.Failed, id, failure });
-        clientRequest.destroy();
+        const execution = sent.hasSentBytes() ? Execution.Unknown : Execution.NotRun;
+        endWith(createFailure(kind, message, { execution }));
         if (kind === FailureKind.EndpointSilent) {
             pool.dropIdleConnections(endpoint);
         }
-        if (sent.hasSentBytes() && execution === undefined) {
+        if (sent.hasSentBytes()) {
             options.sendCancel();
         }
     };
-    const failBroken = (error: NodeJS.ErrnoException) =>
-        failWith(FailureKind.EndpointFailed, `The connection failed: ${error.code ?? error.message}.`);
-
-    const handleData = (text: string) => {
-        if (text === END_OF_STREAM) {
-            endRegularly();
-            return;
-        }
-        const chunk = parseChunk(text, nextOffset);
-        if (chunk === undefined) {
-            failWith(FailureKind.EndpointFailed, "The engine sent a chunk that can't be read.");
+    const failBroken = (error: Error) =>
+        failWith(FailureKind.EndpointFailed, `The connection failed: ${describeError(error)}.`);
+    const endRegularly = (end: AnswerEnd | undefined) => {
+        if (end === undefined) {
+            failWith(FailureKind.EndpointFailed, EARLY_END);
             return;
         }
-        const chunkId = chunk.id ?? id;
-        if (chunk.batch !== undefined) {
-            nextOffset = chunk.batch.offset + chunk.batch.texts.length;
-            pipe.pushEvent({ kind: GenerationEventKind.Tokens, id: chunkId, batch: chunk.batch });
-        }
-        const isOwn = chunkId.requestId === id.requestId && chunkId.attempt === id.attempt;
-        if (isOwn && chunk.finishReason !== undefined) {
-            finish = { reason: convertFinishReason(chunk.finishReason), usage: finish?.usage ?? NO_USAGE };
-        }
-        if (isOwn && chunk.usage !== undefined && finish !== undefined) {
-            finish = { ...finish, usage: chunk.usage };
-        }
-    };
-    const endRegularly = () => {
-        if (finish === undefined) {
-            failWith(FailureKind.EndpointFailed, "The stream ended before the answer did.");
-            return;
-        }
-        clearTimeout(timer);
-        pipe.endWith({ kind: GenerationEventKind.Finished, id, ...finish });
+        pipe.endWith({ kind: GenerationEventKind.Finished, id, ...end });
+        beginSilence();
+        response?.resume();
     };
+    const feedText = createChunkReader(id, request.resumedTexts.length, {
+        handleTokens: (chunkId, batch) => pipe.pushEvent({ kind: GenerationEventKind.Tokens, id: chunkId, batch }),
+        handleEnd: endRegularly,
+        handleUnreadable: message => failWith(FailureKind.EndpointFailed, message),
+    });
     const readStream = (stream: http.IncomingMessage) => {
-        const parser = createParser({
-            maxBufferSize: LARGEST_STREAM_EVENT_BYTES,
-            onEvent: event => handleData(event.data),
-            onError: error => {
-                if (error.type === "max-buffer-size-exceeded") {
-                    failWith(FailureKind.EndpointFailed, "The engine sent an event that is too large.");
-                }
-            },
-        });
-        boundWait(silenceMs, "event");
+        beginSilence();
         stream.setEncoding("utf8");
         stream.on("data", (text: string) => {
             if (pipe.isEnded) {
                 return;
             }
-            boundWait(silenceMs, "event");
-            parser.feed(text);
+            if (!isReaderSlow) {
+                beginSilence();
+            }
+            feedText(text);
+        });
+        stream.on("end", () => {
+            bound.endWait();
+            failWith(FailureKind.EndpointFailed, EARLY_END);
         });
-        stream.on("end", () => failWith(FailureKind.EndpointFailed, "The stream ended before the answer did."));
         stream.on("error", failBroken);
     };
-    boundWait(timeouts.connectMs ?? CONNECT_TIMEOUT_MS, "connection");
-    clientRequest.on("error", failBroken);
-    clientRequest.on("response", stream => {
+    bound.beginWait(connectMs ?? CONNECT_TIMEOUT_MS, "connection");
+    call.on("error", failBroken);
+    call.on("response", stream => {
         response = stream;
         if (stream.statusCode === OK_STATUS) {
             readStream(stream);
-            return;
+        } else {
+            beginSilence();
+            void readRefusal(stream, callId).then(endWith);
         }
-        boundWait(silenceMs, "refusal");
-        void readRefusal(stream, callId).then(refusal =>
-            failWith(refusal.kind, refusal.message, refusal.execution, refusal.details),
-        );
     });
-    clientRequest.end(body);
+    call.end(body);
     return {
         events: pipe.events,
         hasSentBytes: sent.hasSentBytes,
@@ -180,6 +139,18 @@
     };
 }
 
-function convertFinishReason(reason: string): FinishReason {
-    return reason === "length" ? FinishReason.Length : FinishReason.Stop;
+function createRequest(
+    endpoint: Endpoint,
+    bodyBytes: number,
+    callId: string,
+    pool: ConnectionPool,
+): http.ClientRequest {
+    return http.request({
+        host: endpoint.address,
+        port: endpoint.port,
+        method: "POST",
+        path: "/v1/chat/completions",
+        agent: pool.agent,
+        headers: { "content-type": "application/json", "content-length": bodyBytes, "x-request-id": callId },
+    });
 }
--- a/src/adapters/httpModelRunner/parseChunk.ts
+++ b/src/adapters/httpModelRunner/parseChunk.ts
@@ -50,7 +50,7 @@
  * parseChunk('{"choices":[{"delta":{"content":" word"}}]}', 3)?.batch?.offset; //=> 3
  */
 export function parseChunk(text: string, nextOffset: number): ParsedChunk | undefined {
-    const chunk = parseAnswer(Buffer.from(text), chunkSchema);
+    const chunk = parseAnswer(text, chunkSchema);
     if (chunk === undefined) {
         return undefined;
     }
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -25,6 +25,7 @@
     .option("--machine-class <name>", "Machine class of the VMs", { default: "standard" })
     .option("--token-gap-ms <milliseconds>", "Time between tokens of a stream that is alone", { default: 12 })
     .option("--prefill-tokens-per-second <tokens>", "Prefill speed of a model runner", { default: 8_000 })
+    .option("--maximum-running <sequences>", "Most generations in the batch of a model runner", { default: 64 })
     .option("--latency-ms <milliseconds>", "Shortest duration of a call to an application runner", { default: 5 })
     .option("--vm-list-lag-ms <milliseconds>", "Age of the list of VMs", { default: 2_000 })
     .option("--ignore-fencing", "Model runners carry out orders with old fencing numbers")
--- a/src/standins/parseFleetOptions.ts
+++ b/src/standins/parseFleetOptions.ts
@@ -31,6 +31,7 @@
     machineClass: z.string(),
     tokenGapMs: positive,
     prefillTokensPerSecond: positive,
+    maximumRunning: z.coerce.number().int().positive(),
     latencyMs: z.coerce.number().nonnegative(),
     vmListLagMs: z.coerce.number().nonnegative(),
     ignoreFencing: z.boolean().default(false),
@@ -68,7 +69,11 @@
         platform: { port: value.platformPort, controlPort: value.controlPort, vmListLagMs: value.vmListLagMs },
         modelRunner: {
             checksFencing: !value.ignoreFencing,
-            engine: { tokenGapMs: value.tokenGapMs, prefillTokensPerSecond: value.prefillTokensPerSecond },
+            engine: {
+                tokenGapMs: value.tokenGapMs,
+                prefillTokensPerSecond: value.prefillTokensPerSecond,
+                maximumRunning: value.maximumRunning,
+            },
         },
         applicationRunner: { latencyMs: value.latencyMs },
         seed: value.seed,
