--- a/src/decisions/outcomes/claims/claimExplorer.test.ts
+++ b/src/decisions/outcomes/claims/claimExplorer.test.ts
@@ -197,6 +197,17 @@
     return next;
 };
 
+/** What stands in the row is true of the request it names. */
+const assertRecordIsTrue = (world: World): void => {
+    const record = world.row?.record;
+    const holder = world.claimers.find(claimer => claimer.procedure.ask.requestId === record?.requestId);
+    const isSettled = record?.state === ClaimState.Ran || record?.state === ClaimState.NotRun;
+    if (isSettled) {
+        assert.equal(holder?.hasSent, record.state === ClaimState.Ran, "the recorded outcome is true");
+        assert.equal(holder.settlement?.state, record.state, "the holder itself recorded it");
+    }
+};
+
 const exploreWorlds = (faults: number): { states: number; runs: number; unsent: number } => {
     const seen = new Set<string>();
     const open: World[] = [createWorld(faults)];
@@ -210,6 +221,7 @@
         counts.states++;
         const sent = world.claimers.filter(claimer => claimer.hasSent).length;
         assert.ok(sent <= 1, `executed ${sent} times: ${key}`);
+        assertRecordIsTrue(world);
         counts.runs += sent;
         counts.unsent += world.row?.record.state === ClaimState.NotRun ? 1 : 0;
         open.push(...listNextWorlds(world));
--- a/src/tasks/execution/_testing/createExecutionWorld.ts
+++ b/src/tasks/execution/_testing/createExecutionWorld.ts
@@ -97,17 +97,13 @@
  * Builds a chat request.
  *
  * @param maximumTokens - Most tokens of the answer (default 40)
+ * @param content - Its one message
  * @returns The request
  * @example
  * execution.startChat(context, buildChat());
  */
-export function buildChat(maximumTokens = 40): ChatRequest {
-    return {
-        model: "chat",
-        messages: [{ role: "user", content: "Which roads are closed?" }],
-        maximumTokens,
-        sampling: {},
-    };
+export function buildChat(maximumTokens = 40, content = "Which roads are closed?"): ChatRequest {
+    return { model: "chat", messages: [{ role: "user", content }], maximumTokens, sampling: {} };
 }
 
 /**
--- a/src/tasks/execution/_testing/createFakeFleet.ts
+++ b/src/tasks/execution/_testing/createFakeFleet.ts
@@ -44,6 +44,8 @@
 export interface FleetRecord {
     /** Attempts whose bytes were sent, by request. */
     readonly sent: Map<string, number>;
+    /** Attempts whose bytes were sent, by the content of their last message. */
+    readonly sentPrompts: Map<string, number>;
     /** Effects of service calls, by request. */
     readonly effects: Map<string, number>;
     /** Attempts that routing has counted and not heard the end of. */
@@ -83,6 +85,7 @@
     const { clock } = options;
     const record: FleetRecord = {
         sent: new Map(),
+        sentPrompts: new Map(),
         effects: new Map(),
         counted: new Set(),
         admitted: new Set(),
--- a/src/tasks/execution/_testing/openFakeGeneration.ts
+++ b/src/tasks/execution/_testing/openFakeGeneration.ts
@@ -62,7 +62,9 @@
     const handleGone = () => void breakStream(hasSentBytes ? Execution.Unknown : Execution.NotRun);
     fake.whenGone.add(handleGone);
     if (hasSentBytes) {
+        const prompt = request.chat.messages.at(-1)?.content ?? "";
         record.sent.set(id.requestId, (record.sent.get(id.requestId) ?? 0) + 1);
+        record.sentPrompts.set(prompt, (record.sentPrompts.get(prompt) ?? 0) + 1);
         if (fake.isLeaving) {
             record.workToLeaving.push(`${id.requestId}/${id.attempt}`);
         }
--- a/src/tasks/jobs/_lib/createBodyWriter.ts
+++ b/src/tasks/jobs/_lib/createBodyWriter.ts
@@ -2,8 +2,8 @@
  * @module Writes the bodies of many jobs as one object.
  */
 import { err, ok, type Result } from "neverthrow";
-import { ulid } from "ulid";
 import type { Clock } from "../../../base/clock";
+import type { Random } from "../../../base/createRandom";
 import { createFailure } from "../../../base/createFailure";
 import { createChannel, offerMessage, pollMessage, startTask, take, waitFor } from "../../../base/csp";
 import { type Failure, FailureKind } from "../../../base/failure";
@@ -11,6 +11,7 @@
 import { BODY_PREFIX, buildBucketPrefix } from "../../../decisions/outcomes/jobs/jobRows";
 import type { ObjectsPort } from "../../../ports/objects";
 import { waitForStore } from "../../claims/_lib/waitForStore";
+import { createUniqueId } from "./createUniqueId";
 import { BODY_GROUP_BYTES, BODY_WINDOW_MS, WAITING_ACCEPTANCES } from "../constants";
 
 /** Handle of the writer. */
@@ -27,12 +28,16 @@
 /**
  * Starts the writer: one js-csp task with one object being written.
  *
- * @param options - The object store and the clock
+ * @param options - The object store, the clock and a random stream for keys
  * @returns The handle
  * @example
  * const reference = await bodies.writeBody(body);
  */
-export function createBodyWriter(options: { readonly objects: ObjectsPort; readonly clock: Clock }): BodyWriter {
+export function createBodyWriter(options: {
+    readonly objects: ObjectsPort;
+    readonly clock: Clock;
+    readonly random: Random;
+}): BodyWriter {
     const { clock, objects } = options;
     const inbox = createChannel<PendingBody>(WAITING_ACCEPTANCES);
     startTask("job bodies", function* () {
@@ -51,7 +56,7 @@
                     break;
                 }
             }
-            const objectKey = `${buildBucketPrefix(BODY_PREFIX, clock.readWallMs())}${ulid()}`;
+            const objectKey = `${buildBucketPrefix(BODY_PREFIX, clock.readWallMs())}${createUniqueId(options)}`;
             const whole = Buffer.concat(group.map(({ body }) => body));
             const written = yield* waitFor(waitForStore(clock, objects.writeObject(objectKey, whole)));
             resolveGroup(group, objectKey, written);
--- a/src/tasks/jobs/_lib/createNodeLease.ts
+++ b/src/tasks/jobs/_lib/createNodeLease.ts
@@ -1,10 +1,11 @@
 /**
  * @module The one lease under which a node holds all of its jobs. Renewals cost one write a node, not one a job.
  */
-import { ulid } from "ulid";
 import type { Clock } from "../../../base/clock";
+import type { Random } from "../../../base/createRandom";
 import type { LeaseClient, LeaseHandle } from "../../leases/leaseClient";
 import { IDLE_LEASE_MS, JOB_LEASE_MS } from "../constants";
+import { createUniqueId } from "./createUniqueId";
 
 /** Handle of the node's lease. */
 export interface NodeLease {
@@ -24,7 +25,7 @@
  * @param incarnation - Unique to this start of the process
  * @returns The name
  * @example
- * buildLeaseName("node-1", ulid());
+ * buildLeaseName("node-1", createUniqueId(options));
  */
 export function buildLeaseName(nodeId: string, incarnation: string): string {
     return `jobs/${encodeURIComponent(nodeId)}/${incarnation}`;
@@ -48,14 +49,15 @@
  * @param options - The node and the lease client
  * @returns The handle
  * @example
- * const lease = createNodeLease({ nodeId, leases, clock });
+ * const lease = createNodeLease({ nodeId, leases, clock, random });
  */
 export function createNodeLease(options: {
     readonly nodeId: string;
     readonly leases: LeaseClient;
     readonly clock: Clock;
+    readonly random: Random;
 }): NodeLease {
-    const name = buildLeaseName(options.nodeId, ulid());
+    const name = buildLeaseName(options.nodeId, createUniqueId(options));
     let handle: LeaseHandle | undefined;
     let acquiring: Promise<void> | undefined;
     let lastUsedAtMs = options.clock.readMonotonicMs();
--- a/src/tasks/jobs/_lib/runJob.ts
+++ b/src/tasks/jobs/_lib/runJob.ts
@@ -1,7 +1,6 @@
 /**
  * @module Executing one job that this node holds.
  */
-import { ulid } from "ulid";
 import { createFailure } from "../../../base/createFailure";
 import { receiveMessage, type Step, waitFor } from "../../../base/csp";
 import { Execution, type Failure, FailureKind } from "../../../base/failure";
@@ -19,6 +18,7 @@
 } from "../constants";
 import { JobState } from "../jobClient";
 import { readCheckpoint, writeCheckpoint } from "./checkpoints";
+import { createUniqueId } from "./createUniqueId";
 import { endJob } from "./endJob";
 import type { JobBody, JobRun, JobShared } from "./jobShared";
 import { readBody } from "./readBody";
@@ -80,7 +80,7 @@
     const nowMs = clock.readMonotonicMs();
     const { record } = run.job;
     const context: RequestContext = {
-        requestId: ulid(),
+        requestId: createUniqueId(shared.options),
         accountName: record.accountName,
         className: record.className,
         isIdempotent: record.isIdempotent,
--- a/src/tasks/jobs/_lib/submitJob.ts
+++ b/src/tasks/jobs/_lib/submitJob.ts
@@ -3,7 +3,6 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import stringify from "json-stable-stringify";
-import { ulid } from "ulid";
 import { createFailure } from "../../../base/createFailure";
 import { type Failure, FailureKind } from "../../../base/failure";
 import { Metric } from "../../../base/metrics/metric";
@@ -16,6 +15,7 @@
 import { waitForStore } from "../../claims/_lib/waitForStore";
 import { ACCEPTANCE_RETRY_MS, WAITING_ACCEPTANCES } from "../constants";
 import { JobState } from "../jobClient";
+import { createUniqueId } from "./createUniqueId";
 import type { JobBody, JobRun, JobShared } from "./jobShared";
 import { readJobRows } from "./readJobRows";
 
@@ -92,7 +92,7 @@
     const leftMs = Math.min(LONGEST_JOB_MS, context.deadlineAtMs - clock.readMonotonicMs());
     const { accountName, className, isIdempotent, idempotencyKey } = context;
     return {
-        jobId: buildJobId(nowWallMs, ulid().slice(ULID_TIME_CHARACTERS)),
+        jobId: buildJobId(nowWallMs, createUniqueId(shared.options).slice(ULID_TIME_CHARACTERS)),
         accountName,
         className,
         isIdempotent,
--- a/src/tasks/jobs/jobs.test.ts
+++ b/src/tasks/jobs/jobs.test.ts
@@ -206,6 +206,7 @@
         world.nodes[0]!.setCutOff(false);
         await waitMs(world, 30_000);
         assert.deepEqual(await readAt(world, 1, jobId), view);
+        assert.deepEqual((world.nodes[0]!.jobs.dumpState() as { running: string[] }).running, []);
     });
 
     it("is not run again if it may not be repeated, and fails as unknown", async () => {
