--- a/src/base/metrics/metric.ts
+++ b/src/base/metrics/metric.ts
@@ -37,15 +37,11 @@
 
 /** Every metric. */
 export enum Metric {
-    RequestsReceived = "requests.received",
     RequestsFinished = "requests.finished",
     RequestsOpen = "requests.open",
-    ConnectionsOpen = "connections.open",
     FirstTokenTime = "answers.first_token",
     TokenGap = "answers.token_gap",
     AnswerTime = "answers.whole",
-    TokensPrompt = "tokens.prompt",
-    TokensCached = "tokens.cached",
     TokensGenerated = "tokens.generated",
     TokensRecomputed = "tokens.recomputed",
     AdmissionWaiting = "admission.waiting",
@@ -79,7 +75,7 @@
     FleetCost = "fleet.cost_per_hour",
     LeasesLost = "leases.lost",
     InvariantBreaches = "invariants.breaches",
-    TaskRestarts = "tasks.restarts",
+    TaskFailures = "tasks.failures",
     OperatorRequests = "operators.requests",
     ResidentMemory = "process.resident_memory",
     EventLoopDelay = "process.event_loop_delay",
@@ -95,19 +91,15 @@
 
 const { Counter, Gauge, Timing } = MetricKind;
 const { Bytes, Count, Micros, Milliseconds, Ratio, Tokens } = MetricUnit;
-const { Account, Class, Invariant, Operation, Outcome, Service, Task, Topic, Version } = MetricTag;
+const { Class, Invariant, Operation, Outcome, Service, Task, Topic, Version } = MetricTag;
 
 /** Kind, unit, tags and meaning of each metric. */
 export const METRIC_DESCRIPTIONS: Readonly<Record<Metric, MetricDescription>> = {
-    [Metric.RequestsReceived]: define(Counter, Count, [Account, Class], "Requests whose class is known"),
     [Metric.RequestsFinished]: define(Counter, Count, [Class, Outcome], "Requests ended, by `ok` or kind of failure"),
     [Metric.RequestsOpen]: define(Gauge, Count, [], "Requests in progress on this node"),
-    [Metric.ConnectionsOpen]: define(Gauge, Count, [], "Open connections of callers"),
     [Metric.FirstTokenTime]: define(Timing, Milliseconds, [Class], "From the request to its first token"),
-    [Metric.TokenGap]: define(Timing, Milliseconds, [Class], "Time between token batches of a stream"),
+    [Metric.TokenGap]: define(Timing, Milliseconds, [Class], "Mean time between the tokens of one attempt"),
     [Metric.AnswerTime]: define(Timing, Milliseconds, [Class], "From the request to the end of its answer"),
-    [Metric.TokensPrompt]: define(Counter, Tokens, [Class], "Prompt tokens of finished requests"),
-    [Metric.TokensCached]: define(Counter, Tokens, [Class], "Prompt tokens found in a prefix cache"),
     [Metric.TokensGenerated]: define(Counter, Tokens, [Class], "Tokens sent to callers"),
     [Metric.TokensRecomputed]: define(Counter, Tokens, [Class], "Tokens prefilled again by a resumed request"),
     [Metric.AdmissionWaiting]: define(Gauge, Count, [Class], "Requests waiting for admission"),
@@ -149,19 +141,24 @@
     [Metric.ExchangeDropped]: define(Counter, Count, [Topic], "Updates dropped to stay inside the byte budget"),
     [Metric.VmsLeaving]: define(Gauge, Count, [], "VMs known to be leaving"),
     [Metric.MoveShare]: define(Gauge, Ratio, [Service], "Share of new requests that goes to the new version"),
-    [Metric.MovesEnded]: define(Counter, Count, [Service, Outcome], "Version moves ended, by `done` or `taken_back`"),
+    [Metric.MovesEnded]: define(
+        Counter,
+        Count,
+        [Service, Outcome],
+        "Version moves that this node saw end, by `done` or `taken_back`",
+    ),
     [Metric.VersionsBraked]: define(
         Counter,
         Count,
         [Service, Version],
         "Versions that this node stopped sending work to",
     ),
-    [Metric.FleetVms]: define(Gauge, Count, [Service], "VMs that the fleet plan asks for"),
+    [Metric.FleetVms]: define(Gauge, Count, [Service], "Live VMs behind a service"),
     [Metric.FleetStartsRefused]: define(Counter, Count, [Service], "Starts of VMs that the platform refused"),
     [Metric.FleetCost]: define(Gauge, Micros, [Service], "Price an hour of the VMs in use"),
     [Metric.LeasesLost]: define(Counter, Count, [Task], "Leases lost before they were given up"),
     [Metric.InvariantBreaches]: define(Counter, Count, [Invariant], "Invariants found broken"),
-    [Metric.TaskRestarts]: define(Counter, Count, [Task], "Tasks started again after a failure"),
+    [Metric.TaskFailures]: define(Counter, Count, [Task], "Failures that tasks reported"),
     [Metric.OperatorRequests]: define(Counter, Count, [Operation, Outcome], "Requests of operators"),
     [Metric.ResidentMemory]: define(Gauge, Bytes, [], "Resident memory of the process"),
     [Metric.EventLoopDelay]: define(Timing, Milliseconds, [], "How late timers of the process fire"),
--- /dev/null
+++ b/src/tasks/metrics/collectGauges.ts
@@ -0,0 +1,53 @@
+/**
+ * @module The gauges of a node.
+ */
+import { Metric } from "../../base/metrics/metric";
+import type { MetricTags } from "../../base/metrics/metrics";
+import { type Configuration, MoveState } from "../../model/configuration";
+import { type VmRecord, VmState } from "../../model/endpoint";
+import type { NodeRevision } from "../../nodes/revisionExchange";
+
+/** What the gauges are taken from. */
+export interface GaugeFacts {
+    readonly configuration: Configuration;
+    readonly nodes: readonly NodeRevision[];
+    readonly vms: readonly VmRecord[];
+    readonly openRequests: number;
+    readonly residentBytes: number;
+}
+
+/** The value of a gauge. */
+export interface GaugeSample {
+    readonly metric: Metric;
+    readonly value: number;
+    readonly tags?: MetricTags;
+}
+
+/**
+ * Collects the value of each gauge.
+ *
+ * @param facts - The node as it is now
+ * @returns One entry a gauge and set of tags
+ * @example
+ * collectGauges(facts).forEach(({ metric, value, tags }) => metrics.setGauge(metric, value, tags));
+ */
+export function collectGauges(facts: GaugeFacts): readonly GaugeSample[] {
+    const { configuration, nodes, vms } = facts;
+    const suspects = nodes.filter(node => node.isSuspect).length;
+    return [
+        { metric: Metric.ConfigurationRevision, value: configuration.revision },
+        { metric: Metric.NodesLive, value: nodes.length - suspects },
+        { metric: Metric.NodesSuspect, value: suspects },
+        { metric: Metric.VmsLeaving, value: vms.filter(vm => vm.state === VmState.Leaving).length },
+        { metric: Metric.RequestsOpen, value: facts.openRequests },
+        { metric: Metric.ResidentMemory, value: facts.residentBytes },
+        ...Object.values(configuration.versionMoves)
+            .filter(move => move.state === MoveState.Moving)
+            .map(move => ({ metric: Metric.MoveShare, value: move.share, tags: { service: move.serviceName } })),
+        ...Object.keys(configuration.services).map(service => ({
+            metric: Metric.FleetVms,
+            value: vms.filter(vm => vm.serviceName === service && vm.state === VmState.Live).length,
+            tags: { service },
+        })),
+    ];
+}
