--- a/src/standins/constants.ts
+++ b/src/standins/constants.ts
@@ -5,6 +5,9 @@
 /** Address that stand-ins listen on; nothing outside of the machine can reach them. */
 export const LOOPBACK_ADDRESS = "127.0.0.1";
 
+/** Path of generations at a model runner; the route that faults of versions are held against. */
+export const GENERATION_PATH = "/v1/chat/completions";
+
 /** Largest body a stand-in reads; a longer one ends the connection. */
 export const LARGEST_BODY_BYTES = 64 * 1024 * 1024;
 
--- a/src/standins/createModelRunnerStandin.ts
+++ b/src/standins/createModelRunnerStandin.ts
@@ -13,7 +13,7 @@
 import { FaultKind, type FaultFacts, type FaultSwitches } from "./fault";
 import type { StandinCall, StandinReply } from "./_lib/standinCall";
 import { type StandinOptions, startStandinServer } from "./_lib/startStandinServer";
-import { TRANSFER_BYTES_PER_SECOND, WEIGHT_WAIT_MS } from "./constants";
+import { GENERATION_PATH, TRANSFER_BYTES_PER_SECOND, WEIGHT_WAIT_MS } from "./constants";
 import { type EngineOutput, EngineOutputKind, type EngineSettings } from "./modelEngine/engineState";
 import { measureEngineLoad } from "./modelEngine/measureEngineLoad";
 import { createCacheExchange } from "./modelRunner/createCacheExchange";
@@ -117,7 +117,8 @@
     const task = createEngineTask({
         clock,
         settings: options.engine,
-        readStepDelayMs: () => readGate().strike(FaultKind.VersionSlow, readFacts())?.delayMs ?? 0,
+        readStepDelayMs: () =>
+            readGate().strike(FaultKind.VersionSlow, { ...readFacts(), route: GENERATION_PATH })?.delayMs ?? 0,
         handleOutput,
     });
     const history = createLoadHistory(clock, () => measureEngineLoad(task.engine));
@@ -137,7 +138,7 @@
         clock,
         readFacts,
         routes: [
-            { method: "POST", path: "/v1/chat/completions", handle: generations.handleGeneration },
+            { method: "POST", path: GENERATION_PATH, handle: generations.handleGeneration },
             { method: "GET", path: "/health", handle: () => ({ status: 200 }) },
             { method: "GET", path: "/redwinglift/load", handle: readLoad },
             {
--- a/src/standins/standins.test.ts
+++ b/src/standins/standins.test.ts
@@ -3,6 +3,7 @@
 import { createInterface } from "node:readline";
 import { describe, it } from "node:test";
 import { sendHttpCall } from "../adapters/_lib/sendHttpCall";
+import { createChat, readEvents } from "../adapters/contracts/_lib/generations";
 import { waitUntil } from "../adapters/contracts/waitUntil";
 import { createHttpCloud } from "../adapters/httpCloud/createHttpCloud";
 import { createHttpModelRunner } from "../adapters/httpModelRunner/createHttpModelRunner";
@@ -11,8 +12,9 @@
 import { VmRole, VmState } from "../model/endpoint";
 import { RunnerOrderKind } from "../ports/modelRunner";
 import { createFaultGate } from "./_lib/createFaultGate";
+import { createModelRunnerStandin } from "./createModelRunnerStandin";
 import { createStandinFleet, type FleetVm } from "./createStandinFleet";
-import { FaultKind } from "./fault";
+import { FaultKind, type FaultRule } from "./fault";
 
 const vm: FleetVm = {
     role: VmRole.ModelRunner,
@@ -114,6 +116,30 @@
     });
 });
 
+describe("A slow version", () => {
+    const measureGapMs = async (rule: FaultRule): Promise<number> => {
+        const runner = await createModelRunnerStandin({ engine: { tokenGapMs: 1 }, version: "v2" });
+        const adapter = createHttpModelRunner();
+        runner.setFaults([rule]);
+        const endpoint = createEndpoint(VmRole.ModelRunner, runner);
+        const request = { id: { requestId: "r", attempt: 1 }, chat: createChat(6), priority: 0, resumedTexts: [] };
+        const read = await readEvents(adapter.openGeneration(endpoint, request));
+        const load = (await adapter.readLoad(endpoint))._unsafeUnwrap();
+        adapter.dispose();
+        runner.dispose();
+        assert.ok(read.isFinished);
+        return load.tokenGapMs;
+    };
+    it("widens its token gap, on its route and from its load on only", async () => {
+        const kind = FaultKind.VersionSlow;
+        assert.equal(await measureGapMs({ kind, version: "v2", delayMs: 30 }), 31);
+        assert.equal(await measureGapMs({ kind, version: "v1", delayMs: 30 }), 1);
+        assert.equal(await measureGapMs({ kind, minimumRunning: 2, delayMs: 30 }), 1);
+        assert.equal(await measureGapMs({ kind, route: "/v1/chat", delayMs: 30 }), 31);
+        assert.equal(await measureGapMs({ kind, route: "/v1/embeddings", delayMs: 30 }), 1);
+    });
+});
+
 describe("redwinglift-standins", () => {
     it("prints its addresses as one line, serves, and ends on SIGTERM", async context => {
         const child = spawn(process.execPath, ["--import", "tsx", "src/standins/main.ts", "--model-runners", "0"], {
