--- a/src/decisions/membership/chooseNeighbours.ts
+++ b/src/decisions/membership/chooseNeighbours.ts
@@ -13,7 +13,8 @@
  *
  * @param self - The node that chooses; it may be leaving
  * @param roster - All members that are neither dead nor gone
- * @returns Its successors, each once, those of the regional rings first
+ * @returns Its successor on each ring; one that succeeds it on several rings stands there as often, so that all nodes
+ * are called equally often when the list is walked in turn
  * @example
  * chooseNeighbours(self, listRoster(state)).map(member => member.nodeId);
  */
@@ -24,7 +25,7 @@
         ...Array.from({ length: REGION_RINGS }, (_unused, ring) => findSuccessor(self, regional, ring)),
         ...Array.from({ length: GLOBAL_RINGS }, (_unused, ring) => findSuccessor(self, usable, REGION_RINGS + ring)),
     ];
-    return [...new Set(rings)].filter(member => member !== undefined);
+    return rings.filter(member => member !== undefined);
 }
 
 function findSuccessor(self: Member, ring: readonly Member[], seed: number): Member | undefined {
--- a/src/decisions/membership/constants.ts
+++ b/src/decisions/membership/constants.ts
@@ -25,15 +25,21 @@
 /** Groups of entries in a digest, and parts of a group in its detail. */
 export const DIGEST_GROUPS = 16;
 /** Bytes a second that a node may send to others, framing included; it receives about as many. */
-export const SENT_BYTES_PER_SECOND = 2_000;
+export const SENT_BYTES_PER_SECOND = 1_800;
 /** Unused bytes that may be saved up for a burst. */
 export const SENT_BURST_BYTES = 10_000;
+/** Lowest state of the budget: signs of life in a rush of joining nodes do not mute a node for long afterwards. */
+export const SENT_DEBT_BYTES = -2_000;
 /** Largest sum of entries in one message. */
 export const ENTRIES_MAX_BYTES = 1_200;
 /** Room for entries in a message when the budget is used up: a sign of life always carries some news. */
 export const ENTRIES_MINIMUM_BYTES = 160;
 /** Bytes that must be left for one exchange to follow another at once. */
-export const FOLLOW_UP_RESERVE_BYTES = 1_500;
+export const FOLLOW_UP_RESERVE_BYTES = 3_500;
+/** Bytes kept back from updates that are soon replaced, so that urgent ones go out at once. */
+export const URGENT_RESERVE_BYTES = 2_500;
+/** Topics of this priority and beyond are soon replaced by newer updates. */
+export const REPLACEABLE_PRIORITY = 4;
 /** Bytes of a message besides its entries: framing, digest and bits of who has applied a revision. */
 export const MESSAGE_BASE_BYTES = 400;
 /** Times an entry is sent on, besides the logarithm of the number of nodes. */
@@ -56,3 +62,5 @@
 export const JOIN_MS = 60_000;
 /** Time between two such looks; the first exchanges of many nodes that start together depend on it. */
 export const JOIN_PERIOD_MS = 1_400;
+/** Wait before what is new about applied revisions is passed on; news of several nodes go together. */
+export const SPREAD_DELAY_MS = 150;
--- a/src/decisions/membership/exchangeState.ts
+++ b/src/decisions/membership/exchangeState.ts
@@ -4,12 +4,13 @@
 import { type Entry, type ExchangeMessage, encodeExchange } from "../../nodes/nodeMessages";
 import { isOutdated } from "./advanceMembership";
 import { type AppliedRevisions, encodeApplied, hashRoster, mergeApplied, recordRevision } from "./appliedRevisions";
-import { ENTRIES_MINIMUM_BYTES, MESSAGE_BASE_BYTES } from "./constants";
+import { ENTRIES_MINIMUM_BYTES, MESSAGE_BASE_BYTES, REPLACEABLE_PRIORITY, URGENT_RESERVE_BYTES } from "./constants";
 import { collectEntries, compareSums, computeDetail, computeDigest } from "./digests";
 import { buildMemberEntry, MemberCondition } from "./member";
 import { listRoster, type MembershipChange, type MembershipState, receiveEntries } from "./membershipState";
 import { type PendingEntries, pickEntries, queueEntries } from "./pickEntries";
 import { chargeBudget, refreshBudget, type SendBudget } from "./sendBudget";
+import { TOPIC_POLICIES } from "./topicPolicies";
 
 /** What was found to differ from one other node. */
 export interface Difference {
@@ -80,7 +81,9 @@
     const difference = state.differences.get(peerId);
     const owed = [...listDoubts(membership, peerId), ...(difference?.owed ?? [])];
     const room = Math.max(ENTRIES_MINIMUM_BYTES, budget.bytes - MESSAGE_BASE_BYTES);
-    const picked = pickEntries(state.pending, owed, room);
+    const held = budget.bytes > URGENT_RESERVE_BYTES ? new Map() : filterReplaceable(state.pending);
+    const sendable = new Map([...state.pending].filter(([entryId]) => !held.has(entryId)));
+    const picked = pickEntries(sendable, owed, room);
     const rosterIds = listRoster(membership).map(member => member.nodeId);
     const isRich = budget.bytes > 0;
     const group = isRich ? difference?.group : undefined;
@@ -96,7 +99,13 @@
     const differences = new Map(state.differences);
     differences.delete(peerId);
     const charged = chargeBudget(budget, body.length + MESSAGE_BASE_BYTES - DIGEST_AND_BITS_BYTES);
-    return { state: { ...state, pending: picked.pending, budget: charged, differences }, body };
+    return { state: { ...state, pending: new Map([...picked.pending, ...held]), budget: charged, differences }, body };
+}
+
+function filterReplaceable(pending: PendingEntries): PendingEntries {
+    return new Map(
+        [...pending].filter(([, { entry }]) => TOPIC_POLICIES[entry.topic].priority >= REPLACEABLE_PRIORITY),
+    );
 }
 
 /** Part of `MESSAGE_BASE_BYTES` that stands in the body itself; the rest is framing. */
--- a/src/decisions/membership/membershipDecisions.test.ts
+++ b/src/decisions/membership/membershipDecisions.test.ts
@@ -6,7 +6,14 @@
 import { advanceMembership, findLostScope, isOutdated, LostScope } from "./advanceMembership";
 import { encodeApplied, mergeApplied, recordRevision } from "./appliedRevisions";
 import { chooseNeighbours } from "./chooseNeighbours";
-import { DOMAIN_HOLD_MS, ENTRIES_MAX_BYTES, REGION_HOLD_MS, SUSPICION_MS, TOMBSTONE_MS } from "./constants";
+import {
+    DOMAIN_HOLD_MS,
+    ENTRIES_MAX_BYTES,
+    REGION_HOLD_MS,
+    SENT_BYTES_PER_SECOND,
+    SUSPICION_MS,
+    TOMBSTONE_MS,
+} from "./constants";
 import { collectEntries, compareSums, computeDetail, computeDigest } from "./digests";
 import { type Knowledge, mergeEntries } from "./entries";
 import { buildMemberEntry, type Member, MemberCondition } from "./member";
@@ -245,7 +252,7 @@
                 sent += 500;
             }
         }
-        assert.ok(sent <= 60 * 2_000);
+        assert.ok(sent <= 60 * SENT_BYTES_PER_SECOND);
     });
 
     it("leaves out digested entries that are too old", () => {
--- a/src/decisions/membership/sendBudget.ts
+++ b/src/decisions/membership/sendBudget.ts
@@ -1,7 +1,7 @@
 /**
  * @module The budget that bounds a node's traffic with other nodes.
  */
-import { SENT_BURST_BYTES, SENT_BYTES_PER_SECOND } from "./constants";
+import { SENT_BURST_BYTES, SENT_BYTES_PER_SECOND, SENT_DEBT_BYTES } from "./constants";
 
 /** Bytes that may be sent now. Signs of life are sent in any case and may take it below zero. */
 export interface SendBudget {
@@ -17,7 +17,7 @@
  * @param nowMs - Monotonic milliseconds
  * @returns The budget now, at most a burst
  * @example
- * refreshBudget({ bytes: 0, updatedAtMs: 0 }, 1_000).bytes; //=> 2_000
+ * refreshBudget({ bytes: 0, updatedAtMs: 0 }, 1_000).bytes; //=> 1_800
  */
 export function refreshBudget(budget: SendBudget, nowMs: number): SendBudget {
     const grown = ((nowMs - budget.updatedAtMs) / 1_000) * SENT_BYTES_PER_SECOND;
@@ -34,5 +34,5 @@
  * chargeBudget(budget, 540);
  */
 export function chargeBudget(budget: SendBudget, bytes: number): SendBudget {
-    return { ...budget, bytes: budget.bytes - bytes };
+    return { ...budget, bytes: Math.max(SENT_DEBT_BYTES, budget.bytes - bytes) };
 }
--- a/src/nodes/_lib/constants.ts
+++ b/src/nodes/_lib/constants.ts
@@ -5,7 +5,7 @@
 /** Bytes that a unary call adds to its bodies in each direction: HTTP/2 frames, TLS records, TCP and IP headers. */
 export const CALL_OVERHEAD_BYTES = 250;
 /** Bytes that opening a connection costs in each direction: TCP, mutual TLS and the first HTTP/2 frames. */
-export const CONNECTION_OVERHEAD_BYTES = 3_500;
+export const CONNECTION_OVERHEAD_BYTES = 2_000;
 /** A link that carried no call for so long is closed. */
 export const LINK_IDLE_MS = 30_000;
 /** A silent peer is found by this ping at the latest; calls find it sooner by their own timeouts. */
--- a/src/tasks/membership/_lib/createExchanger.ts
+++ b/src/tasks/membership/_lib/createExchanger.ts
@@ -15,6 +15,7 @@
     OWN_PAUSE_MS,
     RECONNECT_PERIOD_MS,
     SENT_BURST_BYTES,
+    SPREAD_DELAY_MS,
 } from "../../../decisions/membership/constants";
 import {
     applyMembershipChange,
@@ -98,6 +99,7 @@
     const startedAtMs = clock.readMonotonicMs();
     let reconnectedAtMs = Number.NEGATIVE_INFINITY;
     let isFlushQueued = false;
+    let isSpreadQueued = false;
     /** Nodes with an exchange on its way; true if another one must follow at once. */
     const open = new Map<string, boolean>();
     const probing = new Set<string>();
@@ -173,12 +175,30 @@
                 send({ kind: MessageKind.ExchangeEnded, nodeId: peer.nodeId, result, startedAtMs, isReconnect }),
             );
     };
+    const beginTurn = () => {
+        const peers = listNeighbours();
+        const peer = peers[turn++ % Math.max(1, peers.length)];
+        if (peer !== undefined) {
+            beginExchange(peer);
+        }
+    };
+    /** Passes on soon what was learned of who has applied a revision, instead of with the next turn. */
+    const queueSpread = () => {
+        if (!isSpreadQueued) {
+            isSpreadQueued = true;
+            void clock.waitMs(SPREAD_DELAY_MS).then(() => send({ kind: MessageKind.Spread }));
+        }
+    };
     const takeInBody = (body: Uint8Array): string | undefined => {
         const message = decodeExchange(body);
         if (message.isErr()) {
             return undefined;
         }
+        const { revisions } = state;
         setChange(receiveExchange(state, message.value, readTime()));
+        if (state.revisions !== revisions) {
+            queueSpread();
+        }
         if (message.value.revision > state.ownRevision) {
             hooks.onRevision(message.value.fromNodeId, message.value.revision);
         }
@@ -234,11 +254,7 @@
             wokeAtMs = nowMs - state.membership.tickedAtMs > OWN_PAUSE_MS ? nowMs : wokeAtMs;
             const goneNodeIds = findGoneNodeIds(seeds, state.membership.members.values());
             setMembership(advanceMembership(state.membership, { nowMs, wallMs, goneNodeIds }));
-            const peers = listNeighbours();
-            const peer = peers[turn++ % Math.max(1, peers.length)];
-            if (peer !== undefined) {
-                beginExchange(peer);
-            }
+            beginTurn();
             reconnect();
         },
         [MessageKind.ExchangeReceived]: ({ body, reply }) => {
@@ -292,12 +308,17 @@
             isFlushQueued = false;
             const { bytes } = refreshBudget(state.budget, clock.readMonotonicMs());
             const affordable = Math.max(0, Math.floor(bytes / MESSAGE_BASE_BYTES));
-            listNeighbours()
-                .slice(0, affordable)
-                .forEach(peer => beginExchange(peer));
+            [...new Set(listNeighbours())].slice(0, affordable).forEach(peer => beginExchange(peer));
             hasToldLeaving = state.membership.isLeaving;
             reportTold();
         },
+        [MessageKind.Spread]: () => {
+            isSpreadQueued = false;
+            const { bytes } = refreshBudget(state.budget, clock.readMonotonicMs());
+            if (bytes > FOLLOW_UP_RESERVE_BYTES) {
+                beginTurn();
+            }
+        },
         [MessageKind.Leave]: () => setMembership(leaveMembership(state.membership, clock.readMonotonicMs())),
     };
     return {
--- a/src/tasks/membership/_lib/messages.ts
+++ b/src/tasks/membership/_lib/messages.ts
@@ -17,6 +17,7 @@
     Publish = "publish",
     Revision = "revision",
     Flush = "flush",
+    Spread = "spread",
     Leave = "leave",
 }
 
@@ -53,4 +54,5 @@
       }
     | { readonly kind: MessageKind.Revision; readonly revision: number }
     | { readonly kind: MessageKind.Flush }
+    | { readonly kind: MessageKind.Spread }
     | { readonly kind: MessageKind.Leave };
