Let requests that may not be repeated use a connection of their own

Cause: a kept connection can be dead, or be closed by its server while a request goes out; for a call that may not be repeated the outcome is then unknown for good, though a new connection would have worked. Change: both runner ports take usesNewConnection; idle connections are closed after 4 s, before common servers do; a stand-in's handler that throws answers 500 instead of ending the process. Conclusion: contract tests reach a runner whose kept connections are all silent.

--- a/src/adapters/_lib/createConnectionPool.ts
+++ b/src/adapters/_lib/createConnectionPool.ts
@@ -3,7 +3,7 @@
  */
 import http from "node:http";
 import type { Disposable } from "../../base/disposableStore";
-import { CONNECTIONS_PER_HOST, IDLE_CONNECTIONS_PER_HOST } from "../constants";
+import { CONNECTIONS_PER_HOST, IDLE_CONNECTION_MS, IDLE_CONNECTIONS_PER_HOST } from "../constants";
 import type { HttpTarget } from "./httpTarget";
 
 /** Kept connections of an adapter. */
@@ -27,6 +27,7 @@
         maxSockets: options.connectionsPerHost ?? CONNECTIONS_PER_HOST,
         maxFreeSockets: IDLE_CONNECTIONS_PER_HOST,
         scheduling: "lifo",
+        timeout: IDLE_CONNECTION_MS,
     });
     return {
         agent,
--- a/src/adapters/constants.ts
+++ b/src/adapters/constants.ts
@@ -20,6 +20,12 @@
 /** Idle connections kept open to one endpoint or service. */
 export const IDLE_CONNECTIONS_PER_HOST = 16;
 
+/**
+ * Age at which an idle connection is closed. Shorter than the 5 seconds after which common servers close theirs: a
+ * request on a connection that its server is closing would end with an unknown outcome.
+ */
+export const IDLE_CONNECTION_MS = 4_000;
+
 /** Largest answer that is read whole; a longer one fails. */
 export const LARGEST_ANSWER_BYTES = 64 * 1024 * 1024;
 
--- a/src/adapters/contracts/defineApplicationRunnerContract.ts
+++ b/src/adapters/contracts/defineApplicationRunnerContract.ts
@@ -49,10 +49,15 @@
     const callService = (
         { port, endpoint }: ApplicationRunnerSubject,
         key: string,
-        options: { readonly path?: string; readonly cancelled?: AbortSignal } = {},
+        options: {
+            readonly path?: string;
+            readonly cancelled?: AbortSignal;
+            readonly usesNewConnection?: boolean;
+        } = {},
     ) =>
         port.callService(endpoint, { requestId: `request-${key}`, attempt: 1 }, createCall(key, options.path), {
             timeoutMs: CONTRACT_TIMEOUTS.firstByteMs,
+            usesNewConnection: options.usesNewConnection,
             cancelled: options.cancelled ?? new AbortController().signal,
         });
 
@@ -98,6 +103,16 @@
                 assert.equal(subject.countExecutions("k"), 0);
             }),
         );
+        void it(
+            "on a new connection where asked to, while the kept ones are silent",
+            withSubject(async subject => {
+                assert.ok((await callService(subject, "a")).isOk());
+                subject.faults.setFaults([{ kind: FaultKind.ConnectionsSilent }]);
+                assert.ok((await callService(subject, "b", { usesNewConnection: true })).isOk());
+                assert.equal(subject.countExecutions("b"), 1);
+                assert.ok((await callService(subject, "c")).isErr());
+            }),
+        );
         void it(
             "each on a connection of its own while it lasts",
             withSubject(async subject => {
--- a/src/adapters/contracts/defineGenerationContract.ts
+++ b/src/adapters/contracts/defineGenerationContract.ts
@@ -202,6 +202,16 @@
                 assert.equal(subject.countConnections(), lengths.length);
             }),
         );
+        void it(
+            "on a new connection where asked to, while the kept ones are silent",
+            withSubject(async subject => {
+                assert.ok((await readEvents(openGeneration(subject, "a", 3))).isFinished);
+                subject.faults.setFaults([{ kind: FaultKind.ConnectionsSilent }]);
+                const fresh = openGeneration(subject, "b", 3, { usesNewConnection: true });
+                assert.ok((await readEvents(fresh)).isFinished);
+                assert.equal((await readEvents(openGeneration(subject, "c", 3))).isFinished, false);
+            }),
+        );
         void it(
             "until they are cancelled, which also ends them at the engine",
             withSubject(async subject => {
--- a/src/adapters/httpApplicationRunner/createHttpApplicationRunner.ts
+++ b/src/adapters/httpApplicationRunner/createHttpApplicationRunner.ts
@@ -40,7 +40,7 @@
     const { timeouts } = options;
     const pool = createConnectionPool(options);
     return {
-        callService: async (endpoint, id, call, { timeoutMs, cancelled }) => {
+        callService: async (endpoint, id, call, { timeoutMs, cancelled, usesNewConnection }) => {
             const headers = {
                 ...filterHeaders(call.headers),
                 [REQUEST_ID_HEADER]: id.requestId,
@@ -56,7 +56,7 @@
                     timeouts: { ...timeouts, firstByteMs: timeoutMs },
                     cancelled,
                 },
-                pool,
+                usesNewConnection === true ? undefined : pool,
             );
             return answer.andThen(value => {
                 if (!isOwnAnswer(value, id.requestId, String(id.attempt))) {
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -49,7 +49,7 @@
     const { connectMs, firstByteMs, silenceMs = SILENCE_TIMEOUT_MS } = options.timeouts ?? {};
     const callId = `${id.requestId}/${id.attempt}`;
     const body = formatGeneration(request);
-    const call = createRequest(endpoint, body.length, callId, pool);
+    const call = createRequest(endpoint, body.length, callId, request.usesNewConnection === true ? undefined : pool);
     let response: http.IncomingMessage | undefined;
     let isReaderSlow = false;
 
@@ -143,14 +143,14 @@
     endpoint: Endpoint,
     bodyBytes: number,
     callId: string,
-    pool: ConnectionPool,
+    pool: ConnectionPool | undefined,
 ): http.ClientRequest {
     return http.request({
         host: endpoint.address,
         port: endpoint.port,
         method: "POST",
         path: "/v1/chat/completions",
-        agent: pool.agent,
+        agent: pool?.agent ?? false,
         headers: { "content-type": "application/json", "content-length": bodyBytes, "x-request-id": callId },
     });
 }
--- a/src/ports/applicationRunner.ts
+++ b/src/ports/applicationRunner.ts
@@ -22,7 +22,12 @@
         endpoint: Endpoint,
         id: AttemptId,
         call: ServiceCall,
-        options: { readonly timeoutMs: number; readonly cancelled: AbortSignal },
+        options: {
+            readonly timeoutMs: number;
+            readonly cancelled: AbortSignal;
+            /** Uses no kept connection, which may be dead: for calls that may not be repeated (default false). */
+            readonly usesNewConnection?: boolean;
+        },
     ): Promise<Result<ServiceAnswer, Failure>>;
     readLoad(endpoint: Endpoint): Promise<Result<EndpointLoad, Failure>>;
     /** Asks for a sign of life on a new connection. */
--- a/src/ports/modelRunner.ts
+++ b/src/ports/modelRunner.ts
@@ -17,6 +17,8 @@
     readonly resumedTexts: readonly string[];
     /** Id of imported KV cache to continue from, where `importCache` succeeded. */
     readonly importedCacheId?: string;
+    /** Uses no kept connection, which may be dead: for requests that may not be repeated (default false). */
+    readonly usesNewConnection?: boolean;
 }
 
 /** A stream of tokens being generated. */
--- a/src/standins/_lib/runCall.ts
+++ b/src/standins/_lib/runCall.ts
@@ -4,6 +4,8 @@
 import type { Clock } from "../../base/clock";
 import { type FaultFacts, FaultKind } from "../fault";
 import type { FaultGate } from "./createFaultGate";
+import { sendDoubledReply } from "./sendDoubledReply";
+import { sendHalfReply } from "./sendHalfReply";
 import { sendReply } from "./sendReply";
 import type { StandinCall, StandinReply, StandinRoute } from "./standinCall";
 
@@ -13,10 +15,10 @@
     readonly clock: Clock;
     readonly routes: readonly StandinRoute[];
     readonly readFacts: (route: string) => FaultFacts;
+    /** The last reply of the stand-in, which `AnswerCrossed` sends again; replaced by each reply. */
+    readonly replies: { last?: { readonly call: StandinCall; readonly reply: StandinReply } };
 }
 
-const lastReplies = new WeakMap<FaultGate, { readonly call: StandinCall; readonly reply: StandinReply }>();
-
 /**
  * Runs a call: faults before the effect, the route's handler, faults after the effect, the reply.
  *
@@ -24,7 +26,7 @@
  * @param options - Routes and faults
  * @returns A promise that resolves once the call has ended
  * @example
- * await runCall(call, { gate, clock, routes, readFacts });
+ * await runCall(call, { gate, clock, routes, readFacts, replies: {} });
  */
 export async function runCall(call: StandinCall, options: RunCallOptions): Promise<void> {
     const { gate, clock } = options;
@@ -46,12 +48,20 @@
         sendReply(call, { status: 404, body: { effect: "none" } });
         return;
     }
-    const reply = await route.handle(call);
+    const reply = await runHandler(route, call);
     if (reply !== undefined && !call.isSilent()) {
         await sendThroughFaults(call, reply, facts, options);
     }
 }
 
+async function runHandler(route: StandinRoute, call: StandinCall): Promise<StandinReply | undefined> {
+    try {
+        return await route.handle(call);
+    } catch (error) {
+        return { status: 500, body: { error: { message: String(error) } } };
+    }
+}
+
 function findRoute(routes: readonly StandinRoute[], call: StandinCall): StandinRoute | undefined {
     return routes.find(
         route => (route.method === undefined || route.method === call.method) && call.path.startsWith(route.path),
@@ -62,7 +72,7 @@
     call: StandinCall,
     reply: StandinReply,
     facts: FaultFacts,
-    { gate, clock }: RunCallOptions,
+    { gate, clock, replies }: RunCallOptions,
 ): Promise<void> {
     const late = gate.strike(FaultKind.AnswerLate, facts);
     if (late !== undefined) {
@@ -73,43 +83,19 @@
         return;
     }
     if (gate.strike(FaultKind.AnswerCut, facts) !== undefined) {
-        sendHalf(call, reply);
+        sendHalfReply(call, reply);
         return;
     }
-    const previous = lastReplies.get(gate);
-    lastReplies.set(gate, { call, reply });
+    const previous = replies.last;
+    replies.last = { call, reply };
     if (previous !== undefined && gate.strike(FaultKind.AnswerCrossed, facts) !== undefined) {
         sendReply({ ...previous.call, response: call.response }, previous.reply);
         return;
     }
     const doubled = gate.strike(FaultKind.AnswerDoubled, facts);
     if (doubled !== undefined) {
-        sendDoubled(call, reply, () => clock.waitMs(doubled.delayMs ?? 0));
+        sendDoubledReply(call, reply, () => clock.waitMs(doubled.delayMs ?? 0));
         return;
     }
     sendReply(call, reply);
 }
-
-function sendHalf(call: StandinCall, reply: StandinReply): void {
-    const body = JSON.stringify(reply.body ?? {});
-    call.response.writeHead(reply.status, { "content-length": body.length + 1 });
-    call.response.write(body.slice(0, Math.ceil(body.length / 2)), () => call.request.socket.destroy());
-}
-
-function sendDoubled(call: StandinCall, reply: StandinReply, waitBeforeSecond: () => Promise<void>): void {
-    const { socket } = call.request;
-    const sent: Buffer[] = [];
-    const write = socket.write.bind(socket) as (...parts: unknown[]) => boolean;
-    const recordWrite = (...parts: unknown[]): boolean => {
-        sent.push(
-            Buffer.from(parts[0] as string, typeof parts[1] === "string" ? (parts[1] as BufferEncoding) : "utf8"),
-        );
-        return write(...parts);
-    };
-    Object.assign(socket, { write: recordWrite });
-    call.response.once("finish", () => {
-        Object.assign(socket, { write });
-        void waitBeforeSecond().then(() => write(Buffer.concat(sent)));
-    });
-    sendReply(call, reply);
-}
--- a/src/standins/_lib/startStandinServer.ts
+++ b/src/standins/_lib/startStandinServer.ts
@@ -59,6 +59,7 @@
     const gate = createFaultGate({ clock, seed: options.seed ?? 1 });
     const sockets = new Set<Socket>();
     const silent = new WeakSet<Socket>();
+    const replies = {};
     const readFacts = (route: string): FaultFacts => ({ ...options.readFacts?.(), route });
 
     const main = createServer(sockets, (request, response) => {
@@ -67,7 +68,7 @@
                 ? undefined
                 : call.path === "/faults"
                   ? handleControlCall(call, gate, setFaults)
-                  : runCall(call, { gate, clock, routes: options.routes, readFacts }),
+                  : runCall(call, { gate, clock, routes: options.routes, readFacts, replies }),
         );
     });
     const control = createServer(new Set(), (request, response) => {
