Lose a lease also when a VM was suspended with its monotonic clock

Cause: a suspended VM may find its monotonic clock unmoved and would count its lease as held. Change: a holder's check counts whatever the wall clock has moved further since the last write; a taker still waits by its monotonic clock alone. A test also lets the accepting node die before it has told anyone of a change. Conclusion: a wall clock set forward ends leases early, which is safe.

--- a/src/tasks/configuration/configurationTask.test.ts
+++ b/src/tasks/configuration/configurationTask.test.ts
@@ -204,6 +204,15 @@
         assert.ok((await simulated.runUntil(() => haveAll(nodes, 2), 10_000)) !== undefined, "a node that wakes");
     });
 
+    it("reaches the others by polling when the accepting node dies before it has told anyone", async () => {
+        const { simulated, nodes, commit } = createNodes(9);
+        await simulated.runFor(10_000);
+        simulated.network.removeHost("node-3");
+        assert.ok((await commit(nodes[3]!, "v1")).isOk());
+        const others = nodes.filter(node => node.nodeId !== "node-3");
+        assert.ok((await simulated.runUntil(() => haveAll(others, 1), 6_000)) !== undefined);
+    });
+
     it("is loaded by a new node from others of several failure domains while the store is away", async () => {
         const { simulated, nodes, commit, configure } = createNodes(9);
         await simulated.runFor(10_000);
--- a/src/tasks/leases/_lib/createLeaseHandle.ts
+++ b/src/tasks/leases/_lib/createLeaseHandle.ts
@@ -33,7 +33,7 @@
     let released = false;
     const hasEpoch = () => keeper.readState().held?.epoch === held.epoch;
     const isHeld = (effectMs: number) =>
-        !released && hasEpoch() && isLeaseHeld(keeper.readState(), clock.readMonotonicMs(), effectMs);
+        !released && hasEpoch() && isLeaseHeld(keeper.readState(), keeper.readHolderMs(), effectMs);
     const durationMs = keeper.readState().terms.durationMs;
 
     const renewal = startTask(`lease ${name}`, function* () {
--- a/src/tasks/leases/_lib/createLeaseKeeper.ts
+++ b/src/tasks/leases/_lib/createLeaseKeeper.ts
@@ -35,6 +35,11 @@
 /** One lease's state and the two calls that change it. Calls are made one at a time. */
 export interface LeaseKeeper {
     readState(): LeaseState;
+    /**
+     * Reads the monotonic milliseconds that a holder's check goes by. A VM that is suspended as a whole may find its
+     * monotonic clock unmoved; where the wall clock has moved further since the last write, that counts.
+     */
+    readHolderMs(): number;
     /** Reads the row and settles writes whose outcome was open. */
     readFromStore(): Promise<Result<void, Failure>>;
     /** Writes the row, conditional on the version expected. */
@@ -69,14 +74,20 @@
             options.onSeen?.(next.seen);
         }
     };
+    const readDriftMs = () => clock.readWallMs() - clock.readMonotonicMs();
+    let driftAtSendMs = readDriftMs();
     return {
         readState: () => state,
+        readHolderMs: () => clock.readMonotonicMs() + Math.max(0, readDriftMs() - driftAtSendMs),
         readFromStore: async () => {
             const row = (await waitBounded(table.readRow(key))).andThen(decodeLeaseRow);
             return row.map(read => setState(applyLeaseRead(state, read, clock.readMonotonicMs())));
         },
         writeToStore: async (row, expectedVersion) => {
             const token = ulid();
+            const isAlone = state.sent.length === 0;
+            const driftMs = readDriftMs();
+            driftAtSendMs = isAlone && state.held === undefined ? driftMs : Math.min(driftAtSendMs, driftMs);
             const transaction = {
                 token,
                 conditions: [{ key, version: expectedVersion }],
@@ -84,6 +95,7 @@
             };
             state = recordLeaseWrite(state, { token, sentAtMs: clock.readMonotonicMs(), row, expectedVersion });
             const answer = await waitBounded(table.commitTransaction(transaction));
+            driftAtSendMs = answer.isOk() ? driftMs : driftAtSendMs;
             const outcome = answer.isOk()
                 ? LeaseWriteOutcome.Accepted
                 : (OUTCOMES[answer.error.kind] ?? LeaseWriteOutcome.Unknown);
--- a/src/tasks/leases/leaseTask.test.ts
+++ b/src/tasks/leases/leaseTask.test.ts
@@ -97,6 +97,19 @@
         assert.ok(taken.checkHeld().isOk());
     });
 
+    it("are lost by a holder whose VM was suspended with its monotonic clock", async () => {
+        const clock = createManualClock();
+        const table = createFakeTable();
+        let suspendedMs = 0;
+        const own = { ...clock, readWallMs: () => clock.readWallMs() + suspendedMs };
+        const task = createLeaseTask({ nodeId: "left", table: table.createClient(own), clock: own });
+        const held = (await runUntilSettled(clock, task.acquireLease("job")))._unsafeUnwrap();
+        await runClock(clock, 12_000);
+        assert.ok(held.checkHeld().isOk());
+        suspendedMs = 11_000;
+        assert.ok(held.checkHeld().isErr());
+    });
+
     it("lapse while the store is away, and are acquired anew when it is back", async () => {
         const { clock, left, acquire } = createPair();
         const held = (await acquire(left))._unsafeUnwrap();
