--- a/src/adapters/_lib/createConnectionPool.ts
+++ b/src/adapters/_lib/createConnectionPool.ts
@@ -16,18 +16,21 @@
 /**
  * Creates a pool.
  *
- * @param options - `connectionsPerHost`: cap on open connections to one address and port
+ * @param options - `connectionsPerHost`: cap on open connections to one address and port; `idleMs`: age at which an
+ * idle one is closed
  * @returns The pool, empty
  * @example
  * const pool = createConnectionPool();
  */
-export function createConnectionPool(options: { readonly connectionsPerHost?: number } = {}): ConnectionPool {
+export function createConnectionPool(
+    options: { readonly connectionsPerHost?: number; readonly idleMs?: number } = {},
+): ConnectionPool {
     const agent = new http.Agent({
         keepAlive: true,
         maxSockets: options.connectionsPerHost ?? CONNECTIONS_PER_HOST,
         maxFreeSockets: IDLE_CONNECTIONS_PER_HOST,
         scheduling: "lifo",
-        timeout: IDLE_CONNECTION_MS,
+        timeout: options.idleMs ?? IDLE_CONNECTION_MS,
     });
     return {
         agent,
