--- a/src/decisions/outcomes/reclaim/decideReclaimMove.ts
+++ b/src/decisions/outcomes/reclaim/decideReclaimMove.ts
@@ -43,7 +43,7 @@
     return {
         move: ReclaimMove.TransferCache,
         recomputedTokens: 0,
-        moveMs: TRANSFER_SETUP_MS + bytes / terms.transferBytesPerMs,
+        moveMs: TRANSFER_SETUP_MS + (bytes * terms.sharingNodes) / terms.transferBytesPerMs,
         costMicros: (bytes / BYTES_PER_MEGABYTE) * terms.microsPerMegabyte,
     };
 }
--- a/src/decisions/outcomes/reclaim/planReclaimWave.ts
+++ b/src/decisions/outcomes/reclaim/planReclaimWave.ts
@@ -14,7 +14,7 @@
 /**
  * Plans a wave. Streams with the least slack to their deadline move first. Exports from one endpoint follow one
  * another, as late as the notice allows: a stream that ends before its turn is never moved. What the link can't carry
- * in time is prefilled elsewhere, spread so that the survivors keep most of their speed for their own work.
+ * in time is prefilled elsewhere, as late too, and spread so that the survivors keep most of their speed for their own work.
  *
  * @param streams - The streams at leaving endpoints
  * @param terms - Speeds and prices
@@ -30,12 +30,18 @@
 ): readonly PlannedMove[] {
     const ordered = [...streams].sort((left, right) => computeSlackMs(left) - computeSlackMs(right));
     const choices = new Map(ordered.map(stream => [stream, decideReclaimMove(stream, terms, nowMs)]));
-    scheduleTransfers(ordered, choices, terms, nowMs);
-    const starts = schedulePrefills(ordered, choices, terms, nowMs);
-    const transferStarts = computeTransferStarts(ordered, choices);
+    const earlyStarts = scheduleOverflow(ordered, choices, terms, nowMs);
+    const prefillStarts = schedulePrefills(ordered, choices, terms, nowMs);
+    const lateStarts = scheduleTransfers(
+        ordered.filter(stream => !earlyStarts.has(stream)),
+        choices,
+    );
     return ordered.map(stream => {
         const choice = choices.get(stream) as ReclaimChoice;
-        const startAtMs = Math.max(nowMs, transferStarts.get(stream) ?? starts.get(stream) ?? nowMs);
+        const startAtMs = Math.max(
+            nowMs,
+            earlyStarts.get(stream) ?? lateStarts.get(stream) ?? prefillStarts.get(stream) ?? nowMs,
+        );
         return { ...choice, requestId: stream.requestId, startAtMs };
     });
 }
@@ -44,30 +50,43 @@
     return stream.deadlineAtMs - stream.expectedTokensLeft * stream.tokenGapMs;
 }
 
-/** Turns transfers that no longer fit behind the others of their endpoint into prefills. */
-function scheduleTransfers(
+/**
+ * Finds the transfers that no longer fit behind the others of their endpoint into this node's part of its link. They
+ * begin at once, while the link is still idle, for as long as the whole link could carry them; the rest is prefilled.
+ */
+function scheduleOverflow(
     ordered: readonly LeavingStream[],
     choices: Map<LeavingStream, ReclaimChoice>,
     terms: ReclaimTerms,
     nowMs: number,
-): void {
+): ReadonlyMap<LeavingStream, number> {
     const busyMs = new Map<string, number>();
+    const earlyBusyMs = new Map<string, number>();
+    const earlyStarts = new Map<LeavingStream, number>();
     for (const stream of ordered) {
         const choice = choices.get(stream) as ReclaimChoice;
         if (choice.move !== ReclaimMove.TransferCache) {
             continue;
         }
+        const availableMs = stream.goneAtMs - RECLAIM_MARGIN_MS - nowMs;
         const usedMs = (busyMs.get(stream.endpointId) ?? 0) + choice.moveMs;
-        if (nowMs + usedMs > stream.goneAtMs - RECLAIM_MARGIN_MS) {
-            choices.set(stream, decideReclaimMove(stream, { ...terms, canTransfer: false }, nowMs));
-        } else {
+        const earlyMs = earlyBusyMs.get(stream.endpointId) ?? 0;
+        const alone = decideReclaimMove(stream, { ...terms, sharingNodes: 1 }, nowMs);
+        if (usedMs <= availableMs) {
             busyMs.set(stream.endpointId, usedMs);
+        } else if (terms.sharingNodes > 1 && earlyMs + alone.moveMs <= availableMs) {
+            choices.set(stream, alone);
+            earlyStarts.set(stream, nowMs + earlyMs);
+            earlyBusyMs.set(stream.endpointId, earlyMs + alone.moveMs);
+        } else {
+            choices.set(stream, decideReclaimMove(stream, { ...terms, canTransfer: false }, nowMs));
         }
     }
+    return earlyStarts;
 }
 
 /** Lays the transfers of each endpoint end to end so that the last one ends when the margin begins. */
-function computeTransferStarts(
+function scheduleTransfers(
     ordered: readonly LeavingStream[],
     choices: ReadonlyMap<LeavingStream, ReclaimChoice>,
 ): ReadonlyMap<LeavingStream, number> {
@@ -86,27 +105,40 @@
     return starts;
 }
 
-/** Spaces prefills by what the survivors can take; sheds those that would end after their deadline. */
+/**
+ * Spaces prefills by what the survivors can take, as late as the notice allows: a stream goes on at the leaving endpoint
+ * until its turn, and many will have ended by then. What does not fit inside the notice comes after it; what would end after its deadline is shed.
+ */
 function schedulePrefills(
     ordered: readonly LeavingStream[],
     choices: Map<LeavingStream, ReclaimChoice>,
     terms: ReclaimTerms,
     nowMs: number,
 ): ReadonlyMap<LeavingStream, number> {
-    const tokensPerMs = Math.max(1, terms.survivors) * terms.prefillTokensPerMs * SURGE_SHARE;
+    const survivorTokensPerMs = Math.max(1, terms.survivors) * terms.prefillTokensPerMs;
+    const tokensPerMs = (survivorTokensPerMs * SURGE_SHARE) / terms.sharingNodes;
+    const moved = ordered.filter(stream => choices.get(stream)?.move === ReclaimMove.Prefill);
     const starts = new Map<LeavingStream, number>();
     let nextStartMs = nowMs;
-    for (const stream of ordered) {
-        const choice = choices.get(stream) as ReclaimChoice;
-        if (choice.move !== ReclaimMove.Prefill) {
-            continue;
-        }
-        if (nextStartMs + choice.moveMs > computeSlackMs(stream)) {
+    for (const stream of moved) {
+        const { moveMs, recomputedTokens } = choices.get(stream) as ReclaimChoice;
+        const stalledMs = Math.max(0, nextStartMs - stream.goneAtMs);
+        if (nowMs + stalledMs + moveMs > computeSlackMs(stream)) {
             choices.set(stream, { move: ReclaimMove.Shed, recomputedTokens: 0, moveMs: 0, costMicros: 0 });
             continue;
         }
         starts.set(stream, nextStartMs);
-        nextStartMs += choice.recomputedTokens / tokensPerMs;
+        nextStartMs += (recomputedTokens * estimateChanceLeft(stream, nowMs)) / tokensPerMs;
+    }
+    const spareMs = Math.min(...moved.map(stream => stream.goneAtMs)) - RECLAIM_MARGIN_MS - nextStartMs;
+    for (const [stream, startMs] of starts) {
+        starts.set(stream, startMs + Math.max(0, spareMs));
     }
     return starts;
 }
+
+/** Chance that a stream has not ended when its endpoint goes, as if answer lengths were spread exponentially. */
+function estimateChanceLeft(stream: LeavingStream, nowMs: number): number {
+    const expectedMs = Math.max(1, stream.expectedTokensLeft * stream.tokenGapMs);
+    return Math.exp(-Math.max(0, stream.goneAtMs - RECLAIM_MARGIN_MS - nowMs) / expectedMs);
+}
--- a/src/decisions/outcomes/reclaim/reclaimMove.ts
+++ b/src/decisions/outcomes/reclaim/reclaimMove.ts
@@ -39,8 +39,10 @@
     /** Whether the engines can export and import KV cache. */
     readonly canTransfer: boolean;
     readonly cacheBytesPerToken: number;
-    /** Speed at which this node's streams may be exported from one endpoint, in bytes a millisecond. */
+    /** Speed of the link of one endpoint, in bytes a millisecond. */
     readonly transferBytesPerMs: number;
+    /** Nodes that use the same endpoints. Each plans for its own streams and takes its part of links and survivors. */
+    readonly sharingNodes: number;
     /** Millionths of the currency per million bytes moved between runners. */
     readonly microsPerMegabyte: number;
     /** Prefill speed of one surviving runner, in tokens a millisecond. */
--- a/src/tasks/execution/_lib/runTimers.ts
+++ b/src/tasks/execution/_lib/runTimers.ts
@@ -4,6 +4,7 @@
 import { createFailure } from "../../../base/createFailure";
 import { Execution, FailureKind } from "../../../base/failure";
 import { Metric } from "../../../base/metrics/metric";
+import { HEDGE_RESERVE } from "../../../decisions/outcomes/constants";
 import { decideHedge } from "../../../decisions/outcomes/decideHedge";
 import {
     FIRST_TOKEN_SILENCE_FACTOR,
@@ -12,6 +13,7 @@
     STREAM_SILENCE_MS,
     WAKE_TOLERANCE_MS,
 } from "../constants";
+import { isBudgetLeft } from "./budgets";
 import { AttemptPurpose, type ChatRun, ControlKind, type LiveAttempt, ProbeState } from "./chatRun";
 import { failRun } from "./failRun";
 import { requestRoute } from "./requestRoute";
@@ -99,6 +101,9 @@
 }
 
 function computeHedge(run: ChatRun, attempt: LiveAttempt): number | undefined {
+    if (!isBudgetLeft(run.shared, run.context.className, run.chat.model, 1, HEDGE_RESERVE)) {
+        return undefined;
+    }
     return decideHedge({
         isIdempotent: run.context.isIdempotent,
         hasHedge: run.hasHedge,
--- a/src/tasks/execution/constants.ts
+++ b/src/tasks/execution/constants.ts
@@ -67,7 +67,8 @@
 export const DEFAULT_RECLAIM_TERMS: ReclaimTerms = {
     canTransfer: true,
     cacheBytesPerToken: 131_072,
-    transferBytesPerMs: 250_000,
+    transferBytesPerMs: 1_250_000,
+    sharingNodes: 8,
     microsPerMegabyte: 10,
     prefillTokensPerMs: 4,
     microsPerThousandTokens: 2_000,
