--- a/src/nodes/_testing/createFakeNetwork.ts
+++ b/src/nodes/_testing/createFakeNetwork.ts
@@ -55,6 +55,7 @@
     const { clock, random } = options;
     const hosts = new Map<string, Host>();
     let lossShare = 0;
+    let nextPort = 1;
     let isCut: (from: string, to: string) => boolean = () => false;
 
     /** Carries a message; false if it does not arrive. */
@@ -68,7 +69,7 @@
     };
     const createHost = (name: string): Host => {
         const counter = createTrafficCounter();
-        const port = hosts.size + 1;
+        const port = nextPort++;
         const findHost = (target: NodeAddress) => [...hosts.values()].find(host => host.address.port === target.port);
         const transport: NodeTransport = {
             callNode: (target, call, body, { timeoutMs, isNewConnection }) => {
