Refuse a stream that answers another request, and list reclaim notices late where asked to

Cause: an engine without the extension gives no identity in its chunks, so a stale stream on a kept connection would pass; the port says that notices may be missing for a second or two, which no stand-in could do.

--- a/src/adapters/badServers.test.ts
+++ b/src/adapters/badServers.test.ts
@@ -55,6 +55,12 @@
         tokens: 1,
         kind: FailureKind.EndpointFailed,
     },
+    {
+        name: "answers another request",
+        parts: [`${HEAD}content-type: text/event-stream\r\nx-request-id: other/1\r\n\r\n`, TOKEN],
+        tokens: 0,
+        kind: FailureKind.EndpointFailed,
+    },
     {
         name: "sends an endless event",
         parts: [STREAM_HEAD, "data: ", "x".repeat(10_000)],
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -124,7 +124,11 @@
     call.on("error", failBroken);
     call.on("response", stream => {
         response = stream;
-        if (stream.statusCode === OK_STATUS) {
+        const echoed = stream.headers["x-request-id"];
+        if (echoed !== undefined && echoed !== callId) {
+            failWith(FailureKind.EndpointFailed, "The answer belongs to another request.");
+            pool.dropIdleConnections(endpoint);
+        } else if (stream.statusCode === OK_STATUS) {
             readStream(stream);
         } else {
             beginSilence();
--- a/src/standins/createPlatformStandin.ts
+++ b/src/standins/createPlatformStandin.ts
@@ -31,6 +31,8 @@
     readonly readsPerSecond?: number;
     readonly vmListLagMs?: number;
     readonly vmStartMs?: number;
+    /** Age that a reclaim notice must have to be listed (default 0). */
+    readonly noticeLagMs?: number;
     readonly weightBytes?: number;
     readonly weightBytesPerSecond?: number;
     readonly prices?: readonly VmPrice[];
@@ -126,6 +128,7 @@
                 clock,
                 prices: options.prices ?? [],
                 startMs: options.vmStartMs ?? VM_START_MS,
+                noticeLagMs: options.noticeLagMs ?? 0,
                 hooks: options,
                 readGate: () => server.gate,
             }),
--- a/src/standins/modelRunner/createStreamWriter.ts
+++ b/src/standins/modelRunner/createStreamWriter.ts
@@ -8,6 +8,8 @@
 import type { StreamFaults } from "./drawStreamFaults";
 import type { ParsedGeneration } from "./parseGeneration";
 
+const OK_STATUS = 200;
+
 /** One generation's way to its reader. */
 export interface StreamWriter {
     /** Sends a token. While the reader is slow, tokens are collected and sent as one chunk later. */
@@ -84,7 +86,7 @@
         isBlocked = false;
         flush();
     });
-    response.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store" });
+    response.writeHead(OK_STATUS, createHeaders(call));
     response.flushHeaders();
     if (faults.isAnswerLost || faults.cutAfterTokens === 0) {
         call.request.socket.destroy();
@@ -138,6 +140,15 @@
     }
 }
 
+function createHeaders(call: StandinCall): Readonly<Record<string, string>> {
+    const requestId = call.headers["x-request-id"];
+    return {
+        "content-type": "text/event-stream",
+        "cache-control": "no-store",
+        ...(typeof requestId === "string" ? { "x-request-id": requestId } : {}),
+    };
+}
+
 function formatEvent(chunk: object): string {
     return `data: ${JSON.stringify(chunk)}\n\n`;
 }
--- a/src/standins/platform/createCloudRoutes.ts
+++ b/src/standins/platform/createCloudRoutes.ts
@@ -25,6 +25,8 @@
     readonly clock: Clock;
     readonly prices: readonly VmPrice[];
     readonly startMs: number;
+    /** Age that a notice must have to be listed. */
+    readonly noticeLagMs: number;
     readonly hooks: VmHooks;
     readonly readGate: () => FaultGate;
 }
@@ -47,7 +49,7 @@
  * @param options - VMs, prices, hooks
  * @returns The routes
  * @example
- * createCloudRoutes({ registry, clock, prices, startMs: 500, hooks: {}, readGate });
+ * createCloudRoutes({ registry, clock, prices, startMs: 500, noticeLagMs: 0, hooks: {}, readGate });
  */
 export function createCloudRoutes(options: CloudOptions): readonly StandinRoute[] {
     const { registry, clock, hooks } = options;
@@ -96,7 +98,7 @@
         {
             method: "GET",
             path: "/cloud/notices",
-            handle: () => ({ status: 200, body: { notices: registry.listNotices() } }),
+            handle: () => ({ status: 200, body: { notices: registry.listNotices(options.noticeLagMs) } }),
         },
     ];
 }
--- a/src/standins/platform/createVmRegistry.ts
+++ b/src/standins/platform/createVmRegistry.ts
@@ -14,8 +14,8 @@
     listNow(): readonly VmRecord[];
     /** Lists the VMs as they were `lagMs` milliseconds ago. */
     listLagging(lagMs: number): readonly VmRecord[];
-    /** Lists the reclaim notices in force. */
-    listNotices(): readonly ReclaimNotice[];
+    /** Lists the reclaim notices that were in force `lagMs` milliseconds ago. */
+    listNotices(lagMs: number): readonly ReclaimNotice[];
 }
 
 interface Snapshot {
@@ -39,17 +39,18 @@
         vms = next;
         snapshots = [...snapshots.slice(-KEPT_SNAPSHOTS), { atMs: clock.readMonotonicMs(), vms }];
     };
+    const listLagging = (lagMs: number) => {
+        const untilMs = clock.readMonotonicMs() - lagMs;
+        return snapshots.findLast(snapshot => snapshot.atMs <= untilMs)?.vms ?? [];
+    };
     return {
         addVm: vm => replaceVms([...vms.filter(other => other.vmId !== vm.vmId), vm]),
         updateVm: (vmId, change) => replaceVms(vms.map(vm => (vm.vmId === vmId ? { ...vm, ...change } : vm))),
         removeVm: vmId => replaceVms(vms.filter(vm => vm.vmId !== vmId)),
         listNow: () => vms,
-        listLagging: lagMs => {
-            const untilMs = clock.readMonotonicMs() - lagMs;
-            return snapshots.findLast(snapshot => snapshot.atMs <= untilMs)?.vms ?? [];
-        },
-        listNotices: () =>
-            vms.flatMap(vm =>
+        listLagging,
+        listNotices: lagMs =>
+            listLagging(lagMs).flatMap(vm =>
                 vm.state === VmState.Leaving && vm.reclaimAtWallMs !== undefined
                     ? [{ vmId: vm.vmId, reclaimAtWallMs: vm.reclaimAtWallMs }]
                     : [],
