Move versions on real nodes, and survive unreadable request targets

Cause: version decisions had no task; an unauthenticated GET // ended the process (new URL threw in the listener).

--- a/src/createNodeParts.ts
+++ b/src/createNodeParts.ts
@@ -34,7 +34,11 @@
     const metrics = owned.add(
         createMetrics({
             target: settings.statsd,
-            commonTags: { node: settings.nodeId, region: settings.region },
+            commonTags: {
+                node: settings.nodeId,
+                region: settings.region,
+                failure_domain: settings.failureDomain,
+            },
             reportError: error => log.warn("metrics were not sent", { reason: error.message }),
         }),
     );
--- a/src/decisions/versions/computeAllowedRate.ts
+++ b/src/decisions/versions/computeAllowedRate.ts
@@ -19,7 +19,7 @@
  *
  * @param measure - What is compared
  * @param old - The old version's counts in the same cell
- * @returns A rate up to 0.9
+ * @returns A rate from the floor to 0.9
  * @example
  * computeAllowedRate(Measure.Failures, { trials: 1000, bad: 0 }); //=> 0.005
  */
--- a/src/decisions/versions/recordObservation.ts
+++ b/src/decisions/versions/recordObservation.ts
@@ -12,6 +12,8 @@
 } from "./constants";
 import { buildCellKey } from "./buildCellKey";
 import { createEvidenceCell } from "./createEvidenceCell";
+import { findReference } from "./findReference";
+import { listOwnCounts } from "./listOwnCounts";
 import { updateScores } from "./updateScores";
 import {
     type EvidenceCell,
@@ -50,7 +52,7 @@
         return undefined;
     }
     cell.counts = { ...cell.counts, next: addTrials(cell.counts.next, trials) };
-    return updateCellScores(cell, trials);
+    return updateCellScores(evidence, cell, trials);
 }
 
 function findCell(evidence: MoveEvidence, observation: VersionObservation): EvidenceCell {
@@ -109,12 +111,14 @@
     };
 }
 
-function updateCellScores(cell: EvidenceCell, trials: Trials): VersionAlarm | undefined {
+function updateCellScores(evidence: MoveEvidence, cell: EvidenceCell, trials: Trials): VersionAlarm | undefined {
+    const cells = listOwnCounts(evidence);
     let alarm: VersionAlarm | undefined;
     for (const measure of Object.values(Measure)) {
         const added = trials[measure];
-        if (added !== undefined) {
-            const allowedRate = computeAllowedRate(measure, cell.counts.old[measure]);
+        const reference = findReference(measure, cell.counts, cells);
+        if (added !== undefined && reference !== undefined) {
+            const allowedRate = computeAllowedRate(measure, reference);
             const scores = updateScores(cell.scores[measure], added, allowedRate);
             cell.scores = { ...cell.scores, [measure]: scores };
             const { trials: seen, bad } = cell.counts.next[measure];
--- a/src/decisions/versions/updatePooledScores.ts
+++ b/src/decisions/versions/updatePooledScores.ts
@@ -5,6 +5,7 @@
 import { computeAllowedRate } from "./computeAllowedRate";
 import { mergeCounts } from "./_lib/mergeCounts";
 import { NO_COUNTS, NO_SCORES } from "./emptyCounts";
+import { findReference } from "./findReference";
 import { listOwnCounts } from "./listOwnCounts";
 import { sumReports } from "./sumReports";
 import { updateScores } from "./updateScores";
@@ -20,7 +21,9 @@
  */
 export function updatePooledScores(evidence: MoveEvidence): VersionAlarm | undefined {
     let alarm: VersionAlarm | undefined;
-    for (const [key, total] of sumReports([listOwnCounts(evidence), ...evidence.others.values()])) {
+    const totals = sumReports([listOwnCounts(evidence), ...evidence.others.values()]);
+    const cells = [...totals.values()];
+    for (const [key, total] of totals) {
         const before = evidence.pooledCounts.get(key) ?? NO_COUNTS;
         const added = mergeCounts(total.next, before, (now, then) => ({
             trials: Math.max(0, now.trials - then.trials),
@@ -29,8 +32,10 @@
         const scores = evidence.pooledScores.get(key) ?? NO_SCORES;
         const updated = Object.fromEntries(
             Object.values(Measure).map(measure => {
-                const allowedRate = computeAllowedRate(measure, total.old[measure]);
-                return [measure, updateScores(scores[measure], added[measure], allowedRate)];
+                const reference = findReference(measure, total, cells);
+                const allowedRate = reference && computeAllowedRate(measure, reference);
+                const isComparable = allowedRate !== undefined;
+                return [measure, isComparable ? updateScores(scores[measure], added[measure], allowedRate) : []];
             }),
         ) as Record<Measure, TestScores>;
         evidence.pooledScores.set(key, updated);
--- a/src/faces/createCallerListener.test.ts
+++ b/src/faces/createCallerListener.test.ts
@@ -196,6 +196,15 @@
         assert.match(reply, /"type":"invalid_request"/);
     });
 
+    for (const target of ["//", "http://[", "*", "/%", "//user@:x/"]) {
+        it(`answer the unreadable target ${target} and go on serving`, async () => {
+            const face = await openFace();
+            const head = `GET ${target} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${CREW_KEY}\r\nconnection: close`;
+            assert.match(await sendRaw(face, `${head}\r\n\r\n`), /^HTTP\/1.1 40[04] /);
+            assert.equal((await request(face, "/v1/models")).status, 200);
+        });
+    }
+
     it("end a caller whose headers never arrive", async () => {
         const face = await openFace({ limits: { headerMs: 50 } });
         const reply = await sendRaw(face, "GET /v1/models HTTP/1.1\r\nhost: a\r\n");
--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -27,6 +27,8 @@
 import { createOpenRequests } from "./_lib/createOpenRequests";
 import { sendFailure } from "./sendFailure";
 
+const BASE_URL = "http://localhost";
+
 /** How the listener is set up. */
 export interface CallerListenerOptions {
     /** IP number to listen on. */
@@ -63,7 +65,7 @@
         const arrival: Arrival = {
             requestId: ulid(),
             receivedAtMs: dependencies.clock.readMonotonicMs(),
-            url: new URL(request.url ?? "/", "http://localhost"),
+            url: parseTarget(request.url),
         };
         response.setHeader("redwinglift-request-id", arrival.requestId);
         if (isLeaving) {
@@ -138,6 +140,12 @@
     };
 }
 
+// A target such as `//` is no URL; it is looked up as a path that no route serves.
+function parseTarget(target: string | undefined): URL {
+    const text = target ?? "/";
+    return URL.canParse(text, BASE_URL) ? new URL(text, BASE_URL) : new URL("/unreadable", BASE_URL);
+}
+
 type Arrival = Pick<HttpExchange, "requestId" | "url" | "receivedAtMs">;
 
 interface MatchedExchange {
--- a/src/tasks/routing/createRoutingTask.ts
+++ b/src/tasks/routing/createRoutingTask.ts
@@ -61,8 +61,16 @@
     readonly reportFailure: (name: string, failure: Failure) => void;
 }
 
-/** Receives each report about an attempt, with the endpoint it went to and its route. */
-export type ReportListener = (report: AttemptReport, endpoint: Endpoint, route: string) => void;
+/** Facts about the attempt of a report. */
+export interface ReportFacts {
+    readonly endpoint: Endpoint;
+    readonly route: string;
+    /** Requests at the endpoint, as this node knows it. */
+    readonly endpointRequests: number;
+}
+
+/** Receives each report about an attempt. */
+export type ReportListener = (report: AttemptReport, facts: ReportFacts) => void;
 
 /** The running routing task. */
 export interface RoutingTask extends RoutingClient, CapacitySource, DumpSource, Disposable {
@@ -116,7 +124,10 @@
         if (report.failure?.kind === FailureKind.EndpointSilent) {
             polls.probeEndpoint(attempt.candidate);
         }
-        listeners.forEach(listener => listener(report, attempt.candidate.endpoint, attempt.route));
+        const { candidate, route } = attempt;
+        const endpointRequests = candidate.ownInFlight + candidate.othersInFlight;
+        const facts: ReportFacts = { endpoint: candidate.endpoint, route, endpointRequests };
+        listeners.forEach(listener => listener(report, facts));
     };
     const publishDigest = (nowMs: number) => {
         if (nowMs < digestDueAtMs) {
--- /dev/null
+++ b/src/tasks/versions/_lib/createMoveHolder.ts
@@ -0,0 +1,172 @@
+/**
+ * @module The holder of a move's lease: it considers steps and commits them.
+ */
+import { assertInvariant, Invariant } from "../../../base/assertInvariant";
+import type { Clock } from "../../../base/clock";
+import { type Failure, FailureKind } from "../../../base/failure";
+import { hashText } from "../../../base/hashText";
+import { decideMoveStep } from "../../../decisions/versions/decideMoveStep";
+import { listOwnCounts } from "../../../decisions/versions/listOwnCounts";
+import { listUnseenRoutes } from "../../../decisions/versions/listUnseenRoutes";
+import { type MoveFacts, type MoveStep, MoveStepKind } from "../../../decisions/versions/moveStep";
+import { sumReports } from "../../../decisions/versions/sumReports";
+import { type CellCounts, Measure, type MoveEvidence } from "../../../decisions/versions/versionEvidence";
+import { type ItemChange, ItemKind, MoveState, type VersionMove } from "../../../model/configuration";
+import type { ConfigurationClient } from "../../configuration/configurationClient";
+import type { LeaseClient, LeaseHandle } from "../../leases/leaseClient";
+import { LEASE_CANDIDATES, MOVE_LEASE_MS } from "../constants";
+
+/** What a holder needs. */
+export interface MoveHolderOptions {
+    readonly nodeId: string;
+    readonly clock: Clock;
+    readonly configuration: ConfigurationClient;
+    readonly leases: LeaseClient;
+    readonly listLiveNodeIds: () => readonly string[];
+    /** Largest share that the endpoints of the new version can carry, 0 to 1. */
+    readonly computeSupportableShare: (move: VersionMove) => number;
+    readonly reportFailure: (name: string, failure: Failure) => void;
+    readonly reportEvent: (name: string, details: Readonly<Record<string, unknown>>) => void;
+}
+
+/** Acts on moves whose lease this node holds. */
+export interface MoveHolder {
+    /** Considers the next step of a move, with the evidence and the fault known to this node. Never rejects. */
+    considerMove(move: VersionMove, evidence: MoveEvidence, fault: string | undefined): Promise<void>;
+    /** Gives up the leases of moves that have ended. */
+    releaseEnded(activeNames: ReadonlySet<string>): Promise<void>;
+    listHeld(): readonly string[];
+}
+
+interface AttemptTotals {
+    readonly old: number;
+    readonly next: number;
+}
+
+interface HeldMove {
+    readonly lease: LeaseHandle;
+    /** Totals at the newest step of which this holder knows. */
+    atStep: AttemptTotals;
+    steppedWallMs: number | undefined;
+}
+
+/** What a step makes of a move; a step without an entry changes nothing. */
+const STATES: Readonly<Partial<Record<MoveStepKind, MoveState>>> = {
+    [MoveStepKind.Begin]: MoveState.Moving,
+    [MoveStepKind.Raise]: MoveState.Moving,
+    [MoveStepKind.Finish]: MoveState.Done,
+    [MoveStepKind.TakeBack]: MoveState.TakenBack,
+};
+
+/**
+ * Creates a holder.
+ *
+ * @param options - Leases, configuration, capacity
+ * @returns The holder
+ * @example
+ * await holder.considerMove(move, evidence, brakes.findReason(move.name));
+ */
+export function createMoveHolder(options: MoveHolderOptions): MoveHolder {
+    const { clock, configuration } = options;
+    const held = new Map<string, HeldMove>();
+
+    const acquire = async (move: VersionMove, totals: AttemptTotals): Promise<HeldMove | undefined> => {
+        const known = held.get(move.name);
+        if (known?.lease.checkHeld().isOk() === true) {
+            return known;
+        }
+        held.delete(move.name);
+        if (!isCandidate(options, move)) {
+            return undefined;
+        }
+        const lease = await options.leases.acquireLease(`move/${move.name}`, { durationMs: MOVE_LEASE_MS });
+        if (lease.isErr()) {
+            return undefined;
+        }
+        const acquired = { lease: lease.value, atStep: totals, steppedWallMs: move.steppedWallMs };
+        held.set(move.name, acquired);
+        return acquired;
+    };
+    const commit = async (move: VersionMove, step: MoveStep, heldMove: HeldMove): Promise<void> => {
+        const nowWallMs = clock.readWallMs();
+        const state = STATES[step.kind] ?? move.state;
+        const isInTime = state !== MoveState.Done || nowWallMs < move.doneByWallMs;
+        assertInvariant(isInTime, Invariant.MoveEndsByItsTime, `${move.name} at ${nowWallMs}`);
+        const value: VersionMove = {
+            ...move,
+            state,
+            share: step.share,
+            reason: step.reason,
+            startedWallMs: move.startedWallMs ?? nowWallMs,
+            steppedWallMs: nowWallMs,
+        };
+        const current = configuration.readCurrent();
+        const items = buildItems(value, current.services[move.serviceName]);
+        if (!isInTime || heldMove.lease.checkHeld().isErr()) {
+            return;
+        }
+        const committed = await configuration.commitChange({ basedOnRevision: current.revision, items });
+        if (committed.isOk()) {
+            options.reportEvent("version move", { move: move.name, step: step.kind, reason: step.reason });
+        } else if (committed.error.kind !== FailureKind.RevisionConflict) {
+            options.reportFailure("version-move", committed.error);
+        }
+    };
+    return {
+        considerMove: async (move, evidence, fault) => {
+            const cells = [...sumReports([listOwnCounts(evidence), ...evidence.others.values()]).values()];
+            const totals: AttemptTotals = { old: sumTrials(cells, "old"), next: sumTrials(cells, "next") };
+            const heldMove = await acquire(move, totals);
+            if (heldMove === undefined) {
+                return;
+            }
+            if (move.steppedWallMs !== heldMove.steppedWallMs) {
+                heldMove.atStep = totals;
+                heldMove.steppedWallMs = move.steppedWallMs;
+            }
+            const facts: MoveFacts = {
+                nowWallMs: clock.readWallMs(),
+                fault,
+                attemptsSinceStep: Math.max(0, totals.next - heldMove.atStep.next),
+                oldAttemptsSinceStep: Math.max(0, totals.old - heldMove.atStep.old),
+                unseenRoutes: listUnseenRoutes(cells),
+                supportableShare: options.computeSupportableShare(move),
+            };
+            const step = decideMoveStep(move, facts);
+            if (STATES[step.kind] !== undefined) {
+                await commit(move, step, heldMove);
+            }
+        },
+        releaseEnded: async activeNames => {
+            const ended = [...held].filter(([name]) => !activeNames.has(name));
+            for (const [name, { lease }] of ended) {
+                held.delete(name);
+                await lease.release();
+            }
+        },
+        listHeld: () => [...held.keys()],
+    };
+}
+
+function isCandidate(options: MoveHolderOptions, move: VersionMove): boolean {
+    const ranked = [...options.listLiveNodeIds()].sort(
+        (left, right) => hashText(`${move.name}|${right}`) - hashText(`${move.name}|${left}`),
+    );
+    return ranked.slice(0, LEASE_CANDIDATES).includes(options.nodeId);
+}
+
+function buildItems(
+    value: VersionMove,
+    service: NonNullable<ItemChange & { kind: ItemKind.Service }>["value"],
+): readonly ItemChange[] {
+    const move: ItemChange = { kind: ItemKind.VersionMove, name: value.name, value };
+    if (value.state !== MoveState.Done || service === undefined) {
+        return [move];
+    }
+    const moved = { ...service, version: value.toVersion };
+    return [move, { kind: ItemKind.Service, name: service.name, value: moved }];
+}
+
+function sumTrials(cells: readonly CellCounts[], side: "old" | "next"): number {
+    return cells.reduce((sum, cell) => sum + cell[side][Measure.Failures].trials, 0);
+}
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -27,8 +27,14 @@
 import { createExecutionTask, type ExecutionTask } from "./tasks/execution/createExecutionTask";
 import { createJobTask, type JobTask } from "./tasks/jobs/createJobTask";
 import { createLeaseTask } from "./tasks/leases/createLeaseTask";
+import { createMetricsTask } from "./tasks/metrics/createMetricsTask";
+import { measureAdmission } from "./tasks/metrics/measureAdmission";
+import { measureRouting } from "./tasks/metrics/measureRouting";
+import { measureObjects, measureTable } from "./tasks/metrics/measureStore";
+import { recordRequest } from "./tasks/metrics/recordRequest";
 import { createMembershipTask, type MembershipTask } from "./tasks/membership/createMembershipTask";
 import { createRoutingTask } from "./tasks/routing/createRoutingTask";
+import { createVersionTask } from "./tasks/versions/createVersionTask";
 
 /** How long the balancer may still send callers after the node has said that it leaves. */
 const BALANCER_NOTICE_MS = 3_000;
@@ -89,7 +95,10 @@
  * await node.whenReady;
  */
 export async function wireNode(settings: Settings, parts: NodeParts): Promise<RunningNode> {
-    const wiring = createWiring(settings, parts);
+    const { metrics, clock } = parts;
+    const table = measureTable(parts.table, metrics, clock);
+    const objects = measureObjects(parts.objects, metrics, clock);
+    const wiring = createWiring(settings, { ...parts, table, objects });
     try {
         return await wireTasks(wiring);
     } catch (error) {
@@ -112,6 +121,17 @@
         callers,
     ];
     const operators = await wireOperators(wiring, agreement, work, dumpSources);
+    owned.add(
+        createMetricsTask({
+            metrics: parts.metrics,
+            clock: parts.clock,
+            configuration: agreement.configuration,
+            directory: agreement.directory,
+            nodes: agreement.membership,
+            countOpenRequests: callers.countOpenRequests,
+            reportFailure: wiring.reportFailure,
+        }),
+    );
     return {
         nodeId: settings.nodeId,
         callerPort: callers.port,
@@ -139,8 +159,10 @@
         settings,
         parts,
         owned: createDisposableStore({ reportError: error => log.error("closing failed", { reason: String(error) }) }),
-        reportFailure: (task, failure) =>
-            log.warn("a task reports a failure", { task, kind: failure.kind, reason: failure.message }),
+        reportFailure: (task, failure) => {
+            log.warn("a task reports a failure", { task, kind: failure.kind, reason: failure.message });
+            metrics.count(Metric.TaskFailures, { task });
+        },
         reportEvent: (name, details) => log.debug(name, { details: JSON.stringify(details) }),
     };
 }
@@ -195,30 +217,43 @@
     const { settings, parts, owned, reportFailure, reportEvent } = wiring;
     const { clock, random, table, objects, metrics } = parts;
     const { nodeId } = settings;
+    const { configuration, membership, directory, leases } = agreement;
+    const versions = owned.add(
+        createVersionTask({
+            nodeId,
+            clock,
+            configuration,
+            directory,
+            exchange: membership,
+            leases,
+            metrics,
+            reportFailure,
+            reportEvent,
+        }),
+    );
     const routing = owned.add(
         createRoutingTask({
             clock,
             random,
             nodeId,
             placement: { region: settings.region, failureDomain: settings.failureDomain },
-            configuration: agreement.configuration,
-            directory: agreement.directory,
-            exchange: agreement.membership,
+            configuration,
+            directory,
+            exchange: membership,
             modelRunners: parts.modelRunners,
             applicationRunners: parts.applicationRunners,
             cloud: parts.cloud,
-            isBraked: () => false,
+            isBraked: versions.isBraked,
             reportFailure,
         }),
     );
-    const admission = owned.add(
-        createAdmissionTask({ clock, configuration: agreement.configuration, capacity: routing, reportFailure }),
-    );
+    owned.add({ dispose: routing.subscribeReports(versions.observeReport) });
+    const admission = owned.add(createAdmissionTask({ clock, configuration, capacity: routing, reportFailure }));
     const commits = owned.add(createGroupCommitTask({ table, clock }));
     const claims = createClaimTask({ nodeId, table, objects, commits, clock });
     const execution = createExecutionTask({
-        admission,
-        routing,
+        admission: measureAdmission(admission, metrics, clock),
+        routing: measureRouting(routing, metrics, clock),
         models: parts.modelRunners,
         applications: parts.applicationRunners,
         clock,
@@ -232,16 +267,16 @@
             table,
             objects,
             commits,
-            leases: agreement.leases,
+            leases,
             execution,
             clock,
             random,
-            listLiveNodeIds: () => agreement.membership.listLiveNodeIds(),
+            listLiveNodeIds: () => membership.listLiveNodeIds(),
             reportEvent,
             metrics,
         }),
     );
-    return { execution, jobs, dumpSources: [routing, admission, commits, claims, execution, jobs] };
+    return { execution, jobs, dumpSources: [versions, routing, admission, commits, claims, execution, jobs] };
 }
 
 async function wireCallers(wiring: Wiring, agreement: Agreement, work: Work): Promise<CallerListener> {
@@ -336,7 +371,7 @@
 
 function recordExchange(parts: NodeParts, summary: ExchangeSummary): void {
     const outcome = summary.failure?.kind ?? "ok";
-    parts.metrics.count(Metric.RequestsFinished, { class: summary.className, outcome, account: summary.accountName });
+    recordRequest(parts.metrics, summary);
     parts.log.info("request finished", {
         requestId: summary.requestId,
         method: summary.method,
