Refuse node links without an authority

Cause: keys may now come without an authority file, for faces whose peers show none; node links must never do so. Change: the transport refuses to start without one, and an authority file without certificates is not used.

--- a/src/nodes/createGrpcTransport.test.ts
+++ b/src/nodes/createGrpcTransport.test.ts
@@ -143,6 +143,16 @@
         }
     });
 
+    it("refuses to start without an authority, and an authority file without certificates", async () => {
+        const pems = await createPems();
+        const files = await writeFiles("n", pems, pems.cert);
+        const { certificateFile, keyFile } = files;
+        const tls = await createTlsWatcher({ certificateFile, keyFile }, { clock: createManualClock() });
+        await assert.rejects(startEcho({ tls }), FailureError);
+        fs.writeFileSync(files.authorityFile!, "");
+        await assert.rejects(createTlsWatcher(files, { clock: createManualClock() }), FailureError);
+    });
+
     it("keeps the last usable keys while the files do not fit together", async () => {
         const [old, next] = [await createPems(), await createPems()];
         const manual = createManualClock();
--- a/src/nodes/createGrpcTransport.ts
+++ b/src/nodes/createGrpcTransport.ts
@@ -59,6 +59,10 @@
         const message = `Node links on ${options.address} need TLS; plain ones are accepted on loopback only.`;
         throw new FailureError(createFailure(FailureKind.InvalidSettings, message));
     }
+    if (options.tls?.readCurrent().authorities.length === 0) {
+        const message = "Node links need an authority file: without it any certificate would be accepted.";
+        throw new FailureError(createFailure(FailureKind.InvalidSettings, message));
+    }
     const traffic = createTrafficCounter();
     const pool = createLinkPool({ clock: options.clock, tls: options.tls, onOpened: traffic.addConnection });
     let handler: CallHandler | undefined;
--- a/src/nodes/createTlsWatcher.ts
+++ b/src/nodes/createTlsWatcher.ts
@@ -91,9 +91,15 @@
             fs.readFile(files.keyFile),
             files.authorityFile === undefined ? Buffer.alloc(0) : fs.readFile(files.authorityFile),
         ]);
+        if (files.authorityFile !== undefined && !authorities.includes("BEGIN CERTIFICATE")) {
+            throw new FailureError(createUnusable("the authority file holds no certificate"));
+        }
         createSecureContext({ cert: certificate, key, ca: authorities.length > 0 ? authorities : undefined });
         return { certificate, key, authorities };
     } catch (error) {
+        if (error instanceof FailureError) {
+            throw error;
+        }
         throw new FailureError(createUnusable(error instanceof Error ? error.message : "unknown"));
     }
 }
