Decide fleet steps that converge on the declared state under a stale list

Cause: a plan alone starts nothing; the list of VMs lags, answers get lost and starts are refused. Change: decideFleetSteps with orders kept before they are given, tokens of slot and generation, make before break, drain before stop, loads queued by need; refusals and waves leave offers alone; demand by time of week and day of month; both versions during a move.

--- /dev/null
+++ b/src/decisions/fleet/_lib/groupFacts.ts
@@ -0,0 +1,109 @@
+/**
+ * @module Declared groups beside the VMs that are there.
+ */
+import { type VmRecord, VmState } from "../../../model/endpoint";
+import { buildGroupId } from "../buildGroupId";
+import type { DeclaredGroup, HeldGroup } from "../fleetPlan";
+import type { FleetState, PendingStart } from "../fleetState";
+
+/** A VM that belongs to a service. */
+export type ServiceVm = VmRecord & { readonly serviceName: string; readonly version: string };
+
+/** One group. */
+export interface GroupFacts {
+    readonly id: string;
+    /** Absent where VMs are there that nothing declares. */
+    readonly declared: DeclaredGroup | undefined;
+    /** Live VMs that are not about to be stopped or to load another version. */
+    readonly vms: readonly ServiceVm[];
+    readonly starts: readonly PendingStart[];
+    /** VMs that are to load this group's version. */
+    readonly loading: number;
+    /** VMs declared and neither there nor on the way. */
+    readonly missing: number;
+}
+
+/**
+ * Lists the VMs that count: live, of a service, neither to be stopped nor to load another version.
+ *
+ * @param state - The fleet's state
+ * @param vms - The VMs that the list shows
+ * @returns VMs in order of their ids
+ * @example
+ * listUsableVms(state, vms).length;
+ */
+export function listUsableVms(state: FleetState, vms: readonly VmRecord[]): readonly ServiceVm[] {
+    const taken = new Set([...state.stops, ...state.loads].map(({ vmId }) => vmId));
+    return vms
+        .filter((vm): vm is ServiceVm => vm.serviceName !== undefined && vm.version !== undefined)
+        .filter(vm => vm.state === VmState.Live && !taken.has(vm.vmId))
+        .sort((left, right) => (left.vmId < right.vmId ? -1 : 1));
+}
+
+/**
+ * Lists every group that is declared or of which VMs are there.
+ *
+ * @param state - The fleet's state
+ * @param vms - The VMs that the list shows
+ * @returns The groups
+ * @example
+ * listGroups(state, vms).filter(group => group.missing > 0);
+ */
+export function listGroups(state: FleetState, vms: readonly VmRecord[]): readonly GroupFacts[] {
+    const byId = new Map(vms.map(vm => [vm.vmId, vm]));
+    const present = collectById(listUsableVms(state, vms), buildGroupId);
+    const starts = collectById(state.starts, buildGroupId);
+    const loads = state.loads.flatMap(load => {
+        const vm = byId.get(load.vmId);
+        return vm === undefined ? [] : [{ ...vm, serviceName: load.serviceName, version: load.version }];
+    });
+    const loading = collectById(loads, buildGroupId);
+    const declared = new Map(state.groups.map(group => [buildGroupId(group), group]));
+    const ids = new Set([...declared.keys(), ...present.keys(), ...starts.keys(), ...loading.keys()]);
+    return [...ids].sort().map(id => {
+        const group = {
+            vms: present.get(id) ?? [],
+            starts: starts.get(id) ?? [],
+            loading: loading.get(id)?.length ?? 0,
+        };
+        const count = declared.get(id)?.count ?? 0;
+        const missing = Math.max(0, count - group.vms.length - group.starts.length - group.loading);
+        return { id, declared: declared.get(id), ...group, missing };
+    });
+}
+
+/**
+ * Counts what the planner may keep: VMs that are there or on the way, by group.
+ *
+ * @param state - The fleet's state
+ * @param vms - The VMs that the list shows
+ * @returns One entry a group
+ * @example
+ * planFleet(demands, { ...facts, held: listHeldGroups(state, vms) });
+ */
+export function listHeldGroups(state: FleetState, vms: readonly VmRecord[]): readonly HeldGroup[] {
+    return listGroups(state, vms).flatMap(group => {
+        const sample = group.vms[0] ?? group.starts[0] ?? group.declared;
+        const count = group.vms.length + group.starts.length + group.loading;
+        return sample === undefined || count === 0 ? [] : [{ ...pickKey(sample), count }];
+    });
+}
+
+function pickKey(sample: Omit<HeldGroup, "count">): Omit<HeldGroup, "count"> {
+    const { serviceName, version, region, failureDomain, machineClass, isReclaimable } = sample;
+    return { serviceName, version, region, failureDomain, machineClass, isReclaimable };
+}
+
+function collectById<T>(items: readonly T[], buildId: (item: T) => string): ReadonlyMap<string, readonly T[]> {
+    const collected = new Map<string, T[]>();
+    for (const item of items) {
+        const id = buildId(item);
+        const list = collected.get(id);
+        if (list === undefined) {
+            collected.set(id, [item]);
+        } else {
+            list.push(item);
+        }
+    }
+    return collected;
+}
--- /dev/null
+++ b/src/decisions/fleet/decideFleetSteps.test.ts
@@ -0,0 +1,230 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { createRandom } from "../../base/createRandom";
+import { type VmRecord, VmRole, VmState } from "../../model/endpoint";
+import { createSimulatedCloud, type SimulatedCloud } from "./_testing/createSimulatedCloud";
+import { listGroups } from "./_lib/groupFacts";
+import { MOST_STEPS, START_APPEARANCE_MS } from "./constants";
+import { decideFleetSteps } from "./decideFleetSteps";
+import type { DeclaredGroup } from "./fleetPlan";
+import { EMPTY_FLEET_STATE, type FleetLimits, type FleetState, type FleetStep, FleetStepKind } from "./fleetState";
+
+const LIMITS: FleetLimits = { weightLoads: 6, drainMs: 30_000 };
+const TICK_MS = 5_000;
+const START_MS = 1_700_000_000_000;
+
+function createGroup(changes: Partial<DeclaredGroup> = {}): DeclaredGroup {
+    return {
+        serviceName: "assistant",
+        version: "v1",
+        region: "north",
+        failureDomain: "hobart",
+        machineClass: "gpu-a",
+        isReclaimable: true,
+        role: VmRole.ModelRunner,
+        count: 2,
+        unitsPerVm: 100,
+        microsPerHour: 1_000,
+        reason: "test",
+        ...changes,
+    };
+}
+
+function createVm(vmId: string, changes: Partial<VmRecord> = {}): VmRecord {
+    const { serviceName, version, region, failureDomain, machineClass, isReclaimable, role } = createGroup();
+    const place = { serviceName, version, region, failureDomain, machineClass, isReclaimable, role };
+    return { ...place, vmId, address: "127.0.0.1", port: 1, state: VmState.Live, incarnation: 1, ...changes };
+}
+
+function createState(...groups: readonly DeclaredGroup[]): FleetState {
+    return { ...EMPTY_FLEET_STATE, groups };
+}
+
+function decide(state: FleetState, vms: readonly VmRecord[], nowWallMs = START_MS, limits = LIMITS) {
+    return decideFleetSteps(state, { vms, nowWallMs, limits });
+}
+
+function listKinds(steps: readonly FleetStep[]): readonly FleetStepKind[] {
+    return steps.map(step => step.kind);
+}
+
+/** Lets ticks pass, with the state kept between them; every tick checks what must always hold. */
+function runTicks(state: FleetState, cloud: SimulatedCloud, fromMs: number, ticks: number): FleetState {
+    let kept = state;
+    for (let tick = 0; tick < ticks; tick++) {
+        const nowMs = fromMs + tick * TICK_MS;
+        const vms = cloud.listLagging(nowMs);
+        const decision = decide(kept, vms, nowMs);
+        assert.ok(decision.steps.length <= 2 * MOST_STEPS);
+        for (const group of listGroups(decision.state, vms)) {
+            const fresh = group.starts.filter(start => start.orderedAtWallMs === nowMs).length;
+            const older = group.vms.length + group.starts.length - fresh + group.loading;
+            assert.ok(fresh <= Math.max(0, (group.declared?.count ?? 0) - older), group.id);
+        }
+        kept = decision.steps.reduce((next, step) => cloud.applyStep(next, step, nowMs), decision.state);
+    }
+    return kept;
+}
+
+function countLive(cloud: SimulatedCloud, group: DeclaredGroup, nowMs: number): number {
+    return cloud
+        .listNow(nowMs)
+        .filter(
+            vm =>
+                vm.state === VmState.Live &&
+                vm.failureDomain === group.failureDomain &&
+                vm.version === group.version &&
+                vm.serviceName === group.serviceName &&
+                vm.isReclaimable === group.isReclaimable,
+        ).length;
+}
+
+describe("the steps to the declared fleet", () => {
+    it("start what is missing, with tokens of slot and generation, and nothing again while it is on the way", () => {
+        const first = decide(createState(createGroup()), []);
+        assert.deepEqual(listKinds(first.steps), [FleetStepKind.Start, FleetStepKind.Start]);
+        const tokens = first.state.starts.map(start => start.token);
+        assert.deepEqual(tokens, [
+            "fleet/assistant/v1/hobart/gpu-a/reclaimable/0/1",
+            "fleet/assistant/v1/hobart/gpu-a/reclaimable/1/2",
+        ]);
+        const second = decide(first.state, [], START_MS + 1_000);
+        assert.deepEqual(second.steps, []);
+    });
+
+    it("repeat a start without an answer with the same token", () => {
+        const first = decide(createState(createGroup({ count: 1 })), []);
+        const again = decide(first.state, [], START_MS + 20_000);
+        assert.deepEqual(
+            again.steps.map(step => step.kind === FleetStepKind.Start && step.start.token),
+            first.state.starts.map(start => start.token),
+        );
+    });
+
+    it("order anew what never appeared, with another token", () => {
+        const first = decide(createState(createGroup({ count: 1 })), []);
+        const later = decide(first.state, [], START_MS + START_APPEARANCE_MS);
+        assert.equal(later.state.starts.length, 1);
+        assert.notEqual(later.state.starts[0]?.token, first.state.starts[0]?.token);
+    });
+
+    it("hold no more loads of weights at once than the store allows, the service that lacks most first", () => {
+        const poor = createGroup({ serviceName: "digest", count: 10 });
+        const rich = createGroup({ count: 10 });
+        const vms = Array.from({ length: 8 }, (_unused, index) => createVm(`vm-${index}`));
+        const { state } = decide(createState(rich, poor), vms);
+        assert.equal(state.starts.length, LIMITS.weightLoads);
+        assert.ok(state.starts.every(start => start.serviceName === "digest"));
+    });
+
+    it("drain and then stop surplus VMs, and none while the service lacks another", () => {
+        const vms = ["vm-1", "vm-2", "vm-3"].map(id => createVm(id));
+        const lacking = decide(createState(createGroup(), createGroup({ failureDomain: "burnie", count: 1 })), vms);
+        assert.deepEqual(listKinds(lacking.steps), [FleetStepKind.Start]);
+        const drained = decide(createState(createGroup()), vms);
+        assert.deepEqual(listKinds(drained.steps), [FleetStepKind.Drain]);
+        assert.deepEqual(
+            drained.state.stops.map(stop => stop.vmId),
+            ["vm-3"],
+        );
+        const stopped = decide(drained.state, vms, START_MS + LIMITS.drainMs);
+        assert.deepEqual(listKinds(stopped.steps), [FleetStepKind.Stop]);
+    });
+
+    it("leave VMs of undeclared services alone", () => {
+        const vms = [
+            createVm("vm-1", { serviceName: "other" }),
+            createVm("vm-2", { role: VmRole.Node, serviceName: undefined }),
+        ];
+        assert.deepEqual(decide(createState(createGroup({ count: 0 })), vms).steps, []);
+    });
+
+    it("give VMs of a retired version the missing one after its requests have ended, but never a leaving VM", () => {
+        const vms = [createVm("vm-1"), createVm("vm-2", { state: VmState.Leaving })];
+        const state = createState(createGroup({ version: "v2" }));
+        const limits = { ...LIMITS, weightLoads: 0 };
+        const retired = decide(state, vms, START_MS, limits);
+        assert.deepEqual(retired.steps, []);
+        const loaded = decide(retired.state, vms, START_MS + LIMITS.drainMs);
+        assert.deepEqual(listKinds(loaded.steps), [FleetStepKind.Start, FleetStepKind.Load]);
+        assert.deepEqual(
+            loaded.state.loads.map(load => load.vmId),
+            ["vm-1"],
+        );
+        const left = decide(loaded.state, [{ ...vms[0]!, state: VmState.Leaving }], START_MS + LIMITS.drainMs + 20_000);
+        assert.equal(
+            left.steps.some(step => step.kind === FleetStepKind.Load),
+            false,
+        );
+    });
+
+    it("keep both versions while a move needs both", () => {
+        const vms = [createVm("vm-1"), createVm("vm-2", { version: "v2" })];
+        const state = createState(createGroup({ count: 1 }), createGroup({ version: "v2", count: 1 }));
+        assert.deepEqual(decide(state, vms).steps, []);
+    });
+
+    it("converge from random stale states in bounded ticks, whatever answers are lost", () => {
+        const domains = ["hobart", "launceston", "burnie"];
+        fc.assert(
+            fc.property(
+                fc.integer(),
+                fc.array(fc.integer({ min: 0, max: 12 }), { minLength: 3, maxLength: 3 }),
+                fc.array(fc.integer({ min: 0, max: 12 }), { minLength: 3, maxLength: 3 }),
+                (seed, counts, present) => {
+                    const random = createRandom(seed);
+                    const cloud = createSimulatedCloud({
+                        random,
+                        listLagMs: 7_000,
+                        startMs: 20_000,
+                        lostAnswerRate: 0.3,
+                    });
+                    const groups = domains.map((failureDomain, index) =>
+                        createGroup({ failureDomain, count: counts[index]! }),
+                    );
+                    present.forEach((count, index) =>
+                        Array.from({ length: count }, (_unused, each) =>
+                            cloud.addVm(
+                                createVm(`old-${index}-${each}`, {
+                                    failureDomain: domains[index]!,
+                                    version: random.drawInteger(0, 1) === 0 ? "v0" : "v1",
+                                }),
+                            ),
+                        ),
+                    );
+                    const ticks = 160;
+                    const state = runTicks(createState(...groups), cloud, START_MS, ticks);
+                    const endMs = START_MS + ticks * TICK_MS;
+                    groups.forEach(group => assert.equal(countLive(cloud, group, endMs), group.count));
+                    assert.equal(cloud.listNow(endMs).filter(vm => vm.version === "v0").length, 0);
+                    assert.deepEqual([state.starts, state.loads], [[], []]);
+                },
+            ),
+            { seed: 21, numRuns: 60 },
+        );
+    });
+
+    it("converge again after waves, with a holder that dies between keeping the state and its steps", () => {
+        for (let seed = 0; seed < 20; seed++) {
+            const random = createRandom(seed);
+            const cloud = createSimulatedCloud({ random, listLagMs: 5_000, startMs: 20_000, lostAnswerRate: 0.2 });
+            const groups = ["hobart", "launceston", "burnie"].map(failureDomain =>
+                createGroup({ failureDomain, count: 6 }),
+            );
+            let state = createState(...groups);
+            let nowMs = START_MS;
+            for (let wave = 0; wave < 3; wave++) {
+                state = runTicks(state, cloud, nowMs, 60);
+                nowMs += 60 * TICK_MS;
+                const domain = groups[random.drawInteger(0, 2)]!.failureDomain;
+                cloud.reclaim(vm => vm.failureDomain === domain, nowMs, 10_000);
+                // The holder dies: its decision is kept and no step is taken.
+                state = decide(state, cloud.listLagging(nowMs), nowMs).state;
+            }
+            runTicks(state, cloud, nowMs, 160);
+            nowMs += 160 * TICK_MS;
+            groups.forEach(group => assert.equal(countLive(cloud, group, nowMs), 6, `seed ${seed}`));
+        }
+    });
+});
--- /dev/null
+++ b/src/decisions/fleet/demand.test.ts
@@ -0,0 +1,175 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { MoveState, ServiceKind, type VersionMove } from "../../model/configuration";
+import { VmState } from "../../model/endpoint";
+import { buildOfferId } from "./buildGroupId";
+import {
+    DEMAND_HEADROOM,
+    FIRST_REFUSAL_WAIT_MS,
+    LONGEST_REFUSAL_WAIT_MS,
+    PREPARATION_MS,
+    WAVE_WAIT_MS,
+} from "./constants";
+import { EMPTY_DEMAND_HISTORY, type DemandHistory } from "./demandHistory";
+import { estimateDemand } from "./estimateDemand";
+import { EMPTY_FLEET_STATE, type FleetState, type PendingStart } from "./fleetState";
+import { VmRole } from "../../model/endpoint";
+import { listVersionDemands } from "./listVersionDemands";
+import { recordDemandSample } from "./recordDemandSample";
+import { listRefusedOffers, recordRefusal, recordStarted, recordWaves } from "./recordRefusal";
+
+const HOUR_MS = 3_600_000;
+const DAY_MS = 24 * HOUR_MS;
+/** A Monday. */
+const MONDAY_MS = Date.UTC(2026, 5, 1);
+const FACTOR = 1 + DEMAND_HEADROOM;
+
+function recordDays(days: number, readUnits: (wallMs: number) => number): { history: DemandHistory; writes: number } {
+    let history: DemandHistory = EMPTY_DEMAND_HISTORY;
+    let writes = 0;
+    for (let wallMs = MONDAY_MS; wallMs < MONDAY_MS + days * DAY_MS; wallMs += HOUR_MS / 4) {
+        const next = recordDemandSample(history, readUnits(wallMs), wallMs);
+        writes += next.weekHours === history.weekHours ? 0 : 1;
+        history = next;
+    }
+    return { history, writes };
+}
+
+describe("recorded demand", () => {
+    it("prepares for a shift start before it begins", () => {
+        const isShift = (wallMs: number) => new Date(wallMs).getUTCHours() === 6;
+        const { history } = recordDays(14, wallMs => (isShift(wallMs) ? 500 : 20));
+        const shiftMs = MONDAY_MS + 14 * DAY_MS + 6 * HOUR_MS;
+        assert.equal(estimateDemand(history, 20, shiftMs - PREPARATION_MS).unitsPerSecond, 500 * FACTOR);
+        assert.match(estimateDemand(history, 20, shiftMs - PREPARATION_MS).reason, /Mon 06:00 UTC of the week/);
+        assert.equal(estimateDemand(history, 20, shiftMs - PREPARATION_MS - 1_000).unitsPerSecond, 20 * FACTOR);
+    });
+
+    it("prepares for the month's close also in a shorter month and on another weekday", () => {
+        const isClose = (wallMs: number) => new Date(wallMs + DAY_MS).getUTCDate() === 1;
+        const isWork = (wallMs: number) => new Date(wallMs).getUTCHours() >= 8 && new Date(wallMs).getUTCHours() < 17;
+        const { history } = recordDays(58, wallMs => (isClose(wallMs) ? 10 : 1) * (isWork(wallMs) ? 30 : 3));
+        const closeMs = Date.UTC(2026, 7, 31, 10);
+        assert.ok(estimateDemand(history, 30, closeMs).unitsPerSecond > 200);
+        assert.ok(estimateDemand(history, 30, closeMs - 4 * DAY_MS).unitsPerSecond < 60);
+    });
+
+    it("takes at most one write an hour", () => {
+        const { writes } = recordDays(7, () => 5);
+        assert.equal(writes, 7 * 24 - 1);
+    });
+
+    it("follows the demand of now where it is higher than ever", () => {
+        const { history } = recordDays(7, () => 5);
+        assert.equal(estimateDemand(history, 90, MONDAY_MS + 8 * DAY_MS).unitsPerSecond, 90 * FACTOR);
+    });
+
+    it("is not changed by a clock that was set back", () => {
+        const { history } = recordDays(2, () => 5);
+        assert.equal(recordDemandSample(history, 1_000, MONDAY_MS), history);
+    });
+});
+
+describe("the demand for versions", () => {
+    const service = { name: "assistant", kind: ServiceKind.Model, version: "v1" };
+    const move: VersionMove = {
+        name: "m",
+        serviceName: "assistant",
+        fromVersion: "v1",
+        toVersion: "v2",
+        doneByWallMs: MONDAY_MS + HOUR_MS,
+        state: MoveState.Moving,
+        share: 0.1,
+        reason: "",
+        startedWallMs: MONDAY_MS,
+    };
+    const list = (moves: readonly VersionMove[], nowWallMs = MONDAY_MS) =>
+        listVersionDemands({
+            service,
+            moves,
+            estimate: { unitsPerSecond: 100, reason: "" },
+            targets: [],
+            nowWallMs,
+        }).map(demand => [demand.version, Math.round(demand.unitsPerSecond)]);
+    const CASES = [
+        { name: "one version without a move", moves: [], nowMs: 0, expected: [["v1", 100]] },
+        {
+            name: "all of the old and a part of the new",
+            moves: [move],
+            nowMs: 0,
+            expected: [
+                ["v1", 100],
+                ["v2", 30],
+            ],
+        },
+        {
+            name: "all of both late in the move",
+            moves: [move],
+            nowMs: HOUR_MS / 2,
+            expected: [
+                ["v1", 100],
+                ["v2", 100],
+            ],
+        },
+        {
+            name: "the old one after a move was taken back",
+            moves: [{ ...move, state: MoveState.TakenBack }],
+            nowMs: 0,
+            expected: [["v1", 100]],
+        },
+    ];
+    for (const { name, moves, nowMs, expected } of CASES) {
+        it(`is ${name}`, () => assert.deepEqual(list(moves, MONDAY_MS + nowMs), expected));
+    }
+});
+
+describe("refused starts and waves", () => {
+    const start: PendingStart = {
+        serviceName: "assistant",
+        version: "v1",
+        region: "north",
+        failureDomain: "hobart",
+        machineClass: "gpu-a",
+        isReclaimable: true,
+        role: VmRole.ModelRunner,
+        token: "t",
+        slot: 0,
+        orderedAtWallMs: 0,
+        sentAtWallMs: 0,
+    };
+    const offerId = buildOfferId(start);
+    const state: FleetState = { ...EMPTY_FLEET_STATE, starts: [start] };
+
+    it("leave an offer alone for longer each time, up to a limit, and count several at once as one", () => {
+        let current = recordRefusal(state, start, 0);
+        assert.deepEqual(current.starts, []);
+        assert.equal(listRefusedOffers(current, FIRST_REFUSAL_WAIT_MS - 1).has(offerId), true);
+        assert.equal(listRefusedOffers(current, FIRST_REFUSAL_WAIT_MS).has(offerId), false);
+        assert.equal(recordRefusal(current, start, 1).refusals[offerId]?.count, 1);
+        for (let round = 0; round < 12; round++) {
+            const untilWallMs = current.refusals[offerId]!.untilWallMs;
+            current = recordRefusal(current, start, untilWallMs);
+            assert.ok(current.refusals[offerId]!.untilWallMs - untilWallMs <= LONGEST_REFUSAL_WAIT_MS);
+        }
+        assert.equal(current.refusals[offerId]!.count, 13);
+    });
+
+    it("forget refusals once a start is accepted", () => {
+        const refused = { ...recordRefusal(state, start, 0), starts: [start] };
+        const started = recordStarted(refused, start, "vm-1");
+        assert.deepEqual(started.refusals, {});
+        assert.equal(started.starts[0]?.vmId, "vm-1");
+    });
+
+    it("start nothing reclaimable for a time where most of it was reclaimed at once", () => {
+        const vm = { ...start, address: "127.0.0.1", port: 1, incarnation: 1 };
+        const vms = [0, 1, 2].map(index => ({
+            ...vm,
+            vmId: `vm-${index}`,
+            state: index < 2 ? VmState.Leaving : VmState.Live,
+        }));
+        assert.equal(listRefusedOffers(recordWaves(EMPTY_FLEET_STATE, vms, 0), WAVE_WAIT_MS - 1).has(offerId), true);
+        const draining = { ...EMPTY_FLEET_STATE, stops: [{ vmId: "vm-0", stopAtWallMs: 0, sentAtWallMs: 0 }] };
+        assert.equal(listRefusedOffers(recordWaves(draining, vms, 0), 1).size, 0);
+    });
+});
--- /dev/null
+++ b/src/decisions/fleet/estimateDemand.ts
@@ -0,0 +1,48 @@
+/**
+ * @module The demand to prepare for.
+ */
+import { findMonthDay, findWeekHour, listDayHours, listHours } from "./_lib/findTimeSlots";
+import { DEMAND_HEADROOM, PREPARATION_MS } from "./constants";
+import type { DemandHistory } from "./demandHistory";
+
+/** A demand and where it comes from. */
+export interface DemandEstimate {
+    readonly unitsPerSecond: number;
+    readonly reason: string;
+}
+
+/**
+ * Estimates the demand from now until VMs ordered now would serve: the highest of the recent demand, of the recorded
+ * time of week, and of the recorded day of the month spread over the day as that weekday's demand is.
+ *
+ * @param history - What was recorded
+ * @param recentPeak - Highest demand of the last while, in units a second
+ * @param nowWallMs - Now
+ * @returns The demand with headroom
+ * @example
+ * estimateDemand(history, 320, nowWallMs); //=> { unitsPerSecond: 460, reason: "recorded for Mon 06:00 UTC ..." }
+ */
+export function estimateDemand(history: DemandHistory, recentPeak: number, nowWallMs: number): DemandEstimate {
+    const recorded = listHours(nowWallMs, nowWallMs + PREPARATION_MS).flatMap(hour => [
+        { units: history.weekHours[findWeekHour(hour)] ?? 0, source: `recorded for ${formatHour(hour)} of the week` },
+        { units: estimateByMonthDay(history, hour), source: `recorded for this day of the month, ${formatHour(hour)}` },
+    ]);
+    const recent = { units: recentPeak, source: "seen lately" };
+    const highest = recorded.reduce((best, candidate) => (candidate.units > best.units ? candidate : best), recent);
+    return {
+        unitsPerSecond: highest.units * (1 + DEMAND_HEADROOM),
+        reason: `${Math.round(highest.units)} a second ${highest.source}, ${DEMAND_HEADROOM * 100}% headroom`,
+    };
+}
+
+function estimateByMonthDay(history: DemandHistory, hour: number): number {
+    const dayPeak = history.monthDays[findMonthDay(hour)] ?? 0;
+    const usualPeak = Math.max(...listDayHours(hour).map(weekHour => history.weekHours[weekHour] ?? 0));
+    const usual = history.weekHours[findWeekHour(hour)] ?? 0;
+    return usualPeak > 0 && dayPeak > usualPeak ? (dayPeak * usual) / usualPeak : 0;
+}
+
+function formatHour(hour: number): string {
+    const date = new Date(hour * 3_600_000);
+    return `${date.toUTCString().slice(0, 3)} ${String(date.getUTCHours()).padStart(2, "0")}:00 UTC`;
+}
--- /dev/null
+++ b/src/decisions/fleet/listVersionDemands.ts
@@ -0,0 +1,64 @@
+/**
+ * @module The demand for each version of a service.
+ */
+import { MoveState, type Service, ServiceKind, type VersionMove } from "../../model/configuration";
+import { VmRole } from "../../model/endpoint";
+import { FIRST_MOVE_SHARE, FULL_MOVE_SHARE_TIME, MOVE_SHARE_MULTIPLE } from "./constants";
+import type { DemandEstimate } from "./estimateDemand";
+import type { ClassTarget, ServiceDemand } from "./fleetPlan";
+
+/** What decides on the versions of a service. */
+export interface VersionDemandFacts {
+    readonly service: Service;
+    readonly moves: readonly VersionMove[];
+    readonly estimate: DemandEstimate;
+    readonly targets: readonly ClassTarget[];
+    readonly nowWallMs: number;
+}
+
+/**
+ * Lists what each version of a service must carry. The old version carries all of the demand until its move has ended,
+ * because the move may be taken back at any moment; the new one is prepared ahead of its share.
+ *
+ * @param facts - The service, its moves and its demand
+ * @returns One demand for each version that is needed
+ * @example
+ * listVersionDemands({ service, moves: [], estimate, targets, nowWallMs }).length; //=> 1
+ */
+export function listVersionDemands(facts: VersionDemandFacts): readonly ServiceDemand[] {
+    const { service, estimate, targets } = facts;
+    const common = {
+        serviceName: service.name,
+        role: service.kind === ServiceKind.Model ? VmRole.ModelRunner : VmRole.ApplicationRunner,
+        targets,
+    } as const;
+    const serving: ServiceDemand = {
+        ...common,
+        version: service.version,
+        unitsPerSecond: estimate.unitsPerSecond,
+        demandReason: estimate.reason,
+    };
+    const moving = facts.moves.filter(
+        move =>
+            move.serviceName === service.name && move.state === MoveState.Moving && move.toVersion !== service.version,
+    );
+    return [
+        serving,
+        ...moving.map(move => {
+            const share = computePreparedShare(move, facts.nowWallMs);
+            return {
+                ...common,
+                version: move.toVersion,
+                unitsPerSecond: estimate.unitsPerSecond * share,
+                demandReason: `${Math.round(share * 100)}% for the move ${move.name}; ${estimate.reason}`,
+            };
+        }),
+    ];
+}
+
+function computePreparedShare(move: VersionMove, nowWallMs: number): number {
+    const startedWallMs = move.startedWallMs ?? nowWallMs;
+    const passed = (nowWallMs - startedWallMs) / Math.max(1, move.doneByWallMs - startedWallMs);
+    const ahead = Math.max(FIRST_MOVE_SHARE, move.share * MOVE_SHARE_MULTIPLE);
+    return passed >= FULL_MOVE_SHARE_TIME ? 1 : Math.min(1, ahead);
+}
--- a/src/decisions/fleet/planFleet.test.ts
+++ b/src/decisions/fleet/planFleet.test.ts
@@ -166,13 +166,14 @@
     });
 
     it("keeps existing VMs through small price changes and replaces them after large ones", () => {
-        const before = planOne({ offers: THREE, capacities: [CAPACITY] }, 400);
-        const other = THREE.map(offer => ({ ...offer, failureDomain: `${offer.failureDomain}-b`, microsPerHour: 950 }));
-        const small = planOne({ offers: [...THREE, ...other], capacities: [CAPACITY], held: toHeld(before) }, 400);
-        assert.ok(small.groups.every(group => !group.failureDomain.endsWith("-b")));
+        const capacities = [CAPACITY, { ...CAPACITY, machineClass: "gpu-b" }];
+        const before = planOne({ offers: THREE, capacities }, 400);
+        const other = THREE.map(offer => ({ ...offer, machineClass: "gpu-b", microsPerHour: 950 }));
+        const small = planOne({ offers: [...THREE, ...other], capacities, held: toHeld(before) }, 400);
+        assert.ok(small.groups.every(group => group.machineClass === "gpu-a"));
         const cheap = other.map(offer => ({ ...offer, microsPerHour: 500 }));
-        const large = planOne({ offers: [...THREE, ...cheap], capacities: [CAPACITY], held: toHeld(before) }, 400);
-        assert.ok(large.groups.every(group => group.failureDomain.endsWith("-b")));
+        const large = planOne({ offers: [...THREE, ...cheap], capacities, held: toHeld(before) }, 400);
+        assert.ok(large.groups.every(group => group.machineClass === "gpu-b"));
     });
 
     it("is stable: planning again with the plan's VMs changes nothing", () => {
--- /dev/null
+++ b/src/decisions/fleet/recordRefusal.ts
@@ -0,0 +1,89 @@
+/**
+ * @module Offers that are left alone for a time.
+ */
+import { type VmRecord, VmState } from "../../model/endpoint";
+import { buildOfferId } from "./buildGroupId";
+import { FIRST_REFUSAL_WAIT_MS, LONGEST_REFUSAL_WAIT_MS, WAVE_SHARE, WAVE_WAIT_MS } from "./constants";
+import type { FleetState, PendingStart } from "./fleetState";
+
+/**
+ * Records that the cloud refused a start: the offer is left alone for a time that doubles with each further refusal,
+ * and the start is no longer under way.
+ *
+ * @param state - The fleet's state
+ * @param start - The refused start
+ * @param nowWallMs - Now
+ * @returns The new state
+ * @example
+ * recordRefusal(state, start, clock.readWallMs());
+ */
+export function recordRefusal(state: FleetState, start: PendingStart, nowWallMs: number): FleetState {
+    const offerId = buildOfferId(start);
+    const known = state.refusals[offerId];
+    const isWithinWait = known !== undefined && nowWallMs < known.untilWallMs;
+    const count = isWithinWait ? known.count : (known?.count ?? 0) + 1;
+    const waitMs = Math.min(LONGEST_REFUSAL_WAIT_MS, FIRST_REFUSAL_WAIT_MS * 2 ** (count - 1));
+    return {
+        ...state,
+        starts: state.starts.filter(other => other.token !== start.token),
+        refusals: { ...state.refusals, [offerId]: { count, untilWallMs: nowWallMs + waitMs } },
+    };
+}
+
+/**
+ * Records that the cloud accepted a start.
+ *
+ * @param state - The fleet's state
+ * @param start - The accepted start
+ * @param vmId - The VM's id
+ * @returns The new state
+ * @example
+ * recordStarted(state, start, "vm-17");
+ */
+export function recordStarted(state: FleetState, start: PendingStart, vmId: string): FleetState {
+    const refusals = Object.fromEntries(Object.entries(state.refusals).filter(([id]) => id !== buildOfferId(start)));
+    const starts = state.starts.map(other => (other.token === start.token ? { ...other, vmId } : other));
+    return { ...state, starts, refusals };
+}
+
+/**
+ * Records waves: where a large share of the reclaimable VMs of an offer leaves at once, none is started for a time.
+ *
+ * @param state - The fleet's state
+ * @param vms - The VMs that the list shows
+ * @param nowWallMs - Now
+ * @returns The new state
+ * @example
+ * recordWaves(state, directory.listVms(), clock.readWallMs());
+ */
+export function recordWaves(state: FleetState, vms: readonly VmRecord[], nowWallMs: number): FleetState {
+    const counts = new Map<string, { all: number; leaving: number }>();
+    for (const vm of vms.filter(candidate => candidate.isReclaimable)) {
+        const offerId = buildOfferId(vm);
+        const count = counts.get(offerId) ?? { all: 0, leaving: 0 };
+        const isReclaimed = vm.state === VmState.Leaving && !state.stops.some(stop => stop.vmId === vm.vmId);
+        counts.set(offerId, { all: count.all + 1, leaving: count.leaving + (isReclaimed ? 1 : 0) });
+    }
+    const refusals = { ...state.refusals };
+    for (const [offerId, { all, leaving }] of counts) {
+        const known = refusals[offerId];
+        if (leaving > 1 && leaving >= all * WAVE_SHARE && (known === undefined || known.untilWallMs <= nowWallMs)) {
+            refusals[offerId] = { count: known?.count ?? 1, untilWallMs: nowWallMs + WAVE_WAIT_MS };
+        }
+    }
+    return { ...state, refusals };
+}
+
+/**
+ * Lists the offers of which no VM is to be started now.
+ *
+ * @param state - The fleet's state
+ * @param nowWallMs - Now
+ * @returns Names of offers
+ * @example
+ * planFleet(demands, { ...facts, refusedOfferIds: listRefusedOffers(state, nowWallMs) });
+ */
+export function listRefusedOffers(state: FleetState, nowWallMs: number): ReadonlySet<string> {
+    const refused = Object.entries(state.refusals).filter(([, { untilWallMs }]) => nowWallMs < untilWallMs);
+    return new Set(refused.map(([offerId]) => offerId));
+}
