Choose whom to reconnect to in a module of its own, and ask strangers rarely

Change: such a node is asked again after five minutes; the choice moved out of the exchanger. Conclusion: the exchanger keeps to exchanges.

--- a/src/decisions/membership/constants.ts
+++ b/src/decisions/membership/constants.ts
@@ -64,3 +64,5 @@
 export const JOIN_PERIOD_MS = 1_400;
 /** Wait before what is new about applied revisions is passed on; news of several nodes go together. */
 export const SPREAD_DELAY_MS = 150;
+/** Time between two snapshots read from one listed node that stays unknown under its listed address. */
+export const SEED_REPEAT_MS = 300_000;
--- a/src/tasks/membership/_lib/createExchanger.ts
+++ b/src/tasks/membership/_lib/createExchanger.ts
@@ -9,11 +9,8 @@
     EXCHANGE_TIMEOUT_MS,
     FOLLOW_UP_RESERVE_BYTES,
     INDIRECT_PROBES,
-    JOIN_MS,
-    JOIN_PERIOD_MS,
     MESSAGE_BASE_BYTES,
     OWN_PAUSE_MS,
-    RECONNECT_PERIOD_MS,
     SENT_BURST_BYTES,
     SPREAD_DELAY_MS,
 } from "../../../decisions/membership/constants";
@@ -39,9 +36,10 @@
 import type { ExchangeUpdate } from "../../../nodes/nodeExchange";
 import { decodeExchange, decodeSnapshot, type Entry, type MemberInfo } from "../../../nodes/nodeMessages";
 import { type NodeAddress, NodeCall, type NodeTransport } from "../../../nodes/nodeTransport";
+import { createReconnector } from "./createReconnector";
 import { type Message, MessageKind } from "./messages";
 import { probeMember } from "./probeMember";
-import { findGoneNodeIds, listUnknownSeeds, type SeedState, toAddressKey, updateSeeds } from "./seeds";
+import { toAddressKey } from "./seeds";
 
 /** Called when something is news. */
 export interface ExchangerHooks {
@@ -90,14 +88,12 @@
         },
         start,
     );
-    let seeds: SeedState = { listed: [], everListed: new Set() };
+    const reconnector = createReconnector(random, clock.readMonotonicMs());
     let neighbours: readonly Member[] = [];
     let neighboursOf: ReadonlyMap<string, Member> | undefined;
     let turn = 0;
     let lastStamp = 0;
     let wokeAtMs = 0;
-    const startedAtMs = clock.readMonotonicMs();
-    let reconnectedAtMs = Number.NEGATIVE_INFINITY;
     let isFlushQueued = false;
     let isSpreadQueued = false;
     /** Nodes with an exchange on its way; true if another one must follow at once. */
@@ -230,17 +226,7 @@
     };
     /** Tries a node that is out of reach, or one of the platform's list that is not known. */
     const reconnect = () => {
-        const { nowMs } = readTime();
-        const roster = listRoster(state.membership);
-        const unknown = listUnknownSeeds(seeds, roster);
-        const isJoining = unknown.length > 0 && nowMs - startedAtMs < JOIN_MS;
-        if (nowMs - reconnectedAtMs < (isJoining ? JOIN_PERIOD_MS : RECONNECT_PERIOD_MS)) {
-            return;
-        }
-        reconnectedAtMs = nowMs;
-        const lost = [...state.membership.members.values()].filter(isOutOfReach);
-        const choice = random.drawInteger(0, Math.max(0, lost.length + unknown.length - 1));
-        const [member, seed] = [lost[choice], unknown[choice - lost.length]];
+        const { member, seed } = reconnector.chooseNext(state.membership, clock.readMonotonicMs());
         if (member !== undefined) {
             beginExchange(member, true);
         } else if (seed !== undefined) {
@@ -252,7 +238,7 @@
         [MessageKind.Tick]: () => {
             const { nowMs, wallMs } = readTime();
             wokeAtMs = nowMs - state.membership.tickedAtMs > OWN_PAUSE_MS ? nowMs : wokeAtMs;
-            const goneNodeIds = findGoneNodeIds(seeds, state.membership.members.values());
+            const goneNodeIds = reconnector.findGoneNodeIds(state.membership);
             setMembership(advanceMembership(state.membership, { nowMs, wallMs, goneNodeIds }));
             beginTurn();
             reconnect();
@@ -290,6 +276,7 @@
         },
         [MessageKind.Snapshot]: ({ entries, seed }) => {
             setChange(importEntries(state, entries, readTime()));
+            reconnector.recordAnswer(seed, clock.readMonotonicMs());
             const giver = listRoster(state.membership).find(member => toAddressKey(member.info) === toAddressKey(seed));
             if (giver !== undefined) {
                 beginExchange(giver);
@@ -325,9 +312,7 @@
         handleMessage: message => (handlers[message.kind] as (message: Message) => void)(message),
         readState: () => state,
         listNeighbourIds: () => listNeighbours().map(member => member.nodeId),
-        updateSeeds: vms => {
-            seeds = updateSeeds(seeds, vms);
-        },
+        updateSeeds: reconnector.updateSeeds,
         waitUntilTold: () => new Promise(resolve => toldListeners.push(resolve)),
     };
 }
@@ -337,10 +322,6 @@
     return isLeft || TOPIC_POLICIES[entry.topic].isUrgent;
 }
 
-function isOutOfReach(member: Member): boolean {
-    return member.condition === MemberCondition.Suspect || member.condition === MemberCondition.Dead;
-}
-
 /** Chooses helpers at random, spread over the roster. */
 function chooseHelpers(target: Member, roster: readonly Member[], selfId: string, random: Random): readonly Member[] {
     const usable = roster.filter(
