Name HTTP statuses once, and split the whole answer's writer off

Cause: five adapters each named the same statuses, stand-ins used bare numbers; the generation handler was long. Change: one enum of statuses; constants of the engine model in one place; createWholeWriter. Conclusion: no change of behaviour.

--- a/src/adapters/_lib/convertRefusal.ts
+++ b/src/adapters/_lib/convertRefusal.ts
@@ -4,8 +4,7 @@
 import { createFailure } from "../../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../../base/failure";
 import type { EndpointAnswer } from "./sendEndpointCall";
-
-const FIRST_SERVER_ERROR_STATUS = 500;
+import { HttpStatus } from "./httpStatus";
 
 /**
  * Turns an answer with an error status into a failure.
@@ -19,7 +18,7 @@
 export function convertRefusal(answer: EndpointAnswer): Failure {
     const isNotRun = answer.isEchoed && answer.headers["redwinglift-execution"] === Execution.NotRun;
     const kind =
-        answer.status >= FIRST_SERVER_ERROR_STATUS && !isNotRun
+        answer.status >= HttpStatus.InternalServerError && !isNotRun
             ? FailureKind.EndpointFailed
             : FailureKind.EndpointRefused;
     return createFailure(kind, `The endpoint answered with status ${answer.status}.`, {
--- a/src/adapters/_lib/probeEndpoint.ts
+++ b/src/adapters/_lib/probeEndpoint.ts
@@ -7,8 +7,7 @@
 import { sendEndpointCall } from "./sendEndpointCall";
 import { convertRefusal } from "./convertRefusal";
 import type { HttpTarget } from "./httpTarget";
-
-const OK_STATUS = 200;
+import { HttpStatus } from "./httpStatus";
 
 /**
  * Asks an endpoint for a sign of life on a new connection, since a kept one can be dead while new ones work.
@@ -25,5 +24,5 @@
 ): Promise<Result<void, Failure>> {
     const timeouts = { connectMs: timeoutMs, firstByteMs: timeoutMs, silenceMs: timeoutMs };
     const answer = await sendEndpointCall(target, { method: "GET", path: "/health", timeouts });
-    return answer.andThen(value => (value.status === OK_STATUS ? ok(undefined) : err(convertRefusal(value))));
+    return answer.andThen(value => (value.status === HttpStatus.Ok ? ok(undefined) : err(convertRefusal(value))));
 }
--- a/src/adapters/_lib/requestEndpointJson.ts
+++ b/src/adapters/_lib/requestEndpointJson.ts
@@ -11,8 +11,7 @@
 import type { ConnectionPool } from "./createConnectionPool";
 import type { HttpTarget } from "./httpTarget";
 import { parseAnswer } from "./parseAnswer";
-
-const FIRST_ERROR_STATUS = 400;
+import { HttpStatus } from "./httpStatus";
 
 /**
  * Sends a call to an endpoint and reads the JSON of a good answer.
@@ -33,7 +32,7 @@
 ): Promise<Result<T, Failure>> {
     const answer = await sendEndpointCall(target, call, pool);
     return answer.andThen(value => {
-        if (value.status >= FIRST_ERROR_STATUS) {
+        if (value.status >= HttpStatus.BadRequest) {
             return err(convertRefusal(value));
         }
         const parsed = parseAnswer(value.body, schema);
--- a/src/adapters/_lib/sendPlatformCall.ts
+++ b/src/adapters/_lib/sendPlatformCall.ts
@@ -7,6 +7,7 @@
 import { sendHttpCall, type CallTimeouts, type HttpCall, type HttpOutcome } from "./sendHttpCall";
 import type { ConnectionPool } from "./createConnectionPool";
 import type { HttpTarget } from "./httpTarget";
+import { HttpStatus } from "./httpStatus";
 
 /** A regular answer of the platform, also with a status that says no. */
 export interface PlatformAnswer {
@@ -21,8 +22,6 @@
     readonly timeouts?: CallTimeouts;
 }
 
-const THROTTLED_STATUS = 429;
-const FIRST_SERVER_ERROR_STATUS = 500;
 const NOTHING_TOOK_EFFECT = /"effect"\s*:\s*"none"/;
 
 /**
@@ -41,7 +40,11 @@
 ): Promise<Result<PlatformAnswer, Failure>> {
     const timeouts = connection.timeouts;
     const outcome = await sendHttpCall(connection.target, { ...call, timeouts }, connection.pool);
-    if (outcome.isAnswered && outcome.status < FIRST_SERVER_ERROR_STATUS && outcome.status !== THROTTLED_STATUS) {
+    if (
+        outcome.isAnswered &&
+        outcome.status < HttpStatus.InternalServerError &&
+        outcome.status !== HttpStatus.TooManyRequests
+    ) {
         return ok({ status: outcome.status, body: outcome.body });
     }
     const kind =
@@ -53,7 +56,7 @@
 
 function isWithoutEffect(outcome: HttpOutcome): boolean {
     return outcome.isAnswered
-        ? outcome.status === THROTTLED_STATUS || NOTHING_TOOK_EFFECT.test(outcome.body.toString("utf8"))
+        ? outcome.status === HttpStatus.TooManyRequests || NOTHING_TOOK_EFFECT.test(outcome.body.toString("utf8"))
         : !outcome.hasSentBytes;
 }
 
--- a/src/adapters/httpCloud/createHttpCloud.ts
+++ b/src/adapters/httpCloud/createHttpCloud.ts
@@ -11,6 +11,7 @@
 import { createPlatformConnection, type PlatformAdapterOptions } from "../_lib/createPlatformConnection";
 import { parseAnswer } from "../_lib/parseAnswer";
 import { refuseAnswer } from "../_lib/refuseAnswer";
+import { HttpStatus } from "../_lib/httpStatus";
 
 const startedSchema = z.object({ vmId: z.string() });
 const priceSchema = z.object({
@@ -25,9 +26,6 @@
     notices: z.array(z.object({ vmId: z.string(), reclaimAtWallMs: z.number() })),
 });
 
-const OK_STATUS = 200;
-const CONFLICT_STATUS = 409;
-
 /**
  * Creates the adapter to the cloud API.
  *
@@ -42,7 +40,7 @@
     const readList = async <T>(path: string, schema: z.ZodType<T>) => {
         const answer = await sendPlatformCall(connection, { method: "GET", path });
         return answer.andThen(({ status, body }) => {
-            const value = status === OK_STATUS ? parseAnswer(body, schema) : undefined;
+            const value = status === HttpStatus.Ok ? parseAnswer(body, schema) : undefined;
             return value === undefined ? refuseAnswer(status, false) : ok(value);
         });
     };
@@ -51,17 +49,19 @@
             const body = Buffer.from(JSON.stringify(order));
             const answer = await sendPlatformCall(connection, { method: "POST", path: "/cloud/vms", body });
             return answer.andThen(({ status, body: answerBody }) => {
-                if (status === CONFLICT_STATUS) {
+                if (status === HttpStatus.Conflict) {
                     return err(createFailure(FailureKind.PlatformRefused, "The platform refused to start the VM."));
                 }
-                const value = status === OK_STATUS ? parseAnswer(answerBody, startedSchema) : undefined;
-                return value === undefined ? refuseAnswer(status, status === OK_STATUS) : ok(value);
+                const value = status === HttpStatus.Ok ? parseAnswer(answerBody, startedSchema) : undefined;
+                return value === undefined ? refuseAnswer(status, status === HttpStatus.Ok) : ok(value);
             });
         },
         stopVm: async vmId => {
             const path = `/cloud/vms/${encodeURIComponent(vmId)}`;
             const answer = await sendPlatformCall(connection, { method: "DELETE", path });
-            return answer.andThen(({ status }) => (status === OK_STATUS ? ok(undefined) : refuseAnswer(status, false)));
+            return answer.andThen(({ status }) =>
+                status === HttpStatus.Ok ? ok(undefined) : refuseAnswer(status, false),
+            );
         },
         listPrices: async () => (await readList("/cloud/prices", pricesSchema)).map(value => value.prices),
         listReclaimNotices: async () => (await readList("/cloud/notices", noticesSchema)).map(value => value.notices),
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -17,6 +17,7 @@
 import { createEventPipe } from "./createEventPipe";
 import { formatGeneration } from "./formatGeneration";
 import { readRefusal } from "./readRefusal";
+import { HttpStatus } from "../_lib/httpStatus";
 
 /** What a generation needs. */
 export interface HttpGenerationOptions {
@@ -26,7 +27,6 @@
     readonly sendCancel: () => void;
 }
 
-const OK_STATUS = 200;
 const EARLY_END = "The stream ended before the answer did.";
 
 /**
@@ -128,7 +128,7 @@
         if (echoed !== undefined && echoed !== callId) {
             failWith(FailureKind.EndpointFailed, "The answer belongs to another request.");
             pool.dropIdleConnections(endpoint);
-        } else if (stream.statusCode === OK_STATUS) {
+        } else if (stream.statusCode === HttpStatus.Ok) {
             readStream(stream);
         } else {
             beginSilence();
--- a/src/adapters/httpObjects/createHttpObjects.ts
+++ b/src/adapters/httpObjects/createHttpObjects.ts
@@ -12,10 +12,9 @@
 import { formatListingQuery } from "../_lib/formatListingQuery";
 import { parseAnswer } from "../_lib/parseAnswer";
 import { refuseAnswer } from "../_lib/refuseAnswer";
+import { HttpStatus } from "../_lib/httpStatus";
 
 const keysSchema = z.object({ keys: z.array(z.string()) });
-const NOT_FOUND_STATUS = 404;
-const FIRST_ERROR_STATUS = 300;
 
 /**
  * Creates the adapter to the object store.
@@ -31,7 +30,7 @@
     const writeCall = async (method: string, key: string, body?: Buffer) => {
         const answer = await sendPlatformCall(connection, { method, path: formatObjectPath(key), body });
         return answer.andThen(({ status }) =>
-            status < FIRST_ERROR_STATUS ? ok(undefined) : refuseAnswer(status, false),
+            status < HttpStatus.FirstRedirect ? ok(undefined) : refuseAnswer(status, false),
         );
     };
     return {
@@ -44,17 +43,17 @@
             const headers = range === undefined ? undefined : { range: `bytes=${range.start}-${range.end - 1}` };
             const answer = await sendPlatformCall(connection, { method: "GET", path: formatObjectPath(key), headers });
             return answer.andThen(({ status, body }) => {
-                if (status === NOT_FOUND_STATUS) {
+                if (status === HttpStatus.NotFound) {
                     return err(createFailure(FailureKind.NotFound, `There is no object ${key}.`));
                 }
-                return status < FIRST_ERROR_STATUS ? ok(body) : refuseAnswer(status, false);
+                return status < HttpStatus.FirstRedirect ? ok(body) : refuseAnswer(status, false);
             });
         },
         listObjects: async (prefix, listing) => {
             const path = `/object-keys?${formatListingQuery(prefix, listing)}`;
             const answer = await sendPlatformCall(connection, { method: "GET", path });
             return answer.andThen(({ status, body }) => {
-                const value = status < FIRST_ERROR_STATUS ? parseAnswer(body, keysSchema) : undefined;
+                const value = status < HttpStatus.FirstRedirect ? parseAnswer(body, keysSchema) : undefined;
                 return value === undefined ? refuseAnswer(status, false) : ok(value.keys);
             });
         },
--- a/src/adapters/httpTable/createHttpTable.ts
+++ b/src/adapters/httpTable/createHttpTable.ts
@@ -12,6 +12,7 @@
 import { formatListingQuery } from "../_lib/formatListingQuery";
 import { parseAnswer } from "../_lib/parseAnswer";
 import { refuseAnswer } from "../_lib/refuseAnswer";
+import { HttpStatus } from "../_lib/httpStatus";
 
 const rowSchema = z.object({ key: z.string(), value: z.string(), version: z.number(), token: z.string() });
 const rowAnswerSchema = z.object({ row: rowSchema.optional() });
@@ -19,9 +20,6 @@
 const commitAnswerSchema = z.object({ versions: z.array(z.number()) });
 const conflictSchema = z.object({ keys: z.array(z.string()) });
 
-const OK_STATUS = 200;
-const CONFLICT_STATUS = 409;
-
 /**
  * Creates the adapter to the table service.
  *
@@ -40,7 +38,7 @@
                 path: `/table/row?${new URLSearchParams({ key }).toString()}`,
             });
             return answer.andThen(({ status, body }) => {
-                const value = status === OK_STATUS ? parseAnswer(body, rowAnswerSchema) : undefined;
+                const value = status === HttpStatus.Ok ? parseAnswer(body, rowAnswerSchema) : undefined;
                 return value === undefined ? refuseAnswer(status, false) : ok(value.row);
             });
         },
@@ -48,7 +46,7 @@
             const path = `/table/rows?${formatListingQuery(prefix, listing)}`;
             const answer = await sendPlatformCall(connection, { method: "GET", path });
             return answer.andThen(({ status, body }) => {
-                const value = status === OK_STATUS ? parseAnswer(body, rowsAnswerSchema) : undefined;
+                const value = status === HttpStatus.Ok ? parseAnswer(body, rowsAnswerSchema) : undefined;
                 return value === undefined ? refuseAnswer(status, false) : ok(value.rows);
             });
         },
@@ -56,13 +54,13 @@
             const body = Buffer.from(JSON.stringify(transaction));
             const answer = await sendPlatformCall(connection, { method: "POST", path: "/table/transactions", body });
             return answer.andThen(({ status, body: answerBody }) => {
-                if (status === CONFLICT_STATUS) {
+                if (status === HttpStatus.Conflict) {
                     const keys = parseAnswer(answerBody, conflictSchema)?.keys ?? [];
                     const message = "A row changed since it was read.";
                     return err(createFailure(FailureKind.StoreConflict, message, { details: { keys } }));
                 }
-                const value = status === OK_STATUS ? parseAnswer(answerBody, commitAnswerSchema) : undefined;
-                return value === undefined ? refuseAnswer(status, status === OK_STATUS) : ok(value.versions);
+                const value = status === HttpStatus.Ok ? parseAnswer(answerBody, commitAnswerSchema) : undefined;
+                return value === undefined ? refuseAnswer(status, status === HttpStatus.Ok) : ok(value.versions);
             });
         },
         dispose: connection.pool.dispose,
--- a/src/standins/_lib/handleControlCall.ts
+++ b/src/standins/_lib/handleControlCall.ts
@@ -6,6 +6,7 @@
 import { parseFaults } from "./parseFaults";
 import { sendReply } from "./sendReply";
 import type { StandinCall } from "./standinCall";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /**
  * Handles a call to `/faults`: GET lists the rules in force, POST replaces them. Faults never strike it.
@@ -22,14 +23,14 @@
     setFaults: (rules: readonly FaultRule[]) => void,
 ): void {
     if (call.method !== "POST") {
-        sendReply(call, { status: 200, body: { faults: gate.readRules() } });
+        sendReply(call, { status: HttpStatus.Ok, body: { faults: gate.readRules() } });
         return;
     }
     parseFaults(call.body).match(
         rules => {
             setFaults(rules);
-            sendReply(call, { status: 200, body: { faults: rules } });
+            sendReply(call, { status: HttpStatus.Ok, body: { faults: rules } });
         },
-        failure => sendReply(call, { status: 400, body: { error: failure } }),
+        failure => sendReply(call, { status: HttpStatus.BadRequest, body: { error: failure } }),
     );
 }
--- a/src/standins/_lib/runCall.ts
+++ b/src/standins/_lib/runCall.ts
@@ -8,6 +8,7 @@
 import { sendHalfReply } from "./sendHalfReply";
 import { sendReply } from "./sendReply";
 import type { StandinCall, StandinReply, StandinRoute } from "./standinCall";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /** What running a call needs. */
 export interface RunCallOptions {
@@ -40,12 +41,16 @@
         return;
     }
     if (gate.strike(FaultKind.Unavailable, facts) !== undefined) {
-        sendReply(call, { status: 503, body: { effect: "none" }, headers: { "redwinglift-execution": "not_run" } });
+        sendReply(call, {
+            status: HttpStatus.ServiceUnavailable,
+            body: { effect: "none" },
+            headers: { "redwinglift-execution": "not_run" },
+        });
         return;
     }
     const route = findRoute(options.routes, call);
     if (route === undefined) {
-        sendReply(call, { status: 404, body: { effect: "none" } });
+        sendReply(call, { status: HttpStatus.NotFound, body: { effect: "none" } });
         return;
     }
     const reply = await runHandler(route, call);
@@ -58,7 +63,7 @@
     try {
         return await route.handle(call);
     } catch (error) {
-        return { status: 500, body: { error: { message: String(error) } } };
+        return { status: HttpStatus.InternalServerError, body: { error: { message: String(error) } } };
     }
 }
 
--- a/src/standins/createApplicationRunnerStandin.ts
+++ b/src/standins/createApplicationRunnerStandin.ts
@@ -9,6 +9,7 @@
 import { APPLICATION_LATENCY_MS } from "./constants";
 import { type FaultFacts, FaultKind, type FaultSwitches } from "./fault";
 import { createLoadHistory } from "./modelRunner/createLoadHistory";
+import { HttpStatus } from "../adapters/_lib/httpStatus";
 
 /** Settings of the application runner stand-in. */
 export interface ApplicationRunnerStandinOptions extends StandinOptions {
@@ -79,10 +80,14 @@
         history.recordSample();
         const headers = createIdentityHeaders(call);
         if (server.gate.strike(FaultKind.VersionFailing, facts) !== undefined) {
-            return { status: 500, body: { error: { message: "The service failed." } }, headers };
+            return {
+                status: HttpStatus.InternalServerError,
+                body: { error: { message: "The service failed." } },
+                headers,
+            };
         }
         return {
-            status: 200,
+            status: HttpStatus.Ok,
             body: { service: options.serviceName, version, path: call.path, executions: countExecutions(key) },
             headers,
         };
@@ -99,16 +104,20 @@
         history.recordSample();
         const extraMs = server.gate.strike(FaultKind.LoadLagging)?.delayMs ?? 0;
         const { sample, ageMs } = history.readSample((options.loadLagMs ?? 0) + extraMs);
-        return { status: 200, body: { ...sample, ageMs } };
+        return { status: HttpStatus.Ok, body: { ...sample, ageMs } };
     };
     const server = await startStandinServer({
         ...options,
         clock,
         readFacts,
         routes: [
-            { method: "GET", path: "/health", handle: () => ({ status: 200 }) },
+            { method: "GET", path: "/health", handle: () => ({ status: HttpStatus.Ok }) },
             { method: "GET", path: "/redwinglift/load", handle: readLoad },
-            { method: "GET", path: "/redwinglift/executions", handle: () => ({ status: 200, body: { executions } }) },
+            {
+                method: "GET",
+                path: "/redwinglift/executions",
+                handle: () => ({ status: HttpStatus.Ok, body: { executions } }),
+            },
             { path: "/", handle: executeCall },
         ],
     });
--- a/src/standins/createModelRunnerStandin.ts
+++ b/src/standins/createModelRunnerStandin.ts
@@ -22,6 +22,7 @@
 import { createGenerationHandler } from "./modelRunner/createGenerationHandler";
 import { createLoadHistory } from "./modelRunner/createLoadHistory";
 import { createOrderBook, type ExecutedOrder } from "./modelRunner/createOrderBook";
+import { HttpStatus } from "../adapters/_lib/httpStatus";
 
 /** Settings of the model runner stand-in. */
 export interface ModelRunnerStandinOptions extends StandinOptions {
@@ -126,7 +127,7 @@
         history.recordSample();
         const extraMs = readGate().strike(FaultKind.LoadLagging)?.delayMs ?? 0;
         const { sample, ageMs } = history.readSample((options.loadLagMs ?? 0) + extraMs);
-        return { status: 200, body: { ...sample, ageMs } };
+        return { status: HttpStatus.Ok, body: { ...sample, ageMs } };
     };
     const cancelAttempt = (call: StandinCall): StandinReply => {
         const wanted = parseAnswer(call.body, attemptSchema);
@@ -139,20 +140,20 @@
         readFacts,
         routes: [
             { method: "POST", path: GENERATION_PATH, handle: generations.handleGeneration },
-            { method: "GET", path: "/health", handle: () => ({ status: 200 }) },
+            { method: "GET", path: "/health", handle: () => ({ status: HttpStatus.Ok }) },
             { method: "GET", path: "/redwinglift/load", handle: readLoad },
             {
                 method: "GET",
                 path: "/redwinglift/cache-events",
                 handle: call => ({
-                    status: 200,
+                    status: HttpStatus.Ok,
                     body: { events: cacheLog.listEvents(Number(call.query.get("after") ?? 0)) },
                 }),
             },
             {
                 method: "GET",
                 path: "/redwinglift/state",
-                handle: () => ({ status: 200, body: orders.readState() }),
+                handle: () => ({ status: HttpStatus.Ok, body: orders.readState() }),
             },
             { method: "POST", path: "/redwinglift/orders", handle: orders.handleOrder },
             { method: "POST", path: "/redwinglift/cancel", handle: cancelAttempt },
--- a/src/standins/createPlatformStandin.ts
+++ b/src/standins/createPlatformStandin.ts
@@ -24,6 +24,7 @@
 import { createTableRoutes } from "./platform/createTableRoutes";
 import { createVmRegistry } from "./platform/createVmRegistry";
 import { createWeightRoutes } from "./platform/createWeightRoutes";
+import { HttpStatus } from "../adapters/_lib/httpStatus";
 
 /** Settings of the platform stand-in. */
 export interface PlatformStandinOptions extends StandinOptions, VmHooks {
@@ -81,19 +82,19 @@
     const listVms = () => {
         const lagMs = options.vmListLagMs ?? VM_LIST_LAG_MS;
         const extraMs = server.gate.strike(FaultKind.VmListLagging)?.delayMs ?? 0;
-        return { status: 200, body: { vms: registry.listLagging(lagMs + extraMs) } };
+        return { status: HttpStatus.Ok, body: { vms: registry.listLagging(lagMs + extraMs) } };
     };
     const addListedVm = (call: StandinCall): StandinReply => {
         const vm = parseAnswer(call.body, vmSchema);
         if (vm === undefined) {
-            return { status: 400, body: { effect: "none" } };
+            return { status: HttpStatus.BadRequest, body: { effect: "none" } };
         }
         registry.addVm(vm);
-        return { status: 200 };
+        return { status: HttpStatus.Ok };
     };
     const removeListedVm = (call: StandinCall): StandinReply => {
         removeVm(call.path.slice("/vms/".length));
-        return { status: 200 };
+        return { status: HttpStatus.Ok };
     };
     const reclaimVms = (vmIds: readonly string[], noticeMs: number) => {
         const reclaimAtWallMs = clock.readWallMs() + noticeMs;
--- a/src/standins/modelEngine/countAnswerTokens.ts
+++ b/src/standins/modelEngine/countAnswerTokens.ts
@@ -2,10 +2,9 @@
  * @module The length of answers.
  */
 import type { ChatMessage } from "../../model/request";
+import { ANSWER_SPREAD_TOKENS, SHORTEST_ANSWER_TOKENS } from "./constants";
 import { hashPrompt } from "./hashPrompt";
 
-const SHORTEST_ANSWER_TOKENS = 32;
-const ANSWER_SPREAD_TOKENS = 224;
 const WANTED_LENGTH = /\[tokens:(\d+)\]/;
 
 /**
--- a/src/standins/modelEngine/createEngineState.ts
+++ b/src/standins/modelEngine/createEngineState.ts
@@ -1,20 +1,9 @@
 /**
  * @module Builds engines.
  */
+import { DEFAULT_ENGINE_SETTINGS } from "./constants";
 import type { EngineSettings, EngineState } from "./engineState";
 
-/** An engine of middling size: 12 ms between tokens alone, 8,000 prompt tokens a second. */
-export const DEFAULT_ENGINE_SETTINGS: EngineSettings = {
-    tokenGapMs: 12,
-    tokenGapPerSequenceMs: 0.25,
-    prefillTokensPerSecond: 8_000,
-    prefillChunkTokens: 512,
-    maximumRunning: 64,
-    maximumWaiting: 256,
-    cacheTokens: 200_000,
-    blockTokens: 64,
-};
-
 /**
  * Creates an idle engine.
  *
--- a/src/standins/modelRunner/createCacheExchange.ts
+++ b/src/standins/modelRunner/createCacheExchange.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../../base/clock";
 import type { StandinCall, StandinReply, StandinRoute } from "../_lib/standinCall";
 import { CACHE_BYTES_PER_TOKEN } from "../constants";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /** KV cache of some leading tokens of a conversation and its answer. */
 export interface ExportedCache {
@@ -50,31 +51,32 @@
         const wanted = parseAnswer(call.body, exportSchema);
         const cache = wanted && options.findRunning(wanted.request_id, wanted.attempt);
         if (wanted === undefined || cache === undefined) {
-            return { status: 404 };
+            return { status: HttpStatus.NotFound };
         }
         const cacheId = `${wanted.request_id}.${wanted.attempt}.${cache.tokens}`;
         exported.set(cacheId, cache);
         const bytes = cache.tokens * CACHE_BYTES_PER_TOKEN;
-        return { status: 200, body: { cache_id: cacheId, bytes, tokens: cache.tokens } };
+        return { status: HttpStatus.Ok, body: { cache_id: cacheId, bytes, tokens: cache.tokens } };
     };
     const importCache = async (call: StandinCall): Promise<StandinReply> => {
         const wanted = parseAnswer(call.body, importSchema);
         if (wanted === undefined) {
-            return { status: 400 };
+            return { status: HttpStatus.BadRequest };
         }
         const path = `/redwinglift/cache/${encodeURIComponent(wanted.cache_id)}`;
         const outcome = await sendHttpCall(wanted, { method: "GET", path });
-        const cache = outcome.isAnswered && outcome.status === 200 ? parseAnswer(outcome.body, cacheSchema) : undefined;
+        const cache =
+            outcome.isAnswered && outcome.status === HttpStatus.Ok ? parseAnswer(outcome.body, cacheSchema) : undefined;
         if (cache === undefined) {
-            return { status: 502, body: { error: { message: "The cache could not be read." } } };
+            return { status: HttpStatus.BadGateway, body: { error: { message: "The cache could not be read." } } };
         }
         await options.clock.waitMs((cache.tokens * CACHE_BYTES_PER_TOKEN * 1000) / options.bytesPerSecond);
         imported.set(wanted.cache_id, cache);
-        return { status: 200 };
+        return { status: HttpStatus.Ok };
     };
     const readCache = (call: StandinCall): StandinReply => {
         const cache = exported.get(call.path.slice("/redwinglift/cache/".length));
-        return cache === undefined ? { status: 404 } : { status: 200, body: cache };
+        return cache === undefined ? { status: HttpStatus.NotFound } : { status: HttpStatus.Ok, body: cache };
     };
     return {
         findImported: cacheId => imported.get(cacheId),
--- a/src/standins/modelRunner/createGenerationHandler.ts
+++ b/src/standins/modelRunner/createGenerationHandler.ts
@@ -5,7 +5,6 @@
 import { FinishReason, type Usage } from "../../model/request";
 import { describePrompt } from "../../tasks/execution/describePrompt";
 import type { FaultGate } from "../_lib/createFaultGate";
-import { sendReply } from "../_lib/sendReply";
 import type { StandinCall, StandinReply } from "../_lib/standinCall";
 import { type FaultFacts, FaultKind } from "../fault";
 import { countAnswerTokens } from "../modelEngine/countAnswerTokens";
@@ -15,8 +14,10 @@
 import type { ExportedCache } from "./createCacheExchange";
 import type { EngineTask } from "./createEngineTask";
 import { createStreamWriter, type StreamWriter } from "./createStreamWriter";
+import { createWholeWriter } from "./createWholeWriter";
 import { drawStreamFaults } from "./drawStreamFaults";
 import { type ParsedGeneration, parseGeneration } from "./parseGeneration";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /** The generations of a runner. */
 export interface GenerationHandler {
@@ -75,7 +76,7 @@
     const handleGeneration = (call: StandinCall): StandinReply | undefined => {
         const parsed = parseGeneration(call.body);
         if (parsed.isErr()) {
-            return refuse(400, parsed.error.message);
+            return refuse(HttpStatus.BadRequest, parsed.error.message);
         }
         const generation = parsed.value;
         const refusal = checkGeneration(generation);
@@ -84,7 +85,7 @@
         }
         const facts = { ...options.readFacts(), route: call.path };
         if (options.readGate().strike(FaultKind.VersionFailing, facts) !== undefined) {
-            return { status: 500, body: { error: { message: "The model failed." } } };
+            return { status: HttpStatus.InternalServerError, body: { error: { message: "The model failed." } } };
         }
         const completionId = `chatcmpl-${++completions}`;
         const { extension } = generation;
@@ -93,12 +94,12 @@
     };
     const checkGeneration = ({ model, messages, extension }: ParsedGeneration): StandinReply | undefined => {
         if (options.serviceName !== undefined && model !== options.serviceName) {
-            return refuse(404, `There is no model ${model}.`);
+            return refuse(HttpStatus.NotFound, `There is no model ${model}.`);
         }
         const promptHash = hashPrompt(messages);
         const wrong = extension?.resumedTexts.findIndex((text, index) => text !== generateToken(promptHash, index));
         if (wrong !== undefined && wrong >= 0) {
-            return refuse(400, `The resumed text differs from the answer at token ${wrong}.`);
+            return refuse(HttpStatus.BadRequest, `The resumed text differs from the answer at token ${wrong}.`);
         }
         return undefined;
     };
@@ -126,7 +127,7 @@
             answerTokens,
         });
         if (!isSubmitted) {
-            return refuse(429, "The queue is full.");
+            return refuse(HttpStatus.TooManyRequests, "The queue is full.");
         }
         const requestId = extension?.requestId ?? completionId;
         startsByRequest.set(requestId, (startsByRequest.get(requestId) ?? 0) + 1);
@@ -189,36 +190,3 @@
 function createUsage(entry: Active, cachedTokens: number): Usage {
     return { promptTokens: entry.promptTokens, outputTokens: entry.answerTokens, cachedTokens };
 }
-
-function createWholeWriter(
-    call: StandinCall,
-    generation: ParsedGeneration,
-    completionId: string,
-    clock: Clock,
-): StreamWriter {
-    const texts: string[] = [];
-    return {
-        writeToken: (_index, text) => {
-            texts.push(text);
-        },
-        finish: (reason, usage) => {
-            const message = { role: "assistant", content: texts.join("") };
-            sendReply(call, {
-                status: 200,
-                body: {
-                    id: completionId,
-                    object: "chat.completion",
-                    created: Math.floor(clock.readWallMs() / 1000),
-                    model: generation.model,
-                    choices: [{ index: 0, message, finish_reason: reason }],
-                    usage: {
-                        prompt_tokens: usage.promptTokens,
-                        completion_tokens: usage.outputTokens,
-                        total_tokens: usage.promptTokens + usage.outputTokens,
-                    },
-                },
-            });
-        },
-        dispose: () => undefined,
-    };
-}
--- a/src/standins/modelRunner/createOrderBook.ts
+++ b/src/standins/modelRunner/createOrderBook.ts
@@ -6,6 +6,7 @@
 import type { Failure } from "../../base/failure";
 import { RunnerOrderKind, type RunnerState } from "../../ports/modelRunner";
 import type { StandinCall, StandinReply } from "../_lib/standinCall";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /** The runner's state as orders change it. */
 export interface OrderBook {
@@ -78,18 +79,18 @@
         handleOrder: call => {
             const parsed = orderSchema.safeParse(JSON.parse(call.body.toString("utf8")));
             if (!parsed.success) {
-                return refuseOrder(400, z.prettifyError(parsed.error));
+                return refuseOrder(HttpStatus.BadRequest, z.prettifyError(parsed.error));
             }
             const order = parsed.data;
             if (options.checksFencing() && order.epoch < (state.epoch ?? 0)) {
-                return refuseOrder(409, `The epoch ${order.epoch} is older than ${state.epoch}.`);
+                return refuseOrder(HttpStatus.Conflict, `The epoch ${order.epoch} is older than ${state.epoch}.`);
             }
             state = { ...state, epoch: Math.max(order.epoch, state.epoch ?? 0) };
             if (!seenTokens.has(order.token)) {
                 seenTokens.add(order.token);
                 void executeOrder(order);
             }
-            return { status: 202 };
+            return { status: HttpStatus.Accepted };
         },
     };
 }
--- a/src/standins/modelRunner/createStreamWriter.ts
+++ b/src/standins/modelRunner/createStreamWriter.ts
@@ -7,8 +7,7 @@
 import { STREAM_HEARTBEAT_MS } from "../constants";
 import type { StreamFaults } from "./drawStreamFaults";
 import type { ParsedGeneration } from "./parseGeneration";
-
-const OK_STATUS = 200;
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /** One generation's way to its reader. */
 export interface StreamWriter {
@@ -86,7 +85,7 @@
         isBlocked = false;
         flush();
     });
-    response.writeHead(OK_STATUS, createHeaders(call));
+    response.writeHead(HttpStatus.Ok, createHeaders(call));
     response.flushHeaders();
     if (faults.isAnswerLost || faults.cutAfterTokens === 0) {
         call.request.socket.destroy();
--- a/src/standins/platform/createCloudRoutes.ts
+++ b/src/standins/platform/createCloudRoutes.ts
@@ -11,6 +11,7 @@
 import { LOOPBACK_ADDRESS } from "../constants";
 import { FaultKind } from "../fault";
 import type { VmRegistry } from "./createVmRegistry";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /** Starts and stops what runs on a VM. */
 export interface VmHooks {
@@ -70,35 +71,39 @@
     const startVm = (call: StandinCall): StandinReply => {
         const parsed = orderSchema.safeParse(JSON.parse(call.body.toString("utf8")));
         if (!parsed.success) {
-            return { status: 400, body: { effect: "none", message: z.prettifyError(parsed.error) } };
+            return { status: HttpStatus.BadRequest, body: { effect: "none", message: z.prettifyError(parsed.error) } };
         }
         const order = parsed.data;
         const known = startedByToken.get(order.token);
         if (known !== undefined) {
-            return { status: 200, body: { vmId: known } };
+            return { status: HttpStatus.Ok, body: { vmId: known } };
         }
         if (options.readGate().strike(FaultKind.StartRefused, { failureDomain: order.failureDomain }) !== undefined) {
-            return { status: 409, body: { effect: "none", message: "No capacity." } };
+            return { status: HttpStatus.Conflict, body: { effect: "none", message: "No capacity." } };
         }
         const vmId = `vm-${startedByToken.size + 1}`;
         startedByToken.set(order.token, vmId);
         void startProgram(order, vmId);
-        return { status: 200, body: { vmId } };
+        return { status: HttpStatus.Ok, body: { vmId } };
     };
     const stopVm = (call: StandinCall): StandinReply => {
         const vmId = call.path.slice("/cloud/vms/".length);
         hooks.stopProgram?.(vmId);
         registry.removeVm(vmId);
-        return { status: 200 };
+        return { status: HttpStatus.Ok };
     };
     return [
         { method: "POST", path: "/cloud/vms", handle: startVm },
         { method: "DELETE", path: "/cloud/vms/", handle: stopVm },
-        { method: "GET", path: "/cloud/prices", handle: () => ({ status: 200, body: { prices: options.prices } }) },
+        {
+            method: "GET",
+            path: "/cloud/prices",
+            handle: () => ({ status: HttpStatus.Ok, body: { prices: options.prices } }),
+        },
         {
             method: "GET",
             path: "/cloud/notices",
-            handle: () => ({ status: 200, body: { notices: registry.listNotices(options.noticeLagMs) } }),
+            handle: () => ({ status: HttpStatus.Ok, body: { notices: registry.listNotices(options.noticeLagMs) } }),
         },
     ];
 }
--- a/src/standins/platform/createObjectRoutes.ts
+++ b/src/standins/platform/createObjectRoutes.ts
@@ -5,6 +5,7 @@
 import type { StandinCall, StandinReply, StandinRoute } from "../_lib/standinCall";
 import { createTokenBucket } from "./createTokenBucket";
 import { listSortedKeys } from "./listSortedKeys";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /** The objects and the store's limits. */
 export interface ObjectOptions {
@@ -15,7 +16,11 @@
 }
 
 const OBJECT_PATH = "/objects/";
-const THROTTLED: StandinReply = { status: 429, body: { effect: "none" }, headers: { "retry-after-ms": "100" } };
+const THROTTLED: StandinReply = {
+    status: HttpStatus.TooManyRequests,
+    body: { effect: "none" },
+    headers: { "retry-after-ms": "100" },
+};
 
 /**
  * Creates the object store's routes: `PUT`, `GET` (with `Range`) and `DELETE` of `/objects/{key}`, and
@@ -41,7 +46,7 @@
             method: "GET",
             path: "/object-keys",
             handle: withLimit(reads, call => ({
-                status: 200,
+                status: HttpStatus.Ok,
                 body: { keys: listSortedKeys(objects.keys(), call.query) },
             })),
         },
@@ -50,7 +55,7 @@
             path: OBJECT_PATH,
             handle: withLimit(writes, (call, key) => {
                 objects.set(key, call.body);
-                return { status: 200 };
+                return { status: HttpStatus.Ok };
             }),
         },
         {
@@ -58,7 +63,7 @@
             path: OBJECT_PATH,
             handle: withLimit(writes, (call, key) => {
                 objects.delete(key);
-                return { status: 200 };
+                return { status: HttpStatus.Ok };
             }),
         },
         {
@@ -71,10 +76,10 @@
 
 function readRange(call: StandinCall, body: Buffer | undefined): StandinReply {
     if (body === undefined) {
-        return { status: 404, body: { effect: "none" } };
+        return { status: HttpStatus.NotFound, body: { effect: "none" } };
     }
     const range = /^bytes=(\d+)-(\d+)$/.exec(call.headers.range ?? "");
     return !range
-        ? { status: 200, body }
-        : { status: 206, body: body.subarray(Number(range[1]), Number(range[2]) + 1) };
+        ? { status: HttpStatus.Ok, body }
+        : { status: HttpStatus.PartialContent, body: body.subarray(Number(range[1]), Number(range[2]) + 1) };
 }
--- a/src/standins/platform/createTableRoutes.ts
+++ b/src/standins/platform/createTableRoutes.ts
@@ -7,6 +7,7 @@
 import type { StandinCall, StandinReply, StandinRoute } from "../_lib/standinCall";
 import { createTokenBucket } from "./createTokenBucket";
 import { listSortedKeys } from "./listSortedKeys";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 const transactionSchema = z.strictObject({
     token: z.string(),
@@ -22,7 +23,11 @@
     readonly readsPerSecond: number;
 }
 
-const THROTTLED: StandinReply = { status: 429, body: { effect: "none" }, headers: { "retry-after-ms": "100" } };
+const THROTTLED: StandinReply = {
+    status: HttpStatus.TooManyRequests,
+    body: { effect: "none" },
+    headers: { "retry-after-ms": "100" },
+};
 
 /**
  * Creates the table's routes: `GET /table/row?key=`, `GET /table/rows?prefix=&after=&limit=` and
@@ -49,12 +54,15 @@
         }
         const parsed = transactionSchema.safeParse(JSON.parse(call.body.toString("utf8")));
         if (!parsed.success) {
-            return { status: 400, body: { effect: "none", message: z.prettifyError(parsed.error) } };
+            return { status: HttpStatus.BadRequest, body: { effect: "none", message: z.prettifyError(parsed.error) } };
         }
         const { token, conditions, writes: changes } = parsed.data;
         const broken = conditions.filter(condition => rows.get(condition.key)?.version !== condition.version);
         if (broken.length > 0) {
-            return { status: 409, body: { effect: "none", keys: broken.map(condition => condition.key) } };
+            return {
+                status: HttpStatus.Conflict,
+                body: { effect: "none", keys: broken.map(condition => condition.key) },
+            };
         }
         lastVersion++;
         for (const { key, value } of changes) {
@@ -64,21 +72,24 @@
                 rows.set(key, { key, value, version: lastVersion, token });
             }
         }
-        return { status: 200, body: { versions: changes.map(() => lastVersion) } };
+        return { status: HttpStatus.Ok, body: { versions: changes.map(() => lastVersion) } };
     };
     return [
         {
             method: "GET",
             path: "/table/rows",
             handle: withReadLimit(call => ({
-                status: 200,
+                status: HttpStatus.Ok,
                 body: { rows: listSortedKeys(rows.keys(), call.query).map(key => rows.get(key)) },
             })),
         },
         {
             method: "GET",
             path: "/table/row",
-            handle: withReadLimit(call => ({ status: 200, body: { row: rows.get(call.query.get("key") ?? "") } })),
+            handle: withReadLimit(call => ({
+                status: HttpStatus.Ok,
+                body: { row: rows.get(call.query.get("key") ?? "") },
+            })),
         },
         { method: "POST", path: "/table/transactions", handle: commitTransaction },
     ];
--- a/src/standins/platform/createWeightRoutes.ts
+++ b/src/standins/platform/createWeightRoutes.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from "../../base/clock";
 import type { StandinRoute } from "../_lib/standinCall";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 
 /** Size and speed of the weight store. */
 export interface WeightOptions {
@@ -31,7 +32,7 @@
                 const nowMs = clock.readMonotonicMs();
                 busyUntilMs = Math.max(nowMs, busyUntilMs) + (options.bytes * 1000) / options.bytesPerSecond;
                 await clock.waitMs(busyUntilMs - nowMs);
-                return { status: 200, body: { bytes: options.bytes } };
+                return { status: HttpStatus.Ok, body: { bytes: options.bytes } };
             },
         },
     ];
