--- a/src/tasks/execution/_lib/chatRun.ts
+++ b/src/tasks/execution/_lib/chatRun.ts
@@ -118,6 +118,8 @@
     /** Whether the next attempt is paid for already. */
     isCharged: boolean;
     excludedEndpointIds: readonly string[];
+    /** Endpoints at which a connection went silent although they were alive. */
+    readonly forgivenEndpointIds: Set<string>;
     hasHedge: boolean;
     /** A route that is being chosen for this attempt. */
     routing: { readonly id: AttemptId; readonly purpose: AttemptPurpose } | undefined;
--- a/src/tasks/execution/_lib/createChatRun.ts
+++ b/src/tasks/execution/_lib/createChatRun.ts
@@ -45,6 +45,7 @@
         attempts: 0,
         isCharged: false,
         excludedEndpointIds: [],
+        forgivenEndpointIds: new Set(),
         hasHedge: false,
         routing: undefined,
         cacheMove: undefined,
--- a/src/tasks/execution/_lib/retryRun.ts
+++ b/src/tasks/execution/_lib/retryRun.ts
@@ -28,9 +28,7 @@
     const hasSentBytes = attempt.generation.hasSentBytes();
     endAttempt(run, attempt, AttemptReportKind.Failed, failure);
     run.lastFailure = failure;
-    if (attempt.probe !== ProbeState.Alive) {
-        run.excludedEndpointIds = [...run.excludedEndpointIds, attempt.endpoint.endpointId];
-    }
+    dropEndpoint(run, attempt);
     run.attempts = attempt.tokens > 0 ? 1 : run.attempts;
     if (run.end !== undefined || run.live.size > 0 || run.cacheMove !== undefined) {
         return;
@@ -61,6 +59,16 @@
     chargeAndRoute(run, attempt.goneAtMs !== undefined, hasSentBytes, decision.reason);
 }
 
+/** An endpoint that answers a probe is given one more connection, and excluded after that. */
+function dropEndpoint(run: ChatRun, attempt: LiveAttempt): void {
+    const { endpointId } = attempt.endpoint;
+    if (attempt.probe === ProbeState.Alive && !run.forgivenEndpointIds.has(endpointId)) {
+        run.forgivenEndpointIds.add(endpointId);
+    } else {
+        run.excludedEndpointIds = [...run.excludedEndpointIds, endpointId];
+    }
+}
+
 /**
  * Sets the time of the next try after a pause that grows.
  *
--- a/src/tasks/execution/_lib/runTimers.ts
+++ b/src/tasks/execution/_lib/runTimers.ts
@@ -7,6 +7,7 @@
 import { HEDGE_RESERVE } from "../../../decisions/outcomes/constants";
 import { decideHedge } from "../../../decisions/outcomes/decideHedge";
 import {
+    ALIVE_SILENCE_FACTOR,
     FIRST_TOKEN_SILENCE_FACTOR,
     GONE_SILENCE_MS,
     PROBE_SHARE,
@@ -95,9 +96,11 @@
     if (attempt.goneAtMs !== undefined && attempt.goneAtMs <= attempt.lastEventAtMs) {
         return GONE_SILENCE_MS;
     }
-    return attempt.firstTokenAtMs === undefined
-        ? Math.max(STREAM_SILENCE_MS, attempt.estimatedFirstTokenMs * FIRST_TOKEN_SILENCE_FACTOR)
-        : STREAM_SILENCE_MS;
+    if (attempt.firstTokenAtMs !== undefined) {
+        return STREAM_SILENCE_MS;
+    }
+    const boundMs = Math.max(STREAM_SILENCE_MS, attempt.estimatedFirstTokenMs * FIRST_TOKEN_SILENCE_FACTOR);
+    return attempt.probe === ProbeState.Alive ? boundMs * ALIVE_SILENCE_FACTOR : boundMs;
 }
 
 function computeHedge(run: ChatRun, attempt: LiveAttempt): number | undefined {
--- a/src/tasks/execution/constants.ts
+++ b/src/tasks/execution/constants.ts
@@ -30,6 +30,9 @@
 /** The first token is waited for this many times its estimate, at least `STREAM_SILENCE_MS`. */
 export const FIRST_TOKEN_SILENCE_FACTOR = 4;
 
+/** Engines that are alive may be long over a queue or a prompt; the wait for their first token is this much longer. */
+export const ALIVE_SILENCE_FACTOR = 4;
+
 /** Silence bound at an endpoint that is said to be gone. */
 export const GONE_SILENCE_MS = 300;
 
