Run the fleet under a lease, its state kept before each step

Cause: the decisions on the fleet had nobody to act on them. Change: createFleetTask: a few candidate nodes, the lease fleet, state, plan and demand history in the table by writes fenced by the lease; steps only after their orders are kept; loads as fenced orders, never to a leaving VM; capacity of machine classes from a file that operators declare. Conclusion: off until it is wired with a capacity file.

--- a/src/decisions/fleet/_lib/groupFacts.ts
+++ b/src/decisions/fleet/_lib/groupFacts.ts
@@ -3,7 +3,7 @@
  */
 import { type VmRecord, VmState } from "../../../model/endpoint";
 import { buildGroupId } from "../buildGroupId";
-import type { DeclaredGroup, HeldGroup } from "../fleetPlan";
+import type { DeclaredGroup } from "../fleetPlan";
 import type { FleetState, PendingStart } from "../fleetState";
 
 /** A VM that belongs to a service. */
@@ -72,28 +72,6 @@
     });
 }
 
-/**
- * Counts what the planner may keep: VMs that are there or on the way, by group.
- *
- * @param state - The fleet's state
- * @param vms - The VMs that the list shows
- * @returns One entry a group
- * @example
- * planFleet(demands, { ...facts, held: listHeldGroups(state, vms) });
- */
-export function listHeldGroups(state: FleetState, vms: readonly VmRecord[]): readonly HeldGroup[] {
-    return listGroups(state, vms).flatMap(group => {
-        const sample = group.vms[0] ?? group.starts[0] ?? group.declared;
-        const count = group.vms.length + group.starts.length + group.loading;
-        return sample === undefined || count === 0 ? [] : [{ ...pickKey(sample), count }];
-    });
-}
-
-function pickKey(sample: Omit<HeldGroup, "count">): Omit<HeldGroup, "count"> {
-    const { serviceName, version, region, failureDomain, machineClass, isReclaimable } = sample;
-    return { serviceName, version, region, failureDomain, machineClass, isReclaimable };
-}
-
 function collectById<T>(items: readonly T[], buildId: (item: T) => string): ReadonlyMap<string, readonly T[]> {
     const collected = new Map<string, T[]>();
     for (const item of items) {
--- /dev/null
+++ b/src/tasks/fleet/_lib/createFleetHolder.ts
@@ -0,0 +1,265 @@
+/**
+ * @module The holder of the fleet's lease: it plans, keeps the state and takes steps.
+ */
+import { ok, type Result } from "neverthrow";
+import { type Failure, FailureKind } from "../../../base/failure";
+import { hashText } from "../../../base/hashText";
+import { decideFleetSteps } from "../../../decisions/fleet/decideFleetSteps";
+import type { DemandHistory } from "../../../decisions/fleet/demandHistory";
+import type { FleetOffer } from "../../../decisions/fleet/fleetPlan";
+import { EMPTY_FLEET_STATE, type FleetState } from "../../../decisions/fleet/fleetState";
+import { listHeldGroups } from "../../../decisions/fleet/listHeldGroups";
+import { planFleet } from "../../../decisions/fleet/planFleet";
+import { listRefusedOffers, recordWaves } from "../../../decisions/fleet/recordRefusal";
+import type { RowWrite, TablePort } from "../../../ports/table";
+import type { LeaseClient, LeaseHandle } from "../../leases/leaseClient";
+import { FLEET_LEASE, FLEET_LEASE_MS, LEASE_CANDIDATES, PLAN_PERIOD_MS, TAKEOVER_WAIT_MS } from "../constants";
+import type { FleetPlanView } from "../fleetClient";
+import type { FleetCapacity } from "../parseFleetCapacity";
+import { applyFleetSteps, type FleetStepOptions } from "./applyFleetSteps";
+import { buildDemands, computePresentUnits, listCapacities, listManagedServices } from "./buildDemands";
+import { createDemandRecorder, type DemandRecorder } from "./createDemandRecorder";
+import { DEMAND_PREFIX, decodeFleetRow, encodeFleetRow, PLAN_KEY, STATE_KEY } from "./fleetRows";
+import { waitForCall } from "./waitForCall";
+
+/** What a holder needs. */
+export interface FleetHolderOptions extends FleetStepOptions {
+    readonly nodeId: string;
+    readonly table: TablePort;
+    readonly leases: LeaseClient;
+    readonly listLiveNodeIds: () => readonly string[];
+    readonly capacity: FleetCapacity;
+    /** Units a second that arrive for a service at all nodes together; `undefined` while that isn't known. */
+    readonly readDemand: (serviceName: string) => number | undefined;
+    readonly listOffers: () => Promise<Result<readonly FleetOffer[], Failure>>;
+    readonly createToken: () => string;
+}
+
+/** Acts on the fleet while this node holds its lease. */
+export interface FleetHolder {
+    /** Plans where that is due and takes the next steps; does nothing while another node holds the lease. */
+    runTick(): Promise<void>;
+    release(): Promise<void>;
+    dumpState(): unknown;
+}
+
+interface Term {
+    readonly lease: LeaseHandle;
+    readonly recorder: DemandRecorder;
+    state: FleetState;
+    /** Version of the state's row, by which a write of another holder is seen. */
+    rowVersion: number | undefined;
+    offers: readonly FleetOffer[];
+    plan: FleetPlanView | undefined;
+    plannedAtWallMs: number;
+    refusedText: string;
+}
+
+/**
+ * Creates a holder.
+ *
+ * @param options - Table, cloud, leases, capacity and demand
+ * @returns The holder
+ * @example
+ * await holder.runTick();
+ */
+export function createFleetHolder(options: FleetHolderOptions): FleetHolder {
+    const { clock, table } = options;
+    const capacities = listCapacities(options.capacity);
+    const counters = { ticks: 0, commits: 0, failedCommits: 0, steps: 0 };
+    let term: Term | undefined;
+
+    const fail = (failure: Failure): undefined => {
+        options.reportFailure("fleet", failure);
+        return undefined;
+    };
+    /** Reads what is kept; a recorder of this node's term goes on, so that no demand seen is lost. */
+    const loadTerm = async (lease: LeaseHandle, known?: DemandRecorder): Promise<Term | undefined> => {
+        const rows = await waitForCall(clock, table.listRows("fleet/"));
+        if (rows.isErr()) {
+            return fail(rows.error);
+        }
+        const recorder = known ?? createDemandRecorder();
+        const loaded: Term = {
+            lease,
+            recorder,
+            state: EMPTY_FLEET_STATE,
+            rowVersion: undefined,
+            offers: [],
+            plan: undefined,
+            plannedAtWallMs: 0,
+            refusedText: "",
+        };
+        for (const row of rows.value) {
+            const value = decodeFleetRow<unknown>(row);
+            if (value.isErr()) {
+                return fail(value.error);
+            }
+            if (row.key === STATE_KEY) {
+                loaded.state = value.value as FleetState;
+                loaded.rowVersion = row.version;
+            } else if (row.key === PLAN_KEY) {
+                loaded.plan = value.value as FleetPlanView;
+            } else if (row.key.startsWith(DEMAND_PREFIX) && known === undefined) {
+                recorder.loadHistory(row.key.slice(DEMAND_PREFIX.length), value.value as DemandHistory);
+            }
+        }
+        return loaded;
+    };
+    const ensureTerm = async (): Promise<Term | undefined> => {
+        if (term !== undefined && term.lease.checkHeld().isOk()) {
+            return term;
+        }
+        const lease = term === undefined ? undefined : term.lease;
+        term = undefined;
+        await lease?.release();
+        if (!isCandidate(options)) {
+            return undefined;
+        }
+        const acquired = await options.leases.acquireLease(FLEET_LEASE, { durationMs: FLEET_LEASE_MS });
+        if (acquired.isErr()) {
+            return undefined;
+        }
+        term = await loadTerm(acquired.value);
+        if (term === undefined) {
+            await acquired.value.release();
+        }
+        return term;
+    };
+    const recordDemand = (current: Term, nowWallMs: number) => {
+        const { recorder } = current;
+        for (const name of listManagedServices(options.readConfiguration(), options.capacity)) {
+            if (!recorder.hasSeen(name)) {
+                const earlier = current.plan?.recentPeaks[name];
+                const present = computePresentUnits(capacities, options.listVms(), name);
+                recorder.record(name, earlier ?? present, nowWallMs, false);
+            }
+            const units = options.readDemand(name);
+            if (units !== undefined) {
+                recorder.record(name, units, nowWallMs);
+            }
+        }
+    };
+    const planIfDue = async (current: Term, nowWallMs: number) => {
+        const refused = listRefusedOffers(current.state, nowWallMs);
+        const refusedText = [...refused].sort().join(" ");
+        const isDue = nowWallMs - current.plannedAtWallMs >= PLAN_PERIOD_MS || refusedText !== current.refusedText;
+        if (!isDue) {
+            return;
+        }
+        const offers = await options.listOffers();
+        if (offers.isOk()) {
+            current.offers = offers.value;
+        } else {
+            fail(offers.error);
+        }
+        if (current.offers.length === 0) {
+            return;
+        }
+        const demands = buildDemands(options.readConfiguration(), options.capacity, current.recorder, nowWallMs);
+        const held = listHeldGroups(current.state, options.listVms());
+        const plan = planFleet(demands, { offers: current.offers, capacities, held, refusedOfferIds: refused });
+        const recentPeaks = demands.map(
+            ({ serviceName }) => [serviceName, current.recorder.findRecentPeak(serviceName, nowWallMs)] as const,
+        );
+        const refusedOffers = [...refused].map(offerId => ({
+            offerId,
+            untilWallMs: current.state.refusals[offerId]?.untilWallMs ?? nowWallMs,
+        }));
+        current.plan = {
+            ...plan,
+            plannedAtWallMs: nowWallMs,
+            nodeId: options.nodeId,
+            refused: refusedOffers,
+            recentPeaks: Object.fromEntries(recentPeaks),
+        };
+        current.plannedAtWallMs = nowWallMs;
+        current.refusedText = refusedText;
+        current.state = { ...current.state, groups: plan.services.flatMap(service => service.groups) };
+    };
+    /** Keeps the state; on any failure no step is taken, and what was kept is read anew. */
+    const keepState = async (current: Term, before: FleetState): Promise<boolean> => {
+        const histories = current.recorder.listChanged();
+        if (JSON.stringify(before) === JSON.stringify(current.state) && histories.length === 0) {
+            return true;
+        }
+        const writes: readonly RowWrite[] = [
+            { key: STATE_KEY, value: encodeFleetRow(current.state) },
+            ...(current.plan === undefined ? [] : [{ key: PLAN_KEY, value: encodeFleetRow(current.plan) }]),
+            ...histories.map(([name, history]) => ({ key: DEMAND_PREFIX + name, value: encodeFleetRow(history) })),
+        ];
+        const conditions = [current.lease.buildFenceCondition(), { key: STATE_KEY, version: current.rowVersion }];
+        const committing = table.commitTransaction({ token: options.createToken(), conditions, writes });
+        const committed = await waitForCall(clock, committing);
+        if (committed.isErr()) {
+            counters.failedCommits++;
+            if (committed.error.kind !== FailureKind.StoreConflict) {
+                fail(committed.error);
+            }
+            term = await loadTerm(current.lease, current.recorder);
+            if (term === undefined) {
+                await current.lease.release();
+            }
+            return false;
+        }
+        counters.commits++;
+        current.rowVersion = committed.value[0];
+        histories.forEach(([name]) => current.recorder.markKept(name));
+        return true;
+    };
+    return {
+        runTick: async () => {
+            counters.ticks++;
+            const current = await ensureTerm();
+            if (current === undefined) {
+                return;
+            }
+            const nowWallMs = clock.readWallMs();
+            recordDemand(current, nowWallMs);
+            if (clock.readMonotonicMs() - current.lease.acquiredAtMs < TAKEOVER_WAIT_MS) {
+                return;
+            }
+            const before = current.state;
+            current.state = recordWaves(current.state, options.listVms(), nowWallMs);
+            await planIfDue(current, nowWallMs);
+            const { limits, vms } = { limits: options.capacity, vms: options.listVms() };
+            const decision = decideFleetSteps(current.state, { vms, nowWallMs, limits });
+            current.state = decision.state;
+            if (!(await keepState(current, before))) {
+                return;
+            }
+            counters.steps += decision.steps.length;
+            current.state = await applyFleetSteps(decision.steps, decision.state, current.lease, options);
+            await keepState(current, decision.state);
+        },
+        release: async () => {
+            const held = term;
+            term = undefined;
+            await held?.lease.release();
+        },
+        dumpState: () => ({
+            ...counters,
+            isHolder: term !== undefined,
+            starts: term?.state.starts.length,
+            loads: term?.state.loads.length,
+            stops: term?.state.stops.length,
+            refusals: term?.state.refusals,
+            plannedAtWallMs: term?.plannedAtWallMs,
+        }),
+    };
+}
+
+function isCandidate(options: FleetHolderOptions): boolean {
+    const ranked = [...options.listLiveNodeIds()].sort(
+        (left, right) => hashText(`${FLEET_LEASE}|${right}`) - hashText(`${FLEET_LEASE}|${left}`),
+    );
+    return ranked.slice(0, LEASE_CANDIDATES).includes(options.nodeId);
+}
+
+/** Reads the plan that a holder kept. */
+export async function readKeptPlan(
+    options: Pick<FleetHolderOptions, "clock" | "table">,
+): Promise<Result<FleetPlanView | undefined, Failure>> {
+    const row = await waitForCall(options.clock, options.table.readRow(PLAN_KEY));
+    return row.andThen(found => (found === undefined ? ok(undefined) : decodeFleetRow<FleetPlanView>(found)));
+}
