--- a/src/decisions/admission/estimateWait.ts
+++ b/src/decisions/admission/estimateWait.ts
@@ -5,8 +5,8 @@
 import type { AdmissionPool, PoolAccount, WaitingRequest } from "./admissionPool";
 
 /**
- * Estimates the wait of a request that arrives now, under the fair order: first what its own account has waiting with
- * no longer target, and from each other account as much as would be served in that time.
+ * Estimates the wait of a request that arrives now, under the fair order: what its own account has waiting with no
+ * longer target, and of each other account what starts before the request's own start tag.
  *
  * @param pool - The pool
  * @param request - The arriving request
@@ -25,8 +25,8 @@
     let ahead = ownAhead;
     for (const other of pool.accounts.values()) {
         if (other !== account && other.waitingCount > 0) {
-            const lead = Math.max(0, startTag - computeStartTag(pool, other));
-            ahead += Math.min(other.waitingTokens, lead + ownAhead + request.costTokens);
+            const lead = startTag + ownAhead - computeStartTag(pool, other);
+            ahead += Math.min(other.waitingTokens, Math.max(0, lead));
         }
     }
     return tokensPerMs > 0 ? ahead / tokensPerMs : Infinity;
--- a/src/decisions/routing/applyCacheEvents.ts
+++ b/src/decisions/routing/applyCacheEvents.ts
@@ -11,7 +11,7 @@
 
 /**
  * Takes in an endpoint's cache events. A jump in the sequence numbers means lost events: evictions among them most
- * likely hit the prefixes that were unused for longest, so these are forgotten. A sequence number that falls means a
+ * likely hit the oldest prefixes, so these are forgotten. A sequence number that falls means a
  * new engine with an empty cache.
  *
  * @param index - The index; changed in place
--- a/src/decisions/routing/applyLoadReport.ts
+++ b/src/decisions/routing/applyLoadReport.ts
@@ -8,10 +8,12 @@
     CACHE_USE_LIMIT,
     HISTORY_STEPS,
     OTHERS_WEIGHT,
+    SLOTS_FIRST_GROWTH,
+    SLOTS_FULL_SHARE,
+    SLOTS_FULL_WEIGHT,
     SLOTS_GROWTH,
     SLOTS_LIMIT,
     SLOTS_NEARLY_FULL_SHARE,
-    SLOTS_SHRINK,
     TICK_MS,
 } from "./constants";
 
@@ -35,6 +37,7 @@
     const ownPrefill = candidate.history.prefillTokens[step] ?? 0;
     const isFirst = candidate.sampledAtMs === undefined;
     candidate.sampledAtMs = sampledAtMs;
+    candidate.sampledOwnInFlight = ownInFlight;
     candidate.sampledOthersInFlight = Math.max(0, load.running + load.waiting - ownInFlight);
     candidate.sampledOthersPrefillTokens = Math.max(0, load.pendingPrefillTokens - ownPrefill);
     const weight = isFirst ? 1 : OTHERS_WEIGHT;
@@ -59,10 +62,15 @@
 }
 
 function updateSlots(candidate: Candidate, load: EndpointLoad): void {
-    if (load.waiting > 0) {
-        candidate.slots = Math.max(1, load.running, candidate.slots * SLOTS_SHRINK);
-    } else if (load.running >= candidate.slots * SLOTS_NEARLY_FULL_SHARE) {
-        candidate.slots = Math.min(SLOTS_LIMIT, Math.max(load.running, candidate.slots * SLOTS_GROWTH));
+    if (load.waiting > 0 && load.running >= candidate.slots * SLOTS_FULL_SHARE) {
+        candidate.hasBeenFull = true;
+        candidate.slots = Math.max(
+            load.running,
+            candidate.slots + SLOTS_FULL_WEIGHT * (load.running - candidate.slots),
+        );
+    } else if (load.waiting === 0 && load.running >= candidate.slots * SLOTS_NEARLY_FULL_SHARE) {
+        const growth = candidate.hasBeenFull ? SLOTS_GROWTH : SLOTS_FIRST_GROWTH;
+        candidate.slots = Math.min(SLOTS_LIMIT, Math.max(load.running, candidate.slots * growth));
     }
     if (load.running >= CACHE_EVIDENCE_REQUESTS && load.cacheUse > 0) {
         candidate.slots = Math.min(candidate.slots, (load.running * CACHE_USE_LIMIT) / load.cacheUse);
--- a/src/decisions/routing/candidate.ts
+++ b/src/decisions/routing/candidate.ts
@@ -52,6 +52,8 @@
     sampledAtMs: number | undefined;
     /** Other nodes' requests and queued prefill tokens at that sample, and their means over the samples. */
     sampledOthersInFlight: number;
+    /** This node's requests in progress at that sample. */
+    sampledOwnInFlight: number;
     sampledOthersPrefillTokens: number;
     meanOthersInFlight: number;
     meanOthersPrefillTokens: number;
@@ -61,6 +63,8 @@
 
     /** Requests that the endpoint executes at once. */
     slots: number;
+    /** Whether a report has shown it full; its slots are well known then. */
+    hasBeenFull: boolean;
     prefillTokensPerMs: number;
     tokenGapMs: number;
     /** Mean time of a whole answer, in milliseconds. */
--- a/src/decisions/routing/chooseCandidate.ts
+++ b/src/decisions/routing/chooseCandidate.ts
@@ -14,6 +14,7 @@
     NEAR_EQUAL_SHARE,
     PRICE_PENALTY_SHARE,
     REMOTE_PENALTY_SHARE,
+    SAMPLE_LIMIT,
     SAMPLE_MINIMUM,
     SAMPLE_SHARE,
 } from "./constants";
@@ -76,65 +77,70 @@
     scratch: ChoiceScratch = { candidates: [], scores: [] },
 ): Choice | undefined {
     const holders = findCachedBlocks(index, query.prefixHashes);
-    collectUsable(candidates, query, holders, fractions[0], scratch);
-    const count = scratch.candidates.length;
-    if (count === 0) {
-        return undefined;
+    scratch.candidates.length = 0;
+    scratch.scores.length = 0;
+    const isWhole = sampleCandidates(candidates, query, index.query, fractions[0], scratch);
+    if (!isWhole) {
+        addHolders(holders, query, index.query, scratch);
     }
-    const tokensPerBlock = query.promptTokens / Math.max(1, query.prefixHashes.length);
-    const estimate = (candidate: Candidate) => {
-        const cachedBlocks = candidate.cachedQuery === index.query ? candidate.cachedBlocks : 0;
-        return estimateFirstToken(candidate, query.promptTokens - cachedBlocks * tokensPerBlock);
-    };
-    let best = Infinity;
-    for (let position = 0; position < count; position++) {
-        const candidate = scratch.candidates[position] as Candidate;
-        const score = computeScore(candidate, estimate(candidate), query);
-        scratch.scores[position] = score;
-        best = Math.min(best, score);
+    if (scratch.candidates.length === 0) {
+        return undefined;
     }
     if (holders.size === 0 && query.prefixHashes.length > 0) {
-        best = Math.min(best, applyHomeBonus(query, scratch));
+        applyHomeBonus(query, scratch);
     }
-    const candidate = drawNearEqual(scratch, best, fractions[1]);
-    const cachedBlocks = candidate.cachedQuery === index.query ? candidate.cachedBlocks : 0;
-    const uncachedTokens = query.promptTokens - cachedBlocks * tokensPerBlock;
+    const candidate = drawNearEqual(scratch, fractions[1]);
+    const uncachedTokens = countUncached(candidate, query, index.query);
     return { candidate, estimateMs: estimateFirstToken(candidate, uncachedTokens), uncachedTokens };
 }
 
-function collectUsable(
+function sampleCandidates(
     candidates: readonly Candidate[],
     query: ChoiceQuery,
-    holders: ReadonlySet<Candidate>,
+    queryNumber: number,
     fraction: number,
     scratch: ChoiceScratch,
-): void {
-    scratch.candidates.length = 0;
-    scratch.scores.length = 0;
+): boolean {
     const total = candidates.length;
-    const wanted = total <= SAMPLE_MINIMUM ? total : Math.max(SAMPLE_MINIMUM, Math.ceil(total * SAMPLE_SHARE));
+    const wanted = Math.min(total, SAMPLE_LIMIT, Math.max(SAMPLE_MINIMUM, Math.ceil(total * SAMPLE_SHARE)));
     let position = Math.floor(fraction * total);
     for (let looked = 0; looked < total && scratch.candidates.length < wanted; looked++) {
-        const candidate = candidates[position] as Candidate;
+        addIfUsable(candidates[position] as Candidate, query, queryNumber, scratch);
         position = position + 1 === total ? 0 : position + 1;
-        if (isUsable(candidate, query)) {
-            scratch.candidates.push(candidate);
-        }
-    }
-    if (wanted === total) {
-        return;
     }
+    return wanted === total;
+}
+
+function addHolders(
+    holders: ReadonlySet<Candidate>,
+    query: ChoiceQuery,
+    queryNumber: number,
+    scratch: ChoiceScratch,
+): void {
     let added = 0;
     for (const holder of holders) {
         if (added++ >= HOLDERS_LIMIT) {
-            break;
-        }
-        if (isUsable(holder, query)) {
-            scratch.candidates.push(holder);
+            return;
         }
+        addIfUsable(holder, query, queryNumber, scratch);
+    }
+}
+
+function addIfUsable(candidate: Candidate, query: ChoiceQuery, queryNumber: number, scratch: ChoiceScratch): void {
+    if (isUsable(candidate, query)) {
+        const estimateMs = estimateFirstToken(candidate, countUncached(candidate, query, queryNumber));
+        scratch.candidates.push(candidate);
+        scratch.scores.push(computeScore(candidate, estimateMs, query));
     }
 }
 
+function countUncached(candidate: Candidate, query: ChoiceQuery, queryNumber: number): number {
+    if (candidate.cachedQuery !== queryNumber) {
+        return query.promptTokens;
+    }
+    return query.promptTokens * (1 - candidate.cachedBlocks / Math.max(1, query.prefixHashes.length));
+}
+
 function isUsable(candidate: Candidate, query: ChoiceQuery): boolean {
     const { endpoint, outcomes } = candidate;
     if (candidate.isLeaving || endpoint.version !== query.version) {
@@ -160,44 +166,43 @@
     return estimateMs + remoteMs + priceMs + MISS_PENALTY * missMs;
 }
 
-function applyHomeBonus(query: ChoiceQuery, scratch: ChoiceScratch): number {
+function applyHomeBonus(query: ChoiceQuery, scratch: ChoiceScratch): void {
+    const { candidates, scores } = scratch;
     const prefix = hashText(query.prefixHashes[0] ?? "");
     let home = -1;
     let highest = -1;
     let inFlight = 0;
-    for (const [position, candidate] of scratch.candidates.entries()) {
-        const weight = hashPair(candidate.hash, prefix);
+    candidates.forEach((candidate, position) => {
+        const weight = candidate.isRemote ? -1 : hashPair(candidate.hash, prefix);
         inFlight += candidate.ownInFlight + candidate.othersInFlight;
-        if (!candidate.isRemote && weight > highest) {
+        if (weight > highest) {
             highest = weight;
             home = position;
         }
-    }
-    const candidate = scratch.candidates[home];
+    });
+    const candidate = candidates[home];
     if (candidate === undefined || candidate.endpoint.role !== VmRole.ModelRunner) {
-        return Infinity;
+        return;
     }
-    const bound = (HOME_LOAD_FACTOR * inFlight) / scratch.candidates.length + 1;
-    if (candidate.ownInFlight + candidate.othersInFlight > bound) {
-        return Infinity;
+    const bound = (HOME_LOAD_FACTOR * inFlight) / candidates.length + 1;
+    if (candidate.ownInFlight + candidate.othersInFlight <= bound) {
+        const bonusMs = (HOME_BONUS_SHARE * query.promptTokens) / candidate.prefillTokensPerMs;
+        scores[home] = (scores[home] ?? Infinity) - bonusMs;
     }
-    const bonusMs = (HOME_BONUS_SHARE * query.promptTokens) / candidate.prefillTokensPerMs;
-    const score = (scratch.scores[home] ?? Infinity) - bonusMs;
-    scratch.scores[home] = score;
-    return score;
 }
 
-function drawNearEqual(scratch: ChoiceScratch, best: number, fraction: number): Candidate {
+function drawNearEqual(scratch: ChoiceScratch, fraction: number): Candidate {
+    const { candidates, scores } = scratch;
+    let best = Infinity;
+    for (const score of scores) {
+        best = score < best ? score : best;
+    }
     const bound = best + Math.max(NEAR_EQUAL_MS, Math.abs(best) * NEAR_EQUAL_SHARE);
     let equal = 0;
-    for (const score of scratch.scores) {
+    for (const score of scores) {
         equal += score <= bound ? 1 : 0;
     }
-    let skip = Math.floor(fraction * equal);
-    for (const [position, score] of scratch.scores.entries()) {
-        if (score <= bound && skip-- === 0) {
-            return scratch.candidates[position] as Candidate;
-        }
-    }
-    return scratch.candidates[0] as Candidate;
+    let left = Math.floor(fraction * equal);
+    const chosen = scores.findIndex(score => score <= bound && left-- === 0);
+    return candidates[chosen] as Candidate;
 }
--- a/src/decisions/routing/constants.ts
+++ b/src/decisions/routing/constants.ts
@@ -32,10 +32,13 @@
 export const OTHERS_PREFILL_PERSISTENCE_MS = 500;
 export const OTHERS_IN_FLIGHT_PERSISTENCE_MS = 4_000;
 
-/** Slots shrink by this factor at a report with waiting requests, and grow at one that is nearly full without any. */
-export const SLOTS_SHRINK = 0.98;
-export const SLOTS_GROWTH = 1.25;
-export const SLOTS_NEARLY_FULL_SHARE = 0.8;
+/** Growth of the slots at a report that is nearly full without waiting requests, before and after the first full one. */
+export const SLOTS_FIRST_GROWTH = 1.25;
+export const SLOTS_GROWTH = 1.002;
+export const SLOTS_NEARLY_FULL_SHARE = 0.9;
+/** How far a report with waiting requests moves the slots to its running ones, and how much it must run for that. */
+export const SLOTS_FULL_WEIGHT = 0.5;
+export const SLOTS_FULL_SHARE = 0.5;
 export const SLOTS_LIMIT = 1_024;
 
 /** Time between two refreshes of the estimates; also the step of the history of own counts. */
@@ -46,9 +49,10 @@
 /** Scores within this share of the best (and within this time) count as equal; one of them is drawn. */
 export const NEAR_EQUAL_SHARE = 0.1;
 export const NEAR_EQUAL_MS = 3;
-/** Up to this many candidates all are looked at; of more, a random stretch of this share but no fewer. */
+/** Up to this many candidates all are looked at; of more, a random stretch of this share within these bounds. */
 export const SAMPLE_MINIMUM = 32;
 export const SAMPLE_SHARE = 0.5;
+export const SAMPLE_LIMIT = 64;
 /** Candidates outside the sample that are looked at because they hold the longest known prefix. */
 export const HOLDERS_LIMIT = 8;
 
@@ -74,7 +78,9 @@
 export const ERROR_STEP_MS = 4;
 
 /** Queue inside an endpoint, in milliseconds, up to which further requests are sent to it. */
-export const ENDPOINT_QUEUE_MS = 120;
+export const ENDPOINT_QUEUE_MS = 300;
+/** Requests that may wait inside an endpoint: with none, slots stand empty until the next request arrives. */
+export const ENDPOINT_WAITING = 2;
 
 /** Failures in a row, without a success between, after which an endpoint or a route of it is removed. */
 export const FAILURES_UNTIL_REMOVAL = 3;
@@ -116,8 +122,11 @@
 export const LEAST_DEMAND_SHARE = 0.25;
 /** Attempts without a final report for this long are no longer counted; longer than any deadline of a stream. */
 export const ATTEMPT_MEMORY_MS = 1_800_000;
-/** How long one rounding of a fraction of a slot holds; each node then rounds anew. */
-export const SLOT_ROUNDING_MS = 50;
+/**
+ * How long one rounding of a fraction of a slot holds. Shorter than the time between reports, every node would take the
+ * same free slot sooner or later.
+ */
+export const SLOT_ROUNDING_MS = 1_000;
 /** Ticks between two searches for attempts whose final report never came. */
 export const ATTEMPT_CHECK_TICKS = 600;
 /** The error estimate fades by this factor each tick: without answers it would otherwise refuse work for ever. */
--- a/src/decisions/routing/dropEndpointPrefixes.ts
+++ b/src/decisions/routing/dropEndpointPrefixes.ts
@@ -6,7 +6,7 @@
 import type { PrefixIndex } from "./prefixIndex";
 
 /**
- * Forgets a share of an endpoint's prefixes, least recently used first.
+ * Forgets a share of an endpoint's prefixes, those noted first going first.
  *
  * @param index - The index; changed in place
  * @param candidate - The endpoint
--- a/src/decisions/routing/prefixIndex.ts
+++ b/src/decisions/routing/prefixIndex.ts
@@ -8,7 +8,7 @@
 export interface PrefixIndex {
     /** Endpoints by prefix hash. */
     readonly holders: Map<string, Set<Candidate>>;
-    /** Prefix hashes by endpoint, least recently used first. */
+    /** Prefix hashes by endpoint, those noted first come first. */
     readonly prefixes: Map<Candidate, Set<string>>;
     /** Number of the newest query. */
     query: number;
--- a/src/decisions/routing/recordPrefixes.ts
+++ b/src/decisions/routing/recordPrefixes.ts
@@ -7,7 +7,8 @@
 import type { PrefixIndex } from "./prefixIndex";
 
 /**
- * Notes prefixes as the endpoint's most recently used ones; its oldest are forgotten beyond the limit.
+ * Notes prefixes of an endpoint. Beyond the limit those noted first are forgotten; one that is still in use is noted
+ * again with its next request, which costs less than moving all of them at each request.
  *
  * @param index - The index; changed in place
  * @param candidate - The endpoint
@@ -22,8 +23,7 @@
         index.prefixes.set(candidate, prefixes);
     }
     for (const hash of hashes) {
-        if (prefixes.delete(hash)) {
-            prefixes.add(hash);
+        if (prefixes.has(hash)) {
             continue;
         }
         prefixes.add(hash);
--- a/src/decisions/routing/summarizeCapacity.ts
+++ b/src/decisions/routing/summarizeCapacity.ts
@@ -3,7 +3,7 @@
  */
 import { VmRole } from "../../model/endpoint";
 import type { Candidate } from "./candidate";
-import { ENDPOINT_QUEUE_MS, INITIAL_PREFILL_TOKENS_PER_MS, INITIAL_TOKEN_GAP_MS } from "./constants";
+import { ENDPOINT_QUEUE_MS, ENDPOINT_WAITING, INITIAL_PREFILL_TOKENS_PER_MS, INITIAL_TOKEN_GAP_MS } from "./constants";
 import { estimateQueue } from "./estimateQueue";
 import { isOutcomeUsable } from "./isOutcomeUsable";
 import type { ServiceCapacity } from "./serviceCapacity";
@@ -21,8 +21,9 @@
 }
 
 /**
- * Summarises the endpoints of a service. Free slots are those of endpoints whose inner queue is short; this node takes
- * its share by demand, since the other nodes see the same free slots.
+ * Summarises the endpoints of a service. This node takes its share by demand of the slots that were free when the
+ * endpoints sampled their loads, since the other nodes see the same ones; what it has sent since then comes off its
+ * share as a whole, and what it saw finish may be replaced. Endpoints with a long inner queue offer no slots.
  *
  * @param candidates - The endpoints of the service that this node uses
  * @param query - What is asked
@@ -34,6 +35,7 @@
     let liveEndpoints = 0;
     let ownInFlight = 0;
     let free = 0;
+    let ownChange = 0;
     let best: Candidate | undefined;
     let bestMs = Infinity;
     for (const candidate of candidates) {
@@ -43,8 +45,9 @@
         }
         liveEndpoints++;
         const queueMs = estimateQueue(candidate);
-        const open = candidate.slots - candidate.ownInFlight - candidate.othersInFlight;
-        free += queueMs <= ENDPOINT_QUEUE_MS ? Math.max(0, open) : 0;
+        const open = candidate.slots + ENDPOINT_WAITING - candidate.sampledOwnInFlight - candidate.othersInFlight;
+        free += queueMs <= ENDPOINT_QUEUE_MS ? open : Math.min(0, open);
+        ownChange += candidate.ownInFlight - candidate.sampledOwnInFlight;
         const firstTokenMs = candidate.networkMs + queueMs + candidate.biasMs;
         if (firstTokenMs < bestMs) {
             bestMs = firstTokenMs;
@@ -55,7 +58,7 @@
     return {
         liveEndpoints,
         ownInFlight,
-        freeSlots: Math.floor(free * query.demandShare + query.roundingFraction),
+        freeSlots: Math.floor(free * query.demandShare - ownChange + query.roundingFraction),
         bestFirstTokenMs: best === undefined ? 0 : bestMs + serviceMs,
         prefillTokensPerSecond: 1_000 * (best?.prefillTokensPerMs ?? INITIAL_PREFILL_TOKENS_PER_MS),
         tokenGapMs: best?.tokenGapMs ?? INITIAL_TOKEN_GAP_MS,
