--- a/src/adapters/_lib/connections.test.ts
+++ b/src/adapters/_lib/connections.test.ts
@@ -2,6 +2,7 @@
 import { describe, it, type TestContext } from "node:test";
 import { createApplicationRunnerStandin } from "../../standins/createApplicationRunnerStandin";
 import { createPlatformStandin } from "../../standins/createPlatformStandin";
+import { FaultKind } from "../../standins/fault";
 import { waitUntil } from "../contracts/waitUntil";
 import { createConnectionPool } from "./createConnectionPool";
 import { LossReason, sendHttpCall } from "./sendHttpCall";
@@ -36,6 +37,16 @@
         assert.ok((await sendHttpCall(runner, CALL, pool)).isAnswered);
     });
 
+    it("trusts no other idle connection to a place where one was found silent", async context => {
+        const { runner, pool } = await createParts(context, {}, 20);
+        await Promise.all([1, 2, 3].map(() => sendHttpCall(runner, CALL, pool)));
+        assert.equal(runner.countConnections(), 3);
+        runner.setFaults([{ kind: FaultKind.ConnectionsSilent }]);
+        const silentCall = { ...CALL, timeouts: { firstByteMs: 100 } };
+        assert.equal((await sendHttpCall(runner, silentCall, pool)).isAnswered, false);
+        assert.ok((await sendHttpCall(runner, CALL, pool)).isAnswered);
+    });
+
     it("fails a call that gets none of the capped connections in time, with nothing sent", async context => {
         const { runner, pool } = await createParts(context, { connectionsPerHost: 1 }, 300);
         const first = sendHttpCall(runner, CALL, pool);
