Let operators read why each VM is declared and what it costs

Cause: operators could count the VMs, but not see why they are there. Change: redwinglift fleet plan and GET /fleet/plan show demand, cost, the all-on-demand cost, what falls short, the groups with reasons, and offers left alone after refusals.

--- a/src/cli/commands/commands.test.ts
+++ b/src/cli/commands/commands.test.ts
@@ -188,6 +188,7 @@
         "vm list",
         "runner list",
         "fleet",
+        "fleet plan",
         "invariant list",
         "job list depot",
         "job show depot job-1",
@@ -207,6 +208,14 @@
         });
     });
 
+    it("fleet plan explains each choice, its cost and what falls short", async () => {
+        const { out } = await harness.runLines("fleet plan");
+        assert.match(out, /node-1; 2000 micros an hour/);
+        assert.match(out, /not_covered +320 a second seen lately/);
+        assert.match(out, /hobart +gpu-a +yes +2 +2000 +cheapest per unit in hobart/);
+        assert.match(out, /No starts of burnie\/gpu-a\/reclaimable until 2023-11-14T22:13:50.000Z/);
+    });
+
     it("job cancel shows the state after it", async () => {
         assert.match((await harness.runLines("job cancel depot job-1")).out, /state +cancelled/);
     });
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -5,6 +5,7 @@
 import { ACCOUNT_KEY_COMMANDS } from "./accountKeyCommands";
 import { buildItemCommands } from "./buildItemCommands";
 import { CONFIGURATION_COMMANDS } from "./configurationCommands";
+import { FLEET_COMMANDS } from "./fleetCommands";
 import { ITEM_GROUPS } from "./itemGroups";
 import { PROGRAM_COMMANDS } from "./programCommands";
 import { STATE_COMMANDS } from "./stateCommands";
@@ -18,4 +19,5 @@
     ...VERSION_COMMANDS,
     ...CONFIGURATION_COMMANDS,
     ...STATE_COMMANDS,
+    ...FLEET_COMMANDS,
 ];
--- a/src/operator/_testing/createOperatorFakes.ts
+++ b/src/operator/_testing/createOperatorFakes.ts
@@ -11,10 +11,12 @@
 import { createMetrics } from "../../base/metrics/createMetrics";
 import { applyChange, findItem } from "../../decisions/configuration/applyChange";
 import { createEmptyConfiguration } from "../../decisions/configuration/createEmptyConfiguration";
+import { PlanFinding } from "../../decisions/fleet/fleetPlan";
 import type { Configuration } from "../../model/configuration";
 import { VmRole, VmState } from "../../model/endpoint";
 import { validateConfiguration } from "../../queries/validateConfiguration";
 import type { ConfigurationClient } from "../../tasks/configuration/configurationClient";
+import type { FleetPlanView } from "../../tasks/fleet/fleetClient";
 import { JobState, type JobView } from "../../tasks/jobs/jobClient";
 import type { OperatorListenerOptions } from "../createOperatorListener";
 import type { OperatorDependencies } from "../operatorDependencies";
@@ -68,6 +70,7 @@
             ],
         },
         jobs: createMemoryJobs(),
+        fleet: { readPlan: () => Promise.resolve(ok(PLAN)) },
         listDumpSources: () => [
             { name: "routing", dumpState: () => ({ open: 3, apiKey: "rwl_hidden-key", body: "a letter" }) },
             {
@@ -129,6 +132,41 @@
     };
 }
 
+const PLAN: FleetPlanView = {
+    plannedAtWallMs: 1_700_000_000_000,
+    nodeId: "node-1",
+    microsPerHour: 2_000,
+    refused: [{ offerId: "burnie/gpu-a/reclaimable", untilWallMs: 1_700_000_030_000 }],
+    recentPeaks: { assistant: 320 },
+    services: [
+        {
+            serviceName: "assistant",
+            version: "v1",
+            unitsPerSecond: 368,
+            demandReason: "320 a second seen lately, 15% headroom",
+            microsPerHour: 2_000,
+            onDemandMicrosPerHour: undefined,
+            unitsAfterLoss: 200,
+            findings: [PlanFinding.NotCovered],
+            groups: [
+                {
+                    serviceName: "assistant",
+                    version: "v1",
+                    region: "south",
+                    failureDomain: "hobart",
+                    machineClass: "gpu-a",
+                    isReclaimable: true,
+                    role: VmRole.ModelRunner,
+                    count: 2,
+                    unitsPerVm: 100,
+                    microsPerHour: 1_000,
+                    reason: "cheapest per unit in hobart",
+                },
+            ],
+        },
+    ],
+};
+
 function createMemoryJobs(): OperatorDependencies["jobs"] {
     let job = JOB;
     const find = (accountName: string, jobId: string) =>
--- a/src/operator/operatorDependencies.ts
+++ b/src/operator/operatorDependencies.ts
@@ -7,6 +7,7 @@
 import type { RevisionExchange } from "../nodes/revisionExchange";
 import type { ConfigurationClient } from "../tasks/configuration/configurationClient";
 import type { DirectoryClient } from "../tasks/directory/directoryClient";
+import type { FleetClient } from "../tasks/fleet/fleetClient";
 import type { JobClient } from "../tasks/jobs/jobClient";
 
 /** Handles and facts that the queries and commands use. */
@@ -25,6 +26,8 @@
     readonly directory: DirectoryClient;
     readonly nodes: Pick<RevisionExchange, "listRevisions">;
     readonly jobs: Pick<JobClient, "readJob" | "listJobs" | "cancelJob">;
+    /** Absent where this node has no capacity file and so doesn't manage the fleet. */
+    readonly fleet?: Pick<FleetClient, "readPlan">;
     /** Every task that shows its state; asked anew for each dump. */
     readonly listDumpSources: () => readonly DumpSource[];
 }
--- a/src/queries/buildQueryRoutes.ts
+++ b/src/queries/buildQueryRoutes.ts
@@ -11,6 +11,7 @@
 import type { OperatorHandler, OperatorRoute } from "../operator/operatorRoute";
 import { collectDump } from "./collectDump";
 import { listInvariants } from "./listInvariants";
+import { readFleetPlan } from "./readFleetPlan";
 import { readStatus } from "./readStatus";
 import { summarizeFleet } from "./summarizeFleet";
 
@@ -66,6 +67,12 @@
         createQuery("list_nodes", "/nodes", () => ok({ items: nodes.listRevisions() })),
         createQuery("list_vms", "/vms", () => ok({ items: directory.listVms() })),
         createQuery("summarize_fleet", "/fleet", () => ok({ items: summarizeFleet(directory.listVms()) })),
+        {
+            operation: "read_fleet_plan",
+            method: "GET",
+            path: "/fleet/plan",
+            handler: async () => readFleetPlan(dependencies.fleet),
+        },
         createQuery("list_invariants", "/invariants", () => ok({ items: listInvariants() })),
         ...Object.keys(COLLECTION_PATHS).flatMap(path => buildCollectionQueries(path, dependencies)),
         {
