Give each function of outcomes, claims and jobs a file of its own

Cause: eleven files held several public functions, against the house style. Change: functions moved, one public function a file; no behaviour changed.

--- a/bench/outcomes/measureJobWrites.ts
+++ b/bench/outcomes/measureJobWrites.ts
@@ -3,9 +3,10 @@
  */
 import { createManualClock } from "../../src/base/createManualClock";
 import { createRandom } from "../../src/base/createRandom";
-import { buildAcceptance, buildEnding } from "../../src/decisions/outcomes/jobs/buildJobEntries";
+import { buildAcceptance } from "../../src/decisions/outcomes/jobs/buildAcceptance";
+import { buildEnding } from "../../src/decisions/outcomes/jobs/buildEnding";
 import type { JobRecord } from "../../src/decisions/outcomes/jobs/jobRecord";
-import { buildJobId } from "../../src/decisions/outcomes/jobs/jobRows";
+import { buildJobId } from "../../src/decisions/outcomes/jobs/buildJobId";
 import { createGroupCommitTask } from "../../src/tasks/claims/createGroupCommitTask";
 import { createFakeStore } from "../../src/tasks/execution/_testing/createFakeStore";
 import { runVirtualTime } from "../../src/tasks/execution/_testing/runVirtualTime";
--- /dev/null
+++ b/src/decisions/outcomes/jobs/buildAccountPrefix.ts
@@ -0,0 +1,15 @@
+/**
+ * @module Prefixes of accounts' jobs.
+ */
+
+/**
+ * Builds the prefix of an account's job rows.
+ *
+ * @param accountName - The account
+ * @returns The prefix
+ * @example
+ * table.listRows(buildAccountPrefix("depot"));
+ */
+export function buildAccountPrefix(accountName: string): string {
+    return `jobs/account/${encodeURIComponent(accountName)}/`;
+}
--- /dev/null
+++ b/src/decisions/outcomes/jobs/buildHandover.ts
@@ -0,0 +1,20 @@
+/**
+ * @module The conditional write that changes a job's holder.
+ */
+import type { JobEntry, OpenJob, Versioned } from "./jobRecord";
+import { buildOpenKey } from "./buildOpenKey";
+
+/**
+ * Builds the change of a job's holder: a node takes it, or gives it up.
+ *
+ * @param open - The open row
+ * @param holder - Lease of the new holder, or empty
+ * @returns The entry, whose epoch is one higher
+ * @example
+ * commits.commitEntry(buildHandover(open, leaseName));
+ */
+export function buildHandover(open: Versioned<OpenJob>, holder: string): JobEntry {
+    const key = buildOpenKey(open.record.jobId);
+    const changed: OpenJob = { ...open.record, holder, epoch: open.record.epoch + 1 };
+    return { conditions: [{ key, version: open.version }], writes: [{ key, value: JSON.stringify(changed) }] };
+}
--- /dev/null
+++ b/src/decisions/outcomes/jobs/buildJobKey.ts
@@ -0,0 +1,17 @@
+/**
+ * @module Keys of jobs' rows.
+ */
+import type { JobRecord } from "./jobRecord";
+import { buildAccountPrefix } from "./buildAccountPrefix";
+
+/**
+ * Builds the key of a job's row.
+ *
+ * @param job - Account and id
+ * @returns The key
+ * @example
+ * table.readRow(buildJobKey({ accountName, jobId }));
+ */
+export function buildJobKey(job: Pick<JobRecord, "accountName" | "jobId">): string {
+    return `${buildAccountPrefix(job.accountName)}${job.jobId}`;
+}
--- /dev/null
+++ b/src/decisions/outcomes/jobs/buildOpenKey.ts
@@ -0,0 +1,16 @@
+/**
+ * @module Keys of the rows that jobs have while they have not ended.
+ */
+import { OPEN_PREFIX } from "./jobRows";
+
+/**
+ * Builds the key of the row that a job has while it has not ended.
+ *
+ * @param jobId - The job
+ * @returns The key
+ * @example
+ * table.readRow(buildOpenKey(jobId));
+ */
+export function buildOpenKey(jobId: string): string {
+    return `${OPEN_PREFIX}${jobId}`;
+}
--- a/src/decisions/outcomes/jobs/jobRows.ts
+++ b/src/decisions/outcomes/jobs/jobRows.ts
@@ -1,11 +1,10 @@
 /**
- * @module Keys and texts of the rows of durable jobs.
+ * @module Texts of the rows of durable jobs, and the prefixes of their keys.
  */
 import { z } from "zod";
 import { Execution, FailureKind } from "../../../base/failure";
 import { FinishReason } from "../../../model/request";
 import { JobState } from "../../../tasks/jobs/jobClient";
-import { CLEANING_BUCKET_MS, LAST_JOB_ID_MS } from "./constants";
 import type { JobRecord, OpenJob } from "./jobRecord";
 
 /** Prefix of the rows of jobs that have not ended. */
@@ -15,10 +14,6 @@
 /** Prefix of the objects that hold bodies. */
 export const BODY_PREFIX = "jobs/bodies/";
 
-const HEX = 16;
-const ID_TIME_DIGITS = 12;
-const BUCKET_DIGITS = 8;
-
 const FAILURE = z.object({
     kind: z.enum(FailureKind),
     message: z.string(),
@@ -51,45 +46,6 @@
     deadlineWallMs: z.number(),
 });
 
-/**
- * Builds a job's id. Ids sort newest first, so that a listing needs no sorting and no further index.
- *
- * @param acceptedAtWallMs - Epoch milliseconds
- * @param randomText - Tells jobs of one millisecond apart
- * @returns The id
- * @example
- * buildJobId(clock.readWallMs(), ulid().slice(10));
- */
-export function buildJobId(acceptedAtWallMs: number, randomText: string): string {
-    const inverted = LAST_JOB_ID_MS - Math.floor(acceptedAtWallMs);
-    return `${inverted.toString(HEX).padStart(ID_TIME_DIGITS, "0")}-${randomText.toLowerCase()}`;
-}
-
-/**
- * Builds the prefix of an account's job rows.
- *
- * @param accountName - The account
- * @returns The prefix
- * @example
- * table.listRows(buildAccountPrefix("depot"));
- */
-export function buildAccountPrefix(accountName: string): string {
-    return `jobs/account/${encodeURIComponent(accountName)}/`;
-}
-
-/**
- * Builds the prefix of ended jobs and bodies of a time.
- *
- * @param prefix - `ENDED_PREFIX` or `BODY_PREFIX`
- * @param wallMs - Epoch milliseconds
- * @returns A prefix that sorts by time
- * @example
- * buildBucketPrefix(ENDED_PREFIX, nowWallMs);
- */
-export function buildBucketPrefix(prefix: string, wallMs: number): string {
-    return `${prefix}${String(Math.floor(wallMs / CLEANING_BUCKET_MS)).padStart(BUCKET_DIGITS, "0")}/`;
-}
-
 /**
  * Decodes a job's row.
  *
--- a/src/decisions/outcomes/jobs/jobs.test.ts
+++ b/src/decisions/outcomes/jobs/jobs.test.ts
@@ -4,13 +4,18 @@
 import { createFailure } from "../../../base/createFailure";
 import { Execution, FailureKind } from "../../../base/failure";
 import { JobState } from "../../../tasks/jobs/jobClient";
-import { buildAcceptance, buildEnding, buildHandover, buildJobKey, buildOpenKey } from "./buildJobEntries";
+import { buildAcceptance } from "./buildAcceptance";
+import { buildEnding } from "./buildEnding";
+import { buildHandover } from "./buildHandover";
+import { buildJobKey } from "./buildJobKey";
+import { buildOpenKey } from "./buildOpenKey";
 import { DEADLINE_MARGIN_MS } from "./constants";
 import { decideCheckpoint } from "./decideCheckpoint";
 import { decideJobRetry } from "./decideJobRetry";
 import { decideJobStep, JobStep } from "./decideJobStep";
 import type { JobRecord, OpenJob } from "./jobRecord";
-import { buildJobId, decodeJob, decodeOpenJob } from "./jobRows";
+import { decodeJob, decodeOpenJob } from "./jobRows";
+import { buildJobId } from "./buildJobId";
 
 const RECORD: JobRecord = {
     jobId: buildJobId(1_000, "abc"),
--- a/src/tasks/claims/_lib/createHeldClaim.ts
+++ b/src/tasks/claims/_lib/createHeldClaim.ts
@@ -23,7 +23,9 @@
     STORE_RETRY_PAUSE_MS,
 } from "../constants";
 import { waitForStore } from "./waitForStore";
-import { buildClaimEntry, toCommitAnswer, toReadAnswer } from "./claimTable";
+import { buildClaimEntry } from "./buildClaimEntry";
+import { toCommitAnswer } from "./toCommitAnswer";
+import { toReadAnswer } from "./toReadAnswer";
 
 /** What a held claim needs. */
 export interface HeldClaimParts {
--- a/src/tasks/claims/createClaimTask.ts
+++ b/src/tasks/claims/createClaimTask.ts
@@ -21,7 +21,9 @@
 import type { ObjectsPort } from "../../ports/objects";
 import type { TablePort } from "../../ports/table";
 import { waitForStore } from "./_lib/waitForStore";
-import { buildClaimEntry, toCommitAnswer, toReadAnswer } from "./_lib/claimTable";
+import { buildClaimEntry } from "./_lib/buildClaimEntry";
+import { toCommitAnswer } from "./_lib/toCommitAnswer";
+import { toReadAnswer } from "./_lib/toReadAnswer";
 import { createHeldClaim, type HeldClaimParts } from "./_lib/createHeldClaim";
 import { hashClaim } from "./_lib/hashClaim";
 import { type ClaimAnswer, ClaimAnswerKind, type ClaimClient, type ClaimRequest } from "./claimClient";
--- a/src/tasks/execution/_lib/handleControl.ts
+++ b/src/tasks/execution/_lib/handleControl.ts
@@ -7,7 +7,7 @@
 import { Metric } from "../../../base/metrics/metric";
 import { AttemptReportKind } from "../../routing/routingClient";
 import { AttemptPurpose, type ChatRun, ControlKind, type ControlMessage, ProbeState } from "./chatRun";
-import { dropRoute } from "./dropMessage";
+import { dropRoute } from "./dropRoute";
 import { endAttempt } from "./endAttempt";
 import { failRun } from "./failRun";
 import { handleRouteChosen } from "./handleRouteChosen";
--- a/src/tasks/execution/_lib/handleRouteChosen.ts
+++ b/src/tasks/execution/_lib/handleRouteChosen.ts
@@ -7,13 +7,13 @@
 import { HEDGE_RESERVE, SHORTEST_ATTEMPT_MS } from "../../../decisions/outcomes/constants";
 import { AttemptReportKind } from "../../routing/routingClient";
 import { RETRY_PAUSE_MS } from "../constants";
-import { chargeBudget } from "./budgets";
+import { chargeBudget } from "./chargeBudget";
 import { AttemptPurpose, type ChatRun, ControlKind, type ControlMessage } from "./chatRun";
-import { dropRoute } from "./dropMessage";
+import { dropRoute } from "./dropRoute";
 import { endAttempt } from "./endAttempt";
 import { failRun } from "./failRun";
 import { openAttempt } from "./openAttempt";
-import { pauseRun } from "./retryRun";
+import { pauseRun } from "./pauseRun";
 
 type RouteChosen = Extract<ControlMessage, { readonly kind: ControlKind.RouteChosen }>;
 
--- a/src/tasks/execution/_lib/retryRun.ts
+++ b/src/tasks/execution/_lib/retryRun.ts
@@ -7,12 +7,12 @@
 import { decideRetry, RetryReason, RetryRefusal } from "../../../decisions/outcomes/decideRetry";
 import { FinishReason } from "../../../model/request";
 import { AttemptReportKind } from "../../routing/routingClient";
-import { LONGEST_RETRY_PAUSE_MS } from "../constants";
-import { chargeBudget } from "./budgets";
+import { chargeBudget } from "./chargeBudget";
 import { AttemptPurpose, type ChatRun, type LiveAttempt, ProbeState } from "./chatRun";
 import { endAttempt } from "./endAttempt";
 import { failRun } from "./failRun";
 import { requestRoute } from "./requestRoute";
+import { pauseRun } from "./pauseRun";
 
 /**
  * Ends a failed attempt and decides how the request goes on: with another attempt that is running already, with a new
@@ -69,18 +69,6 @@
     }
 }
 
-/**
- * Sets the time of the next try after a pause that grows.
- *
- * @param run - The request
- * @example
- * pauseRun(run);
- */
-export function pauseRun(run: ChatRun): void {
-    run.retryAtMs = run.shared.parts.clock.readMonotonicMs() + run.pauseMs;
-    run.pauseMs = Math.min(LONGEST_RETRY_PAUSE_MS, run.pauseMs * 2);
-}
-
 // Work that leaves with its announced endpoint is moved, not multiplied: it is not charged.
 function chargeAndRoute(run: ChatRun, wasLeaving: boolean, hasSentBytes: boolean, reason: RetryReason): void {
     if (wasLeaving) {
--- a/src/tasks/execution/_lib/runTimers.ts
+++ b/src/tasks/execution/_lib/runTimers.ts
@@ -14,7 +14,7 @@
     STREAM_SILENCE_MS,
     WAKE_TOLERANCE_MS,
 } from "../constants";
-import { isBudgetLeft } from "./budgets";
+import { isBudgetLeft } from "./isBudgetLeft";
 import { AttemptPurpose, type ChatRun, ControlKind, type LiveAttempt, ProbeState } from "./chatRun";
 import { failRun } from "./failRun";
 import { requestRoute } from "./requestRoute";
--- a/src/tasks/execution/_lib/startPlannedMove.ts
+++ b/src/tasks/execution/_lib/startPlannedMove.ts
@@ -8,9 +8,11 @@
 import type { AttemptId } from "../../../model/request";
 import { MOVE_GRACE_MS, MOVE_RETRY_MS } from "../constants";
 import { AttemptPurpose, type ChatRun, ControlKind, type LiveAttempt, type MovedCache } from "./chatRun";
-import { dropRoute } from "./dropMessage";
+import { dropRoute } from "./dropRoute";
 import { failRun } from "./failRun";
-import { buildChatQuery, createAttemptId, requestRoute } from "./requestRoute";
+import { requestRoute } from "./requestRoute";
+import { buildChatQuery } from "./buildChatQuery";
+import { createAttemptId } from "./createAttemptId";
 import { sendControl } from "./sendControl";
 
 /**
--- a/src/tasks/execution/runChat.ts
+++ b/src/tasks/execution/runChat.ts
@@ -10,7 +10,7 @@
 import type { GenerationEvent, Usage } from "../../model/request";
 import type { HeldClaim } from "../claims/claimClient";
 import type { EndpointNotice } from "../routing/routingClient";
-import { addRequest } from "./_lib/budgets";
+import { addRequest } from "./_lib/addRequest";
 import { AttemptPurpose, type ChatEnd, type ChatRun, type ControlMessage } from "./_lib/chatRun";
 import { claimExecution, type ClaimPhase, ClaimPhaseKind, findExecution } from "./_lib/claimExecution";
 import { dropMessage } from "./_lib/dropMessage";
--- a/src/tasks/execution/runServiceCall.ts
+++ b/src/tasks/execution/runServiceCall.ts
@@ -14,7 +14,8 @@
 import type { ServiceAnswer } from "../../ports/applicationRunner";
 import type { HeldClaim } from "../claims/claimClient";
 import { AttemptReportKind, type Route } from "../routing/routingClient";
-import { addRequest, chargeBudget } from "./_lib/budgets";
+import { addRequest } from "./_lib/addRequest";
+import { chargeBudget } from "./_lib/chargeBudget";
 import { claimExecution, type ClaimPhase, ClaimPhaseKind, findExecution } from "./_lib/claimExecution";
 import type { ExecutionShared } from "./_lib/executionShared";
 import { decodeServiceOutcome, encodeServiceOutcome } from "./_lib/outcomeText";
--- a/src/tasks/jobs/_lib/createNodeLease.ts
+++ b/src/tasks/jobs/_lib/createNodeLease.ts
@@ -6,6 +6,7 @@
 import type { LeaseClient, LeaseHandle } from "../../leases/leaseClient";
 import { IDLE_LEASE_MS, JOB_LEASE_MS } from "../constants";
 import { createUniqueId } from "./createUniqueId";
+import { buildLeaseName } from "./buildLeaseName";
 
 /** Handle of the node's lease. */
 export interface NodeLease {
@@ -18,31 +19,6 @@
     release(): Promise<void>;
 }
 
-/**
- * Builds the name of the node's lease.
- *
- * @param nodeId - The node
- * @param incarnation - Unique to this start of the process
- * @returns The name
- * @example
- * buildLeaseName("node-1", createUniqueId(options));
- */
-export function buildLeaseName(nodeId: string, incarnation: string): string {
-    return `jobs/${encodeURIComponent(nodeId)}/${incarnation}`;
-}
-
-/**
- * Reads the node from the name of its lease.
- *
- * @param leaseName - The name
- * @returns The node's id
- * @example
- * parseLeaseName("jobs/node-1/01J...");  //=> "node-1"
- */
-export function parseLeaseName(leaseName: string): string {
-    return decodeURIComponent(leaseName.split("/")[1] ?? "");
-}
-
 /**
  * Creates the handle of the node's lease, which is acquired when first needed.
  *
--- a/src/tasks/jobs/_lib/endJob.ts
+++ b/src/tasks/jobs/_lib/endJob.ts
@@ -4,7 +4,8 @@
 import { type Step, waitFor } from "../../../base/csp";
 import { FailureKind } from "../../../base/failure";
 import { Metric } from "../../../base/metrics/metric";
-import { buildEnding, type JobEnding } from "../../../decisions/outcomes/jobs/buildJobEntries";
+import { type JobEnding } from "../../../decisions/outcomes/jobs/jobEnding";
+import { buildEnding } from "../../../decisions/outcomes/jobs/buildEnding";
 import type { JobRecord, OpenJob, Versioned } from "../../../decisions/outcomes/jobs/jobRecord";
 import { JOB_RETRY_MS, LONGEST_JOB_RETRY_MS } from "../constants";
 import type { JobShared } from "./jobShared";
--- a/src/tasks/jobs/_lib/pollJobs.ts
+++ b/src/tasks/jobs/_lib/pollJobs.ts
@@ -4,18 +4,19 @@
 import { type Step, waitFor } from "../../../base/csp";
 import { createFailure } from "../../../base/createFailure";
 import { Execution, FailureKind } from "../../../base/failure";
-import { buildHandover } from "../../../decisions/outcomes/jobs/buildJobEntries";
+import { buildHandover } from "../../../decisions/outcomes/jobs/buildHandover";
 import { decideJobStep, JobStep } from "../../../decisions/outcomes/jobs/decideJobStep";
 import type { OpenJob, Versioned } from "../../../decisions/outcomes/jobs/jobRecord";
 import { decodeOpenJob, OPEN_PREFIX } from "../../../decisions/outcomes/jobs/jobRows";
 import { waitForStore } from "../../claims/_lib/waitForStore";
 import { JOB_LEASE_MS, PAGE_ROWS, TAKEN_PER_POLL } from "../constants";
 import { JobState } from "../jobClient";
-import { parseLeaseName } from "./createNodeLease";
+import { parseLeaseName } from "./parseLeaseName";
 import { endJob } from "./endJob";
 import type { JobRun, JobShared } from "./jobShared";
 import { readJobRows } from "./readJobRows";
-import { startRun, stopRun } from "./startRun";
+import { startRun } from "./startRun";
+import { stopRun } from "./stopRun";
 
 /**
  * Reads all open jobs once: takes those without holder, adopts those of nodes whose lease has lapsed, ends those past
--- a/src/tasks/jobs/_lib/readJobRows.ts
+++ b/src/tasks/jobs/_lib/readJobRows.ts
@@ -4,7 +4,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { createFailure } from "../../../base/createFailure";
 import { type Failure, FailureKind } from "../../../base/failure";
-import { buildJobKey, buildOpenKey } from "../../../decisions/outcomes/jobs/buildJobEntries";
+import { buildJobKey } from "../../../decisions/outcomes/jobs/buildJobKey";
+import { buildOpenKey } from "../../../decisions/outcomes/jobs/buildOpenKey";
 import type { JobRecord, OpenJob, Versioned } from "../../../decisions/outcomes/jobs/jobRecord";
 import { decodeJob, decodeOpenJob } from "../../../decisions/outcomes/jobs/jobRows";
 import { waitForStore } from "../../claims/_lib/waitForStore";
--- a/src/tasks/jobs/_lib/removeOldJobs.ts
+++ b/src/tasks/jobs/_lib/removeOldJobs.ts
@@ -4,11 +4,12 @@
 import { ulid } from "ulid";
 import { type Step, waitFor } from "../../../base/csp";
 import { JOB_RETENTION_MS, LONGEST_JOB_MS } from "../../../decisions/outcomes/jobs/constants";
-import { BODY_PREFIX, buildBucketPrefix, decodeJob, ENDED_PREFIX } from "../../../decisions/outcomes/jobs/jobRows";
+import { BODY_PREFIX, decodeJob, ENDED_PREFIX } from "../../../decisions/outcomes/jobs/jobRows";
+import { buildBucketPrefix } from "../../../decisions/outcomes/jobs/buildBucketPrefix";
 import type { RowCondition, RowWrite } from "../../../ports/table";
 import { waitForStore } from "../../claims/_lib/waitForStore";
 import { CLEANED_ROWS } from "../constants";
-import { buildCheckpointKey } from "./checkpoints";
+import { buildCheckpointKey } from "./buildCheckpointKey";
 import type { JobShared } from "./jobShared";
 
 /**
--- a/src/tasks/jobs/_lib/runJob.ts
+++ b/src/tasks/jobs/_lib/runJob.ts
@@ -4,7 +4,7 @@
 import { createFailure } from "../../../base/createFailure";
 import { receiveMessage, type Step, waitFor } from "../../../base/csp";
 import { Execution, type Failure, FailureKind } from "../../../base/failure";
-import type { JobEnding } from "../../../decisions/outcomes/jobs/buildJobEntries";
+import type { JobEnding } from "../../../decisions/outcomes/jobs/jobEnding";
 import { decideJobRetry } from "../../../decisions/outcomes/jobs/decideJobRetry";
 import type { FinishReason, RequestContext, Usage } from "../../../model/request";
 import { waitForStore } from "../../claims/_lib/waitForStore";
@@ -17,7 +17,8 @@
     NODE_LOSS_CHANCE,
 } from "../constants";
 import { JobState } from "../jobClient";
-import { readCheckpoint, writeCheckpoint } from "./checkpoints";
+import { readCheckpoint } from "./readCheckpoint";
+import { writeCheckpoint } from "./writeCheckpoint";
 import { createUniqueId } from "./createUniqueId";
 import { endJob } from "./endJob";
 import type { JobBody, JobRun, JobShared } from "./jobShared";
--- a/src/tasks/jobs/_lib/startRun.ts
+++ b/src/tasks/jobs/_lib/startRun.ts
@@ -38,19 +38,6 @@
     });
 }
 
-/**
- * Stops a job here; its rows are left as they are.
- *
- * @param run - The job
- * @example
- * stopRun(run);
- */
-export function stopRun(run: JobRun): void {
-    const state = run;
-    state.isStopped = true;
-    run.chat?.cancel();
-}
-
 function startNext(shared: JobShared): void {
     const next = shared.waiting.shift();
     if (next !== undefined && !next.isStopped && !shared.isDraining) {
--- a/src/tasks/jobs/_lib/submitJob.ts
+++ b/src/tasks/jobs/_lib/submitJob.ts
@@ -5,11 +5,12 @@
 import stringify from "json-stable-stringify";
 import { createFailure } from "../../../base/createFailure";
 import { type Failure, FailureKind } from "../../../base/failure";
-import { Metric } from "../../../base/metrics/metric";
-import { buildAcceptance, buildJobKey, buildOpenKey } from "../../../decisions/outcomes/jobs/buildJobEntries";
+import { buildAcceptance } from "../../../decisions/outcomes/jobs/buildAcceptance";
+import { buildJobKey } from "../../../decisions/outcomes/jobs/buildJobKey";
+import { buildOpenKey } from "../../../decisions/outcomes/jobs/buildOpenKey";
 import { LONGEST_JOB_MS } from "../../../decisions/outcomes/jobs/constants";
 import type { JobEntry, JobRecord, OpenJob } from "../../../decisions/outcomes/jobs/jobRecord";
-import { buildJobId } from "../../../decisions/outcomes/jobs/jobRows";
+import { buildJobId } from "../../../decisions/outcomes/jobs/buildJobId";
 import type { ChatRequest, RequestContext } from "../../../model/request";
 import { hashClaim } from "../../claims/_lib/hashClaim";
 import { waitForStore } from "../../claims/_lib/waitForStore";
@@ -178,16 +179,3 @@
     const rows = await readJobRows(shared.options, record.accountName, bound.jobId);
     return rows.map(({ job }) => ({ record: job.record }));
 }
-
-/**
- * Counts an accepted job.
- *
- * @param shared - The job task
- * @param record - The job
- * @example
- * countAccepted(shared, accepted.record);
- */
-export function countAccepted(shared: JobShared, record: JobRecord): void {
-    shared.counts.accepted++;
-    shared.options.metrics?.count(Metric.JobsAccepted, { class: record.className });
-}
--- a/src/tasks/jobs/_lib/checkpoints.ts
+++ b/src/tasks/jobs/_lib/writeCheckpoint.ts
@@ -1,14 +1,12 @@
 /**
  * @module Keeping the tokens of a job outside of the node, where that is worth its price.
  */
-import { z } from "zod";
 import { type Step, waitFor } from "../../../base/csp";
 import { decideCheckpoint } from "../../../decisions/outcomes/jobs/decideCheckpoint";
 import { waitForStore } from "../../claims/_lib/waitForStore";
 import { CHECKPOINT_PRICES } from "../constants";
 import type { JobRun, JobShared } from "./jobShared";
-
-const TEXTS = z.array(z.string());
+import { buildCheckpointKey } from "./buildCheckpointKey";
 
 /**
  * Writes a checkpoint if it is worth its price. Any checkpoint is a true beginning of an answer, so an older one that
@@ -36,37 +34,3 @@
         shared.counts.checkpoints++;
     }
 }
-
-/**
- * Reads a job's checkpoint.
- *
- * @param shared - The job task
- * @param jobId - The job
- * @returns Its tokens, one text each; empty if there is none
- * @example
- * run.texts = yield* readCheckpoint(shared, jobId);
- */
-export function* readCheckpoint(shared: JobShared, jobId: string): Step<string[]> {
-    const { clock, objects } = shared.options;
-    const read = yield* waitFor(waitForStore(clock, objects.readObject(buildCheckpointKey(jobId))));
-    if (read.isErr()) {
-        return [];
-    }
-    try {
-        return TEXTS.parse(JSON.parse(read.value.toString("utf8")));
-    } catch {
-        return [];
-    }
-}
-
-/**
- * Builds the key of a job's checkpoint.
- *
- * @param jobId - The job
- * @returns The object's key
- * @example
- * objects.deleteObject(buildCheckpointKey(jobId));
- */
-export function buildCheckpointKey(jobId: string): string {
-    return `jobs/checkpoints/${jobId}`;
-}
