--- a/src/adapters/_lib/createConnectionPool.ts
+++ b/src/adapters/_lib/createConnectionPool.ts
@@ -2,6 +2,7 @@
  * @module Connections of an adapter. HTTP/1.1 carries one request at a time on each, so none shares its fate with two.
  */
 import http from "node:http";
+import https from "node:https";
 import type { Disposable } from "../../base/disposableStore";
 import { CONNECTIONS_PER_HOST, IDLE_CONNECTION_MS, IDLE_CONNECTIONS_PER_HOST } from "../constants";
 import type { HttpTarget } from "./httpTarget";
@@ -17,15 +18,16 @@
  * Creates a pool.
  *
  * @param options - `connectionsPerHost`: cap on open connections to one address and port; `idleMs`: age at which an
- * idle one is closed
+ * idle one is closed; `isTls`: connections by TLS
  * @returns The pool, empty
  * @example
  * const pool = createConnectionPool();
  */
 export function createConnectionPool(
-    options: { readonly connectionsPerHost?: number; readonly idleMs?: number } = {},
+    options: { readonly connectionsPerHost?: number; readonly idleMs?: number; readonly isTls?: boolean } = {},
 ): ConnectionPool {
-    const agent = new http.Agent({
+    const Agent = options.isTls === true ? https.Agent : http.Agent;
+    const agent = new Agent({
         keepAlive: true,
         maxSockets: options.connectionsPerHost ?? CONNECTIONS_PER_HOST,
         maxFreeSockets: IDLE_CONNECTIONS_PER_HOST,
@@ -35,8 +37,11 @@
     return {
         agent,
         dropIdleConnections: target => {
-            const name = agent.getName({ host: target.address, port: target.port });
-            [...(agent.freeSockets[name] ?? [])].forEach(socket => socket.destroy());
+            // Node names kept connections by address, port and, for TLS, the details of the TLS settings.
+            const prefix = `${target.address}:${target.port}:`;
+            Object.entries(agent.freeSockets)
+                .filter(([name]) => name.startsWith(prefix))
+                .forEach(([, sockets]) => [...(sockets ?? [])].forEach(socket => socket.destroy()));
         },
         dispose: () => agent.destroy(),
     };
--- a/src/adapters/_lib/createPlatformConnection.ts
+++ b/src/adapters/_lib/createPlatformConnection.ts
@@ -23,8 +23,8 @@
  */
 export function createPlatformConnection(options: PlatformAdapterOptions): PlatformConnection {
     return {
-        target: { address: options.address, port: options.port },
-        pool: createConnectionPool({ connectionsPerHost: options.connectionsPerHost }),
+        target: { address: options.address, port: options.port, isTls: options.isTls },
+        pool: createConnectionPool({ connectionsPerHost: options.connectionsPerHost, isTls: options.isTls }),
         timeouts: options.timeouts,
     };
 }
--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -2,6 +2,7 @@
  * @module One HTTP request with a whole answer, every wait bounded.
  */
 import http from "node:http";
+import https from "node:https";
 import { ulid } from "ulid";
 import { CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, SILENCE_TIMEOUT_MS } from "../constants";
 import type { ConnectionPool } from "./createConnectionPool";
@@ -125,7 +126,8 @@
 }
 
 function createRequest(target: HttpTarget, call: HttpCall, callId: string, pool?: ConnectionPool): http.ClientRequest {
-    return http.request({
+    const openRequest = target.isTls === true ? https.request : http.request;
+    return openRequest({
         host: target.address,
         port: target.port,
         method: call.method,
--- a/src/createNodeParts.ts
+++ b/src/createNodeParts.ts
@@ -2,6 +2,7 @@
  * @module The outside of a real node: system clock, logs, metrics and adapters, from its settings.
  */
 import { randomInt } from "node:crypto";
+import type { HttpTarget } from "./adapters/_lib/httpTarget";
 import { createHttpApplicationRunner } from "./adapters/httpApplicationRunner/createHttpApplicationRunner";
 import { createHttpCloud } from "./adapters/httpCloud/createHttpCloud";
 import { createHttpModelRunner } from "./adapters/httpModelRunner/createHttpModelRunner";
@@ -16,6 +17,8 @@
 import type { NodeParts } from "./nodeParts";
 import type { Settings } from "./settings/settings";
 
+const HTTP_PORT = 80;
+const HTTPS_PORT = 443;
 const LARGEST_SEED = 2 ** 31 - 1;
 
 /**
@@ -57,7 +60,9 @@
     };
 }
 
-function parseTarget(url: string): { readonly address: string; readonly port: number } {
-    const { hostname, port } = new URL(url);
-    return { address: hostname.replace(/^\[|\]$/g, ""), port: Number(port === "" ? 80 : port) };
+function parseTarget(url: string): HttpTarget {
+    const { hostname, port, protocol } = new URL(url);
+    const isTls = protocol === "https:";
+    const defaultPort = isTls ? HTTPS_PORT : HTTP_PORT;
+    return { address: hostname.replace(/^\[|\]$/g, ""), port: port === "" ? defaultPort : Number(port), isTls };
 }
