Gather what both HTTP listeners share in src/http

Change: body reading, JSON, failures, connection limit and watched identities moved to src/http; no logic changed. Conclusion: the faces now differ only in routes and authentication.

--- a/src/faces/_lib/endWithFailure.ts
+++ b/src/faces/_lib/endWithFailure.ts
@@ -3,7 +3,7 @@
  */
 import type { Failure } from "../../base/failure";
 import type { ExchangeEnd, HttpExchange } from "../httpExchange";
-import { sendFailure } from "../sendFailure";
+import { sendFailure } from "../../http/sendFailure";
 
 /**
  * Tells the caller of a failure and gives the end of the exchange.
--- a/src/faces/buildJobBody.ts
+++ b/src/faces/buildJobBody.ts
@@ -2,7 +2,7 @@
  * @module Jobs as callers see them.
  */
 import type { JobView } from "../tasks/jobs/jobClient";
-import { buildFailureBody } from "./buildFailureBody";
+import { buildFailureBody } from "../http/buildFailureBody";
 import { buildCompletion } from "./completionBodies";
 
 const MS_PER_SECOND = 1_000;
--- a/src/faces/callerDependencies.ts
+++ b/src/faces/callerDependencies.ts
@@ -5,7 +5,7 @@
 import type { ConfigurationClient } from "../tasks/configuration/configurationClient";
 import type { ExecutionClient } from "../tasks/execution/executionClient";
 import type { JobClient } from "../tasks/jobs/jobClient";
-import type { BodyLimits } from "./_lib/readBody";
+import type { BodyLimits } from "../http/readBody";
 
 /** Handles that the handlers use. */
 export interface CallerDependencies {
--- a/src/faces/callerListener.ts
+++ b/src/faces/callerListener.ts
@@ -3,12 +3,7 @@
  */
 import type { DumpSource } from "../base/dump";
 import type { Failure } from "../base/failure";
-
-/** TLS key and certificate chain, both PEM. */
-export interface TlsIdentity {
-    readonly key: string;
-    readonly certificate: string;
-}
+import type { TlsIdentity } from "../http/tlsIdentity";
 
 /** What became of one exchange, for logs and metrics. Holds no bodies and no keys. */
 export interface ExchangeSummary {
--- a/src/faces/createCallerListener.test.ts
+++ b/src/faces/createCallerListener.test.ts
@@ -16,7 +16,7 @@
     type FaceFixtureOptions,
     type StartedChat,
 } from "./_testing/createFaceFixture";
-import type { FailureBody } from "./buildFailureBody";
+import type { FailureBody } from "../http/buildFailureBody";
 
 let fixture: FaceFixture | undefined;
 
--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -9,13 +9,14 @@
 import { startTask } from "../base/csp";
 import { createFailure } from "../base/createFailure";
 import { type Failure, FailureKind } from "../base/failure";
-import { installConnectionLimit } from "./_lib/installConnectionLimit";
-import { sendJson } from "./_lib/sendJson";
+import { installConnectionLimit } from "../http/installConnectionLimit";
+import { sendJson } from "../http/sendJson";
 import type { Account } from "../model/configuration";
 import { authenticateAccount } from "./authenticateAccount";
 import type { CallerLimits } from "../settings/settings";
 import type { CallerDependencies } from "./callerDependencies";
-import type { CallerListener, ExchangeSummary, TlsIdentity } from "./callerListener";
+import type { CallerListener, ExchangeSummary } from "./callerListener";
+import type { TlsIdentity } from "../http/tlsIdentity";
 import { buildCallerRoutes, type CallerRoute, matchCallerRoute, type MatchedRoute } from "./callerRoutes";
 import {
     CONNECTION_CHECK_INTERVAL_MS,
@@ -25,7 +26,7 @@
 } from "./constants";
 import type { ExchangeEnd, HttpExchange } from "./httpExchange";
 import { createOpenRequests } from "./_lib/createOpenRequests";
-import { sendFailure } from "./sendFailure";
+import { sendFailure } from "../http/sendFailure";
 
 const BASE_URL = "http://localhost";
 
--- a/src/faces/createJobHandlers.ts
+++ b/src/faces/createJobHandlers.ts
@@ -7,7 +7,7 @@
 import { type Failure, FailureKind } from "../base/failure";
 import type { JobView } from "../tasks/jobs/jobClient";
 import { endWithFailure } from "./_lib/endWithFailure";
-import { sendJson } from "./_lib/sendJson";
+import { sendJson } from "../http/sendJson";
 import { buildJobBody } from "./buildJobBody";
 import type { CallerDependencies } from "./callerDependencies";
 import { DEFAULT_JOB_LIST_LENGTH, LARGEST_JOB_LIST_LENGTH } from "./constants";
--- a/src/faces/createModelHandlers.ts
+++ b/src/faces/createModelHandlers.ts
@@ -5,7 +5,7 @@
 import { FailureKind } from "../base/failure";
 import { type Service, ServiceKind } from "../model/configuration";
 import { endWithFailure } from "./_lib/endWithFailure";
-import { sendJson } from "./_lib/sendJson";
+import { sendJson } from "../http/sendJson";
 import type { CallerDependencies } from "./callerDependencies";
 import type { ExchangeHandler } from "./httpExchange";
 
--- a/src/faces/createServiceHandler.ts
+++ b/src/faces/createServiceHandler.ts
@@ -8,7 +8,7 @@
 import { ServiceKind } from "../model/configuration";
 import type { ServiceAnswer } from "../ports/applicationRunner";
 import { endWithFailure } from "./_lib/endWithFailure";
-import { readBody } from "./_lib/readBody";
+import { readBody } from "../http/readBody";
 import { buildRequestContext } from "./buildRequestContext";
 import type { CallerDependencies } from "./callerDependencies";
 import type { ExchangeHandler, HttpExchange } from "./httpExchange";
--- a/src/faces/handleJobSubmission.ts
+++ b/src/faces/handleJobSubmission.ts
@@ -4,7 +4,7 @@
 import { waitFor } from "../base/csp";
 import type { ChatRequest, RequestContext } from "../model/request";
 import { endWithFailure } from "./_lib/endWithFailure";
-import { sendJson } from "./_lib/sendJson";
+import { sendJson } from "../http/sendJson";
 import { buildJobBody } from "./buildJobBody";
 import type { CallerDependencies } from "./callerDependencies";
 import type { ExchangeHandler, HttpExchange } from "./httpExchange";
--- a/src/faces/sendStreamedAnswer.ts
+++ b/src/faces/sendStreamedAnswer.ts
@@ -6,11 +6,11 @@
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import { type AnswerEvent, AnswerEventKind, type ChatExecution } from "../tasks/execution/executionClient";
 import { WriteResult, writeWithBackPressure } from "./_lib/writeWithBackPressure";
-import { buildFailureBody } from "./buildFailureBody";
+import { buildFailureBody } from "../http/buildFailureBody";
 import { buildChunk, buildUsageChunk, type CompletionIdentity } from "./completionBodies";
 import { SLOW_READER_TIMEOUT_MS } from "./constants";
 import type { ExchangeEnd, HttpExchange } from "./httpExchange";
-import { sendFailure } from "./sendFailure";
+import { sendFailure } from "../http/sendFailure";
 
 /** What a streamed answer needs beside the execution. */
 export interface StreamOptions {
--- a/src/faces/sendWholeAnswer.ts
+++ b/src/faces/sendWholeAnswer.ts
@@ -5,10 +5,10 @@
 import { createFailure } from "../base/createFailure";
 import { Execution, FailureKind } from "../base/failure";
 import { AnswerEventKind, type ChatExecution } from "../tasks/execution/executionClient";
-import { sendJson } from "./_lib/sendJson";
+import { sendJson } from "../http/sendJson";
 import { buildCompletion, type CompletionIdentity } from "./completionBodies";
 import type { ExchangeEnd, HttpExchange } from "./httpExchange";
-import { sendFailure } from "./sendFailure";
+import { sendFailure } from "../http/sendFailure";
 
 /**
  * Collects an answer and sends it whole, or its failure.
--- a/src/faces/_lib/installConnectionLimit.ts
+++ b/src/http/installConnectionLimit.ts
@@ -5,9 +5,9 @@
 import https from "node:https";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { createFailure } from "../../base/createFailure";
-import { type Failure, FailureKind } from "../../base/failure";
-import { buildFailureBody } from "../buildFailureBody";
+import { createFailure } from "../base/createFailure";
+import { type Failure, FailureKind } from "../base/failure";
+import { buildFailureBody } from "./buildFailureBody";
 
 /** The connections of a listener. */
 export interface ConnectionCount {
--- a/src/faces/_lib/parseJson.ts
+++ b/src/http/parseJson.ts
@@ -2,8 +2,8 @@
  * @module JSON from untrusted bytes.
  */
 import { err, ok, type Result } from "neverthrow";
-import { createFailure } from "../../base/createFailure";
-import { type Failure, FailureKind } from "../../base/failure";
+import { createFailure } from "../base/createFailure";
+import { type Failure, FailureKind } from "../base/failure";
 
 /**
  * Decodes UTF-8 strictly and parses JSON.
--- a/src/faces/_lib/readBody.ts
+++ b/src/http/readBody.ts
@@ -3,8 +3,8 @@
  */
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import { createFailure } from "../../base/createFailure";
-import { type Failure, FailureKind } from "../../base/failure";
+import { createFailure } from "../base/createFailure";
+import { type Failure, FailureKind } from "../base/failure";
 
 /** Bounds of a body. */
 export interface BodyLimits {
--- a/src/faces/sendFailure.ts
+++ b/src/http/sendFailure.ts
@@ -3,7 +3,7 @@
  */
 import type { ServerResponse } from "node:http";
 import { type Failure, FailureKind } from "../base/failure";
-import { sendJson } from "./_lib/sendJson";
+import { sendJson } from "./sendJson";
 import { buildFailureBody } from "./buildFailureBody";
 import { FAILURE_STATUS } from "./failureStatus";
 
--- a/src/faces/watchIdentity.ts
+++ b/src/http/watchIdentity.ts
@@ -6,7 +6,7 @@
 import type { Failure } from "../base/failure";
 import { createTlsWatcher, type TlsMaterial } from "../nodes/createTlsWatcher";
 import type { TlsFiles } from "../settings/settings";
-import type { TlsIdentity } from "./callerListener";
+import type { TlsIdentity } from "./tlsIdentity";
 
 /** A listener's identity: the one to start with, and where later ones go. */
 export interface WatchedIdentity {
--- a/src/operator/createOperatorListener.ts
+++ b/src/operator/createOperatorListener.ts
@@ -14,12 +14,12 @@
 import { Metric } from "../base/metrics/metric";
 import type { Metrics } from "../base/metrics/metrics";
 import { buildCommandRoutes } from "../commands/buildCommandRoutes";
-import { installConnectionLimit } from "../faces/_lib/installConnectionLimit";
-import { parseJson } from "../faces/_lib/parseJson";
-import { readBody } from "../faces/_lib/readBody";
-import { sendJson } from "../faces/_lib/sendJson";
-import type { TlsIdentity } from "../faces/callerListener";
-import { sendFailure } from "../faces/sendFailure";
+import { installConnectionLimit } from "../http/installConnectionLimit";
+import { parseJson } from "../http/parseJson";
+import { readBody } from "../http/readBody";
+import { sendJson } from "../http/sendJson";
+import type { TlsIdentity } from "../http/tlsIdentity";
+import { sendFailure } from "../http/sendFailure";
 import { buildQueryRoutes } from "../queries/buildQueryRoutes";
 import { authenticateOperator } from "./authenticateOperator";
 import {
