Try a removed route again on a busy endpoint

Cause: a trial waited until the endpoint had none of this node's attempts in progress, so a removed route of a busy endpoint never came back, and long streams delayed the return of an endpoint. Change: a trial is tracked by itself; one at a time. Figures: the new test fails without the change (the route stays removed while another attempt runs).

--- a/src/decisions/routing/candidate.ts
+++ b/src/decisions/routing/candidate.ts
@@ -18,6 +18,8 @@
     removedUntilMs: number;
     /** Whether the time of removal is over and the next attempt decides. */
     isOnTrial: boolean;
+    /** Whether that attempt is in progress. */
+    isTrialRunning: boolean;
     /** Length of the last removal in milliseconds; 0 before the first. */
     removalMs: number;
 }
--- a/src/decisions/routing/chooseCandidate.ts
+++ b/src/decisions/routing/chooseCandidate.ts
@@ -145,11 +145,11 @@
     if (candidate.isLeaving || endpoint.version !== query.version) {
         return false;
     }
-    if (candidate.costMicros > query.costCeilingMicros || !isOutcomeUsable(outcomes, candidate.ownInFlight)) {
+    if (candidate.costMicros > query.costCeilingMicros || !isOutcomeUsable(outcomes)) {
         return false;
     }
     const onRoute = candidate.removedRoutes === 0 ? undefined : findRoute(candidate, query.route);
-    if (onRoute !== undefined && !isOutcomeUsable(onRoute, candidate.ownInFlight)) {
+    if (onRoute !== undefined && !isOutcomeUsable(onRoute)) {
         return false;
     }
     return query.excludedEndpointIds.length === 0 || !query.excludedEndpointIds.includes(endpoint.endpointId);
--- a/src/decisions/routing/createOutcomeRecord.ts
+++ b/src/decisions/routing/createOutcomeRecord.ts
@@ -19,6 +19,7 @@
         lastSuccessAtMs: -Infinity,
         removedUntilMs: -Infinity,
         isOnTrial: false,
+        isTrialRunning: false,
         removalMs: 0,
     };
 }
--- a/src/decisions/routing/decideRoute.ts
+++ b/src/decisions/routing/decideRoute.ts
@@ -8,6 +8,7 @@
 import { type Failure, FailureKind } from "../../base/failure";
 import type { Configuration } from "../../model/configuration";
 import type { Route, RouteQuery } from "../../tasks/routing/routingClient";
+import { beginTrial } from "./_lib/trial";
 import { buildAttemptKey } from "./buildAttemptKey";
 import { type Choice, chooseCandidate } from "./chooseCandidate";
 import { chooseVersion } from "./chooseVersion";
@@ -92,6 +93,7 @@
         estimateMs,
         prefillTokens: uncachedTokens,
         hasFirstToken: false,
+        isTrial: beginTrial(candidate, query.route),
         sentAtMs: nowMs,
     });
 }
--- a/src/decisions/routing/isOutcomeUsable.ts
+++ b/src/decisions/routing/isOutcomeUsable.ts
@@ -7,11 +7,10 @@
  * Tells whether attempts may be sent, as far as past outcomes go.
  *
  * @param outcomes - The record of the endpoint or route
- * @param ownInFlight - Attempts in progress there; on trial only one at a time is sent
- * @returns True if it is neither removed nor busy with its trial
+ * @returns True if it is neither removed nor busy with its trial; on trial one attempt at a time is sent
  * @example
- * isOutcomeUsable(candidate.outcomes, candidate.ownInFlight);
+ * isOutcomeUsable(candidate.outcomes);
  */
-export function isOutcomeUsable(outcomes: OutcomeRecord, ownInFlight: number): boolean {
-    return outcomes.removedUntilMs === -Infinity || (outcomes.isOnTrial && ownInFlight === 0);
+export function isOutcomeUsable(outcomes: OutcomeRecord): boolean {
+    return outcomes.removedUntilMs === -Infinity || (outcomes.isOnTrial && !outcomes.isTrialRunning);
 }
--- a/src/decisions/routing/recordAttemptReport.ts
+++ b/src/decisions/routing/recordAttemptReport.ts
@@ -4,6 +4,7 @@
 import { type Failure, FailureKind } from "../../base/failure";
 import { VmRole } from "../../model/endpoint";
 import { type AttemptReport, AttemptReportKind } from "../../tasks/routing/routingClient";
+import { endTrial } from "./_lib/trial";
 import { buildAttemptKey } from "./buildAttemptKey";
 import { BIAS_LIMIT_MS, ERROR_QUANTILE, ERROR_STEP_MS, REFUSED_BIAS_MS } from "./constants";
 import { recordEnded } from "./recordEnded";
@@ -83,5 +84,8 @@
 
 function endAttempt(state: RoutingState, attempt: AttemptState, report: AttemptReport, durationMs?: number): void {
     state.attempts.delete(buildAttemptKey(report.id));
+    if (attempt.isTrial) {
+        endTrial(attempt.candidate, attempt.route);
+    }
     recordEnded(attempt.candidate, { prefillTokens: attempt.prefillTokens, durationMs });
 }
--- a/src/decisions/routing/refreshRouting.ts
+++ b/src/decisions/routing/refreshRouting.ts
@@ -1,6 +1,7 @@
 /**
  * @module Bringing routing up to the present.
  */
+import { endTrial } from "./_lib/trial";
 import { applyLoadDigest } from "./applyLoadDigest";
 import { computeDemandShare } from "./computeDemandShare";
 import { computeDigestPeriod } from "./computeDigestPeriod";
@@ -55,6 +56,7 @@
     for (const [key, attempt] of state.attempts) {
         if (attempt.sentAtMs + ATTEMPT_MEMORY_MS < nowMs) {
             state.attempts.delete(key);
+            endTrial(attempt.candidate, attempt.route);
             recordEnded(attempt.candidate, { prefillTokens: attempt.prefillTokens });
         }
     }
--- a/src/decisions/routing/routingState.ts
+++ b/src/decisions/routing/routingState.ts
@@ -36,6 +36,8 @@
     /** Prompt tokens still counted at the endpoint; 0 after the first token. */
     prefillTokens: number;
     hasFirstToken: boolean;
+    /** Whether it decides on the return of its endpoint or route. */
+    readonly isTrial: boolean;
     readonly sentAtMs: number;
 }
 
--- a/src/decisions/routing/summarizeCapacity.ts
+++ b/src/decisions/routing/summarizeCapacity.ts
@@ -70,7 +70,7 @@
     return (
         !candidate.isLeaving &&
         candidate.costMicros <= query.costCeilingMicros &&
-        isOutcomeUsable(candidate.outcomes, candidate.ownInFlight) &&
+        isOutcomeUsable(candidate.outcomes) &&
         query.isVersionUsed(candidate.endpoint.version)
     );
 }
--- a/src/tasks/routing/createRoutingTask.test.ts
+++ b/src/tasks/routing/createRoutingTask.test.ts
@@ -102,13 +102,13 @@
         listeners.forEach(listener => listener(next));
     };
     let requests = 0;
-    const choose = async (excludedEndpointIds: readonly string[] = [], attempt = 1) => {
+    const choose = async (excludedEndpointIds: readonly string[] = [], attempt = 1, route = "chat") => {
         const nowMs = clock.readMonotonicMs();
         const id = { requestId: `r${requests++}`, attempt };
         const times = { acceptedAtMs: nowMs, firstTokenDueAtMs: nowMs + 1_000, deadlineAtMs: nowMs + 10_000 };
         const context = { requestId: id.requestId, accountName: "x", className: "question", isIdempotent: true };
         const size = { promptTokens: 400, maximumTokens: 100, prefixHashes: [], excludedEndpointIds };
-        const base = { id, context: { ...context, ...times }, serviceName: "news", route: "chat", ...size };
+        const base = { id, context: { ...context, ...times }, serviceName: "news", route, ...size };
         const result: Result<Route, Failure> = await routing.chooseEndpoint(base);
         return { id, result, endpointId: result.map(route => route.endpoint.endpointId).unwrapOr("none") };
     };
@@ -207,6 +207,27 @@
         routing.dispose();
     });
 
+    it("tries a removed route again while other routes of the endpoint are busy", async () => {
+        const { routing, runFor, choose, report } = createFixture();
+        await runFor(200);
+        await choose(["b"], 1, "/articles");
+        for (let failures = 0; failures < 3; failures++) {
+            const chosen = await choose(["b"], 1, "/tags");
+            report(chosen, AttemptReportKind.Failed, FailureKind.EndpointFailed);
+            await runFor(50);
+            report(await choose(["b"], 1, "/articles"), AttemptReportKind.Finished);
+        }
+        assert.equal((await choose(["b"], 1, "/tags")).endpointId, "none");
+        assert.equal((await choose(["b"], 1, "/articles")).endpointId, "a");
+        await runFor(4_000);
+        const trial = await choose(["b"], 1, "/tags");
+        assert.equal(trial.endpointId, "a");
+        assert.equal((await choose(["b"], 1, "/tags")).endpointId, "none");
+        report(trial, AttemptReportKind.Finished);
+        assert.equal((await choose(["b"], 1, "/tags")).endpointId, "a");
+        routing.dispose();
+    });
+
     it("keeps an endpoint whose old connections are silent while new ones work", async () => {
         const { routing, runFor, choose, report, probes } = createFixture();
         await runFor(200);
