Drain callers beside jobs, and send unrepeatable work on new connections

Cause: a job that may not be repeated could use up the whole bound of a shutdown before callers were refused; ids of two nodes could meet through equal 31-bit seeds; a dead kept connection leaves a posting's outcome unknown. Change: both drains run side by side; node randomness from 128 bits of entropy; usesNewConnection for non-idempotent work; reclaim terms from routing.

--- /dev/null
+++ b/src/base/_lib/buildRandom.ts
@@ -0,0 +1,22 @@
+/**
+ * @module Random streams over a generator.
+ */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { Random } from "../random";
+
+/**
+ * Builds a random stream.
+ *
+ * @param generator - Where its numbers come from; changed by each draw
+ * @returns The stream
+ * @example
+ * buildRandom(xoroshiro128plus(42));
+ */
+export function buildRandom(generator: RandomGenerator): Random {
+    return {
+        drawFraction: () => uniformFloat64(generator),
+        drawInteger: (low, high) => uniformInt(generator, low, high),
+    };
+}
--- a/src/createNodeParts.ts
+++ b/src/createNodeParts.ts
@@ -1,7 +1,6 @@
 /**
  * @module The outside of a real node: system clock, logs, metrics and adapters, from its settings.
  */
-import { randomInt } from "node:crypto";
 import type { HttpTarget } from "./adapters/_lib/httpTarget";
 import { createHttpApplicationRunner } from "./adapters/httpApplicationRunner/createHttpApplicationRunner";
 import { createHttpCloud } from "./adapters/httpCloud/createHttpCloud";
@@ -10,7 +9,7 @@
 import { createHttpTable } from "./adapters/httpTable/createHttpTable";
 import { createHttpVmList } from "./adapters/httpVmList/createHttpVmList";
 import { createDisposableStore } from "./base/createDisposableStore";
-import { createRandom } from "./base/createRandom";
+import { createUnpredictableRandom } from "./base/createUnpredictableRandom";
 import { createSystemClock } from "./base/createSystemClock";
 import { createLog } from "./base/log/createLog";
 import { createMetrics } from "./base/metrics/createMetrics";
@@ -19,7 +18,6 @@
 
 const HTTP_PORT = 80;
 const HTTPS_PORT = 443;
-const LARGEST_SEED = 2 ** 31 - 1;
 
 /**
  * Creates the outside of a node.
@@ -47,7 +45,7 @@
     );
     return {
         clock: createSystemClock(),
-        random: createRandom(randomInt(LARGEST_SEED)),
+        random: createUnpredictableRandom(),
         log,
         metrics,
         table: owned.add(createHttpTable(parseTarget(settings.platform.tableUrl))),
--- a/src/tasks/execution/_lib/openAttempt.ts
+++ b/src/tasks/execution/_lib/openAttempt.ts
@@ -35,6 +35,7 @@
         priority: Math.max(0, Math.round(run.context.firstTokenDueAtMs - nowMs)),
         resumedTexts: [...run.delivered],
         importedCacheId,
+        usesNewConnection: !run.context.isIdempotent,
     });
     const attempt: LiveAttempt = {
         id,
--- a/src/tasks/execution/runServiceCall.ts
+++ b/src/tasks/execution/runServiceCall.ts
@@ -144,8 +144,10 @@
     );
     const sentAtMs = clock.readMonotonicMs();
     const timeoutMs = Math.max(0, run.context.deadlineAtMs - sentAtMs);
-    const { cancelled } = run;
-    const answer = yield* waitFor(applications.callService(route.endpoint, id, run.call, { timeoutMs, cancelled }));
+    const { cancelled, context } = run;
+    // A kept connection may be dead without a sign; the outcome of a call sent on it would stay unknown.
+    const options = { timeoutMs, cancelled, usesNewConnection: !context.isIdempotent };
+    const answer = yield* waitFor(applications.callService(route.endpoint, id, run.call, options));
     run.executions.push(answer.isOk() ? Execution.Ran : answer.error.execution);
     run.excludedEndpointIds.push(route.endpoint.endpointId);
     routing.recordReport({
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -9,7 +9,7 @@
 import { Metric } from "./base/metrics/metric";
 import type { CallerListener, ExchangeSummary } from "./faces/callerListener";
 import { createCallerListener } from "./faces/createCallerListener";
-import { watchIdentity } from "./faces/watchIdentity";
+import { watchIdentity } from "./http/watchIdentity";
 import { createDeferredExchange } from "./nodes/createDeferredExchange";
 import { createGrpcTransport } from "./nodes/createGrpcTransport";
 import { createTlsWatcher } from "./nodes/createTlsWatcher";
@@ -24,6 +24,7 @@
 import type { ConfigurationTask } from "./tasks/configuration/createConfigurationTask";
 import { createConfigurationTask } from "./tasks/configuration/createConfigurationTask";
 import { createDirectoryTask } from "./tasks/directory/createDirectoryTask";
+import { buildReclaimTerms } from "./tasks/execution/buildReclaimTerms";
 import { createExecutionTask, type ExecutionTask } from "./tasks/execution/createExecutionTask";
 import { createJobTask, type JobTask } from "./tasks/jobs/createJobTask";
 import { createLeaseTask } from "./tasks/leases/createLeaseTask";
@@ -260,6 +261,11 @@
         claims,
         metrics,
         reportEvent,
+        readReclaimTerms: serviceName =>
+            buildReclaimTerms(
+                routing.readCapacity(serviceName, Number.POSITIVE_INFINITY),
+                membership.listLiveNodeIds().length,
+            ),
     });
     const jobs = owned.add(
         createJobTask({
@@ -354,13 +360,12 @@
     const endAtMs = clock.readMonotonicMs() + boundMs;
     const computeRest = () => Math.max(0, endAtMs - clock.readMonotonicMs());
     callers.announceLeaving();
-    await Promise.all([
-        agreement.membership.leave(),
-        work.jobs.drain(computeRest()),
-        clock.waitMs(Math.min(BALANCER_NOTICE_MS, boundMs)),
-    ]);
+    const left = agreement.membership.leave();
+    // A job that may not be repeated can take the whole bound; callers' requests finish beside it.
+    const jobsDrained = work.jobs.drain(boundMs);
+    await clock.waitMs(Math.min(BALANCER_NOTICE_MS, boundMs));
     callers.refuseNew();
-    await work.execution.drain(computeRest());
+    await Promise.all([left, jobsDrained, work.execution.drain(computeRest())]);
     return callers.waitUntilIdle(computeRest());
 }
 
