--- a/src/decisions/fleet/_lib/chooseAdditions.ts
+++ b/src/decisions/fleet/_lib/chooseAdditions.ts
@@ -57,7 +57,7 @@
         const candidates = shortages.filter(({ missing, declared }) => {
             const hasWeights = declared.role !== VmRole.ModelRunner || weightLoads < facts.weightLoads;
             const canLoad = findLoadable(loadable, declared) !== -1;
-            return missing > 0 && hasWeights && (canLoad || !facts.refusedOfferIds.has(buildOfferId(declared)));
+            return missing > 0 && hasWeights && (canLoad || isStartable(state, starts, facts, declared));
         });
         const neediest = findNeediest(candidates, units);
         if (neediest === undefined) {
@@ -93,6 +93,21 @@
     return state.loads.length + state.starts.filter(start => start.role === VmRole.ModelRunner).length;
 }
 
+/** After a refusal a single start asks whether the offer takes starts again, before there are more. */
+function isStartable(
+    state: FleetState,
+    chosen: readonly PendingStart[],
+    facts: AdditionFacts,
+    declared: DeclaredGroup,
+): boolean {
+    const offerId = buildOfferId(declared);
+    if (facts.refusedOfferIds.has(offerId)) {
+        return false;
+    }
+    const isOnTheWay = (start: PendingStart) => buildOfferId(start) === offerId;
+    return state.refusals[offerId] === undefined || !(chosen.some(isOnTheWay) || state.starts.some(isOnTheWay));
+}
+
 function sumUnits(groups: readonly GroupFacts[]): Map<string, { all: number; lacking: number }> {
     const units = new Map<string, { all: number; lacking: number }>();
     for (const { declared, missing } of groups) {
--- a/src/decisions/fleet/decideFleetSteps.test.ts
+++ b/src/decisions/fleet/decideFleetSteps.test.ts
@@ -109,6 +109,16 @@
         assert.notEqual(later.state.starts[0]?.token, first.state.starts[0]?.token);
     });
 
+    it("ask with one start whether an offer takes starts again after a refusal", () => {
+        const group = createGroup({ count: 5 });
+        const refusals = { "hobart/gpu-a/reclaimable": { count: 1, untilWallMs: START_MS } };
+        assert.equal(decide({ ...createState(group), refusals }, [], START_MS - 1).steps.length, 0);
+        const asked = decide({ ...createState(group), refusals }, [], START_MS);
+        assert.equal(asked.state.starts.length, 1);
+        assert.equal(decide(asked.state, [], START_MS + 1).state.starts.length, 1);
+        assert.equal(decide({ ...asked.state, refusals: {} }, [], START_MS + 1).state.starts.length, 5);
+    });
+
     it("hold no more loads of weights at once than the store allows, the service that lacks most first", () => {
         const poor = createGroup({ serviceName: "digest", count: 10 });
         const rich = createGroup({ count: 10 });
--- a/src/tasks/fleet/_lib/createFleetHolder.ts
+++ b/src/tasks/fleet/_lib/createFleetHolder.ts
@@ -6,7 +6,7 @@
 import { hashText } from "../../../base/hashText";
 import { decideFleetSteps } from "../../../decisions/fleet/decideFleetSteps";
 import type { DemandHistory } from "../../../decisions/fleet/demandHistory";
-import type { FleetOffer } from "../../../decisions/fleet/fleetPlan";
+import type { FleetOffer, ServicePlan } from "../../../decisions/fleet/fleetPlan";
 import { EMPTY_FLEET_STATE, type FleetState } from "../../../decisions/fleet/fleetState";
 import { listHeldGroups } from "../../../decisions/fleet/listHeldGroups";
 import { planFleet } from "../../../decisions/fleet/planFleet";
@@ -134,10 +134,10 @@
                 const present = computePresentUnits(capacities, options.listVms(), name);
                 recorder.record(name, earlier ?? present, nowWallMs, false);
             }
+            // While demand isn't known, what was seen last goes on to count: nothing is stopped for want of a figure.
             const units = options.readDemand(name);
-            if (units !== undefined) {
-                recorder.record(name, units, nowWallMs);
-            }
+            const isKnown = units !== undefined && Number.isFinite(units);
+            recorder.record(name, isKnown ? units : recorder.findRecentPeak(name, nowWallMs), nowWallMs, isKnown);
         }
     };
     const planIfDue = async (current: Term, nowWallMs: number) => {
@@ -158,7 +158,12 @@
         }
         const demands = buildDemands(options.readConfiguration(), options.capacity, current.recorder, nowWallMs);
         const held = listHeldGroups(current.state, options.listVms());
-        const plan = planFleet(demands, { offers: current.offers, capacities, held, refusedOfferIds: refused });
+        const facts = { offers: current.offers, capacities, held, refusedOfferIds: refused };
+        const services: ServicePlan[] = [];
+        for (const demand of demands) {
+            services.push(...planFleet([demand], facts).services);
+            await waitForTurn();
+        }
         const recentPeaks = demands.map(
             ({ serviceName }) => [serviceName, current.recorder.findRecentPeak(serviceName, nowWallMs)] as const,
         );
@@ -167,7 +172,8 @@
             untilWallMs: current.state.refusals[offerId]?.untilWallMs ?? nowWallMs,
         }));
         current.plan = {
-            ...plan,
+            services,
+            microsPerHour: services.reduce((sum, service) => sum + service.microsPerHour, 0),
             plannedAtWallMs: nowWallMs,
             nodeId: options.nodeId,
             refused: refusedOffers,
@@ -175,7 +181,7 @@
         };
         current.plannedAtWallMs = nowWallMs;
         current.refusedText = refusedText;
-        current.state = { ...current.state, groups: plan.services.flatMap(service => service.groups) };
+        current.state = { ...current.state, groups: services.flatMap(service => service.groups) };
     };
     /** Keeps the state; on any failure no step is taken, and what was kept is read anew. */
     const keepState = async (current: Term, before: FleetState): Promise<boolean> => {
@@ -249,6 +255,11 @@
     };
 }
 
+/** Lets streams go on between two services: a large plan would hold them up. */
+function waitForTurn(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
+
 function isCandidate(options: FleetHolderOptions): boolean {
     const ranked = [...options.listLiveNodeIds()].sort(
         (left, right) => hashText(`${FLEET_LEASE}|${right}`) - hashText(`${FLEET_LEASE}|${left}`),
--- a/src/tasks/fleet/createFleetTask.test.ts
+++ b/src/tasks/fleet/createFleetTask.test.ts
@@ -43,7 +43,7 @@
         orders: [] as FencedOrder[],
         drained: [] as string[],
     };
-    const switches = { refusedDomain: "", losesAnswers: false, demand: 350, version: "v1" };
+    const switches = { refusedDomain: "", losesAnswers: false, demand: 350 as number | undefined, version: "v1" };
     const byToken = new Map<string, string>();
     const prices: readonly VmPrice[] = DOMAINS.flatMap(failureDomain =>
         [true, false].map(isReclaimable => ({
@@ -230,6 +230,16 @@
         await world.end();
     });
 
+    it("stops nothing while demand isn't known", async () => {
+        const world = createWorld();
+        await world.run(120_000);
+        world.switches.demand = undefined;
+        await world.run(2_400_000);
+        assert.deepEqual(world.calls.stops, []);
+        assert.equal(world.listVms().length, DECLARED);
+        await world.end();
+    });
+
     it("gives VMs of the version before a move the new one, never a leaving VM", async () => {
         const world = createWorld();
         await world.run(120_000);
