Count attempts at leaving endpoints as in progress

Cause: attempts still running at leaving endpoints were taken for admitted requests without an endpoint, which held back as many new requests during a wave. Change: a service counts its attempts itself, wherever they are.

--- a/src/decisions/routing/applyEndpoints.ts
+++ b/src/decisions/routing/applyEndpoints.ts
@@ -116,6 +116,7 @@
         serviceHash: hashName(name),
         candidates: [],
         index: createPrefixIndex(),
+        inFlight: 0,
         liveEndpoints: 0,
         liveByDomain: new Map(),
         errorMs: 0,
--- a/src/decisions/routing/decideRoute.ts
+++ b/src/decisions/routing/decideRoute.ts
@@ -84,6 +84,7 @@
     nowMs: number,
 ): void {
     const { candidate, estimateMs, uncachedTokens } = choice;
+    service.inFlight++;
     recordSent(candidate, uncachedTokens);
     recordPrefixes(service.index, candidate, query.prefixHashes);
     state.attempts.set(buildAttemptKey(query.id), {
--- a/src/decisions/routing/readServiceCapacity.ts
+++ b/src/decisions/routing/readServiceCapacity.ts
@@ -46,5 +46,6 @@
         demandShare: service?.demandShare ?? 0,
         roundingFraction: hashPair(hashText(state.nodeId), roundingSeed) / 2 ** 32,
         estimateErrorMs: service?.errorMs ?? 0,
+        ownInFlight: service?.inFlight ?? 0,
     });
 }
--- a/src/decisions/routing/recordAttemptReport.ts
+++ b/src/decisions/routing/recordAttemptReport.ts
@@ -84,6 +84,7 @@
 
 function endAttempt(state: RoutingState, attempt: AttemptState, report: AttemptReport, durationMs?: number): void {
     state.attempts.delete(buildAttemptKey(report.id));
+    attempt.service.inFlight--;
     if (attempt.isTrial) {
         endTrial(attempt.candidate, attempt.route);
     }
--- a/src/decisions/routing/refreshRouting.ts
+++ b/src/decisions/routing/refreshRouting.ts
@@ -56,6 +56,7 @@
     for (const [key, attempt] of state.attempts) {
         if (attempt.sentAtMs + ATTEMPT_MEMORY_MS < nowMs) {
             state.attempts.delete(key);
+            attempt.service.inFlight--;
             endTrial(attempt.candidate, attempt.route);
             recordEnded(attempt.candidate, { prefillTokens: attempt.prefillTokens });
         }
--- a/src/decisions/routing/routing.test.ts
+++ b/src/decisions/routing/routing.test.ts
@@ -97,7 +97,7 @@
             applyLoadReport(candidate, { ...report, ...speeds, running: 26, pendingPrefillTokens: 500 }, 1_000);
         });
         const admitted = nodes.map((candidate, node) => {
-            const query = { costCeilingMicros: 1, isVersionUsed: () => true, estimateErrorMs: 0 };
+            const query = { costCeilingMicros: 1, isVersionUsed: () => true, estimateErrorMs: 0, ownInFlight: 0 };
             const share = { demandShare: 1 / 7, roundingFraction: node / 7 };
             let count = 0;
             while (summarizeCapacity([candidate], { ...query, ...share }).freeSlots >= 1) {
--- a/src/decisions/routing/routingState.ts
+++ b/src/decisions/routing/routingState.ts
@@ -14,6 +14,8 @@
     /** The live endpoints this node uses, in an order of its own that is unrelated to where they stand. */
     candidates: readonly Candidate[];
     readonly index: PrefixIndex;
+    /** Attempts of this node in progress, those at leaving endpoints included. */
+    inFlight: number;
     /** All live endpoints of the service, and their number by 16-bit hash of the failure domain. */
     liveEndpoints: number;
     liveByDomain: ReadonlyMap<number, number>;
--- a/src/decisions/routing/summarizeCapacity.ts
+++ b/src/decisions/routing/summarizeCapacity.ts
@@ -18,6 +18,8 @@
     /** A number in [0, 1) by which a fraction of a slot is rounded; it differs between nodes. */
     readonly roundingFraction: number;
     readonly estimateErrorMs: number;
+    /** Attempts of this node in progress at the service. */
+    readonly ownInFlight: number;
 }
 
 /**
@@ -33,13 +35,11 @@
  */
 export function summarizeCapacity(candidates: readonly Candidate[], query: CapacityQuery): ServiceCapacity {
     let liveEndpoints = 0;
-    let ownInFlight = 0;
     let free = 0;
     let ownChange = 0;
     let best: Candidate | undefined;
     let bestMs = Infinity;
     for (const candidate of candidates) {
-        ownInFlight += candidate.ownInFlight;
         if (!isCounted(candidate, query)) {
             continue;
         }
@@ -57,7 +57,7 @@
     const serviceMs = best?.endpoint.role === VmRole.ApplicationRunner ? best.durationMs : 0;
     return {
         liveEndpoints,
-        ownInFlight,
+        ownInFlight: query.ownInFlight,
         freeSlots: Math.floor(free * query.demandShare - ownChange + query.roundingFraction),
         bestFirstTokenMs: best === undefined ? 0 : bestMs + serviceMs,
         prefillTokensPerSecond: 1_000 * (best?.prefillTokensPerMs ?? INITIAL_PREFILL_TOKENS_PER_MS),
--- a/src/tasks/routing/createRoutingTask.test.ts
+++ b/src/tasks/routing/createRoutingTask.test.ts
@@ -144,6 +144,19 @@
         routing.dispose();
     });
 
+    it("counts attempts at a leaving endpoint as in progress until they end", async () => {
+        const { routing, runFor, setVms, choose, report } = createFixture();
+        await runFor(200);
+        const chosen = await choose(["b"]);
+        setVms([createVm("a", { state: VmState.Leaving }), createVm("b")]);
+        await runFor(200);
+        assert.equal(routing.readCapacity("news", 500).ownInFlight, 1);
+        report(chosen, AttemptReportKind.Finished);
+        await runFor(200);
+        assert.equal(routing.readCapacity("news", 500).ownInFlight, 0);
+        routing.dispose();
+    });
+
     it("tells watchers when their endpoint is leaving and when it is gone", async () => {
         const { clock, routing, setVms } = createFixture();
         const { notices, release } = routing.watchEndpoint("a");
