Name offers once a step and sort only surplus VMs

Cause: decideFleetSteps sorted all VMs three times and built names of offers anew for each choice. Change: names are built once for each group, and only surplus VMs are sorted.

--- a/src/decisions/fleet/_lib/chooseAdditions.ts
+++ b/src/decisions/fleet/_lib/chooseAdditions.ts
@@ -28,6 +28,9 @@
 interface Shortage {
     readonly group: GroupFacts;
     readonly declared: DeclaredGroup;
+    readonly offerId: string;
+    /** Service and version. */
+    readonly name: string;
     missing: number;
 }
 
@@ -47,17 +50,15 @@
     const loadable = [...facts.loadable];
     const units = sumUnits(facts.groups);
     const shortages = facts.groups.flatMap(group =>
-        group.declared === undefined || group.missing === 0
-            ? []
-            : [{ group, declared: group.declared, missing: group.missing }],
+        group.declared === undefined || group.missing === 0 ? [] : [buildShortage(group, group.declared)],
     );
     let weightLoads = countWeightLoads(state);
     let generation = state.generation;
     while (starts.length + loads.length < facts.mostSteps) {
-        const candidates = shortages.filter(({ missing, declared }) => {
+        const candidates = shortages.filter(({ missing, declared, offerId }) => {
             const hasWeights = declared.role !== VmRole.ModelRunner || weightLoads < facts.weightLoads;
-            const canLoad = findLoadable(loadable, declared) !== -1;
-            return missing > 0 && hasWeights && (canLoad || isStartable(state, starts, facts, declared));
+            const canLoad = loadable.length > 0 && findLoadable(loadable, declared) !== -1;
+            return missing > 0 && hasWeights && (canLoad || isStartable(state, starts, facts, offerId));
         });
         const neediest = findNeediest(candidates, units);
         if (neediest === undefined) {
@@ -73,7 +74,7 @@
         }
         neediest.missing--;
         weightLoads += declared.role === VmRole.ModelRunner ? 1 : 0;
-        const sum = units.get(buildName(declared));
+        const sum = units.get(neediest.name);
         if (sum !== undefined) {
             sum.lacking -= declared.unitsPerVm;
         }
@@ -98,9 +99,8 @@
     state: FleetState,
     chosen: readonly PendingStart[],
     facts: AdditionFacts,
-    declared: DeclaredGroup,
+    offerId: string,
 ): boolean {
-    const offerId = buildOfferId(declared);
     if (facts.refusedOfferIds.has(offerId)) {
         return false;
     }
@@ -108,6 +108,11 @@
     return state.refusals[offerId] === undefined || !(chosen.some(isOnTheWay) || state.starts.some(isOnTheWay));
 }
 
+function buildShortage(group: GroupFacts, declared: DeclaredGroup): Shortage {
+    const { missing } = group;
+    return { group, declared, offerId: buildOfferId(declared), name: buildName(declared), missing };
+}
+
 function sumUnits(groups: readonly GroupFacts[]): Map<string, { all: number; lacking: number }> {
     const units = new Map<string, { all: number; lacking: number }>();
     for (const { declared, missing } of groups) {
@@ -125,8 +130,8 @@
     candidates: readonly Shortage[],
     units: ReadonlyMap<string, { readonly all: number; readonly lacking: number }>,
 ): Shortage | undefined {
-    const computeNeed = ({ declared }: Shortage) => {
-        const sum = units.get(buildName(declared));
+    const computeNeed = ({ name }: Shortage) => {
+        const sum = units.get(name);
         return sum === undefined ? 0 : sum.lacking / sum.all;
     };
     return candidates.reduce<Shortage | undefined>(
--- a/src/decisions/fleet/_lib/groupFacts.ts
+++ b/src/decisions/fleet/_lib/groupFacts.ts
@@ -28,7 +28,7 @@
  *
  * @param state - The fleet's state
  * @param vms - The VMs that the list shows
- * @returns VMs in order of their ids
+ * @returns The VMs, in the order of the list
  * @example
  * listUsableVms(state, vms).length;
  */
@@ -36,8 +36,7 @@
     const taken = new Set([...state.stops, ...state.loads].map(({ vmId }) => vmId));
     return vms
         .filter((vm): vm is ServiceVm => vm.serviceName !== undefined && vm.version !== undefined)
-        .filter(vm => vm.state === VmState.Live && !taken.has(vm.vmId))
-        .sort((left, right) => (left.vmId < right.vmId ? -1 : 1));
+        .filter(vm => vm.state === VmState.Live && !taken.has(vm.vmId));
 }
 
 /**
--- a/src/decisions/fleet/decideFleetSteps.ts
+++ b/src/decisions/fleet/decideFleetSteps.ts
@@ -115,7 +115,9 @@
         const sinceWallMs = state.retiredAtWallMs[`${vm.serviceName}/${vm.version}`];
         return sinceWallMs !== undefined && nowWallMs - sinceWallMs >= limits.drainMs;
     };
-    return listUsableVms(state, vms).filter(vm => vm.role === VmRole.ModelRunner && isRetired(vm));
+    return listUsableVms(state, vms)
+        .filter(vm => vm.role === VmRole.ModelRunner && isRetired(vm))
+        .sort(compareIds);
 }
 
 function chooseStops(state: FleetState, facts: FleetStepFacts): readonly PendingStop[] {
@@ -127,12 +129,17 @@
     const surplus = groups.flatMap(group => {
         const serviceName = group.vms[0]?.serviceName;
         const isManaged = serviceName !== undefined && declaredServices.has(serviceName) && !lacking.has(serviceName);
-        return isManaged ? group.vms.slice(group.declared?.count ?? 0) : [];
+        const count = group.declared?.count ?? 0;
+        return isManaged && group.vms.length > count ? [...group.vms].sort(compareIds).slice(count) : [];
     });
     const stopAtWallMs = facts.nowWallMs + facts.limits.drainMs;
     return surplus.slice(0, MOST_STEPS).map(({ vmId }) => ({ vmId, stopAtWallMs, sentAtWallMs: facts.nowWallMs }));
 }
 
+function compareIds(left: VmRecord, right: VmRecord): number {
+    return left.vmId < right.vmId ? -1 : 1;
+}
+
 function isLacking(group: GroupFacts): boolean {
     return group.declared !== undefined && group.vms.length < group.declared.count;
 }
