--- a/bench/measure/computeScore.ts
+++ b/bench/measure/computeScore.ts
@@ -18,7 +18,8 @@
 /** The formula of the score, for people. */
 export const SCORE_FORMULA =
     "score = 100 * (wCost * lowestCost / cost + wRecomputed * fewestRecomputed / recomputed + wGood * goodDone + " +
-    "wBad * badTakenBack) / (wCost + wRecomputed + wGood + wBad); lowest and fewest over all policies compared";
+    "wBad * badTakenBack) / (wCost + wRecomputed + wGood + wBad); lowest and fewest over all policies compared; " +
+    "cost: VMs and volume over answers inside their target, loads 0.7, 1.0 and wave; recomputed: sum over the notices";
 
 /**
  * Computes the score of one policy among others.
--- a/bench/measure/measureServing.ts
+++ b/bench/measure/measureServing.ts
@@ -3,7 +3,7 @@
  */
 import { BASELINES } from "../policy/baselines";
 import { OWN_POLICY } from "../policy/ownPolicy";
-import { type ClusterSize, SCENARIOS, WARM_UP_MS } from "../policy/settings";
+import { type ClusterSize, SCENARIOS } from "../policy/settings";
 import { type RequestRecord, simulateCluster } from "../policy/simulate";
 import { type RunFigures, summarizeRun } from "../policy/summarize";
 
@@ -61,7 +61,7 @@
                 costMicros: result.costMicros,
                 ...summarizeRun(result, size.measuredMs),
                 classes: summarizeClasses(result.records),
-                timeline: buildTimeline(result.records, size.measuredMs),
+                timeline: buildTimeline(result.records, size),
             };
         }),
     );
@@ -83,9 +83,9 @@
     });
 }
 
-function buildTimeline(records: readonly RequestRecord[], measuredMs: number): readonly TimelineSecond[] {
-    return Array.from({ length: Math.ceil(measuredMs / 1_000) }, (_unused, second) => {
-        const own = records.filter(record => Math.floor((record.arrivedAtMs - WARM_UP_MS) / 1_000) === second);
+function buildTimeline(records: readonly RequestRecord[], size: ClusterSize): readonly TimelineSecond[] {
+    return Array.from({ length: Math.ceil(size.measuredMs / 1_000) }, (_unused, second) => {
+        const own = records.filter(record => Math.floor((record.arrivedAtMs - size.warmUpMs) / 1_000) === second);
         const refused = own.filter(record => record.isRefused).length;
         const inside = own.filter(isInside).length;
         const times = own.flatMap(record => record.firstTokenMs ?? []);
--- a/bench/report/reportSection.ts
+++ b/bench/report/reportSection.ts
@@ -33,6 +33,7 @@
 export interface ReportPlot {
     readonly title: string;
     readonly unit: string;
+    readonly isLogarithmic?: boolean;
     readonly categories: readonly string[];
     readonly series: readonly ReportSeries[];
     /** Vertical lines at categories, as for the moment of a fault. */
