Repeat the order to stop a VM until the cloud takes it

Change: a stop is due at its time, whatever the list shows, and is repeated until the cloud has taken it or for an hour. Conclusion: a stop no longer depends on the list.

--- a/src/decisions/fleet/_testing/createSimulatedCloud.ts
+++ b/src/decisions/fleet/_testing/createSimulatedCloud.ts
@@ -5,7 +5,7 @@
 import { type VmRecord, VmState } from "../../../model/endpoint";
 import { buildOfferId } from "../buildGroupId";
 import { type FleetState, type FleetStep, FleetStepKind, type PendingStart } from "../fleetState";
-import { recordRefusal, recordStarted } from "../recordRefusal";
+import { recordRefusal, recordStarted, recordStopped } from "../recordRefusal";
 
 /** How the cloud behaves. */
 export interface SimulatedCloudOptions {
@@ -88,6 +88,7 @@
                 life.leavingMs = Math.min(life.leavingMs, nowMs);
             } else {
                 life.goneMs = Math.min(life.goneMs, nowMs);
+                return recordStopped(state, vmId);
             }
             return state;
         },
--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -35,6 +35,9 @@
 /** Time for which a stopped VM is taken as gone though the lagging list still shows it. */
 export const STOP_APPEARANCE_MS = 120_000;
 
+/** Time for which the order to stop a VM that no list shows is repeated while the cloud doesn't take it. */
+export const STOP_EFFORT_MS = 3_600_000;
+
 /** Starts, stops and orders to load that one step may hold; bounds the work of a tick and a mistake's effect. */
 export const MOST_STEPS = 32;
 
--- a/src/decisions/fleet/decideFleetSteps.test.ts
+++ b/src/decisions/fleet/decideFleetSteps.test.ts
@@ -6,6 +6,7 @@
 import { createSimulatedCloud, type SimulatedCloud } from "./_testing/createSimulatedCloud";
 import { listGroups } from "./_lib/groupFacts";
 import { MOST_STEPS, START_APPEARANCE_MS } from "./constants";
+import { recordStopped } from "./recordRefusal";
 import { decideFleetSteps } from "./decideFleetSteps";
 import type { DeclaredGroup } from "./fleetPlan";
 import { EMPTY_FLEET_STATE, type FleetLimits, type FleetState, type FleetStep, FleetStepKind } from "./fleetState";
@@ -142,6 +143,20 @@
         assert.deepEqual(listKinds(stopped.steps), [FleetStepKind.Stop]);
     });
 
+    it("repeat an order to stop until the cloud takes it, also once the list no longer shows the VM", () => {
+        const vms = ["vm-1", "vm-2", "vm-3"].map(id => createVm(id));
+        const drained = decide(createState(createGroup()), vms);
+        const stopAtMs = START_MS + LIMITS.drainMs;
+        const repeated = decide(drained.state, vms, stopAtMs - 1_000);
+        assert.deepEqual(listKinds(repeated.steps), [FleetStepKind.Drain]);
+        const first = decide(repeated.state, vms.slice(0, 2), stopAtMs);
+        assert.deepEqual(listKinds(first.steps), [FleetStepKind.Stop]);
+        const again = decide(first.state, vms.slice(0, 2), stopAtMs + 600_000);
+        assert.deepEqual(listKinds(again.steps), [FleetStepKind.Stop]);
+        const taken = decide(recordStopped(again.state, "vm-3"), vms.slice(0, 2), stopAtMs + 700_000);
+        assert.deepEqual([taken.steps, taken.state.stops], [[], []]);
+    });
+
     it("leave VMs of undeclared services alone", () => {
         const vms = [
             createVm("vm-1", { serviceName: "other" }),
--- a/src/decisions/fleet/decideFleetSteps.ts
+++ b/src/decisions/fleet/decideFleetSteps.ts
@@ -69,11 +69,15 @@
 
 /** Orders whose effect doesn't show are given again: answers get lost, and a holder may die before it acts. */
 function retryOrders(state: FleetState, vms: readonly VmRecord[], nowWallMs: number): FleetDecision {
-    const listed = new Set(vms.map(vm => vm.vmId));
     const isDue = (order: { readonly sentAtWallMs: number }) => nowWallMs - order.sentAtWallMs >= ORDER_REPEAT_MS;
     const starts = state.starts.filter(start => start.vmId === undefined && isDue(start));
     const loads = state.loads.filter(isDue);
-    const stops = state.stops.filter(stop => listed.has(stop.vmId) && isDue(stop));
+    const listed = new Set(vms.map(vm => vm.vmId));
+    // The directory drops a VM at the time it was announced to leave, so an order to stop doesn't depend on the list.
+    const stops = state.stops.filter(stop => {
+        const isFirstStop = nowWallMs >= stop.stopAtWallMs && stop.sentAtWallMs < stop.stopAtWallMs;
+        return (listed.has(stop.vmId) || stop.isStopped !== true) && (isFirstStop || isDue(stop));
+    });
     const steps: readonly FleetStep[] = [
         ...starts.map(start => ({ kind: FleetStepKind.Start as const, start })),
         ...loads.map(load => ({ kind: FleetStepKind.Load as const, load })),
--- a/src/decisions/fleet/fleetState.ts
+++ b/src/decisions/fleet/fleetState.ts
@@ -35,6 +35,8 @@
     /** When it may be stopped: requests in progress have ended by then. */
     readonly stopAtWallMs: number;
     readonly sentAtWallMs: number;
+    /** Whether the cloud has taken the order to stop. Until then it is repeated, also for a VM that no list shows. */
+    readonly isStopped?: boolean;
 }
 
 /** Why no VM of an offer is started for a time. */
--- a/src/decisions/fleet/reconcileFleetState.ts
+++ b/src/decisions/fleet/reconcileFleetState.ts
@@ -2,7 +2,7 @@
  * @module Bringing the kept state in line with the VMs that the list shows.
  */
 import { type VmRecord, VmState } from "../../model/endpoint";
-import { LOAD_DURATION_MS, START_APPEARANCE_MS, STOP_APPEARANCE_MS } from "./constants";
+import { LOAD_DURATION_MS, START_APPEARANCE_MS, STOP_APPEARANCE_MS, STOP_EFFORT_MS } from "./constants";
 import type { FleetState } from "./fleetState";
 
 /**
@@ -27,7 +27,10 @@
         const isWanted = vm?.state === VmState.Live && vm.incarnation === load.incarnation;
         return isWanted && vm.version !== load.version && nowWallMs - load.orderedAtWallMs < LOAD_DURATION_MS;
     });
-    const stops = state.stops.filter(stop => byId.has(stop.vmId) || nowWallMs < stop.stopAtWallMs + STOP_APPEARANCE_MS);
+    const stops = state.stops.filter(stop => {
+        const keptMs = stop.isStopped === true ? STOP_APPEARANCE_MS : STOP_EFFORT_MS;
+        return byId.has(stop.vmId) || nowWallMs < stop.stopAtWallMs + keptMs;
+    });
     const refusals = Object.fromEntries(
         Object.entries(state.refusals).filter(
             ([, { untilWallMs, count }]) => nowWallMs < computeForgetWallMs(untilWallMs, count),
--- a/src/decisions/fleet/recordRefusal.ts
+++ b/src/decisions/fleet/recordRefusal.ts
@@ -46,6 +46,20 @@
     return { ...state, starts, refusals };
 }
 
+/**
+ * Records that the cloud took the order to stop a VM.
+ *
+ * @param state - The fleet's state
+ * @param vmId - The VM
+ * @returns The new state
+ * @example
+ * recordStopped(state, "vm-17");
+ */
+export function recordStopped(state: FleetState, vmId: string): FleetState {
+    const stops = state.stops.map(stop => (stop.vmId === vmId ? { ...stop, isStopped: true } : stop));
+    return { ...state, stops };
+}
+
 /**
  * Records waves: where a large share of the reclaimable VMs of an offer leaves at once, none is started for a time.
  *
--- a/src/tasks/fleet/_lib/applyFleetSteps.ts
+++ b/src/tasks/fleet/_lib/applyFleetSteps.ts
@@ -11,7 +11,7 @@
     type PendingLoad,
     type PendingStart,
 } from "../../../decisions/fleet/fleetState";
-import { recordRefusal, recordStarted } from "../../../decisions/fleet/recordRefusal";
+import { recordRefusal, recordStarted, recordStopped } from "../../../decisions/fleet/recordRefusal";
 import type { Configuration } from "../../../model/configuration";
 import { type Endpoint, VmRole, type VmRecord, VmState } from "../../../model/endpoint";
 import type { CloudPort } from "../../../ports/cloud";
@@ -98,10 +98,10 @@
     const stopped = await waitForCall(options.clock, options.cloud.stopVm(vmId));
     if (stopped.isErr()) {
         options.reportFailure("fleet-stop", stopped.error);
-    } else {
-        options.reportEvent("vm stopped", { vm: vmId });
+        return keepState;
     }
-    return keepState;
+    options.reportEvent("vm stopped", { vm: vmId });
+    return state => recordStopped(state, vmId);
 }
 
 async function applyLoad(load: PendingLoad, lease: LeaseHandle, options: FleetStepOptions): Promise<Outcome> {
--- a/src/tasks/fleet/createFleetTask.test.ts
+++ b/src/tasks/fleet/createFleetTask.test.ts
@@ -107,9 +107,12 @@
             },
             capacity: CAPACITY,
             readDemand: () => switches.demand,
-            announceLeaving: vmId => {
+            announceLeaving: (vmId, goneAtWallMs) => {
                 calls.drained.push(vmId);
                 vms = vms.map(vm => (vm.vmId === vmId ? { ...vm, state: VmState.Leaving } : vm));
+                // As the directory does: it shows no VM past its time, whether or not the VM was stopped.
+                const dropVm = () => (vms = vms.filter(vm => vm.vmId !== vmId));
+                void clock.waitMs(goneAtWallMs - clock.readWallMs()).then(dropVm);
             },
             createToken: () => `${nodeId}-${++count}`,
             reportFailure: () => undefined,
@@ -226,7 +229,7 @@
         assert.deepEqual(world.calls.stops, []);
         await world.run(600_000);
         assert.ok(world.calls.stops.length > 0);
-        assert.ok(world.calls.stops.every(vmId => world.calls.drained.includes(vmId)));
+        assert.deepEqual(new Set(world.calls.stops), new Set(world.calls.drained));
         await world.end();
     });
 
