Let the old version serve where the new one has no endpoint

Cause: in a move, a request drawn for the new version failed with no_endpoint when that version's endpoints were gone, at share 0.5 every second request. Change: the old version takes it; never more than the share goes to the new one, and a braked version gets nothing. Conclusion: losing the new version's endpoints costs time, not answers.

--- a/src/decisions/routing/decideRoute.ts
+++ b/src/decisions/routing/decideRoute.ts
@@ -38,7 +38,7 @@
  * decideRoute(state, query, { configuration, random, isBraked, nowMs });
  */
 export function decideRoute(state: RoutingState, query: RouteQuery, options: RouteOptions): Result<Route, Failure> {
-    const { configuration, random, isBraked, nowMs } = options;
+    const { configuration, isBraked, nowMs } = options;
     const definition = configuration.services[query.serviceName];
     if (definition === undefined) {
         return err(createFailure(FailureKind.UnknownService, `There is no service ${query.serviceName}.`));
@@ -47,33 +47,57 @@
     const request = { requestId: query.id.requestId, attempt: query.id.attempt };
     const version = chooseVersion(definition, move, request, name => isBraked(definition.name, name));
     const service = state.services.get(query.serviceName);
-    const workClass = configuration.classes[query.context.className];
-    const choice =
-        service === undefined || isBraked(definition.name, version)
-            ? undefined
-            : chooseCandidate(
-                  service.candidates,
-                  {
-                      ...query,
-                      version,
-                      targetMs: workClass?.latencyTargetMs ?? 0,
-                      remainingMs: query.context.firstTokenDueAtMs - nowMs,
-                      costCeilingMicros: workClass?.costCeilingMicros ?? Infinity,
-                  },
-                  service.index,
-                  [random.drawFraction(), random.drawFraction()],
-                  state.scratch,
-              );
-    if (choice === undefined || service === undefined) {
+    // Where the new version has no endpoint that can take the request, the old one takes it: less than the move's share
+    // may go to the new version, never more.
+    const versions = move !== undefined && version === move.toVersion ? [version, move.fromVersion] : [version];
+    const found = service && chooseFirst(versions, name => chooseEndpointOf(state, service, query, name, options));
+    if (found === undefined || service === undefined) {
         const message = `No endpoint of ${query.serviceName}, version ${version}, can take the request.`;
         return err(createFailure(FailureKind.NoEndpoint, message, { retryAfterMs: 1_000 }));
     }
-    const { endpoint } = choice.candidate;
+    const { endpoint } = found.candidate;
     assertInvariant(!state.leavingIds.has(endpoint.endpointId), Invariant.NoWorkToLeavingEndpoint, endpoint.endpointId);
     const isVersionBraked = isBraked(definition.name, endpoint.version);
     assertInvariant(!isVersionBraked, Invariant.BrakedVersionGetsNothing, `${definition.name}/${endpoint.version}`);
-    startAttempt(state, service, query, choice, nowMs);
-    return ok({ endpoint, estimatedFirstTokenMs: choice.estimateMs });
+    startAttempt(state, service, query, found, nowMs);
+    return ok({ endpoint, estimatedFirstTokenMs: found.estimateMs });
+}
+
+function chooseFirst(versions: readonly string[], choose: (version: string) => Choice | undefined): Choice | undefined {
+    for (const version of versions) {
+        const choice = choose(version);
+        if (choice !== undefined) {
+            return choice;
+        }
+    }
+    return undefined;
+}
+
+function chooseEndpointOf(
+    state: RoutingState,
+    service: ServiceState,
+    query: RouteQuery,
+    version: string,
+    options: RouteOptions,
+): Choice | undefined {
+    const { configuration, random, isBraked, nowMs } = options;
+    if (isBraked(query.serviceName, version)) {
+        return undefined;
+    }
+    const workClass = configuration.classes[query.context.className];
+    return chooseCandidate(
+        service.candidates,
+        {
+            ...query,
+            version,
+            targetMs: workClass?.latencyTargetMs ?? 0,
+            remainingMs: query.context.firstTokenDueAtMs - nowMs,
+            costCeilingMicros: workClass?.costCeilingMicros ?? Infinity,
+        },
+        service.index,
+        [random.drawFraction(), random.drawFraction()],
+        state.scratch,
+    );
 }
 
 function startAttempt(
