--- a/bench/capacity/_lib/estimateWorstDays.ts
+++ b/bench/capacity/_lib/estimateWorstDays.ts
@@ -88,10 +88,11 @@
     return [...rows, ...listMeasured(figures, names, build)];
 }
 
+/** Rows of what was simulated; none before the group `worst-days` was measured. */
 function listMeasured(figures: Figures, names: readonly string[], build: RowBuilder): readonly WorstDayRow[] {
-    return names.map(name => {
-        const { what = name, unit = "" } = figures[name] ?? {};
-        return build(what, unit, takeFigure(figures, name));
+    return names.flatMap(name => {
+        const figure = figures[name];
+        return figure === undefined ? [] : [build(figure.what, figure.unit, takeFigure(figures, name))];
     });
 }
 
--- a/bench/capacity/_lib/term.ts
+++ b/bench/capacity/_lib/term.ts
@@ -7,6 +7,8 @@
 export interface Term {
     readonly text: string;
     readonly value: number;
+    /** True for a sum, which is put in brackets as a factor. */
+    readonly isSum?: boolean;
 }
 
 /**
@@ -68,6 +70,7 @@
     return {
         text: terms.map(({ text }) => text).join(" + "),
         value: terms.reduce((sum, { value }) => sum + value, 0),
+        isSum: true,
     };
 }
 
@@ -96,7 +99,7 @@
  * computeQuotient(takeNumber(6_400), takeNumber(400)).value; //=> 16
  */
 export function computeQuotient(dividend: Term, divisor: Term): Term {
-    const needsBrackets = /[ ×÷+]/.test(divisor.text) && /[×÷+]/.test(divisor.text);
+    const needsBrackets = /[×÷+]/.test(divisor.text);
     const right = needsBrackets ? `(${divisor.text})` : divisor.text;
     return { text: `${formatFactor(dividend)} ÷ ${right}`, value: dividend.value / divisor.value };
 }
@@ -117,6 +120,6 @@
     return value.toLocaleString("en-US", { maximumFractionDigits: digits });
 }
 
-function formatFactor({ text }: Term): string {
-    return text.includes(" + ") ? `(${text})` : text;
+function formatFactor({ text, isSum }: Term): string {
+    return isSum === true ? `(${text})` : text;
 }
