--- a/src/settings/_lib/checkSettingValues.ts
+++ b/src/settings/_lib/checkSettingValues.ts
@@ -35,6 +35,8 @@
     },
 ];
 
+const ANY_ADDRESSES: readonly string[] = ["0.0.0.0", "::"];
+
 const PLATFORM_URLS: readonly SettingName[] = [
     "platformTableUrl",
     "platformObjectsUrl",
@@ -55,6 +57,7 @@
     const hashes = collectKeyHashes(values, readFile);
     const problems = [
         ...LISTENERS.flatMap(listener => checkListener(listener, values, readFile)),
+        ...checkNodeAddress(values),
         ...PLATFORM_URLS.flatMap(name => checkPlatformUrl(name, values)),
         ...hashes.problems,
     ];
@@ -76,6 +79,12 @@
     return [`${toFlag(names.address)}: plain only on loopback; give ${wanted}, or ${toFlag(names.allowPlain)}`];
 }
 
+// The other nodes are told this address, so it must be one that they can reach.
+function checkNodeAddress(values: SettingValues): readonly string[] {
+    const isAnyAddress = values.nodeAddress !== undefined && ANY_ADDRESSES.includes(values.nodeAddress);
+    return isAnyAddress ? [`${toFlag("nodeAddress")}: must be an address of this VM that other nodes can reach`] : [];
+}
+
 function checkPlatformUrl(name: SettingName, values: SettingValues): readonly string[] {
     const text = values[name];
     if (typeof text !== "string" || values.platformAllowPlain !== false) {
--- a/src/settings/settings.test.ts
+++ b/src/settings/settings.test.ts
@@ -83,6 +83,11 @@
         ["plain callers beyond loopback", { callerAddress: "0.0.0.0" }, /^--caller-address: plain only on loopback/],
         ["plain operators beyond loopback", { operatorAddress: "10.0.0.1" }, /^--operator-address: plain only/],
         ["plain node links beyond loopback", { nodeAddress: "::" }, /^--node-address: plain only/],
+        [
+            "node links at no certain address",
+            { nodeAddress: "0.0.0.0" },
+            /^--node-address: must be an address of this VM/,
+        ],
         ["half of a key pair", { callerCertificateFile: "c.pem" }, /^--caller-key-file: must be given too/],
         [
             "node keys without authority",
