--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,4 +1,4 @@
-// Runs every *.test.ts file below the given folders (default: src) and prints "N passed, N failed" last.
+// Runs every *.test.ts file below the given folders (default: src and bench) and prints "N passed, N failed" last.
 // Tests listed in KNOWN-RED.txt (lines "test: NAME") may fail; they are printed and don't fail the run.
 import fs from "node:fs";
 import path from "node:path";
@@ -17,7 +17,7 @@
         return entry.name.endsWith(".test.ts") ? [full] : [];
     });
 
-const roots = process.argv.length > 2 ? process.argv.slice(2) : ["src"];
+const roots = process.argv.length > 2 ? process.argv.slice(2) : ["src", "bench"];
 const files = roots.flatMap(root => (fs.statSync(root).isDirectory() ? findTests(root) : [root])).sort();
 const knownRed = fs.existsSync("KNOWN-RED.txt")
     ? fs
