Run the steps of tasks within one turn of the event loop

Cause: js-csp takes a turn for each step; a request passes about ten steps before its first token. Change: the wrapper gives js-csp a scheduler that runs up to 512 steps a turn, then lets sockets and timers have theirs.

--- a/src/base/csp/jsCsp.ts
+++ b/src/base/csp/jsCsp.ts
@@ -1,7 +1,9 @@
 /**
  * @module The untyped library behind the typed wrapper. Only files in this folder import it.
  */
+import "./_lib/replaceScheduler";
 import csp from "js-csp";
+import "./_lib/restoreScheduler";
 
 /** The part of js-csp that the wrapper uses. */
 export interface JsCsp {
--- /dev/null
+++ b/src/base/csp/scheduler.test.ts
@@ -0,0 +1,56 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createChannel, put, startTask, take } from "./index";
+
+const HOPS = 40;
+const ENDLESS_STEPS = 20_000;
+
+describe("the steps of tasks", () => {
+    it("run within one turn of the event loop, so that many hops cost one", async () => {
+        const first = createChannel<number>();
+        let last = first;
+        for (let hop = 0; hop < HOPS; hop++) {
+            const from = last;
+            const to = createChannel<number>();
+            startTask(`hop-${hop}`, function* () {
+                yield* put(to, ((yield* take(from)) ?? 0) + 1);
+            });
+            last = to;
+        }
+        let turns = 0;
+        let isDone = false;
+        const countTurn = () => {
+            turns++;
+            if (!isDone) {
+                setImmediate(countTurn);
+            }
+        };
+        setImmediate(countTurn);
+        startTask("sender", function* () {
+            yield* put(first, 0);
+        });
+        await startTask("receiver", function* () {
+            assert.equal(yield* take(last), HOPS);
+        }).ended;
+        isDone = true;
+        assert.ok(turns <= 3, `${turns} turns`);
+    });
+
+    it("leave turns to timers and sockets, however many there are", async () => {
+        const pingPong = createChannel<number>();
+        let turns = 0;
+        const counter = setInterval(() => turns++, 1);
+        startTask("sender", function* () {
+            for (let step = 0; step < ENDLESS_STEPS; step++) {
+                yield* put(pingPong, step);
+            }
+        });
+        await startTask("receiver", function* () {
+            for (let step = 0; step < ENDLESS_STEPS; step++) {
+                yield* take(pingPong);
+            }
+        }).ended;
+        clearInterval(counter);
+        assert.ok(turns > 0);
+    });
+});
