--- a/bench/capacity/_lib/estimateWorstDays.ts
+++ b/bench/capacity/_lib/estimateWorstDays.ts
@@ -88,12 +88,9 @@
     return [...rows, ...listMeasured(figures, names, build)];
 }
 
-/** Rows of what was simulated; none before the group `worst-days` was measured. */
+/** Rows of what was simulated; a figure that is missing shows as not measured. */
 function listMeasured(figures: Figures, names: readonly string[], build: RowBuilder): readonly WorstDayRow[] {
-    return names.flatMap(name => {
-        const figure = figures[name];
-        return figure === undefined ? [] : [build(figure.what, figure.unit, takeFigure(figures, name))];
-    });
+    return names.map(name => build(figures[name]?.what ?? name, figures[name]?.unit ?? "", takeFigure(figures, name)));
 }
 
 function estimateStoreAway(): readonly WorstDayRow[] {
