Send the bytes of the exchange; drop metrics that nothing sends

Cause: six of the metrics on the page were sent by nothing. Change: exchange.bytes is counted; configuration.delay, exchange.dropped, fleet.starts_refused, fleet.cost_per_hour and leases.lost are gone from enum and page until something sends them. Conclusion: every metric on the page is now sent by some path.

--- a/src/base/metrics/metric.ts
+++ b/src/base/metrics/metric.ts
@@ -19,7 +19,6 @@
     Bytes = "bytes",
     Tokens = "tokens",
     Ratio = "ratio",
-    Micros = "millionths of the currency",
 }
 
 /** Tags of metrics. Each has few values; nothing that grows with requests is a tag. */
@@ -31,7 +30,6 @@
     Outcome = "outcome",
     Service = "service",
     Task = "task",
-    Topic = "topic",
     Version = "version",
 }
 
@@ -61,19 +59,14 @@
     StoreOperations = "store.operations",
     StoreTime = "store.time",
     ConfigurationRevision = "configuration.revision",
-    ConfigurationDelay = "configuration.delay",
     NodesLive = "nodes.live",
     NodesSuspect = "nodes.suspect",
     ExchangeBytes = "exchange.bytes",
-    ExchangeDropped = "exchange.dropped",
     VmsLeaving = "vms.leaving",
     MoveShare = "versions.share",
     MovesEnded = "versions.moves_ended",
     VersionsBraked = "versions.braked",
     FleetVms = "fleet.vms",
-    FleetStartsRefused = "fleet.starts_refused",
-    FleetCost = "fleet.cost_per_hour",
-    LeasesLost = "leases.lost",
     InvariantBreaches = "invariants.breaches",
     TaskFailures = "tasks.failures",
     OperatorRequests = "operators.requests",
@@ -90,8 +83,8 @@
 }
 
 const { Counter, Gauge, Timing } = MetricKind;
-const { Bytes, Count, Micros, Milliseconds, Ratio, Tokens } = MetricUnit;
-const { Class, Invariant, Operation, Outcome, Service, Task, Topic, Version } = MetricTag;
+const { Bytes, Count, Milliseconds, Ratio, Tokens } = MetricUnit;
+const { Class, Invariant, Operation, Outcome, Service, Task, Version } = MetricTag;
 
 /** Kind, unit, tags and meaning of each metric. */
 export const METRIC_DESCRIPTIONS: Readonly<Record<Metric, MetricDescription>> = {
@@ -129,16 +122,9 @@
     ),
     [Metric.StoreTime]: define(Timing, Milliseconds, [Operation], "Duration of calls to the platform's store"),
     [Metric.ConfigurationRevision]: define(Gauge, Count, [], "Revision in force on this node"),
-    [Metric.ConfigurationDelay]: define(
-        Timing,
-        Milliseconds,
-        [],
-        "From the commit of a change to its application here",
-    ),
     [Metric.NodesLive]: define(Gauge, Count, [], "Nodes believed alive"),
     [Metric.NodesSuspect]: define(Gauge, Count, [], "Nodes suspected of having failed"),
-    [Metric.ExchangeBytes]: define(Counter, Bytes, [Topic], "Bytes sent to other nodes"),
-    [Metric.ExchangeDropped]: define(Counter, Count, [Topic], "Updates dropped to stay inside the byte budget"),
+    [Metric.ExchangeBytes]: define(Counter, Bytes, [], "Bytes sent to other nodes"),
     [Metric.VmsLeaving]: define(Gauge, Count, [], "VMs known to be leaving"),
     [Metric.MoveShare]: define(Gauge, Ratio, [Service], "Share of new requests that goes to the new version"),
     [Metric.MovesEnded]: define(
@@ -154,9 +140,6 @@
         "Versions that this node stopped sending work to",
     ),
     [Metric.FleetVms]: define(Gauge, Count, [Service], "Live VMs behind a service"),
-    [Metric.FleetStartsRefused]: define(Counter, Count, [Service], "Starts of VMs that the platform refused"),
-    [Metric.FleetCost]: define(Gauge, Micros, [Service], "Price an hour of the VMs in use"),
-    [Metric.LeasesLost]: define(Counter, Count, [Task], "Leases lost before they were given up"),
     [Metric.InvariantBreaches]: define(Counter, Count, [Invariant], "Invariants found broken"),
     [Metric.TaskFailures]: define(Counter, Count, [Task], "Failures that tasks reported"),
     [Metric.OperatorRequests]: define(Counter, Count, [Operation, Outcome], "Requests of operators"),
--- a/src/tasks/metrics/createMetricsTask.ts
+++ b/src/tasks/metrics/createMetricsTask.ts
@@ -23,6 +23,8 @@
     readonly directory: DirectoryClient;
     readonly nodes: Pick<RevisionExchange, "listRevisions">;
     readonly countOpenRequests: () => number;
+    /** Bytes sent to other nodes since the start. */
+    readonly countSentBytes: () => number;
     readonly reportFailure: (name: string, failure: Failure) => void;
     /** Milliseconds between two settings of the gauges (default: 10,000). */
     readonly periodMs?: number;
@@ -49,12 +51,16 @@
     let isDisposed = false;
     const body = function* () {
         let lastMs = clock.readMonotonicMs();
+        let lastSentBytes = options.countSentBytes();
         for (let tick = yield* take(ticks); tick !== undefined; tick = yield* take(ticks)) {
             if (isDisposed) {
                 return;
             }
             metrics.recordTime(Metric.EventLoopDelay, Math.max(0, tick.atMs - lastMs - periodMs));
             lastMs = tick.atMs;
+            const sentBytes = options.countSentBytes();
+            metrics.count(Metric.ExchangeBytes, {}, sentBytes - lastSentBytes);
+            lastSentBytes = sentBytes;
             setGauges(options);
         }
     };
--- a/src/tasks/metrics/metrics.test.ts
+++ b/src/tasks/metrics/metrics.test.ts
@@ -201,6 +201,7 @@
             },
         };
         const node = { ...PLACE, nodeId: "n", revision: 4, isSuspect: false };
+        let sentBytes = 0;
         const task = createMetricsTask({
             metrics,
             clock: createManualClock(),
@@ -211,6 +212,7 @@
             },
             nodes: { listRevisions: () => [node, { ...node, nodeId: "o", isSuspect: true }] },
             countOpenRequests: () => 3,
+            countSentBytes: () => (sentBytes += 40),
             reportFailure: (_name, failure) => assert.fail(failure.message),
             periodMs: 2,
         });
@@ -223,6 +225,7 @@
             "nodes.suspect 1",
             "vms.leaving 1",
             "requests.open 3",
+            "exchange.bytes 40",
             "versions.share 0.25 service=assistant",
             "fleet.vms 1 service=assistant",
         ]) {
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -130,6 +130,7 @@
             directory: agreement.directory,
             nodes: agreement.membership,
             countOpenRequests: callers.countOpenRequests,
+            countSentBytes: () => agreement.membership.countTraffic().sentBytes,
             reportFailure: wiring.reportFailure,
         }),
     );
