Wait for the store in one place

Cause: three bounded waits for the store stood side by side; two of them said not_run of a write whose answer was lost. Change: src/ports/waitForStore.ts, with execution unknown, used by claims, jobs, configuration and leases. Conclusion: one bound and one failure for an answer that does not come.

--- a/src/tasks/claims/_lib/createHeldClaim.ts
+++ b/src/tasks/claims/_lib/createHeldClaim.ts
@@ -22,7 +22,7 @@
     SETTLEMENT_PATIENCE_MS,
     STORE_RETRY_PAUSE_MS,
 } from "../constants";
-import { waitForStore } from "./waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { buildClaimEntry } from "./buildClaimEntry";
 import { toCommitAnswer } from "./toCommitAnswer";
 import { toReadAnswer } from "./toReadAnswer";
--- a/src/tasks/claims/constants.ts
+++ b/src/tasks/claims/constants.ts
@@ -11,9 +11,6 @@
 /** Entries that may wait; more are refused as `StoreUnavailable`. */
 export const COMMIT_QUEUE_CAPACITY = 1_000;
 
-/** A store call without an answer for this long counts as lost. */
-export const STORE_ANSWER_BOUND_MS = 3_000;
-
 /** Tries of one transaction whose answers are lost, each after reading back. */
 export const UNKNOWN_COMMIT_TRIES = 3;
 
--- a/src/tasks/claims/createClaimTask.ts
+++ b/src/tasks/claims/createClaimTask.ts
@@ -20,7 +20,7 @@
 import { type ClaimAsk, ClaimVerdict, decideClaim } from "../../decisions/outcomes/claims/decideClaim";
 import type { ObjectsPort } from "../../ports/objects";
 import type { TablePort } from "../../ports/table";
-import { waitForStore } from "./_lib/waitForStore";
+import { waitForStore } from "../../ports/waitForStore";
 import { buildClaimEntry } from "./_lib/buildClaimEntry";
 import { toCommitAnswer } from "./_lib/toCommitAnswer";
 import { toReadAnswer } from "./_lib/toReadAnswer";
--- a/src/tasks/claims/createGroupCommitTask.ts
+++ b/src/tasks/claims/createGroupCommitTask.ts
@@ -19,7 +19,7 @@
 import type { DumpSource } from "../../base/dump";
 import { Execution, type Failure, FailureKind } from "../../base/failure";
 import type { TablePort } from "../../ports/table";
-import { waitForStore } from "./_lib/waitForStore";
+import { waitForStore } from "../../ports/waitForStore";
 import type { CommitClient, CommitEntry } from "./commitClient";
 import {
     COMMIT_QUEUE_CAPACITY,
--- a/src/tasks/configuration/_lib/commitToStore.ts
+++ b/src/tasks/configuration/_lib/commitToStore.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { createFailure } from "../../../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../../../base/failure";
-import { waitForStore } from "./waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { COMMIT_RETRY_DELAY_MS, COMMIT_TRIES, STORE_CALL_TIMEOUT_MS } from "./constants";
 import type { Head, StoreAccess } from "./readFromStore";
 import { buildTransaction, decodeChange, type StoredChange, toChangeKey } from "./rows";
@@ -35,7 +35,7 @@
     for (let attempt = 1; attempt <= COMMIT_TRIES; attempt++) {
         const transaction = buildTransaction(change, head.rowVersion, `${change.changeId}:${attempt}`);
         const sending = store.table.commitTransaction(transaction);
-        const answer = await waitForStore(sending, store.clock, STORE_CALL_TIMEOUT_MS);
+        const answer = await waitForStore(store.clock, sending, STORE_CALL_TIMEOUT_MS);
         if (answer.isOk()) {
             return ok(change);
         }
@@ -57,7 +57,7 @@
 
 async function readBack(store: StoreAccess, change: StoredChange): Promise<ReadBack> {
     const reading = store.table.readRow(toChangeKey(change.revision));
-    const row = await waitForStore(reading, store.clock, STORE_CALL_TIMEOUT_MS);
+    const row = await waitForStore(store.clock, reading, STORE_CALL_TIMEOUT_MS);
     const stored = row.isOk() && row.value !== undefined ? decodeChange(row.value.value) : undefined;
     if (stored === undefined || stored.isErr()) {
         return ReadBack.Undecided;
--- a/src/tasks/configuration/_lib/readFromStore.ts
+++ b/src/tasks/configuration/_lib/readFromStore.ts
@@ -9,7 +9,7 @@
 import { createEmptyConfiguration } from "../../../decisions/configuration/createEmptyConfiguration";
 import type { AcceptedChange, Configuration } from "../../../model/configuration";
 import type { TablePort, TableRow } from "../../../ports/table";
-import { waitForStore } from "./waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { ROWS_PER_READ, STORE_CALL_TIMEOUT_MS } from "./constants";
 import { CHANGE_PREFIX, decodeChange, decodeHead, decodeItem, HEAD_KEY, ITEM_PREFIX, toChangeKey } from "./rows";
 
@@ -27,7 +27,7 @@
 
 /** Reads the head row; a missing row is revision 0. */
 export async function readHead(store: StoreAccess): Promise<Result<Head, Failure>> {
-    const row = await waitForStore(store.table.readRow(HEAD_KEY), store.clock, STORE_CALL_TIMEOUT_MS);
+    const row = await waitForStore(store.clock, store.table.readRow(HEAD_KEY), STORE_CALL_TIMEOUT_MS);
     return row.andThen(found =>
         found === undefined
             ? ok({ revision: 0, rowVersion: undefined })
@@ -87,7 +87,7 @@
     while (collected.length < wanted) {
         const limit = Math.min(ROWS_PER_READ, wanted - collected.length);
         const listing = store.table.listRows(prefix, { after, limit });
-        const page = await waitForStore(listing, store.clock, STORE_CALL_TIMEOUT_MS);
+        const page = await waitForStore(store.clock, listing, STORE_CALL_TIMEOUT_MS);
         if (page.isErr()) {
             return err(page.error);
         }
--- a/src/tasks/jobs/_lib/createBodyWriter.ts
+++ b/src/tasks/jobs/_lib/createBodyWriter.ts
@@ -11,7 +11,7 @@
 import { BODY_PREFIX } from "../../../decisions/outcomes/jobs/jobRows";
 import { buildBucketPrefix } from "../../../decisions/outcomes/jobs/buildBucketPrefix";
 import type { ObjectsPort } from "../../../ports/objects";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { createUniqueId } from "./createUniqueId";
 import { BODY_GROUP_BYTES, BODY_WINDOW_MS, WAITING_ACCEPTANCES } from "../constants";
 
--- a/src/tasks/jobs/_lib/pollJobs.ts
+++ b/src/tasks/jobs/_lib/pollJobs.ts
@@ -8,7 +8,7 @@
 import { decideJobStep, JobStep } from "../../../decisions/outcomes/jobs/decideJobStep";
 import type { OpenJob, Versioned } from "../../../decisions/outcomes/jobs/jobRecord";
 import { decodeOpenJob, OPEN_PREFIX } from "../../../decisions/outcomes/jobs/jobRows";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { JOB_LEASE_MS, PAGE_ROWS, TAKEN_PER_POLL } from "../constants";
 import { JobState } from "../jobClient";
 import { parseLeaseName } from "./parseLeaseName";
--- a/src/tasks/jobs/_lib/readBody.ts
+++ b/src/tasks/jobs/_lib/readBody.ts
@@ -4,7 +4,7 @@
 import { z } from "zod";
 import { type Step, waitFor } from "../../../base/csp";
 import type { BodyReference } from "../../../decisions/outcomes/jobs/jobRecord";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import type { JobBody, JobTaskOptions } from "./jobShared";
 
 const BODY = z.object({
--- a/src/tasks/jobs/_lib/readCheckpoint.ts
+++ b/src/tasks/jobs/_lib/readCheckpoint.ts
@@ -3,7 +3,7 @@
  */
 import { z } from "zod";
 import { type Step, waitFor } from "../../../base/csp";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import type { JobShared } from "./jobShared";
 import { buildCheckpointKey } from "./buildCheckpointKey";
 
--- a/src/tasks/jobs/_lib/readJobRows.ts
+++ b/src/tasks/jobs/_lib/readJobRows.ts
@@ -8,7 +8,7 @@
 import { buildOpenKey } from "../../../decisions/outcomes/jobs/buildOpenKey";
 import type { JobRecord, OpenJob, Versioned } from "../../../decisions/outcomes/jobs/jobRecord";
 import { decodeJob, decodeOpenJob } from "../../../decisions/outcomes/jobs/jobRows";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import type { JobTaskOptions } from "./jobShared";
 
 /** A job's rows; `open` is absent once the job has ended. */
--- a/src/tasks/jobs/_lib/removeOldJobs.ts
+++ b/src/tasks/jobs/_lib/removeOldJobs.ts
@@ -7,7 +7,7 @@
 import { BODY_PREFIX, decodeJob, ENDED_PREFIX } from "../../../decisions/outcomes/jobs/jobRows";
 import { buildBucketPrefix } from "../../../decisions/outcomes/jobs/buildBucketPrefix";
 import type { RowCondition, RowWrite } from "../../../ports/table";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { CLEANED_ROWS } from "../constants";
 import { buildCheckpointKey } from "./buildCheckpointKey";
 import type { JobShared } from "./jobShared";
--- a/src/tasks/jobs/_lib/runJob.ts
+++ b/src/tasks/jobs/_lib/runJob.ts
@@ -7,7 +7,7 @@
 import type { JobEnding } from "../../../decisions/outcomes/jobs/jobEnding";
 import { decideJobRetry } from "../../../decisions/outcomes/jobs/decideJobRetry";
 import type { FinishReason, RequestContext, Usage } from "../../../model/request";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { AnswerEventKind } from "../../execution/executionClient";
 import {
     CHECKPOINT_TOKENS,
--- a/src/tasks/jobs/_lib/submitJob.ts
+++ b/src/tasks/jobs/_lib/submitJob.ts
@@ -13,7 +13,7 @@
 import { buildJobId } from "../../../decisions/outcomes/jobs/buildJobId";
 import type { ChatRequest, RequestContext } from "../../../model/request";
 import { hashClaim } from "../../claims/_lib/hashClaim";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { ACCEPTANCE_RETRY_MS, WAITING_ACCEPTANCES } from "../constants";
 import { JobState } from "../jobClient";
 import { createUniqueId } from "./createUniqueId";
--- a/src/tasks/jobs/_lib/writeCheckpoint.ts
+++ b/src/tasks/jobs/_lib/writeCheckpoint.ts
@@ -3,7 +3,7 @@
  */
 import { type Step, waitFor } from "../../../base/csp";
 import { decideCheckpoint } from "../../../decisions/outcomes/jobs/decideCheckpoint";
-import { waitForStore } from "../../claims/_lib/waitForStore";
+import { waitForStore } from "../../../ports/waitForStore";
 import { CHECKPOINT_PRICES } from "../constants";
 import type { JobRun, JobShared } from "./jobShared";
 import { buildCheckpointKey } from "./buildCheckpointKey";
--- a/src/tasks/jobs/createJobTask.ts
+++ b/src/tasks/jobs/createJobTask.ts
@@ -13,7 +13,7 @@
 import type { JobAnswer, JobRecord } from "../../decisions/outcomes/jobs/jobRecord";
 import { decodeJob } from "../../decisions/outcomes/jobs/jobRows";
 import { buildAccountPrefix } from "../../decisions/outcomes/jobs/buildAccountPrefix";
-import { waitForStore } from "../claims/_lib/waitForStore";
+import { waitForStore } from "../../ports/waitForStore";
 import { writeCheckpoint } from "./_lib/writeCheckpoint";
 import { removeOldJobs } from "./_lib/removeOldJobs";
 import { createBodyWriter } from "./_lib/createBodyWriter";
--- a/src/tasks/leases/_lib/createLeaseKeeper.ts
+++ b/src/tasks/leases/_lib/createLeaseKeeper.ts
@@ -1,11 +1,10 @@
 /**
  * @module One lease of this node: the steps that acquire, renew and release it at the store.
  */
-import { err, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { ulid } from "ulid";
 import { assertInvariant, Invariant } from "../../../base/assertInvariant";
 import type { Clock } from "../../../base/clock";
-import { createFailure } from "../../../base/createFailure";
 import { type Failure, FailureKind } from "../../../base/failure";
 import { applyLeaseAnswer, applyLeaseRead, recordLeaseWrite } from "../../../decisions/leases/applyLeaseEvents";
 import { createLeaseState } from "../../../decisions/leases/createLeaseState";
@@ -17,6 +16,7 @@
     LeaseWriteOutcome,
 } from "../../../decisions/leases/leaseState";
 import type { TablePort } from "../../../ports/table";
+import { waitForStore } from "../../../ports/waitForStore";
 import { STORE_CALL_TIMEOUT_MS } from "./constants";
 import { decodeLeaseRow, toLeaseKey } from "./leaseRows";
 
@@ -56,10 +56,8 @@
     const { name, terms, table, clock } = options;
     const key = toLeaseKey(name);
     let state: LeaseState = { ...createLeaseState(terms), seen: options.firstSeen };
-    const waitBounded = <T>(call: Promise<Result<T, Failure>>): Promise<Result<T, Failure>> => {
-        const lost = createFailure(FailureKind.StoreOutcomeUnknown, "The store gave no answer in time.");
-        return Promise.race([call, clock.waitMs(STORE_CALL_TIMEOUT_MS).then(() => err(lost))]);
-    };
+    const waitBounded = <T>(call: Promise<Result<T, Failure>>): Promise<Result<T, Failure>> =>
+        waitForStore(clock, call, STORE_CALL_TIMEOUT_MS);
     const setState = (next: LeaseState) => {
         const before = state.held;
         const now = next.seen?.row;
