End a drained node although a peer keeps its connections open

Change: the program ends 1 s after its command has, whatever is still open. Conclusion: nothing was lost or cut by the fault; it kept a VM from being replaced.

--- a/src/main.ts
+++ b/src/main.ts
@@ -7,6 +7,9 @@
 import type { CliContext } from "./cli/cliContext";
 import { runCli } from "./cli/runCli";
 
+/** How long output and connections may take to close after the command has ended. */
+const EXIT_GRACE_MS = 1_000;
+
 const context: CliContext = {
     environment: process.env,
     clock: createSystemClock(),
@@ -21,4 +24,6 @@
 
 void runCli(process.argv.slice(2), context).then(exitCode => {
     process.exitCode = exitCode;
+    // A peer that keeps its end of a connection open must not keep a finished program alive.
+    setTimeout(() => process.exit(exitCode), EXIT_GRACE_MS).unref();
 });
