Bind both HTTP listeners through one function

Cause: startListening stood twice, the same to the letter, in the callers' and the operators' listener. Change: src/http/startListening.ts serves both; behaviour is as it was.

--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -27,6 +27,7 @@
 import type { ExchangeEnd, HttpExchange } from "./httpExchange";
 import { createOpenRequests } from "./_lib/createOpenRequests";
 import { sendFailure } from "../http/sendFailure";
+import { startListening } from "../http/startListening";
 
 const BASE_URL = "http://localhost";
 
@@ -202,16 +203,6 @@
           );
 }
 
-function startListening(server: http.Server, options: CallerListenerOptions): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(options.port, options.address, () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
-}
-
 function sendHealth(path: string, response: http.ServerResponse, isReady: () => boolean): boolean {
     if (path === "/health/live") {
         sendJson(response, 200, { status: "live" });
--- a/src/operator/createOperatorListener.ts
+++ b/src/operator/createOperatorListener.ts
@@ -20,6 +20,7 @@
 import { sendJson } from "../http/sendJson";
 import type { TlsIdentity } from "../http/tlsIdentity";
 import { sendFailure } from "../http/sendFailure";
+import { startListening } from "../http/startListening";
 import { buildQueryRoutes } from "../queries/buildQueryRoutes";
 import { authenticateOperator } from "./authenticateOperator";
 import {
@@ -242,13 +243,3 @@
               handleRequest,
           );
 }
-
-function startListening(server: http.Server, options: OperatorListenerOptions): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(options.port, options.address, () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
-}
