--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -27,6 +27,8 @@
     readonly body?: Buffer;
     readonly timeouts?: CallTimeouts;
     readonly cancelled?: AbortSignal;
+    /** True for a peer whose protocol has no `x-request-id`; the answer is then matched by its connection alone. */
+    readonly omitsRequestId?: boolean;
 }
 
 /** Why a call ended without an answer. */
@@ -135,7 +137,7 @@
         agent: pool?.agent ?? false,
         headers: {
             ...call.headers,
-            "x-request-id": callId,
+            ...(call.omitsRequestId === true ? {} : { "x-request-id": callId }),
             "content-length": call.body?.length ?? 0,
             ...(pool === undefined ? { connection: "close" } : {}),
         },
--- a/src/base/failure.ts
+++ b/src/base/failure.ts
@@ -36,6 +36,7 @@
     Overloaded = "overloaded",
     TargetUnreachable = "target_unreachable",
     CostCeilingExceeded = "cost_ceiling_exceeded",
+    QuotaExceeded = "quota_exceeded",
     ShuttingDown = "shutting_down",
     // Execution
     NoEndpoint = "no_endpoint",
@@ -48,6 +49,7 @@
     // The platform
     StoreUnavailable = "store_unavailable",
     StoreConflict = "store_conflict",
+    HistoryLost = "history_lost",
     StoreOutcomeUnknown = "store_outcome_unknown",
     PlatformRefused = "platform_refused",
     // Operators
--- /dev/null
+++ b/src/decisions/gateway/decideAttemptStep.ts
@@ -0,0 +1,106 @@
+/**
+ * @module What follows after an attempt at an endpoint has ended.
+ */
+import { type GatewayRoute, RouteKind } from "../../model/gateway";
+
+/** How an attempt at an endpoint ended. */
+export enum AttemptEnd {
+    /** The answer was relayed to its end. */
+    Relayed = "relayed",
+    /** A whole answer is at hand, and nothing of it was relayed. */
+    Answered = "answered",
+    /** No byte of the request can have reached the endpoint. */
+    NotSent = "not_sent",
+    /** The endpoint states that it did not execute the request. */
+    NotExecuted = "not_executed",
+    /** The request was sent, and no usable answer came. */
+    Lost = "lost",
+    /** A stream broke after a part of it was relayed. */
+    Broken = "broken",
+    CallerGone = "caller_gone",
+    /** The request's time was over while the endpoint had it. */
+    TimedOut = "timed_out",
+}
+
+/** What is done next. */
+export enum AttemptStep {
+    /** Nothing is left to do. */
+    Finish = "finish",
+    /** The answer at hand is relayed. */
+    Relay = "relay",
+    SendAgain = "send_again",
+    /** The caller is told that the request has not run. */
+    Refuse = "refuse",
+    /** The caller is told that the outcome is unknown. */
+    Fail = "fail",
+    /** The connection is closed, since a part of the answer was relayed. */
+    BreakOff = "break_off",
+}
+
+/** The state of a request after an attempt. */
+export interface AttemptState {
+    readonly end: AttemptEnd;
+    /** Status of the answer at hand, where there is one. */
+    readonly status: number | undefined;
+    /** Attempts so far that may have been executed, this one included. */
+    readonly executions: number;
+    /** All attempts so far. */
+    readonly sends: number;
+    /** True if there is time for another attempt. */
+    readonly hasTime: boolean;
+    /** Takes one extra send from the budget; called at most once. */
+    readonly chargeSend: () => boolean;
+}
+
+/** Most attempts for one request, whatever they came to. */
+export const SENDS_MAX = 4;
+
+const FIRST_FAILURE_STATUS = 500;
+
+/**
+ * Decides what follows.
+ *
+ * @param route - The request's route
+ * @param state - What is known after the attempt
+ * @returns The step
+ * @example
+ * decideAttemptStep(route, state) === AttemptStep.SendAgain;
+ */
+export function decideAttemptStep(route: GatewayRoute, state: AttemptState): AttemptStep {
+    return DECIDERS[state.end](route, state);
+}
+
+/** Tells whether a request of the route may be executed more than once. */
+export function isRepeatable(route: GatewayRoute): boolean {
+    return route.kind === RouteKind.Idempotent || (route.kind === RouteKind.Streaming && route.isResumable);
+}
+
+const DECIDERS: Readonly<Record<AttemptEnd, (route: GatewayRoute, state: AttemptState) => AttemptStep>> = {
+    [AttemptEnd.Relayed]: () => AttemptStep.Finish,
+    [AttemptEnd.CallerGone]: () => AttemptStep.Finish,
+    [AttemptEnd.Answered]: (route, state) => {
+        const hasFailed = (state.status ?? 0) >= FIRST_FAILURE_STATUS;
+        return hasFailed && canExecuteAgain(route, state) ? AttemptStep.SendAgain : AttemptStep.Relay;
+    },
+    [AttemptEnd.NotSent]: (_route, state) => {
+        const canSend = state.hasTime && state.sends < SENDS_MAX;
+        return canSend ? AttemptStep.SendAgain : chooseEnd(state);
+    },
+    [AttemptEnd.NotExecuted]: (_route, state) => {
+        const canSend = state.hasTime && state.sends < SENDS_MAX && state.chargeSend();
+        return canSend ? AttemptStep.SendAgain : chooseEnd(state);
+    },
+    [AttemptEnd.Lost]: (route, state) => (canExecuteAgain(route, state) ? AttemptStep.SendAgain : AttemptStep.Fail),
+    [AttemptEnd.Broken]: (route, state) => (canExecuteAgain(route, state) ? AttemptStep.SendAgain : AttemptStep.BreakOff),
+    [AttemptEnd.TimedOut]: () => AttemptStep.Fail,
+};
+
+function canExecuteAgain(route: GatewayRoute, state: AttemptState): boolean {
+    const isAllowed = isRepeatable(route) && state.executions < route.attemptsMax && state.sends < SENDS_MAX;
+    return isAllowed && state.hasTime && state.chargeSend();
+}
+
+/** Without another attempt: a refusal is only true if no attempt can have been executed. */
+function chooseEnd(state: AttemptState): AttemptStep {
+    return state.executions === 0 ? AttemptStep.Refuse : AttemptStep.Fail;
+}
--- /dev/null
+++ b/src/decisions/gateway/retryAllowance.ts
@@ -0,0 +1,48 @@
+/**
+ * @module How many extra sends this node may cause at a service, so that all nodes together keep the bound.
+ */
+import { createSlidingCount, type SlidingCount } from "./slidingCount";
+
+/** The bound over all nodes. */
+export interface RetryTerms {
+    /** Extra sends allowed as a share of the requests in a window. */
+    readonly ratio: number;
+    /** Extra sends allowed besides, of all nodes together. */
+    readonly slack: number;
+    readonly windowMs: number;
+}
+
+/** Kept below the bound for sends that cross the edge of a window on their way. */
+const USED_SHARE = 0.9;
+
+/** The allowance of one service at one node. */
+export interface RetryAllowance {
+    recordRequest(nowMs: number): void;
+    /** Takes one extra send if the node's share has room for it. */
+    chargeSend(nodeCount: number, nowMs: number): boolean;
+}
+
+/**
+ * Creates an allowance. A node earns by its own requests, and has an equal part of the constant: so the sum over nodes
+ * keeps the bound without a word between them.
+ *
+ * @param terms - The bound
+ * @returns The allowance
+ * @example
+ * if (allowance.chargeSend(nodes, nowMs)) { ... }
+ */
+export function createRetryAllowance(terms: RetryTerms): RetryAllowance {
+    const requests: SlidingCount = createSlidingCount(terms.windowMs);
+    const extra: SlidingCount = createSlidingCount(terms.windowMs);
+    return {
+        recordRequest: nowMs => requests.add(1, nowMs),
+        chargeSend: (nodeCount, nowMs) => {
+            const limit = USED_SHARE * (terms.ratio * requests.sum(nowMs) + terms.slack / Math.max(1, nodeCount));
+            if (extra.sum(nowMs) + 1 > limit) {
+                return false;
+            }
+            extra.add(1, nowMs);
+            return true;
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/createEndpointConnections.ts
@@ -0,0 +1,90 @@
+/**
+ * @module Connections to one endpoint. Each carries one request at a time.
+ */
+import http from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "../base/clock";
+import type { Disposable } from "../base/disposableStore";
+import { computeElapsedMs, type Instant, readInstant } from "../base/instant";
+import { IDLE_DEFAULT_MS, IDLE_MARGIN_MS } from "./constants";
+
+/** Connections to one endpoint. */
+export interface EndpointConnections extends Disposable {
+    /** Gives the agent for the next request; connections idle for longer than `freshMs` are closed before. */
+    prepareAgent(freshMs?: number): http.Agent;
+    /** Sets after how much idle time the endpoint closes a connection. */
+    setIdleTimeout(idleTimeoutMs: number): void;
+    /** Closes idle connections, for when one of them was found dead. */
+    dropIdle(): void;
+}
+
+/**
+ * Creates the connections to an endpoint. A byte that arrives on an idle connection belongs to no request: the
+ * connection is closed.
+ *
+ * @param clock - Measures idle time
+ * @returns The connections; none is open yet
+ * @example
+ * http.request({ host, port, agent: connections.prepareAgent() });
+ */
+export function createEndpointConnections(clock: Clock): EndpointConnections {
+    const idleSince = new WeakMap<Socket, Instant>();
+    let idleTimeoutMs = IDLE_DEFAULT_MS;
+    const dropSocket = function (this: Socket) {
+        this.destroy();
+    };
+    const agent = new GuardedAgent({
+        beginIdle: socket => {
+            idleSince.set(socket, readInstant(clock));
+            socket.setTimeout(idleTimeoutMs);
+            socket.on("data", dropSocket);
+        },
+        endIdle: socket => void socket.off("data", dropSocket),
+    });
+    const listIdle = () => Object.values(agent.freeSockets).flatMap(sockets => sockets ?? []);
+    return {
+        prepareAgent: (freshMs = idleTimeoutMs) => {
+            const now = readInstant(clock);
+            const limitMs = Math.min(freshMs, idleTimeoutMs);
+            for (const socket of listIdle()) {
+                const since = idleSince.get(socket);
+                if (since === undefined || computeElapsedMs(since, now) > limitMs) {
+                    socket.destroy();
+                }
+            }
+            return agent;
+        },
+        setIdleTimeout: endpointMs => {
+            idleTimeoutMs = Math.max(endpointMs / 2, endpointMs - IDLE_MARGIN_MS);
+        },
+        dropIdle: () => listIdle().forEach(socket => socket.destroy()),
+        dispose: () => agent.destroy(),
+    };
+}
+
+interface IdleGuard {
+    readonly beginIdle: (socket: Socket) => void;
+    readonly endIdle: (socket: Socket) => void;
+}
+
+/** Node's agent, told when a connection becomes idle and when it is used again. */
+class GuardedAgent extends http.Agent {
+    private readonly guard: IdleGuard;
+
+    public constructor(guard: IdleGuard) {
+        super({ keepAlive: true, maxFreeSockets: 64, scheduling: "lifo" });
+        this.guard = guard;
+    }
+
+    public override keepSocketAlive(socket: Socket): boolean {
+        socket.setKeepAlive(true, 1_000);
+        this.guard.beginIdle(socket);
+        return true;
+    }
+
+    public override reuseSocket(socket: Socket, request: http.ClientRequest): void {
+        this.guard.endIdle(socket);
+        socket.setTimeout(0);
+        request.reusedSocket = true;
+    }
+}
--- /dev/null
+++ b/src/gateway/createEventSplitter.ts
@@ -0,0 +1,75 @@
+/**
+ * @module Cuts a stream of server-sent events between its events.
+ */
+
+const LF = 0x0a;
+const CR = 0x0d;
+/** A single event longer than this is passed on in parts. */
+const LARGEST_EVENT_BYTES = 1_048_576;
+
+/** Whole events, as they were received. */
+export interface EventBatch {
+    readonly bytes: Buffer;
+    /** Id of the last event in the batch that has one. */
+    readonly lastEventId: string | undefined;
+    /** Id of the first event in the batch that has one. */
+    readonly firstEventId: string | undefined;
+    readonly events: number;
+}
+
+/** Splits a stream. */
+export interface EventSplitter {
+    /** Takes received bytes; gives the events that are whole by now, or `undefined`. */
+    push(chunk: Buffer): EventBatch | undefined;
+    /** Gives the bytes after the last whole event. */
+    takeRest(): Buffer;
+}
+
+/**
+ * Creates a splitter.
+ *
+ * @returns The splitter, with nothing in it
+ * @example
+ * const batch = splitter.push(chunk);
+ */
+export function createEventSplitter(): EventSplitter {
+    let held: Buffer = Buffer.alloc(0);
+    return {
+        push: chunk => {
+            held = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
+            const end = held.length > LARGEST_EVENT_BYTES ? held.length : findEventsEnd(held);
+            if (end === 0) {
+                return undefined;
+            }
+            const bytes = held.subarray(0, end);
+            held = held.subarray(end);
+            return describeEvents(bytes);
+        },
+        takeRest: () => {
+            const rest = held;
+            held = Buffer.alloc(0);
+            return rest;
+        },
+    };
+}
+
+/** Finds the end of the last blank line. */
+function findEventsEnd(bytes: Buffer): number {
+    for (let index = bytes.length - 1; index > 0; index--) {
+        if (bytes[index] !== LF) {
+            continue;
+        }
+        const before = bytes[index - 1] === CR ? index - 2 : index - 1;
+        if (bytes[before] === LF) {
+            return index + 1;
+        }
+    }
+    return 0;
+}
+
+function describeEvents(bytes: Buffer): EventBatch {
+    const text = bytes.toString("latin1");
+    const ids = [...text.matchAll(/^id: ?(.*?)\r?$/gm)].map(match => match[1] ?? "");
+    const events = text.split(/\r?\n\r?\n/).length - 1;
+    return { bytes, firstEventId: ids[0], lastEventId: ids.at(-1), events };
+}
--- /dev/null
+++ b/src/gateway/createFleetDuty.ts
@@ -0,0 +1,160 @@
+/**
+ * @module The duty to order endpoints of the services that may be scaled.
+ */
+import type { Clock } from "../base/clock";
+import { FailureKind } from "../base/failure";
+import type { Log } from "../base/log/log";
+import { computeNeed, type DomainFleet, planGatewayFleet } from "../decisions/gateway/planGatewayFleet";
+import type { FleetBounds, GatewayService } from "../model/gateway";
+import type { DutyPort, FleetOrder } from "../ports/duties";
+import type { ConfigurationHolder } from "./createConfigurationHolder";
+import type { EndpointDirectory } from "./createEndpointDirectory";
+import type { PeerExchange } from "./createPeerExchange";
+import type { ServiceSpeeds } from "./createServiceSpeeds";
+import type { CheckHolder, Duty } from "./startDutyHolder";
+
+const PLAN_PERIOD_MS = 500;
+/** After a refusal the same kind of endpoint isn't ordered in the same failure domain for this long. */
+const REFUSED_MS = 2_500;
+/** The need sinks by at most this share of itself a second, so that a lull between two waves orders nothing away. */
+const NEED_FADE_PER_S = 0.03;
+const MS_PER_S = 1_000;
+
+interface OrderState {
+    count: number;
+    orderedAtMs: number;
+    refusedUntilMs: number;
+}
+
+interface NeedState {
+    need: number;
+    atMs: number;
+}
+
+/** What the duty needs. */
+export interface FleetDutyOptions {
+    readonly cloud: DutyPort;
+    readonly configuration: ConfigurationHolder;
+    readonly directory: EndpointDirectory;
+    readonly peers: PeerExchange;
+    readonly speeds: ServiceSpeeds;
+    readonly failureDomains: readonly string[];
+    readonly clock: Clock;
+    readonly log: Log;
+}
+
+/**
+ * Creates the duty.
+ *
+ * @param options - What it needs
+ * @returns The duty
+ * @example
+ * createFleetDuty({ cloud, configuration, directory, peers, speeds, failureDomains, clock, log });
+ */
+export function createFleetDuty(options: FleetDutyOptions): Duty {
+    const { cloud, configuration, directory, peers, speeds, clock, log } = options;
+    const orders = new Map<string, OrderState>();
+    const needs = new Map<string, NeedState>();
+    let nextPlanMs = 0;
+
+    const readOrder = (service: string, failureDomain: string, isReclaimable: boolean): OrderState => {
+        const key = `${service}|${failureDomain}|${isReclaimable}`;
+        const state = orders.get(key) ?? { count: -1, orderedAtMs: Number.NEGATIVE_INFINITY, refusedUntilMs: 0 };
+        orders.set(key, state);
+        return state;
+    };
+    const countPresent = (service: string, failureDomain: string, isReclaimable: boolean): number =>
+        directory
+            .listUsable(service)
+            .filter(({ endpoint }) => endpoint.failureDomain === failureDomain && endpoint.isReclaimable === isReclaimable).length;
+    /** What serves, or was ordered so recently that it may still be starting. */
+    const countExpected = (service: string, failureDomain: string, isReclaimable: boolean, bounds: FleetBounds): number => {
+        const order = readOrder(service, failureDomain, isReclaimable);
+        const present = countPresent(service, failureDomain, isReclaimable);
+        const isStarting = clock.readMonotonicMs() - order.orderedAtMs < (bounds.bootSeconds + 2) * MS_PER_S;
+        return isStarting ? Math.max(present, order.count) : present;
+    };
+    const describeFleet = (service: string, bounds: FleetBounds): readonly DomainFleet[] =>
+        options.failureDomains.map(failureDomain => ({
+            failureDomain,
+            onDemand: countExpected(service, failureDomain, false, bounds),
+            reclaimable: countExpected(service, failureDomain, true, bounds),
+            isReclaimableRefused: readOrder(service, failureDomain, true).refusedUntilMs > clock.readMonotonicMs(),
+            isOnDemandRefused: readOrder(service, failureDomain, false).refusedUntilMs > clock.readMonotonicMs(),
+        }));
+    const updateNeed = (service: GatewayService): number => {
+        const nowMs = clock.readMonotonicMs();
+        const loads = peers.listLoads(service.name);
+        const measured = computeNeed({
+            tokensPerSecond: loads.reduce((sum, load) => sum + load.tokensPerSecond, 0),
+            inFlight: loads.reduce((sum, load) => sum + load.inFlight, 0),
+            tokensPerMs: speeds.readSpeed(service.name).tokensPerMs,
+            slots: service.engine?.slots ?? 1,
+        });
+        // Before there is traffic, half of what the operator provided is taken to be needed.
+        const before = needs.get(service.name) ?? { need: directory.listUsable(service.name).length / 2, atMs: nowMs };
+        const faded = before.need * (1 - NEED_FADE_PER_S) ** ((nowMs - before.atMs) / MS_PER_S);
+        const need = Math.max(measured, faded, 1);
+        needs.set(service.name, { need, atMs: nowMs });
+        return need;
+    };
+    const sendOrder = async (order: FleetOrder, check: CheckHolder) => {
+        const holder = check();
+        if (holder === undefined) {
+            return;
+        }
+        const state = readOrder(order.service, order.failureDomain, order.isReclaimable);
+        const sent = await cloud.orderFleet(holder, order);
+        const nowMs = clock.readMonotonicMs();
+        if (sent.isOk()) {
+            state.count = order.count;
+            state.orderedAtMs = nowMs;
+        } else if (sent.error.kind === FailureKind.NoEndpoint) {
+            state.refusedUntilMs = nowMs + REFUSED_MS;
+        }
+        log.info("endpoints ordered", {
+            service: order.service,
+            failureDomain: order.failureDomain,
+            isReclaimable: order.isReclaimable,
+            count: order.count,
+            epoch: holder.epoch,
+            failure: sent.isErr() ? sent.error.message : undefined,
+        });
+    };
+    const planService = async (service: GatewayService, bounds: FleetBounds, check: CheckHolder) => {
+        const need = updateNeed(service);
+        const fleet = describeFleet(service.name, bounds);
+        for (const plan of planGatewayFleet(need, fleet, bounds)) {
+            const now = fleet.find(domain => domain.failureDomain === plan.failureDomain);
+            const steps: readonly FleetOrder[] = [
+                { service: service.name, failureDomain: plan.failureDomain, count: plan.reclaimable, isReclaimable: true },
+                { service: service.name, failureDomain: plan.failureDomain, count: plan.onDemand, isReclaimable: false },
+            ];
+            for (const order of steps) {
+                const expected = (order.isReclaimable ? now?.reclaimable : now?.onDemand) ?? 0;
+                const isRefused = order.isReclaimable ? now?.isReclaimableRefused : now?.isOnDemandRefused;
+                if (order.count !== expected && !(isRefused === true && order.count > expected)) {
+                    await sendOrder(order, check);
+                }
+            }
+        }
+    };
+    return {
+        beginTerm: () => {
+            orders.clear();
+        },
+        runStep: async check => {
+            const nowMs = clock.readMonotonicMs();
+            const view = configuration.readCurrent();
+            if (nowMs < nextPlanMs || view === undefined || !directory.isKnown()) {
+                return;
+            }
+            nextPlanMs = nowMs + PLAN_PERIOD_MS;
+            for (const service of view.configuration.services) {
+                if (service.fleet !== undefined) {
+                    await planService(service, service.fleet, check);
+                }
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/createGatewayMetrics.ts
@@ -0,0 +1,66 @@
+/**
+ * @module Counters and latencies of a gateway, served as text.
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
+
+/** The metrics of a gateway. */
+export interface GatewayMetrics {
+    countRequest(service: string, outcome: string): void;
+    countAttempt(service: string, end: string): void;
+    recordFirstPart(service: string, milliseconds: number): void;
+    recordOverhead(milliseconds: number): void;
+    setConfigurationVersion(version: number): void;
+    formatMetrics(): Promise<string>;
+}
+
+/**
+ * Creates the metrics, all at zero.
+ *
+ * @returns The metrics
+ * @example
+ * metrics.countRequest("newsdesk-llm", "relayed");
+ */
+export function createGatewayMetrics(): GatewayMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const requests = new Counter({
+        name: "redwinglift_requests_total",
+        help: "Requests of callers by how they ended.",
+        labelNames: ["service", "outcome"],
+        registers,
+    });
+    const attempts = new Counter({
+        name: "redwinglift_attempts_total",
+        help: "Attempts at endpoints by how they ended.",
+        labelNames: ["service", "end"],
+        registers,
+    });
+    const firstPart = new Histogram({
+        name: "redwinglift_first_part_milliseconds",
+        help: "Time from a request's head to the first part of its answer.",
+        labelNames: ["service"],
+        buckets: LATENCY_BUCKETS_MS,
+        registers,
+    });
+    const overhead = new Histogram({
+        name: "redwinglift_own_milliseconds",
+        help: "Time from a request's head to its first send.",
+        buckets: LATENCY_BUCKETS_MS,
+        registers,
+    });
+    const version = new Gauge({
+        name: "redwinglift_configuration_version",
+        help: "Version of the configuration in force.",
+        registers,
+    });
+    return {
+        countRequest: (service, outcome) => requests.inc({ service, outcome }),
+        countAttempt: (service, end) => attempts.inc({ service, end }),
+        recordFirstPart: (service, milliseconds) => firstPart.observe({ service }, milliseconds),
+        recordOverhead: milliseconds => overhead.observe(milliseconds),
+        setConfigurationVersion: value => version.set(value),
+        formatMetrics: () => registry.metrics(),
+    };
+}
--- /dev/null
+++ b/src/gateway/createMembership.ts
@@ -0,0 +1,139 @@
+/**
+ * @module This node's row in the store, and the rows of the others.
+ */
+import { ulid } from "ulid";
+import type { Clock } from "../base/clock";
+import { type Step, superviseTask, waitFor } from "../base/csp";
+import type { Disposable } from "../base/disposableStore";
+import type { Log } from "../base/log/log";
+import type { Random } from "../base/random";
+import type { TablePort } from "../ports/table";
+import type { TrueTime } from "./createTrueTime";
+import type { UsageMeter } from "./createUsageMeter";
+import { buildMemberKey, decodeMember, MEMBER_PREFIX, type MemberRecord } from "./memberRecord";
+
+/** Time between two writes of the row while counts change, and while they don't. */
+const WRITE_PERIOD_MS = 1_250;
+const QUIET_WRITE_PERIOD_MS = 2_500;
+/** Time between two looks at the others' rows; the first ones come sooner. */
+const LIST_PERIOD_MS = 4_000;
+const FIRST_LIST_PERIOD_MS = 1_000;
+const FIRST_LISTS = 4;
+/** A row that was not written for this long belongs to no live node: a node without the store serves no longer. */
+const LIVE_MS = 7_000;
+const STEP_MS = 125;
+/** Nodes assumed until the first list was read. */
+const UNKNOWN_NODES = 16;
+
+/** What the membership needs. */
+export interface MembershipOptions {
+    readonly node: string;
+    readonly address: string;
+    readonly port: number;
+    readonly windowMs: number;
+    readonly table: TablePort;
+    readonly trueTime: TrueTime;
+    readonly usage: UsageMeter;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly log: Log;
+}
+
+/** The nodes that live. */
+export interface Membership extends Disposable {
+    readonly life: string;
+    /** Lists the live members, this one included, by name. */
+    listMembers(): readonly MemberRecord[];
+    /** Counts the live members; a cautious guess until they are known. */
+    countNodes(): number;
+    /** Reads all rows now, those of dead lives included. */
+    readRecords(): Promise<readonly MemberRecord[] | undefined>;
+}
+
+/**
+ * Starts to keep this node's row and to follow the others'.
+ *
+ * @param options - Who this node is
+ * @returns The membership
+ * @example
+ * membership.listMembers().map(member => member.address);
+ */
+export function createMembership(options: MembershipOptions): Membership {
+    const { table, trueTime, clock, random, log, windowMs } = options;
+    const life = ulid();
+    const self = { node: options.node, life, address: options.address, port: options.port };
+    let members: readonly MemberRecord[] | undefined;
+    let isStopped = false;
+    let lastWritten = "";
+    let lastWrittenAtMs = Number.NEGATIVE_INFINITY;
+    let lastWindow = -1;
+    let lists = 0;
+    let nextListMs = 0;
+
+    const readRecords = async () => {
+        const rows = await table.listRows(MEMBER_PREFIX);
+        return rows.isErr() ? undefined : rows.value.flatMap(row => decodeMember(row.value) ?? []);
+    };
+    const refreshMembers = async () => {
+        const records = await readRecords();
+        const periodMs = lists < FIRST_LISTS ? FIRST_LIST_PERIOD_MS : LIST_PERIOD_MS;
+        nextListMs = clock.readMonotonicMs() + periodMs * (0.75 + 0.5 * random.drawFraction());
+        if (records === undefined) {
+            return;
+        }
+        lists++;
+        const liveAfterMs = trueTime.readTrueMs() - LIVE_MS;
+        const others = records.filter(record => record.life !== life && record.node !== self.node);
+        members = others.filter(record => record.atMs > liveAfterMs);
+    };
+    const isWriteDue = (content: string): boolean => {
+        const sinceMs = clock.readMonotonicMs() - lastWrittenAtMs;
+        const window = Math.floor((trueTime.readTrueMs() - STEP_MS) / windowMs);
+        const isWindowOver = window !== lastWindow;
+        return isWindowOver || sinceMs > (content === lastWritten ? QUIET_WRITE_PERIOD_MS : WRITE_PERIOD_MS);
+    };
+    const writeRow = async (content: string) => {
+        const window = Math.floor((trueTime.readTrueMs() - STEP_MS) / windowMs);
+        const record: MemberRecord = { ...self, atMs: trueTime.readTrueMs(), windows: options.usage.readWindows() };
+        const written = await table.commitTransaction({
+            token: ulid(),
+            conditions: [],
+            writes: [{ key: buildMemberKey(self), value: JSON.stringify(record) }],
+        });
+        if (written.isOk()) {
+            lastWritten = content;
+            lastWindow = window;
+            lastWrittenAtMs = clock.readMonotonicMs();
+        } else {
+            log.debug("member row not written", { reason: written.error.message });
+        }
+    };
+    const run = function* (): Step<void> {
+        while (!isStopped) {
+            const content = JSON.stringify(options.usage.readWindows());
+            if (trueTime.hasAgreedOffset() && isWriteDue(content)) {
+                yield* waitFor(writeRow(content));
+            }
+            if (trueTime.hasAgreedOffset() && clock.readMonotonicMs() >= nextListMs) {
+                yield* waitFor(refreshMembers());
+            }
+            yield* waitFor(clock.waitMs(STEP_MS));
+        }
+    };
+    void superviseTask("membership", run, {
+        clock,
+        reportFailure: (name, failure) => log.error("task failed", { name, reason: failure.message }),
+    });
+    return {
+        life,
+        listMembers: () => {
+            const own: MemberRecord = { ...self, atMs: trueTime.readTrueMs(), windows: {} };
+            return [...(members ?? []), own].sort((left, right) => (left.node < right.node ? -1 : 1));
+        },
+        countNodes: () => (members === undefined ? UNKNOWN_NODES : members.length + 1),
+        readRecords,
+        dispose: () => {
+            isStopped = true;
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/createPeerExchange.ts
@@ -0,0 +1,134 @@
+/**
+ * @module Datagrams between nodes: what each has charged to accounts, and what load it puts on services.
+ *
+ * Totals are cumulative, so a lost datagram is made good by the next. Nothing depends on their arrival: quotas fall back
+ * to equal parts, and loads to what the store shows.
+ */
+import dgram from "node:dgram";
+import { z } from "zod";
+import type { Clock } from "../base/clock";
+import type { Disposable } from "../base/disposableStore";
+import type { Log } from "../base/log/log";
+import type { AccountQuotas, PeerView } from "../decisions/gateway/accountQuotas";
+import type { Membership } from "./createMembership";
+import type { ServiceLoad } from "./createDemandMeter";
+
+const SEND_PERIOD_MS = 200;
+/** Without news a datagram still goes out this often, so that the others know this node is heard. */
+const QUIET_SEND_PERIOD_MS = 800;
+/** A node that was not heard for this long is out of touch. */
+const HEARD_MS = 2_000;
+
+/** One datagram. Names are short since it is sent often. */
+interface PeerMessage {
+    readonly node: string;
+    readonly life: string;
+    readonly totals: Readonly<Record<string, number>>;
+    readonly loads: Readonly<Record<string, ServiceLoad>>;
+}
+
+const MESSAGE_SCHEMA = z.object({
+    node: z.string(),
+    life: z.string(),
+    totals: z.record(z.string(), z.number()),
+    loads: z.record(z.string(), z.object({ tokensPerSecond: z.number(), requestsPerSecond: z.number(), inFlight: z.number() })),
+});
+
+interface Peer {
+    life: string;
+    heardAtMs: number;
+    totals: Readonly<Record<string, number>>;
+    loads: Readonly<Record<string, ServiceLoad>>;
+}
+
+/** What the exchange needs. */
+export interface PeerExchangeOptions {
+    readonly node: string;
+    readonly address: string;
+    readonly port: number;
+    readonly membership: Membership;
+    readonly quotas: AccountQuotas;
+    readonly readLoads: () => Readonly<Record<string, ServiceLoad>>;
+    readonly clock: Clock;
+    readonly log: Log;
+}
+
+/** The other nodes, as far as they are heard. */
+export interface PeerExchange extends Disposable {
+    readView(): PeerView;
+    countNodes(): number;
+    /** Lists the loads of a service at all nodes that are heard, this one included. */
+    listLoads(service: string): readonly ServiceLoad[];
+}
+
+/**
+ * Starts the exchange.
+ *
+ * @param options - Who this node is, and what it tells
+ * @returns The exchange
+ * @example
+ * quotas.charge(account, tokens, peers.readView(), nowMs);
+ */
+export function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
+    const { membership, quotas, clock, log } = options;
+    const peers = new Map<string, Peer>();
+    const socket = dgram.createSocket("udp4");
+    let lastSent = "";
+    let lastSentAtMs = Number.NEGATIVE_INFINITY;
+
+    const receive = (bytes: Buffer) => {
+        const message = decodeMessage(bytes);
+        if (message === undefined || message.node === options.node) {
+            return;
+        }
+        const nowMs = clock.readMonotonicMs();
+        const before = peers.get(message.node);
+        const known = before?.life === message.life ? before.totals : {};
+        for (const [account, total] of Object.entries(message.totals)) {
+            const added = total - (known[account] ?? 0);
+            if (added !== 0 && before !== undefined) {
+                quotas.recordPeerUse(account, added, nowMs);
+            }
+        }
+        peers.set(message.node, { life: message.life, heardAtMs: nowMs, totals: message.totals, loads: message.loads });
+    };
+    const listHeard = () => [...peers.values()].filter(peer => clock.readMonotonicMs() - peer.heardAtMs < HEARD_MS);
+    const send = () => {
+        const totals = Object.fromEntries([...quotas.readTotals()].map(([name, total]) => [name, Math.round(total)]));
+        const message: PeerMessage = { node: options.node, life: membership.life, totals, loads: options.readLoads() };
+        const text = JSON.stringify(message);
+        const nowMs = clock.readMonotonicMs();
+        if (text === lastSent && nowMs - lastSentAtMs < QUIET_SEND_PERIOD_MS) {
+            return;
+        }
+        lastSent = text;
+        lastSentAtMs = nowMs;
+        const bytes = Buffer.from(text);
+        for (const member of membership.listMembers()) {
+            if (member.node !== options.node) {
+                socket.send(bytes, member.port, member.address);
+            }
+        }
+    };
+    socket.on("message", receive);
+    socket.on("error", error => log.warn("datagram socket failed", { reason: error.message }));
+    socket.bind(options.port, options.address);
+    const timer = setInterval(send, SEND_PERIOD_MS);
+    return {
+        readView: () => ({ nodes: membership.countNodes(), heard: listHeard().length + 1 }),
+        countNodes: () => membership.countNodes(),
+        listLoads: service => [options.readLoads(), ...listHeard().map(peer => peer.loads)].flatMap(loads => loads[service] ?? []),
+        dispose: () => {
+            clearInterval(timer);
+            socket.close();
+        },
+    };
+}
+
+function decodeMessage(bytes: Buffer): PeerMessage | undefined {
+    try {
+        return MESSAGE_SCHEMA.safeParse(JSON.parse(bytes.toString("utf8"))).data;
+    } catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/gateway/endpointRecord.ts
@@ -0,0 +1,146 @@
+/**
+ * @module What a node keeps about one endpoint. Only the directory and the forwarder change it.
+ */
+import type { Clock } from "../base/clock";
+import type { EndpointView } from "../decisions/gateway/chooseEndpoint";
+import type { GatewayEndpoint } from "../model/gateway";
+import type { EndpointLoad, PromptPart } from "../ports/forwardingCodec";
+import {
+    BIAS_HALF_LIFE_MS,
+    BIAS_LONGEST_MS,
+    BIAS_WEIGHT,
+    CACHE_BELIEF_MS,
+    CACHE_PARTS_MAX,
+    FAILURE_HALF_LIFE_MS,
+    FAILURE_WEIGHT,
+    SUSPECT_FIRST_MS,
+    SUSPECT_LONGEST_MS,
+} from "./constants";
+import { createEndpointConnections, type EndpointConnections } from "./createEndpointConnections";
+
+/** After this time half of the load that others were seen to cause is taken to be gone. */
+const LOAD_HALF_LIFE_MS = 1_500;
+
+interface FadingValue {
+    readonly value: number;
+    readonly atMs: number;
+}
+
+/** An endpoint's state at this node. */
+export interface EndpointRecord {
+    readonly endpoint: GatewayEndpoint;
+    readonly connections: EndpointConnections;
+    /** Time there and back, and the cost of the distance in milliseconds of expected time. */
+    readonly roundTripMs: number;
+    readonly distancePenaltyMs: number;
+    /** Monotonic time at which the entry vanished while it may still come back. */
+    missingSinceMs: number | undefined;
+    /** True once another endpoint answered at its address. */
+    isMisdirected: boolean;
+    ownInFlight: number;
+    pendingTokens: number;
+    load: (EndpointLoad & { readonly atMs: number; readonly ownInFlight: number }) | undefined;
+    bias: FadingValue;
+    failures: FadingValue;
+    suspectUntilMs: number;
+    suspectMs: number;
+    readonly cachedParts: Map<string, number>;
+}
+
+/** Creates the record of an endpoint that nothing is known of. */
+export function createEndpointRecord(
+    endpoint: GatewayEndpoint,
+    distance: { readonly roundTripMs: number; readonly penaltyMs: number },
+    clock: Clock,
+): EndpointRecord {
+    return {
+        endpoint,
+        connections: createEndpointConnections(clock),
+        roundTripMs: distance.roundTripMs,
+        distancePenaltyMs: distance.penaltyMs,
+        missingSinceMs: undefined,
+        isMisdirected: false,
+        ownInFlight: 0,
+        pendingTokens: 0,
+        load: undefined,
+        bias: { value: 0, atMs: 0 },
+        failures: { value: 0, atMs: 0 },
+        suspectUntilMs: 0,
+        suspectMs: SUSPECT_FIRST_MS,
+        cachedParts: new Map(),
+    };
+}
+
+/** Gives the view of an endpoint for the placement of a request with these prompt parts. */
+export function buildEndpointView(record: EndpointRecord, parts: readonly PromptPart[], nowMs: number): EndpointView {
+    const { load } = record;
+    const others = load === undefined ? 0 : Math.max(0, load.running + load.waiting - load.ownInFlight);
+    const othersNow = load === undefined ? 0 : others * 0.5 ** ((nowMs - load.atMs) / LOAD_HALF_LIFE_MS);
+    return {
+        id: record.endpoint.id,
+        roundTripMs: record.roundTripMs,
+        distancePenaltyMs: record.distancePenaltyMs,
+        slots: load?.slots ?? record.endpoint.slots,
+        occupancy: record.ownInFlight + othersNow,
+        pendingTokens: record.pendingTokens,
+        biasMs: fade(record.bias, BIAS_HALF_LIFE_MS, nowMs),
+        failureShare: fade(record.failures, FAILURE_HALF_LIFE_MS, nowMs),
+        cachedTokens: countCachedTokens(record, parts, nowMs),
+    };
+}
+
+/** Notes how an attempt compared with its estimate. */
+export function recordAnswerTime(record: EndpointRecord, observedMs: number, estimatedMs: number, nowMs: number): void {
+    const before = fade(record.bias, BIAS_HALF_LIFE_MS, nowMs);
+    const difference = Math.min(BIAS_LONGEST_MS, Math.max(0, observedMs - estimatedMs + before));
+    record.bias = { value: before + BIAS_WEIGHT * (difference - before), atMs: nowMs };
+}
+
+/** Notes whether an attempt failed through the endpoint's fault. */
+export function recordAttemptOutcome(record: EndpointRecord, hasFailed: boolean, nowMs: number): void {
+    const before = fade(record.failures, FAILURE_HALF_LIFE_MS, nowMs);
+    record.failures = { value: before + FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - before), atMs: nowMs };
+    if (!hasFailed) {
+        record.suspectMs = SUSPECT_FIRST_MS;
+    }
+}
+
+/** Keeps new work from an endpoint that can't be reached, for a growing time. */
+export function recordUnreachable(record: EndpointRecord, nowMs: number): void {
+    if (nowMs >= record.suspectUntilMs) {
+        record.suspectUntilMs = nowMs + record.suspectMs;
+        record.suspectMs = Math.min(SUSPECT_LONGEST_MS, record.suspectMs * 2);
+    }
+}
+
+/** Notes the endpoint's word about its load. */
+export function recordLoad(record: EndpointRecord, load: EndpointLoad, nowMs: number): void {
+    record.load = { ...load, atMs: nowMs, ownInFlight: record.ownInFlight };
+}
+
+/** Notes that the endpoint reads these parts. */
+export function recordCachedParts(record: EndpointRecord, parts: readonly PromptPart[], nowMs: number): void {
+    for (const { id } of parts) {
+        record.cachedParts.delete(id);
+        record.cachedParts.set(id, nowMs);
+    }
+    while (record.cachedParts.size > CACHE_PARTS_MAX) {
+        record.cachedParts.delete(record.cachedParts.keys().next().value ?? "");
+    }
+}
+
+function countCachedTokens(record: EndpointRecord, parts: readonly PromptPart[], nowMs: number): number {
+    let tokens = 0;
+    for (const part of parts) {
+        const usedMs = record.cachedParts.get(part.id);
+        if (usedMs === undefined || nowMs - usedMs > CACHE_BELIEF_MS) {
+            break;
+        }
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+function fade({ value, atMs }: FadingValue, halfLifeMs: number, nowMs: number): number {
+    return value * 0.5 ** ((nowMs - atMs) / halfLifeMs);
+}
--- /dev/null
+++ b/src/gateway/gatewayParts.ts
@@ -0,0 +1,31 @@
+/**
+ * @module What the parts of a gateway share. `runGateway` builds it.
+ */
+import type { Clock } from "../base/clock";
+import type { Log } from "../base/log/log";
+import type { Random } from "../base/random";
+import type { GatewaySettings } from "../model/gateway";
+import type { ForwardingCodec } from "../ports/forwardingCodec";
+import type { ConfigurationHolder } from "./createConfigurationHolder";
+import type { DemandMeter } from "./createDemandMeter";
+import type { EndpointDirectory } from "./createEndpointDirectory";
+import type { GatewayMetrics } from "./createGatewayMetrics";
+import type { ServiceSpeeds } from "./createServiceSpeeds";
+import type { UsageMeter } from "./createUsageMeter";
+import type { PeerExchange } from "./createPeerExchange";
+
+/** The parts that a request passes. */
+export interface GatewayParts {
+    readonly settings: GatewaySettings;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly log: Log;
+    readonly metrics: GatewayMetrics;
+    readonly codec: ForwardingCodec;
+    readonly configuration: ConfigurationHolder;
+    readonly directory: EndpointDirectory;
+    readonly speeds: ServiceSpeeds;
+    readonly usage: UsageMeter;
+    readonly demand: DemandMeter;
+    readonly peers: PeerExchange;
+}
--- /dev/null
+++ b/src/gateway/runGateway.ts
@@ -0,0 +1,238 @@
+/**
+ * @module A gateway as a process: the one module that wires its parts.
+ */
+import http from "node:http";
+import { ulid } from "ulid";
+import { createSystemClock } from "../base/createSystemClock";
+import { createUnpredictableRandom } from "../base/createUnpredictableRandom";
+import { createLog } from "../base/log/createLog";
+import { type Log, LogFormat } from "../base/log/log";
+import { createAccountQuotas } from "../decisions/gateway/accountQuotas";
+import { startListening } from "../http/startListening";
+import { DutyKind, type GatewayConfiguration, type GatewayEndpoint, type GatewaySettings } from "../model/gateway";
+import type { DutyPort } from "../ports/duties";
+import type { ForwardingCodec } from "../ports/forwardingCodec";
+import type { TablePort } from "../ports/table";
+import type { WatchedRow, WatchedTablePort } from "../ports/watchedTable";
+import { createConfigurationHolder } from "./createConfigurationHolder";
+import { createDemandMeter } from "./createDemandMeter";
+import { createEndpointDirectory } from "./createEndpointDirectory";
+import { createFleetDuty } from "./createFleetDuty";
+import { createForwarder } from "./createForwarder";
+import { createGatewayListener } from "./createGatewayListener";
+import { createGatewayMetrics } from "./createGatewayMetrics";
+import { createMembership } from "./createMembership";
+import { createPeerExchange } from "./createPeerExchange";
+import { createReadinessListener } from "./createReadinessListener";
+import { createServiceSpeeds } from "./createServiceSpeeds";
+import { createTrueTime, type TrueTime } from "./createTrueTime";
+import { createUsageDuty } from "./createUsageDuty";
+import { createUsageMeter } from "./createUsageMeter";
+import type { GatewayParts } from "./gatewayParts";
+import { startDutyHolder } from "./startDutyHolder";
+import { startTableWatch } from "./startTableWatch";
+
+/** What the platform's folder provides. */
+export interface GatewayPlatform {
+    readonly tables: TablePort & WatchedTablePort;
+    readonly cloud: DutyPort | undefined;
+    readonly codec: ForwardingCodec;
+    readonly configurationTable: string;
+    readonly endpointTable: string;
+    readonly decodeConfigurationRow: (row: WatchedRow) => GatewayConfiguration | undefined;
+    readonly decodeEndpointRow: (row: WatchedRow) => GatewayEndpoint | undefined;
+}
+
+const CONFIGURATION_WAIT_MS = 1_000;
+const ENDPOINTS_WAIT_MS = 2_000;
+/** Share of `revokeMs` after which a node without the store sends new connections elsewhere. */
+const READY_SHARE = 0.6;
+const OFFSET_KEY = "time/offset";
+const OFFSET_RETRY_MS = 200;
+/** After a signal new connections may still arrive until the balancer has asked twice. */
+const LISTEN_AFTER_SIGNAL_MS = 3_500;
+const DRAIN_STEP_MS = 100;
+/** Share of the grace time after which what is open is given up. */
+const GRACE_SHARE = 0.97;
+
+/**
+ * Runs a gateway until a signal ends it.
+ *
+ * @param settings - Its settings
+ * @param platform - The platform, as its folder adapts it
+ * @param metricsPort - Port of the metrics on the node's address
+ * @returns The exit code
+ * @example
+ * process.exitCode = await runGateway(settings, platform, 7_615);
+ */
+export async function runGateway(settings: GatewaySettings, platform: GatewayPlatform, metricsPort: number): Promise<number> {
+    const clock = createSystemClock();
+    const random = createUnpredictableRandom();
+    const log = createLog({ format: LogFormat.Json, write: line => void process.stdout.write(`${line}\n`) }).withFields({
+        node: settings.nodeName,
+    });
+    log.info("gateway started", { isFirstStart: settings.isFirstStart });
+    const whenTold = waitForSignal();
+    const trueTime = createTrueTime(clock);
+    const configuration = createConfigurationHolder(clock, log);
+    const directory = createEndpointDirectory(settings, clock, log);
+    const speeds = createServiceSpeeds();
+    const demand = createDemandMeter(clock);
+    const usage = createUsageMeter(trueTime, settings.bounds.usageWindowMs);
+    const metrics = createGatewayMetrics();
+    configuration.watchConfiguration(view => metrics.setConfigurationVersion(view.configuration.version));
+    const quotas = createAccountQuotas(
+        settings.bounds.quotaWindowMs,
+        settings.isFirstStart ? undefined : clock.readMonotonicMs(),
+    );
+    const [peerPort] = settings.internalPorts;
+    const membership = createMembership({
+        node: settings.nodeName,
+        address: settings.address,
+        port: peerPort,
+        windowMs: settings.bounds.usageWindowMs,
+        table: platform.tables,
+        trueTime,
+        usage,
+        clock,
+        random,
+        log,
+    });
+    const peers = createPeerExchange({
+        node: settings.nodeName,
+        address: settings.address,
+        port: peerPort,
+        membership,
+        quotas,
+        readLoads: demand.readLoads,
+        clock,
+        log,
+    });
+    const parts: GatewayParts = {
+        settings,
+        clock,
+        random,
+        log,
+        metrics,
+        codec: platform.codec,
+        configuration,
+        directory,
+        speeds,
+        usage,
+        demand,
+        peers,
+    };
+    startTableWatch({
+        table: platform.configurationTable,
+        port: platform.tables,
+        clock,
+        random,
+        log,
+        waitMs: CONFIGURATION_WAIT_MS,
+        handleRows: rows => rows.flatMap(row => platform.decodeConfigurationRow(row) ?? []).forEach(configuration.applyConfiguration),
+        handleConfirmed: (sentAt, answer) => {
+            configuration.recordConfirmed(sentAt);
+            trueTime.recordStoreClock(answer.storeNowMs);
+        },
+    });
+    startTableWatch({
+        table: platform.endpointTable,
+        port: platform.tables,
+        clock,
+        random,
+        log,
+        waitMs: ENDPOINTS_WAIT_MS,
+        handleRows: (rows, isWholeTable, wasStoreAway) => {
+            const entries = rows.map(row => ({ id: row.key, endpoint: platform.decodeEndpointRow(row) }));
+            if (isWholeTable) {
+                directory.replaceAll(entries, wasStoreAway);
+            } else {
+                entries.forEach(entry => directory.applyEntry(entry, wasStoreAway));
+            }
+        },
+        handleConfirmed: (_sentAt, answer) => trueTime.recordStoreClock(answer.storeNowMs),
+    });
+    void agreeOnTime(platform.tables, trueTime, clock.waitMs, log);
+    if (platform.cloud !== undefined) {
+        startDuties(parts, platform, membership, trueTime);
+    }
+    const listener = createGatewayListener({ parts, forwarder: createForwarder(parts), quotas });
+    let isLeaving = false;
+    const isReady = () =>
+        !isLeaving &&
+        configuration.readCurrent() !== undefined &&
+        directory.isKnown() &&
+        configuration.computeAgeMs() < settings.bounds.revokeMs * READY_SHARE;
+    const readiness = createReadinessListener(isReady);
+    const metricsListener = http.createServer((request, response) => {
+        request.resume();
+        void metrics.formatMetrics().then(text => response.end(text));
+    });
+    await Promise.all([
+        startListening(listener.server, settings.callers),
+        startListening(readiness, settings.readiness),
+        startListening(metricsListener, { address: settings.address, port: metricsPort }),
+    ]);
+    log.info("gateway listens", { startMs: Math.round(process.uptime() * 1_000) });
+
+    const signal = await whenTold;
+    isLeaving = true;
+    const leavingAtMs = clock.readMonotonicMs();
+    log.info("gateway leaves", { signal, open: listener.countOpen() });
+    listener.beginDrain();
+    const passedMs = () => clock.readMonotonicMs() - leavingAtMs;
+    while (passedMs() < settings.bounds.graceMs * GRACE_SHARE) {
+        await new Promise(resolve => setTimeout(resolve, DRAIN_STEP_MS));
+        if (passedMs() > LISTEN_AFTER_SIGNAL_MS) {
+            listener.closeIdle();
+            if (listener.countOpen() === 0) {
+                break;
+            }
+        }
+    }
+    log.info("gateway ended", { cut: listener.countOpen(), drainMs: Math.round(passedMs()) });
+    return listener.countOpen() === 0 ? 0 : 1;
+}
+
+function startDuties(parts: GatewayParts, platform: GatewayPlatform, membership: ReturnType<typeof createMembership>, trueTime: TrueTime) {
+    const { settings, clock, log } = parts;
+    const { cloud, tables: table } = platform;
+    if (cloud === undefined) {
+        return;
+    }
+    const { usageWindowMs: windowMs, usageDueMs: dueMs, leaseMs } = settings.bounds;
+    const creators = {
+        [DutyKind.Usage]: () => createUsageDuty({ windowMs, dueMs, cloud, table, membership, trueTime, log }),
+        [DutyKind.Fleet]: () => createFleetDuty({ ...parts, cloud, failureDomains: Object.keys(settings.regions) }),
+    };
+    const duties = settings.duties.map(kind => creators[kind]());
+    startDutyHolder({ node: settings.nodeName, leaseMs, table, membership, duties, clock, log });
+}
+
+/** Agrees with the other nodes on the difference between the time of day and the store's clock; the first one sets it. */
+async function agreeOnTime(table: TablePort, trueTime: TrueTime, waitMs: (ms: number) => Promise<void>, log: Log): Promise<void> {
+    while (!trueTime.hasAgreedOffset()) {
+        const stored = await table.readRow(OFFSET_KEY);
+        const measured = trueTime.measureOffsetMs();
+        if (stored.isOk() && stored.value !== undefined) {
+            trueTime.setAgreedOffset(Number(stored.value.value));
+            log.info("time agreed", { offsetMs: Number(stored.value.value), measuredMs: measured });
+        } else if (stored.isOk() && measured !== undefined) {
+            await table.commitTransaction({
+                token: ulid(),
+                conditions: [{ key: OFFSET_KEY, version: undefined }],
+                writes: [{ key: OFFSET_KEY, value: String(measured) }],
+            });
+        } else {
+            await waitMs(OFFSET_RETRY_MS);
+        }
+    }
+}
+
+function waitForSignal(): Promise<string> {
+    return new Promise(resolve => {
+        process.on("SIGTERM", () => resolve("SIGTERM"));
+        process.on("SIGINT", () => resolve("SIGINT"));
+        process.on("SIGHUP", () => undefined);
+    });
+}
--- /dev/null
+++ b/src/gateway/sendAttempt.ts
@@ -0,0 +1,215 @@
+/**
+ * @module One attempt to have a request executed at an endpoint.
+ */
+import http from "node:http";
+import { describeError } from "../adapters/_lib/describeError";
+import { trackSentBytes } from "../adapters/_lib/trackSentBytes";
+import { AttemptEnd } from "../decisions/gateway/decideAttemptStep";
+import type { AnswerHead, ForwardingCodec } from "../ports/forwardingCodec";
+import { CONNECT_TIMEOUT_MS } from "./constants";
+import { createEventSplitter } from "./createEventSplitter";
+import type { RelayedHead, StreamRelay } from "./createStreamRelay";
+import type { EndpointRecord } from "./endpointRecord";
+
+/** What is sent, where to, and who is told of its course. */
+export interface AttemptOptions {
+    readonly record: EndpointRecord;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: readonly (readonly [string, string])[];
+    readonly body: Buffer | undefined;
+    readonly requestId: string | undefined;
+    readonly codec: ForwardingCodec;
+    readonly relay: StreamRelay;
+    /** Idle time up to which a kept connection may be used. */
+    readonly freshMs: number | undefined;
+    /** Longest wait for the head of an answer, and between two events; absent: until the attempt is ended from outside. */
+    readonly patienceMs: number | undefined;
+    readonly eventPatienceMs: number | undefined;
+    /** Ends the attempt when the caller leaves or the time is over. */
+    readonly ended: AbortSignal;
+    readonly handleAnswerHead: (head: AnswerHead) => void;
+    /** Called when the first event, or else the whole answer, is at hand. */
+    readonly handleFirstPart: () => void;
+}
+
+/** An answer at hand, not relayed yet. */
+export interface WholeAnswer extends RelayedHead {
+    readonly body: Buffer;
+    /** True if the endpoint signed it. */
+    readonly isSealed: boolean;
+}
+
+/** How an attempt ended. */
+export interface AttemptResult {
+    readonly end: AttemptEnd;
+    readonly answer?: WholeAnswer;
+    /** For logs. */
+    readonly reason: string;
+}
+
+const EVENT_STREAM = /^text\/event-stream\b/i;
+const FIRST_FAILURE_STATUS = 300;
+/** Statuses by which an endpoint may only say that it did not execute a request. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * Sends a request to an endpoint. Streams are relayed while they arrive; other answers are read whole.
+ *
+ * @param options - The attempt
+ * @returns How it ended; the promise never rejects
+ * @example
+ * const result = await sendAttempt(options);
+ */
+export function sendAttempt(options: AttemptOptions): Promise<AttemptResult> {
+    return new Promise(resolve => {
+        const { record, ended } = options;
+        const request = http.request({
+            host: record.endpoint.target.address,
+            port: record.endpoint.target.port,
+            method: options.method,
+            path: options.path,
+            headers: options.headers.flat(),
+            agent: record.connections.prepareAgent(options.freshMs),
+        });
+        let isSettled = false;
+        let timer = setTimeout(() => settle({ end: AttemptEnd.NotSent, reason: "no connection in time" }), CONNECT_TIMEOUT_MS);
+        const beginWait = (delayMs: number | undefined, reason: string) => {
+            clearTimeout(timer);
+            if (delayMs !== undefined && !isSettled) {
+                timer = setTimeout(() => settle(describeLoss(options, reason)), delayMs);
+            }
+        };
+        const settle = (result: AttemptResult, keepsConnection = false) => {
+            if (isSettled) {
+                return;
+            }
+            isSettled = true;
+            clearTimeout(timer);
+            ended.removeEventListener("abort", abandon);
+            if (!keepsConnection) {
+                request.destroy();
+            }
+            resolve(result);
+        };
+        const abandon = () =>
+            settle({
+                end: ended.reason === AttemptEnd.TimedOut ? AttemptEnd.TimedOut : AttemptEnd.CallerGone,
+                reason: "ended from outside",
+            });
+        const sent = trackSentBytes(request, () => beginWait(options.patienceMs, "no answer in time"));
+        request.on("error", error =>
+            settle(
+                sent.hasSentBytes()
+                    ? describeLoss(options, describeError(error))
+                    : { end: AttemptEnd.NotSent, reason: describeError(error) },
+            ),
+        );
+        request.on("response", response => {
+            clearTimeout(timer);
+            handleResponse(options, response, settle, beginWait);
+        });
+        if (ended.aborted) {
+            abandon();
+            return;
+        }
+        ended.addEventListener("abort", abandon);
+        request.end(options.body);
+    });
+}
+
+type Settle = (result: AttemptResult, keepsConnection?: boolean) => void;
+
+function handleResponse(
+    options: AttemptOptions,
+    response: http.IncomingMessage,
+    settle: Settle,
+    beginWait: (delayMs: number | undefined, reason: string) => void,
+): void {
+    const status = response.statusCode ?? 0;
+    const head = options.codec.readAnswerHead(status, response.headers);
+    response.on("error", error => settle(describeLoss(options, describeError(error))));
+    response.on("aborted", () => settle(describeLoss(options, "the answer broke off")));
+    if (head.requestId !== undefined && head.requestId !== options.requestId) {
+        settle(describeLoss(options, "the answer belongs to another request"));
+        return;
+    }
+    options.handleAnswerHead(head);
+    if (head.isNotExecuted) {
+        settle({ end: AttemptEnd.NotExecuted, reason: `not executed, status ${status}` }, true);
+        response.resume();
+        return;
+    }
+    const relayed = { status, headers: options.codec.buildCallerHeaders(response.rawHeaders) };
+    const isUsable = status < FIRST_FAILURE_STATUS ? head.isSealed && !head.isForeignBody : !PROMISING_STATUSES.has(status);
+    if (!isUsable) {
+        settle(describeLoss(options, `unusable answer, status ${status}`));
+        return;
+    }
+    const isStream = status < FIRST_FAILURE_STATUS && EVENT_STREAM.test(response.headers["content-type"] ?? "");
+    if (isStream) {
+        relayStream(options, response, relayed, settle, beginWait);
+    } else {
+        readWhole(options, response, { ...relayed, isSealed: head.isSealed }, settle);
+    }
+}
+
+function relayStream(
+    options: AttemptOptions,
+    response: http.IncomingMessage,
+    head: RelayedHead,
+    settle: Settle,
+    beginWait: (delayMs: number | undefined, reason: string) => void,
+): void {
+    const splitter = createEventSplitter();
+    let hasFirst = false;
+    beginWait(options.patienceMs, "no event in time");
+    response.on("data", (chunk: Buffer) => {
+        const batch = splitter.push(chunk);
+        if (batch === undefined || options.ended.aborted) {
+            return;
+        }
+        if (!hasFirst) {
+            hasFirst = true;
+            options.handleFirstPart();
+        }
+        beginWait(options.eventPatienceMs, "no further event in time");
+        if (!options.relay.relayEvents(head, batch)) {
+            settle({ end: AttemptEnd.Broken, reason: "events don't follow those before" });
+        } else if (options.relay.waitForRoom(() => response.resume())) {
+            response.pause();
+        }
+    });
+    response.on("end", () => {
+        if (!response.complete || splitter.takeRest().length > 0) {
+            settle(describeLoss(options, "the stream broke off"));
+            return;
+        }
+        options.relay.endRelay(head);
+        settle({ end: AttemptEnd.Relayed, reason: "complete" }, true);
+    });
+}
+
+function readWhole(
+    options: AttemptOptions,
+    response: http.IncomingMessage,
+    head: Omit<WholeAnswer, "body">,
+    settle: Settle,
+): void {
+    const chunks: Buffer[] = [];
+    response.on("data", (chunk: Buffer) => void chunks.push(chunk));
+    response.on("end", () => {
+        if (!response.complete) {
+            settle(describeLoss(options, "the answer broke off"));
+            return;
+        }
+        options.handleFirstPart();
+        const answer = { ...head, body: Buffer.concat(chunks) };
+        settle({ end: AttemptEnd.Answered, answer, reason: `status ${head.status}` }, true);
+    });
+}
+
+/** Before anything is relayed an attempt is lost; after it, the stream is broken. */
+function describeLoss(options: AttemptOptions, reason: string): AttemptResult {
+    return { end: options.relay.hasBegun() ? AttemptEnd.Broken : AttemptEnd.Lost, reason };
+}
--- /dev/null
+++ b/src/gateway/startDutyHolder.ts
@@ -0,0 +1,120 @@
+/**
+ * @module Holding the duties: one node at a time reports usage and orders endpoints.
+ */
+import type { Clock } from "../base/clock";
+import { type Step, superviseTask, waitFor } from "../base/csp";
+import type { Disposable } from "../base/disposableStore";
+import { computeElapsedMs, readInstant } from "../base/instant";
+import type { Log } from "../base/log/log";
+import type { TablePort } from "../ports/table";
+import type { DutyHolder } from "../ports/duties";
+import { createLeaseTask } from "../tasks/leases/createLeaseTask";
+import type { LeaseHandle } from "../tasks/leases/leaseClient";
+import type { Membership } from "./createMembership";
+
+const LEASE_NAME = "duties";
+/** Added to the least length of a lease, so that no two holders act within it. */
+const LEASE_EXTRA_MS = 500;
+const STEP_MS = 250;
+/** Nodes that try to become the holder; the others leave the store alone. */
+const CANDIDATES = 3;
+const CANDIDATE_WAIT_MS = 5_000;
+/** Time that a call may take; the lease has to outlast it. */
+const CALL_MS = 1_100;
+/** Between two steps more than this can't pass unless the machine was stopped. */
+const STOPPED_MS = 1_500;
+
+/** Gives the holder if this node may act right now; asked right before each call. */
+export type CheckHolder = () => DutyHolder | undefined;
+
+/** A duty. */
+export interface Duty {
+    /** Called at the start of each term of this node. */
+    beginTerm(): void;
+    /** Does what is due. */
+    runStep(check: CheckHolder): Promise<void>;
+}
+
+/** What holding the duties needs. */
+export interface DutyHolderOptions {
+    readonly node: string;
+    readonly leaseMs: number;
+    readonly table: TablePort;
+    readonly membership: Membership;
+    readonly duties: readonly Duty[];
+    readonly clock: Clock;
+    readonly log: Log;
+}
+
+/**
+ * Starts to try for the duties, and to carry them out while this node holds them. The lease is never released early:
+ * its end is waited for, so that holders never alternate within its length.
+ *
+ * @param options - What is needed
+ * @returns Dispose of it to stop
+ * @example
+ * startDutyHolder({ node, leaseMs, table, membership, duties, clock, log });
+ */
+export function startDutyHolder(options: DutyHolderOptions): Disposable {
+    const { clock, log, membership, node } = options;
+    const durationMs = options.leaseMs + LEASE_EXTRA_MS;
+    let isStopped = false;
+
+    const isCandidate = () => {
+        const names = membership.listMembers().map(member => member.node);
+        return names.indexOf(node) < CANDIDATES;
+    };
+    const holdTerm = function* (lease: LeaseHandle): Step<void> {
+        let steppedAt = readInstant(clock);
+        const wasStopped = () => computeElapsedMs(steppedAt, readInstant(clock)) > STOPPED_MS;
+        const check = () => (!wasStopped() && !isStopped && lease.checkHeld(CALL_MS).isOk() ? { node, epoch: lease.epoch } : undefined);
+        options.duties.forEach(duty => duty.beginTerm());
+        while (!isStopped && lease.checkHeld().isOk()) {
+            for (const duty of options.duties) {
+                yield* waitFor(duty.runStep(() => toHolder(check())));
+                if (wasStopped()) {
+                    return;
+                }
+                steppedAt = readInstant(clock);
+            }
+            yield* waitFor(clock.waitMs(STEP_MS));
+            if (wasStopped()) {
+                return;
+            }
+            steppedAt = readInstant(clock);
+        }
+    };
+    const run = function* (): Step<void> {
+        while (!isStopped) {
+            if (!isCandidate()) {
+                yield* waitFor(clock.waitMs(STEP_MS * 4));
+                continue;
+            }
+            const leases = createLeaseTask({ nodeId: node, table: options.table, clock });
+            const lease = yield* waitFor(leases.acquireLease(LEASE_NAME, { durationMs, waitMs: CANDIDATE_WAIT_MS }));
+            if (lease.isErr()) {
+                log.debug("duties not held", { reason: lease.error.message });
+                leases.dispose();
+                yield* waitFor(clock.waitMs(STEP_MS));
+                continue;
+            }
+            log.info("duties held", { epoch: lease.value.epoch });
+            yield* holdTerm(lease.value);
+            leases.dispose();
+            log.info("duties no longer held", { epoch: lease.value.epoch });
+        }
+    };
+    void superviseTask("duties", run, {
+        clock,
+        reportFailure: (name, failure) => log.error("task failed", { name, reason: failure.message }),
+    });
+    return {
+        dispose: () => {
+            isStopped = true;
+        },
+    };
+}
+
+function toHolder(held: { readonly node: string; readonly epoch: number } | undefined): DutyHolder | undefined {
+    return held === undefined ? undefined : { nodeName: held.node, epoch: held.epoch };
+}
--- a/src/http/sendFailure.ts
+++ b/src/http/sendFailure.ts
@@ -19,17 +19,24 @@
  * @param response - Where to
  * @param failure - The failure
  * @param requestId - The request's id, where one was given out
+ * @param options - `hasFractionalSeconds`: true for callers that take fractions of a second as a retry hint
  * @example
  * sendFailure(response, createFailure(FailureKind.NotFound, "No such job."), requestId);
  */
-export function sendFailure(response: ServerResponse, failure: Failure, requestId?: string): void {
+export function sendFailure(
+    response: ServerResponse,
+    failure: Failure,
+    requestId?: string,
+    options: { readonly hasFractionalSeconds?: boolean } = {},
+): void {
     if (response.headersSent) {
         response.destroy();
         return;
     }
     const headers: Record<string, string> = {};
     if (failure.retryAfterMs !== undefined) {
-        headers["retry-after"] = String(Math.ceil(failure.retryAfterMs / MS_PER_SECOND));
+        const seconds = failure.retryAfterMs / MS_PER_SECOND;
+        headers["retry-after"] = String(options.hasFractionalSeconds === true ? seconds : Math.ceil(seconds));
         headers["retry-after-ms"] = String(Math.ceil(failure.retryAfterMs));
     }
     if (failure.kind === FailureKind.Unauthenticated) {
