--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -55,6 +55,7 @@
     const { cloud, configuration, directory, peers, speeds, clock, log } = options;
     const orders = new Map<string, OrderState>();
     const needs = new Map<string, NeedState>();
+    const loggedNeeds = new Map<string, number>();
     let nextPlanMs = 0;
 
     const readOrder = (service: string, failureDomain: string, isReclaimable: boolean): OrderState => {
@@ -98,6 +99,14 @@
         needs.set(service.name, { need, atMs: nowMs });
         return need;
     };
+    const logNeed = (service: string, need: number) => {
+        const rounded = Math.round(need * 2) / 2;
+        if (loggedNeeds.get(service) !== rounded) {
+            loggedNeeds.set(service, rounded);
+            const { tokensPerMs } = speeds.readSpeed(service);
+            log.info("endpoints needed", { service, need: rounded, tokensPerMs: Math.round(tokensPerMs) });
+        }
+    };
     const sendOrder = async (order: FleetOrder, check: CheckHolder) => {
         const holder = check();
         if (holder === undefined) {
@@ -124,6 +133,7 @@
     const planService = async (service: GatewayService, bounds: FleetBounds, check: CheckHolder) => {
         const need = updateNeed(service);
         const fleet = describeFleet(service.name, bounds);
+        logNeed(service.name, need);
         for (const plan of planGatewayFleet(need, fleet, bounds)) {
             const now = fleet.find(domain => domain.failureDomain === plan.failureDomain);
             const steps: readonly FleetOrder[] = [
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -25,6 +25,7 @@
 
 /** Least time that must be left for another attempt. */
 const LEAST_ATTEMPT_MS = 60;
+const FIRST_FAILURE_STATUS = 500;
 /** Share of the objective after which a request that may be repeated is sent to another endpoint. */
 const PATIENCE_SHARE = 0.9;
 /** Longest pause inside a stream that may be resumed, in multiples of the route's target. */
@@ -189,7 +190,7 @@
             }
             parts.metrics.countAttempt(exchange.service, result.end);
             const step = decideNext(course, result);
-            if (step !== AttemptStep.Finish || result.end !== AttemptEnd.Relayed) {
+            if (!isOrdinary(result)) {
                 logAttempt(parts, course, record, result, step);
             }
             if (step !== AttemptStep.SendAgain) {
@@ -268,7 +269,7 @@
 > = {
     [AttemptEnd.Relayed]: (record, nowMs) => recordAttemptOutcome(record, false, nowMs),
     [AttemptEnd.Answered]: (record, nowMs, result) =>
-        recordAttemptOutcome(record, (result.answer?.status ?? 0) >= 500, nowMs),
+        recordAttemptOutcome(record, (result.answer?.status ?? 0) >= FIRST_FAILURE_STATUS, nowMs),
     [AttemptEnd.NotSent]: (record, nowMs) => {
         recordUnreachable(record, nowMs);
         record.connections.dropIdle();
@@ -285,6 +286,12 @@
     },
 };
 
+/** Tells whether an attempt came to a success, which isn't logged for itself. */
+function isOrdinary(result: AttemptResult): boolean {
+    const isSuccess = result.end === AttemptEnd.Answered && (result.answer?.status ?? 0) < FIRST_FAILURE_STATUS;
+    return result.end === AttemptEnd.Relayed || isSuccess;
+}
+
 function hasBodyHeader({ request }: GatewayExchange): boolean {
     return request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
 }
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -13,14 +13,14 @@
 import { buildMemberKey, decodeMember, MEMBER_PREFIX, type MemberRecord } from "./memberRecord";
 
 /** Time between two writes of the row while counts change, and while they don't. */
-const WRITE_PERIOD_MS = 1_250;
-const QUIET_WRITE_PERIOD_MS = 2_500;
+const WRITE_PERIOD_MS = 2_400;
+const QUIET_WRITE_PERIOD_MS = 4_000;
 /** Time between two looks at the others' rows; the first ones come sooner. */
-const LIST_PERIOD_MS = 4_000;
+const LIST_PERIOD_MS = 8_000;
 const FIRST_LIST_PERIOD_MS = 1_000;
-const FIRST_LISTS = 4;
+const FIRST_LISTS = 2;
 /** A row that was not written for this long belongs to no live node: a node without the store serves no longer. */
-const LIVE_MS = 7_000;
+const LIVE_MS = 9_000;
 const STEP_MS = 125;
 /** Nodes assumed until the first list was read. */
 const UNKNOWN_NODES = 16;
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -43,8 +43,8 @@
     readonly decodeEndpointRow: (row: WatchedRow) => GatewayEndpoint | undefined;
 }
 
-const CONFIGURATION_WAIT_MS = 1_000;
-const ENDPOINTS_WAIT_MS = 2_000;
+const CONFIGURATION_WAIT_MS = 1_500;
+const ENDPOINTS_WAIT_MS = 2_500;
 /** Share of `revokeMs` after which a node without the store sends new connections elsewhere. */
 const READY_SHARE = 0.6;
 const OFFSET_KEY = "time/offset";
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/startDutyHolder.ts
@@ -17,7 +17,7 @@
 const LEASE_EXTRA_MS = 500;
 const STEP_MS = 250;
 /** Nodes that try to become the holder; the others leave the store alone. */
-const CANDIDATES = 3;
+const CANDIDATES = 2;
 const CANDIDATE_WAIT_MS = 5_000;
 /** Time that a call may take; the lease has to outlast it. */
 const CALL_MS = 1_100;
