--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -51,7 +51,8 @@
     return {
         charge: (account, amount, peers, nowMs) => {
             if (account.quotaPerSecond > 0) {
-                const limit = computeLimit(account, windowMs) * computeShare(peers) * computeRamp(startedAtMs, windowMs, nowMs);
+                const limit =
+                    computeLimit(account, windowMs) * computeShare(peers) * computeRamp(startedAtMs, windowMs, nowMs);
                 if (readCount(account.name).sum(nowMs) + amount > limit) {
                     return false;
                 }
--- a/src/decisions/gateway/chooseEndpoint.ts
+++ b/src/decisions/gateway/chooseEndpoint.ts
@@ -67,7 +67,10 @@
     random: Random,
 ): string | undefined {
     const preferred = findPreferred(views, request.promptParts);
-    const scored = views.map(view => ({ id: view.id, ms: estimateAnswerMs(view, request, speed, view.id === preferred) }));
+    const scored = views.map(view => ({
+        id: view.id,
+        ms: estimateAnswerMs(view, request, speed, view.id === preferred),
+    }));
     const bestMs = Math.min(...scored.map(({ ms }) => ms));
     const equal = scored.filter(({ ms }) => ms <= bestMs + EQUAL_MS);
     return equal[random.drawInteger(0, Math.max(0, equal.length - 1))]?.id;
--- a/src/decisions/gateway/decideAttemptStep.ts
+++ b/src/decisions/gateway/decideAttemptStep.ts
@@ -80,7 +80,7 @@
     [AttemptEnd.CallerGone]: () => AttemptStep.Finish,
     [AttemptEnd.Answered]: (route, state) => {
         const hasFailed = (state.status ?? 0) >= FIRST_FAILURE_STATUS;
-        return hasFailed && canExecuteAgain(route, state) ? AttemptStep.SendAgain : AttemptStep.Relay;
+        return hasFailed && isRepeatAllowed(route, state) ? AttemptStep.SendAgain : AttemptStep.Relay;
     },
     [AttemptEnd.NotSent]: (_route, state) => {
         const canSend = state.hasTime && state.sends < SENDS_MAX;
@@ -90,12 +90,13 @@
         const canSend = state.hasTime && state.sends < SENDS_MAX && state.chargeSend();
         return canSend ? AttemptStep.SendAgain : chooseEnd(state);
     },
-    [AttemptEnd.Lost]: (route, state) => (canExecuteAgain(route, state) ? AttemptStep.SendAgain : AttemptStep.Fail),
-    [AttemptEnd.Broken]: (route, state) => (canExecuteAgain(route, state) ? AttemptStep.SendAgain : AttemptStep.BreakOff),
+    [AttemptEnd.Lost]: (route, state) => (isRepeatAllowed(route, state) ? AttemptStep.SendAgain : AttemptStep.Fail),
+    [AttemptEnd.Broken]: (route, state) =>
+        isRepeatAllowed(route, state) ? AttemptStep.SendAgain : AttemptStep.BreakOff,
     [AttemptEnd.TimedOut]: () => AttemptStep.Fail,
 };
 
-function canExecuteAgain(route: GatewayRoute, state: AttemptState): boolean {
+function isRepeatAllowed(route: GatewayRoute, state: AttemptState): boolean {
     const isAllowed = isRepeatable(route) && state.executions < route.attemptsMax && state.sends < SENDS_MAX;
     return isAllowed && state.hasTime && state.chargeSend();
 }
--- a/src/decisions/gateway/planGatewayFleet.ts
+++ b/src/decisions/gateway/planGatewayFleet.ts
@@ -62,10 +62,14 @@
  * @example
  * planGatewayFleet(3.6, fleet, service.fleet);
  */
-export function planGatewayFleet(need: number, fleet: readonly DomainFleet[], bounds: FleetBounds): readonly DomainPlan[] {
+export function planGatewayFleet(
+    need: number,
+    fleet: readonly DomainFleet[],
+    bounds: FleetBounds,
+): readonly DomainPlan[] {
     const byPrice = [...fleet].sort((left, right) => readPrice(bounds, left) - readPrice(bounds, right));
     if (bounds.reclaimablePrice === undefined) {
-        return spreadOnDemand(Math.ceil(need), byPrice, bounds, new Map());
+        return planOnDemand(Math.ceil(need), byPrice, bounds, new Map());
     }
     const perDomain = Math.ceil(need / Math.max(1, fleet.length - 1));
     const reclaimable = new Map(
@@ -74,12 +78,14 @@
             return [domain.failureDomain, domain.isReclaimableRefused ? Math.min(wanted, domain.reclaimable) : wanted];
         }),
     );
-    const covered = sumOf(fleet.map(domain => Math.min(domain.reclaimable, reclaimable.get(domain.failureDomain) ?? 0)));
+    const covered = sumOf(
+        fleet.map(domain => Math.min(domain.reclaimable, reclaimable.get(domain.failureDomain) ?? 0)),
+    );
     const least = Math.ceil(need * ON_DEMAND_SHARE);
-    return spreadOnDemand(Math.max(least, Math.ceil(need - covered)), byPrice, bounds, reclaimable);
+    return planOnDemand(Math.max(least, Math.ceil(need - covered)), byPrice, bounds, reclaimable);
 }
 
-function spreadOnDemand(
+function planOnDemand(
     count: number,
     byPrice: readonly DomainFleet[],
     bounds: FleetBounds,
--- /dev/null
+++ b/src/gateway/_testing/runAttempt.ts
@@ -0,0 +1,97 @@
+/**
+ * @module Runs one attempt at an endpoint, with a caller on loopback that receives what is relayed.
+ */
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+import { PLATFORM_CODEC } from "../../../platform/forwardingCodec";
+import type { HttpTarget } from "../../adapters/_lib/httpTarget";
+import { createSystemClock } from "../../base/createSystemClock";
+import { createStreamRelay } from "../createStreamRelay";
+import { createEndpointRecord, type EndpointRecord } from "../endpointRecord";
+import { type AttemptOptions, type AttemptResult, sendAttempt } from "../sendAttempt";
+
+/** What an attempt came to, on both sides. */
+export interface ObservedAttempt {
+    readonly result: AttemptResult;
+    /** What the caller received of a stream. */
+    readonly received: string;
+    /** True if the caller's answer ended as complete. */
+    readonly isComplete: boolean;
+}
+
+/** Creates the record of an endpoint on loopback. */
+export function makeRecord(target: HttpTarget, id = "i-1"): EndpointRecord {
+    const endpoint = {
+        id,
+        service: "chat",
+        target,
+        failureDomain: "hobart-1",
+        version: "v1",
+        slots: 4,
+        isDraining: false,
+        isReclaimable: false,
+        startedAtMs: undefined,
+    };
+    return createEndpointRecord(endpoint, { roundTripMs: 0, penaltyMs: 0 }, createSystemClock());
+}
+
+/**
+ * Sends a request with the id `attempt-1` to an endpoint.
+ *
+ * @param record - The endpoint
+ * @param options - Anything to set otherwise
+ * @returns What came of it
+ * @example
+ * const { result } = await runAttempt(makeRecord(endpoint));
+ */
+export async function runAttempt(
+    record: EndpointRecord,
+    options: Partial<AttemptOptions> = {},
+): Promise<ObservedAttempt> {
+    let resolveResult: (result: AttemptResult) => void;
+    const whenResult = new Promise<AttemptResult>(resolve => {
+        resolveResult = resolve;
+    });
+    const server = http.createServer((_request, response) => {
+        void sendAttempt({
+            record,
+            method: "GET",
+            path: "/a/b",
+            headers: [
+                ["Host", "news.example"],
+                ["Redwinglift-Attempt-Id", "attempt-1"],
+            ],
+            body: undefined,
+            requestId: "attempt-1",
+            codec: PLATFORM_CODEC,
+            relay: createStreamRelay(response),
+            freshMs: undefined,
+            patienceMs: undefined,
+            eventPatienceMs: undefined,
+            ended: new AbortController().signal,
+            handleAnswerHead: () => undefined,
+            handleFirstPart: () => undefined,
+            ...options,
+        }).then(result => {
+            resolveResult(result);
+            if (!response.writableEnded) {
+                response.destroy();
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const port = (server.address() as AddressInfo).port;
+    const caller = new Promise<{ received: string; isComplete: boolean }>(resolve => {
+        const request = http.get({ host: "127.0.0.1", port, agent: false }, response => {
+            let received = "";
+            response.on("data", chunk => (received += String(chunk)));
+            response.on("error", () => undefined);
+            response.on("close", () => resolve({ received, isComplete: response.complete }));
+        });
+        request.on("error", () => resolve({ received: "", isComplete: false }));
+    });
+    const [result, observed] = await Promise.all([whenResult, caller]);
+    server.close();
+    record.connections.dispose();
+    return { result, ...observed };
+}
--- a/src/gateway/createConfigurationHolder.ts
+++ b/src/gateway/createConfigurationHolder.ts
@@ -77,7 +77,9 @@
     return {
         configuration,
         routes: buildRouteTable(configuration.routes),
-        accountsByKey: new Map(configuration.accounts.flatMap(account => account.keys.map(key => [key, account] as const))),
+        accountsByKey: new Map(
+            configuration.accounts.flatMap(account => account.keys.map(key => [key, account] as const)),
+        ),
         services: new Map(configuration.services.map(service => [service.name, service])),
     };
 }
--- a/src/gateway/createEndpointConnections.ts
+++ b/src/gateway/createEndpointConnections.ts
@@ -85,6 +85,6 @@
     public override reuseSocket(socket: Socket, request: http.ClientRequest): void {
         this.guard.endIdle(socket);
         socket.setTimeout(0);
-        request.reusedSocket = true;
+        super.reuseSocket(socket, request);
     }
 }
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -67,9 +67,16 @@
     const countPresent = (service: string, failureDomain: string, isReclaimable: boolean): number =>
         directory
             .listUsable(service)
-            .filter(({ endpoint }) => endpoint.failureDomain === failureDomain && endpoint.isReclaimable === isReclaimable).length;
+            .filter(
+                ({ endpoint }) => endpoint.failureDomain === failureDomain && endpoint.isReclaimable === isReclaimable,
+            ).length;
     /** What serves, or was ordered so recently that it may still be starting. */
-    const countExpected = (service: string, failureDomain: string, isReclaimable: boolean, bounds: FleetBounds): number => {
+    const countExpected = (
+        service: string,
+        failureDomain: string,
+        isReclaimable: boolean,
+        bounds: FleetBounds,
+    ): number => {
         const order = readOrder(service, failureDomain, isReclaimable);
         const present = countPresent(service, failureDomain, isReclaimable);
         const isStarting = clock.readMonotonicMs() - order.orderedAtMs < (bounds.bootSeconds + 2) * MS_PER_S;
@@ -137,8 +144,18 @@
         for (const plan of planGatewayFleet(need, fleet, bounds)) {
             const now = fleet.find(domain => domain.failureDomain === plan.failureDomain);
             const steps: readonly FleetOrder[] = [
-                { service: service.name, failureDomain: plan.failureDomain, count: plan.reclaimable, isReclaimable: true },
-                { service: service.name, failureDomain: plan.failureDomain, count: plan.onDemand, isReclaimable: false },
+                {
+                    service: service.name,
+                    failureDomain: plan.failureDomain,
+                    count: plan.reclaimable,
+                    isReclaimable: true,
+                },
+                {
+                    service: service.name,
+                    failureDomain: plan.failureDomain,
+                    count: plan.onDemand,
+                    isReclaimable: false,
+                },
             ];
             for (const order of steps) {
                 const expected = (order.isReclaimable ? now?.reclaimable : now?.onDemand) ?? 0;
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -215,7 +215,7 @@
         return { isRelayed: true };
     }
     if (step === AttemptStep.Relay && result.answer !== undefined) {
-        relayWhole(course.exchange, result.answer);
+        sendWholeAnswer(course.exchange, result.answer);
         return { isRelayed: true };
     }
     if (step === AttemptStep.Finish || step === AttemptStep.BreakOff || course.relay.hasBegun()) {
@@ -224,11 +224,15 @@
     return { isRelayed: false, failure: step === AttemptStep.Refuse ? REFUSED : describeFailure(result) };
 }
 
-const REFUSED = createFailure(FailureKind.NoEndpoint, "No endpoint took the request.", { retryAfterMs: RETRY_AFTER_MS });
+const REFUSED = createFailure(FailureKind.NoEndpoint, "No endpoint took the request.", {
+    retryAfterMs: RETRY_AFTER_MS,
+});
 
 function describeFailure(result: AttemptResult): Failure {
     const kind = result.end === AttemptEnd.TimedOut ? FailureKind.EndpointSilent : FailureKind.OutcomeUnknown;
-    return createFailure(kind, `The attempt ended without an answer: ${result.reason}.`, { execution: Execution.Unknown });
+    return createFailure(kind, `The attempt ended without an answer: ${result.reason}.`, {
+        execution: Execution.Unknown,
+    });
 }
 
 /** Without an endpoint to try: the request has not run, unless an earlier attempt may have. */
@@ -239,11 +243,13 @@
     const failure =
         course.executions === 0
             ? REFUSED
-            : createFailure(FailureKind.OutcomeUnknown, "No other endpoint is left to try.", { execution: Execution.Unknown });
+            : createFailure(FailureKind.OutcomeUnknown, "No other endpoint is left to try.", {
+                  execution: Execution.Unknown,
+              });
     return { isRelayed: false, failure };
 }
 
-function relayWhole({ response }: GatewayExchange, answer: WholeAnswer): void {
+function sendWholeAnswer({ response }: GatewayExchange, answer: WholeAnswer): void {
     response.writeHead(answer.status, [...answer.headers.flat(), "Content-Length", String(answer.body.length)]);
     response.end(answer.body);
 }
@@ -315,4 +321,3 @@
         step,
     });
 }
-
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -66,13 +66,17 @@
 
     const refuseStale = (): Failure | undefined =>
         configuration.computeAgeMs() > settings.bounds.revokeMs - REVOKE_MARGIN_MS
-            ? createFailure(FailureKind.StoreUnavailable, "The keys in force can't be confirmed.", { retryAfterMs: RETRY_AFTER_MS })
+            ? createFailure(FailureKind.StoreUnavailable, "The keys in force can't be confirmed.", {
+                  retryAfterMs: RETRY_AFTER_MS,
+              })
             : undefined;
 
     const admitHead = (request: IncomingMessage, head: CallerHead): Admitted | Failure => {
         const view = configuration.readCurrent();
         if (view === undefined) {
-            return createFailure(FailureKind.StoreUnavailable, "No configuration is known yet.", { retryAfterMs: RETRY_AFTER_MS });
+            return createFailure(FailureKind.StoreUnavailable, "No configuration is known yet.", {
+                retryAfterMs: RETRY_AFTER_MS,
+            });
         }
         const route = findRoute(view.routes, request.headers.host ?? "", request.url ?? "/");
         if (route === undefined) {
@@ -100,7 +104,9 @@
         const amount = account.countsTokens ? tokens || account.defaultTokens : 1;
         return quotas.charge(account, amount, parts.peers.readView(), clock.readMonotonicMs())
             ? { amount }
-            : createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", { retryAfterMs: QUOTA_RETRY_AFTER_MS });
+            : createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", {
+                  retryAfterMs: QUOTA_RETRY_AFTER_MS,
+              });
     };
 
     const answerFailure = (request: IncomingMessage, response: ServerResponse, failure: Failure, head: CallerHead) => {
@@ -123,7 +129,12 @@
         sendFailure(response, failure, head.requestId, { hasFractionalSeconds: true });
     };
 
-    const forward = async (request: IncomingMessage, response: ServerResponse, head: CallerHead, receivedAtMs: number) => {
+    const forward = async (
+        request: IncomingMessage,
+        response: ServerResponse,
+        head: CallerHead,
+        receivedAtMs: number,
+    ) => {
         const admitted = admitHead(request, head);
         if ("kind" in admitted) {
             answerFailure(request, response, admitted, head);
@@ -146,7 +157,10 @@
             answerFailure(request, response, charged, head);
             return;
         }
-        await forwardAdmitted(buildExchange(parts, { request, response, head, receivedAtMs, body: body.value, ...current }), charged.amount);
+        await forwardAdmitted(
+            buildExchange(parts, { request, response, head, receivedAtMs, body: body.value, ...current }),
+            charged.amount,
+        );
     };
 
     const forwardAdmitted = async (exchange: GatewayExchange, amount: number) => {
@@ -199,7 +213,10 @@
         });
     };
 
-    const server = http.createServer({ keepAlive: true, noDelay: true, connectionsCheckingInterval: 1_000 }, handleRequest);
+    const server = http.createServer(
+        { keepAlive: true, noDelay: true, connectionsCheckingInterval: 1_000 },
+        handleRequest,
+    );
     installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS));
     configuration.watchConfiguration(({ configuration: { limits } }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -31,7 +31,10 @@
     node: z.string(),
     life: z.string(),
     totals: z.record(z.string(), z.number()),
-    loads: z.record(z.string(), z.object({ tokensPerSecond: z.number(), requestsPerSecond: z.number(), inFlight: z.number() })),
+    loads: z.record(
+        z.string(),
+        z.object({ tokensPerSecond: z.number(), requestsPerSecond: z.number(), inFlight: z.number() }),
+    ),
 });
 
 interface Peer {
@@ -117,7 +120,8 @@
     return {
         readView: () => ({ nodes: membership.countNodes(), heard: listHeard().length + 1 }),
         countNodes: () => membership.countNodes(),
-        listLoads: service => [options.readLoads(), ...listHeard().map(peer => peer.loads)].flatMap(loads => loads[service] ?? []),
+        listLoads: service =>
+            [options.readLoads(), ...listHeard().map(peer => peer.loads)].flatMap(loads => loads[service] ?? []),
         dispose: () => {
             clearInterval(timer);
             socket.close();
--- a/src/gateway/createTrueTime.ts
+++ b/src/gateway/createTrueTime.ts
@@ -40,7 +40,9 @@
     return {
         readTrueMs: () => {
             const storeMs = readStoreMs();
-            return storeMs === undefined || agreedOffsetMs === undefined ? clock.readWallMs() : storeMs + agreedOffsetMs;
+            return storeMs === undefined || agreedOffsetMs === undefined
+                ? clock.readWallMs()
+                : storeMs + agreedOffsetMs;
         },
         recordStoreClock: storeNowMs => {
             samples = [...samples.slice(1 - SAMPLES), storeNowMs - clock.readMonotonicMs()];
--- a/src/gateway/endpointRecord.ts
+++ b/src/gateway/endpointRecord.ts
@@ -83,22 +83,22 @@
         slots: load?.slots ?? record.endpoint.slots,
         occupancy: record.ownInFlight + othersNow,
         pendingTokens: record.pendingTokens,
-        biasMs: fade(record.bias, BIAS_HALF_LIFE_MS, nowMs),
-        failureShare: fade(record.failures, FAILURE_HALF_LIFE_MS, nowMs),
+        biasMs: computeFaded(record.bias, BIAS_HALF_LIFE_MS, nowMs),
+        failureShare: computeFaded(record.failures, FAILURE_HALF_LIFE_MS, nowMs),
         cachedTokens: countCachedTokens(record, parts, nowMs),
     };
 }
 
 /** Notes how an attempt compared with its estimate. */
 export function recordAnswerTime(record: EndpointRecord, observedMs: number, estimatedMs: number, nowMs: number): void {
-    const before = fade(record.bias, BIAS_HALF_LIFE_MS, nowMs);
+    const before = computeFaded(record.bias, BIAS_HALF_LIFE_MS, nowMs);
     const difference = Math.min(BIAS_LONGEST_MS, Math.max(0, observedMs - estimatedMs + before));
     record.bias = { value: before + BIAS_WEIGHT * (difference - before), atMs: nowMs };
 }
 
 /** Notes whether an attempt failed through the endpoint's fault. */
 export function recordAttemptOutcome(record: EndpointRecord, hasFailed: boolean, nowMs: number): void {
-    const before = fade(record.failures, FAILURE_HALF_LIFE_MS, nowMs);
+    const before = computeFaded(record.failures, FAILURE_HALF_LIFE_MS, nowMs);
     record.failures = { value: before + FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - before), atMs: nowMs };
     if (!hasFailed) {
         record.suspectMs = SUSPECT_FIRST_MS;
@@ -141,6 +141,6 @@
     return tokens;
 }
 
-function fade({ value, atMs }: FadingValue, halfLifeMs: number, nowMs: number): number {
+function computeFaded({ value, atMs }: FadingValue, halfLifeMs: number, nowMs: number): number {
     return value * 0.5 ** ((nowMs - atMs) / halfLifeMs);
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -65,12 +65,18 @@
  * @example
  * process.exitCode = await runGateway(settings, platform, 7_615);
  */
-export async function runGateway(settings: GatewaySettings, platform: GatewayPlatform, metricsPort: number): Promise<number> {
+export async function runGateway(
+    settings: GatewaySettings,
+    platform: GatewayPlatform,
+    metricsPort: number,
+): Promise<number> {
     const clock = createSystemClock();
     const random = createUnpredictableRandom();
-    const log = createLog({ format: LogFormat.Json, write: line => void process.stdout.write(`${line}\n`) }).withFields({
-        node: settings.nodeName,
-    });
+    const log = createLog({ format: LogFormat.Json, write: line => void process.stdout.write(`${line}\n`) }).withFields(
+        {
+            node: settings.nodeName,
+        },
+    );
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenTold = waitForSignal();
     const trueTime = createTrueTime(clock);
@@ -129,7 +135,8 @@
         random,
         log,
         waitMs: CONFIGURATION_WAIT_MS,
-        handleRows: rows => rows.flatMap(row => platform.decodeConfigurationRow(row) ?? []).forEach(configuration.applyConfiguration),
+        handleRows: rows =>
+            rows.flatMap(row => platform.decodeConfigurationRow(row) ?? []).forEach(configuration.applyConfiguration),
         handleConfirmed: (sentAt, answer) => {
             configuration.recordConfirmed(sentAt);
             trueTime.recordStoreClock(answer.storeNowMs);
@@ -152,7 +159,7 @@
         },
         handleConfirmed: (_sentAt, answer) => trueTime.recordStoreClock(answer.storeNowMs),
     });
-    void agreeOnTime(platform.tables, trueTime, clock.waitMs, log);
+    void resolveTrueTime(platform.tables, trueTime, clock.waitMs, log);
     if (platform.cloud !== undefined) {
         startDuties(parts, platform, membership, trueTime);
     }
@@ -194,7 +201,12 @@
     return listener.countOpen() === 0 ? 0 : 1;
 }
 
-function startDuties(parts: GatewayParts, platform: GatewayPlatform, membership: ReturnType<typeof createMembership>, trueTime: TrueTime) {
+function startDuties(
+    parts: GatewayParts,
+    platform: GatewayPlatform,
+    membership: ReturnType<typeof createMembership>,
+    trueTime: TrueTime,
+) {
     const { settings, clock, log } = parts;
     const { cloud, tables: table } = platform;
     if (cloud === undefined) {
@@ -210,7 +222,12 @@
 }
 
 /** Agrees with the other nodes on the difference between the time of day and the store's clock; the first one sets it. */
-async function agreeOnTime(table: TablePort, trueTime: TrueTime, waitMs: (ms: number) => Promise<void>, log: Log): Promise<void> {
+async function resolveTrueTime(
+    table: TablePort,
+    trueTime: TrueTime,
+    waitMs: (ms: number) => Promise<void>,
+    log: Log,
+): Promise<void> {
     while (!trueTime.hasAgreedOffset()) {
         const stored = await table.readRow(OFFSET_KEY);
         const measured = trueTime.measureOffsetMs();
--- /dev/null
+++ b/src/gateway/sendAttempt.test.ts
@@ -0,0 +1,181 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { AttemptEnd } from "../decisions/gateway/decideAttemptStep";
+import { makeRecord, runAttempt } from "./_testing/runAttempt";
+import { type EndpointScript, formatAnswer, startScriptedEndpoint } from "./_testing/startScriptedEndpoint";
+import type { AttemptOptions } from "./sendAttempt";
+
+const ECHO = "Redwinglift-Attempt-Id: attempt-1";
+const EVENT_STREAM = "Content-Type: text/event-stream";
+
+async function observe(script: EndpointScript, options: Partial<AttemptOptions> = {}) {
+    const endpoint = await startScriptedEndpoint(script);
+    const observed = await runAttempt(makeRecord(endpoint), options);
+    endpoint.dispose();
+    return observed;
+}
+
+describe("an attempt at an endpoint", () => {
+    it("gives a whole answer", async () => {
+        const { result } = await observe((_request, socket) =>
+            socket.write(formatAnswer("hello", { headers: [ECHO] })),
+        );
+        assert.equal(result.end, AttemptEnd.Answered);
+        assert.equal(result.answer?.body.toString(), "hello");
+    });
+
+    it("gives a whole answer that has no length and ends with its connection", async () => {
+        const { result } = await observe((_request, socket) =>
+            socket.end(formatAnswer("hello", { headers: [ECHO], length: "none" })),
+        );
+        assert.equal(result.end, AttemptEnd.Answered);
+    });
+
+    it("is lost if an answer without a length is reset, also together with its last bytes", async () => {
+        for (let round = 0; round < 5; round++) {
+            const { result } = await observe((_request, socket) => {
+                socket.write(formatAnswer("hel", { headers: [ECHO], length: "none" }), () => socket.resetAndDestroy());
+            });
+            assert.equal(result.end, AttemptEnd.Lost);
+        }
+    });
+
+    it("is lost if the answer is shorter than its length", async () => {
+        const { result } = await observe((_request, socket) =>
+            socket.end(formatAnswer("hel", { headers: [ECHO], length: 5 })),
+        );
+        assert.equal(result.end, AttemptEnd.Lost);
+    });
+
+    it("is lost if the answer belongs to another request", async () => {
+        const { result } = await observe((_request, socket) =>
+            socket.write(formatAnswer("hello", { headers: ["Redwinglift-Attempt-Id: attempt-0"] })),
+        );
+        assert.equal(result.end, AttemptEnd.Lost);
+    });
+
+    it("is lost if a success has no seal, or another encoding", async () => {
+        const unsealed = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        assert.equal((await observe((_request, socket) => socket.write(unsealed))).result.end, AttemptEnd.Lost);
+        const encoded = formatAnswer("hello", { headers: [ECHO, "Content-Encoding: gzip"] });
+        assert.equal((await observe((_request, socket) => socket.write(encoded))).result.end, AttemptEnd.Lost);
+    });
+
+    it("is lost if an endpoint says 503 without stating that it did not execute the request", async () => {
+        const answer = formatAnswer("busy", { status: "503 Service Unavailable", headers: [ECHO] });
+        assert.equal((await observe((_request, socket) => socket.write(answer))).result.end, AttemptEnd.Lost);
+    });
+
+    it("counts as not executed if the endpoint states so", async () => {
+        const refused = formatAnswer("", {
+            status: "503 Service Unavailable",
+            headers: ["Redwinglift-Not-Executed: 1"],
+        });
+        assert.equal((await observe((_request, socket) => socket.write(refused))).result.end, AttemptEnd.NotExecuted);
+        const misdirected = formatAnswer("", { status: "421 Misdirected Request" });
+        assert.equal(
+            (await observe((_request, socket) => socket.write(misdirected))).result.end,
+            AttemptEnd.NotExecuted,
+        );
+    });
+
+    it("counts as not sent if nobody listens", async () => {
+        const endpoint = await startScriptedEndpoint(() => undefined);
+        endpoint.dispose();
+        const { result } = await runAttempt(makeRecord(endpoint));
+        assert.equal(result.end, AttemptEnd.NotSent);
+    });
+
+    it("is lost if the endpoint resets the connection after the request", async () => {
+        const { result } = await observe((_request, socket) => socket.resetAndDestroy());
+        assert.equal(result.end, AttemptEnd.Lost);
+    });
+
+    it("is lost if no answer comes within its patience", async () => {
+        const { result } = await observe(() => undefined, { patienceMs: 30 });
+        assert.equal(result.end, AttemptEnd.Lost);
+    });
+
+    it("ends when its time is over", async () => {
+        const ended = new AbortController();
+        const { result } = await observe(() => ended.abort(AttemptEnd.TimedOut), { ended: ended.signal });
+        assert.equal(result.end, AttemptEnd.TimedOut);
+    });
+});
+
+describe("a stream of an endpoint", () => {
+    const head = formatAnswer("", { headers: [ECHO, EVENT_STREAM], length: "chunked" });
+    const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+    const event = (id: number) => `id: ${id}\ndata: x\n\n`;
+
+    it("is relayed to its end", async () => {
+        const { result, received, isComplete } = await observe((_request, socket) => {
+            socket.write(head + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+        });
+        assert.equal(result.end, AttemptEnd.Relayed);
+        assert.equal(received, event(1) + event(2));
+        assert.ok(isComplete);
+    });
+
+    it("does not look complete if it breaks off, and holds back a part of an event", async () => {
+        const { result, received, isComplete } = await observe((_request, socket) => {
+            socket.write(head + chunk(event(1)) + chunk("id: 2\nda"), () => setTimeout(() => socket.destroy(), 30));
+        });
+        assert.equal(result.end, AttemptEnd.Broken);
+        assert.equal(received, event(1));
+        assert.ok(!isComplete);
+    });
+
+    it("is lost, with nothing relayed, if it breaks off before its first event", async () => {
+        const { result } = await observe((_request, socket) => {
+            socket.write(head, () => setTimeout(() => socket.destroy(), 30));
+        });
+        assert.equal(result.end, AttemptEnd.Lost);
+    });
+
+    it("is broken if a pause is longer than its patience", async () => {
+        const { result } = await observe((_request, socket) => socket.write(head + chunk(event(1))), {
+            eventPatienceMs: 30,
+        });
+        assert.equal(result.end, AttemptEnd.Broken);
+    });
+});
+
+describe("connections to an endpoint", () => {
+    it("are closed if a byte arrives while they are idle", async () => {
+        const endpoint = await startScriptedEndpoint((_request, socket) => {
+            const answer = formatAnswer("hello", { headers: [ECHO] });
+            socket.write(answer);
+            setTimeout(() => socket.write(answer), 30);
+        });
+        const record = makeRecord(endpoint);
+        const keep = { ...record, connections: { ...record.connections, dispose: () => undefined } };
+        await runAttempt(keep);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        const { result } = await runAttempt(keep);
+        assert.equal(result.end, AttemptEnd.Answered);
+        assert.equal(endpoint.countConnections(), 2);
+        record.connections.dispose();
+        endpoint.dispose();
+    });
+
+    it("are used again for many requests, and keep no listeners of earlier ones", async () => {
+        const listeners: number[] = [];
+        const endpoint = await startScriptedEndpoint((_request, socket) => {
+            socket.write(formatAnswer("hello", { headers: [ECHO] }));
+        });
+        const record = makeRecord(endpoint);
+        const keep = { ...record, connections: { ...record.connections, dispose: () => undefined } };
+        for (let round = 0; round < 4; round++) {
+            await runAttempt(keep);
+            const [idle] = Object.values(record.connections.prepareAgent().freeSockets).flatMap(
+                sockets => sockets ?? [],
+            );
+            listeners.push(idle?.listenerCount("error") ?? 0);
+        }
+        assert.equal(endpoint.countConnections(), 1);
+        assert.equal(listeners.at(-1), listeners[0]);
+        record.connections.dispose();
+        endpoint.dispose();
+    });
+});
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -10,6 +10,7 @@
 import { createEventSplitter } from "./createEventSplitter";
 import type { RelayedHead, StreamRelay } from "./createStreamRelay";
 import type { EndpointRecord } from "./endpointRecord";
+import { isConnectionReset } from "./isConnectionReset";
 
 /** What is sent, where to, and who is told of its course. */
 export interface AttemptOptions {
@@ -73,7 +74,10 @@
             agent: record.connections.prepareAgent(options.freshMs),
         });
         let isSettled = false;
-        let timer = setTimeout(() => settle({ end: AttemptEnd.NotSent, reason: "no connection in time" }), CONNECT_TIMEOUT_MS);
+        let timer = setTimeout(
+            () => settle({ end: AttemptEnd.NotSent, reason: "no connection in time" }),
+            CONNECT_TIMEOUT_MS,
+        );
         const beginWait = (delayMs: number | undefined, reason: string) => {
             clearTimeout(timer);
             if (delayMs !== undefined && !isSettled) {
@@ -140,24 +144,27 @@
         response.resume();
         return;
     }
+    const isComplete = createCompletionCheck(response);
     const relayed = { status, headers: options.codec.buildCallerHeaders(response.rawHeaders) };
-    const isUsable = status < FIRST_FAILURE_STATUS ? head.isSealed && !head.isForeignBody : !PROMISING_STATUSES.has(status);
+    const isUsable =
+        status < FIRST_FAILURE_STATUS ? head.isSealed && !head.isForeignBody : !PROMISING_STATUSES.has(status);
     if (!isUsable) {
         settle(describeLoss(options, `unusable answer, status ${status}`));
         return;
     }
     const isStream = status < FIRST_FAILURE_STATUS && EVENT_STREAM.test(response.headers["content-type"] ?? "");
     if (isStream) {
-        relayStream(options, response, relayed, settle, beginWait);
+        streamAnswer(options, response, relayed, isComplete, settle, beginWait);
     } else {
-        readWhole(options, response, { ...relayed, isSealed: head.isSealed }, settle);
+        readWhole(options, response, { ...relayed, isSealed: head.isSealed }, isComplete, settle);
     }
 }
 
-function relayStream(
+function streamAnswer(
     options: AttemptOptions,
     response: http.IncomingMessage,
     head: RelayedHead,
+    isComplete: () => Promise<boolean>,
     settle: Settle,
     beginWait: (delayMs: number | undefined, reason: string) => void,
 ): void {
@@ -181,12 +188,14 @@
         }
     });
     response.on("end", () => {
-        if (!response.complete || splitter.takeRest().length > 0) {
-            settle(describeLoss(options, "the stream broke off"));
-            return;
-        }
-        options.relay.endRelay(head);
-        settle({ end: AttemptEnd.Relayed, reason: "complete" }, true);
+        void isComplete().then(complete => {
+            if (!complete || splitter.takeRest().length > 0 || options.ended.aborted) {
+                settle(describeLoss(options, "the stream broke off"));
+                return;
+            }
+            options.relay.endRelay(head);
+            settle({ end: AttemptEnd.Relayed, reason: "complete" }, true);
+        });
     });
 }
 
@@ -194,21 +203,34 @@
     options: AttemptOptions,
     response: http.IncomingMessage,
     head: Omit<WholeAnswer, "body">,
+    isComplete: () => Promise<boolean>,
     settle: Settle,
 ): void {
     const chunks: Buffer[] = [];
     response.on("data", (chunk: Buffer) => void chunks.push(chunk));
     response.on("end", () => {
-        if (!response.complete) {
-            settle(describeLoss(options, "the answer broke off"));
-            return;
-        }
-        options.handleFirstPart();
-        const answer = { ...head, body: Buffer.concat(chunks) };
-        settle({ end: AttemptEnd.Answered, answer, reason: `status ${head.status}` }, true);
+        void isComplete().then(complete => {
+            if (!complete) {
+                settle(describeLoss(options, "the answer broke off"));
+                return;
+            }
+            options.handleFirstPart();
+            const answer = { ...head, body: Buffer.concat(chunks) };
+            settle({ end: AttemptEnd.Answered, answer, reason: `status ${head.status}` }, true);
+        });
     });
 }
 
+/** An answer without a length ends with its connection; it is complete unless that was reset. */
+function createCompletionCheck(response: http.IncomingMessage): () => Promise<boolean> {
+    const { headers, socket } = response;
+    if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
+        return () => Promise.resolve(response.complete);
+    }
+    const whenReset = isConnectionReset(socket);
+    return async () => response.complete && !(await whenReset);
+}
+
 /** Before anything is relayed an attempt is lost; after it, the stream is broken. */
 function describeLoss(options: AttemptOptions, reason: string): AttemptResult {
     return { end: options.relay.hasBegun() ? AttemptEnd.Broken : AttemptEnd.Lost, reason };
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/startDutyHolder.ts
@@ -67,7 +67,8 @@
     const holdTerm = function* (lease: LeaseHandle): Step<void> {
         let steppedAt = readInstant(clock);
         const wasStopped = () => computeElapsedMs(steppedAt, readInstant(clock)) > STOPPED_MS;
-        const check = () => (!wasStopped() && !isStopped && lease.checkHeld(CALL_MS).isOk() ? { node, epoch: lease.epoch } : undefined);
+        const check = () =>
+            !wasStopped() && !isStopped && lease.checkHeld(CALL_MS).isOk() ? { node, epoch: lease.epoch } : undefined;
         options.duties.forEach(duty => duty.beginTerm());
         while (!isStopped && lease.checkHeld().isOk()) {
             for (const duty of options.duties) {
