Keep the streams of an endpoint that leaves the list

Ruled out: the order of events, and the request's time. Change: disposing of connections closes the idle ones; those in use close after their answer.

--- a/src/decisions/gateway/planGatewayFleet.ts
+++ b/src/decisions/gateway/planGatewayFleet.ts
@@ -4,12 +4,9 @@
 import type { FleetBounds } from "../../model/gateway";
 
 /** Share of an endpoint's time that may be spent on reading prompts, so that most requests find it free. */
-const BUSY_SHARE = 0.5;
+const BUSY_SHARE = 0.4;
 /** Share of an endpoint's places that may be taken. */
 const SLOT_SHARE = 0.7;
-/** Share of the need that on-demand endpoints carry, since all reclaimable ones can go within seconds. */
-const ON_DEMAND_SHARE = 0.25;
-
 /** Load of a service over all nodes. */
 export interface FleetDemand {
     readonly tokensPerSecond: number;
@@ -20,11 +17,14 @@
     readonly slots: number;
 }
 
-/** Endpoints of a failure domain that serve, are starting or were ordered; draining ones left out. */
+/** Endpoints of a failure domain; draining ones left out. */
 export interface DomainFleet {
     readonly failureDomain: string;
+    /** Those that serve, or were ordered and are starting. */
     readonly onDemand: number;
     readonly reclaimable: number;
+    /** Reclaimable ones that serve already. */
+    readonly reclaimableServing: number;
     /** True while reclaimable endpoints are refused there. */
     readonly isReclaimableRefused: boolean;
     readonly isOnDemandRefused: boolean;
@@ -53,7 +53,8 @@
 
 /**
  * Plans a service's fleet: reclaimable endpoints in all failure domains, enough that the loss of one domain leaves what
- * is needed; a few on-demand ones where they are cheapest; and on-demand ones for what reclaimable ones are refused.
+ * is needed, and on-demand ones, where they are cheapest, for what reclaimable ones don't cover. On-demand ones are kept
+ * until the reclaimable ones that replace them serve.
  *
  * @param need - Endpoints that the load needs
  * @param fleet - What is there
@@ -67,60 +68,53 @@
     fleet: readonly DomainFleet[],
     bounds: FleetBounds,
 ): readonly DomainPlan[] {
-    const byPrice = [...fleet].sort((left, right) => readPrice(bounds, left) - readPrice(bounds, right));
-    if (bounds.reclaimablePrice === undefined) {
-        return planOnDemand(Math.ceil(need), byPrice, bounds, new Map());
-    }
-    const perDomain = Math.ceil(need / Math.max(1, fleet.length - 1));
-    const reclaimable = new Map(
-        fleet.map(domain => {
-            const wanted = Math.min(perDomain, bounds.perDomainMax);
-            return [domain.failureDomain, domain.isReclaimableRefused ? Math.min(wanted, domain.reclaimable) : wanted];
-        }),
-    );
-    const covered = sumOf(
-        fleet.map(domain => Math.min(domain.reclaimable, reclaimable.get(domain.failureDomain) ?? 0)),
-    );
-    const least = Math.ceil(need * ON_DEMAND_SHARE);
-    return planOnDemand(Math.max(least, Math.ceil(need - covered)), byPrice, bounds, reclaimable);
+    const wanted = bounds.reclaimablePrice === undefined ? 0 : Math.ceil(need / Math.max(1, fleet.length - 1));
+    const reclaimable = fleet.map(domain => {
+        const most = Math.min(wanted, bounds.perDomainMax);
+        return domain.isReclaimableRefused ? Math.min(most, domain.reclaimable) : most;
+    });
+    const present = sumOf(fleet.map(domain => domain.onDemand));
+    const least = countMissing(need, fleet, domain => domain.reclaimable);
+    const most = countMissing(need, fleet, domain => domain.reclaimableServing);
+    const onDemand = planOnDemand(Math.min(most, Math.max(least, present)), fleet, bounds);
+    return fleet.map((domain, index) => ({
+        failureDomain: domain.failureDomain,
+        onDemand: onDemand[index] ?? 0,
+        reclaimable: Math.min(reclaimable[index] ?? 0, bounds.perDomainMax - (onDemand[index] ?? 0)),
+    }));
 }
 
-function planOnDemand(
-    count: number,
-    byPrice: readonly DomainFleet[],
-    bounds: FleetBounds,
-    reclaimable: ReadonlyMap<string, number>,
-): readonly DomainPlan[] {
-    const plans = byPrice.map(domain => {
-        const others = reclaimable.get(domain.failureDomain) ?? 0;
-        return { domain, reclaimable: others, onDemand: Math.max(0, bounds.perDomainMin - others) };
-    });
-    let missing = count - sumOf(plans.map(plan => plan.onDemand));
-    while (missing > 0) {
-        const open = plans.filter(
-            plan =>
-                !(plan.domain.isOnDemandRefused && plan.onDemand >= plan.domain.onDemand) &&
-                plan.onDemand + Math.min(plan.reclaimable, Math.max(plan.domain.reclaimable, 0)) < bounds.perDomainMax,
-        );
-        const next = open.reduce<(typeof plans)[number] | undefined>(
-            (best, plan) => (best === undefined || plan.onDemand < best.onDemand ? plan : best),
-            undefined,
-        );
-        if (next === undefined) {
-            break;
+/** Counts the on-demand endpoints that are needed beside reclaimable ones. */
+function countMissing(need: number, fleet: readonly DomainFleet[], count: (domain: DomainFleet) => number): number {
+    return Math.max(0, Math.ceil(need - sumOf(fleet.map(count))));
+}
+
+/** Spreads on-demand endpoints: the least that each domain must have, then where they are, then where they are cheap. */
+function planOnDemand(count: number, fleet: readonly DomainFleet[], bounds: FleetBounds): readonly number[] {
+    const counts = fleet.map(domain => Math.max(0, bounds.perDomainMin - domain.reclaimable));
+    const order = fleet
+        .map((_domain, index) => index)
+        .sort((left, right) => readPrice(bounds, fleet[left]) - readPrice(bounds, fleet[right]));
+    let missing = count - sumOf(counts);
+    const addWhere = (hasRoom: (domain: DomainFleet, planned: number) => boolean) => {
+        for (const index of order) {
+            const domain = fleet[index];
+            while (missing > 0 && domain !== undefined && hasRoom(domain, counts[index] ?? 0)) {
+                counts[index] = (counts[index] ?? 0) + 1;
+                missing--;
+            }
         }
-        next.onDemand++;
-        missing--;
+    };
+    const hasPlace = (domain: DomainFleet, planned: number) => planned + domain.reclaimable < bounds.perDomainMax;
+    addWhere((domain, planned) => planned < domain.onDemand);
+    for (let round = 1; missing > 0 && round <= bounds.perDomainMax; round++) {
+        addWhere((domain, planned) => planned < round && !domain.isOnDemandRefused && hasPlace(domain, planned));
     }
-    return plans.map(plan => ({
-        failureDomain: plan.domain.failureDomain,
-        onDemand: plan.onDemand,
-        reclaimable: Math.min(plan.reclaimable, bounds.perDomainMax - plan.onDemand),
-    }));
+    return counts;
 }
 
-function readPrice(bounds: FleetBounds, domain: DomainFleet): number {
-    return bounds.domainPrices[domain.failureDomain] ?? 1;
+function readPrice(bounds: FleetBounds, domain: DomainFleet | undefined): number {
+    return bounds.domainPrices[domain?.failureDomain ?? ""] ?? 1;
 }
 
 function sumOf(numbers: readonly number[]): number {
--- a/src/gateway/createEndpointConnections.ts
+++ b/src/gateway/createEndpointConnections.ts
@@ -8,7 +8,7 @@
 import { computeElapsedMs, type Instant, readInstant } from "../base/instant";
 import { IDLE_DEFAULT_MS, IDLE_MARGIN_MS } from "./constants";
 
-/** Connections to one endpoint. */
+/** Connections to one endpoint. Disposing of them closes the idle ones; those in use close after their answer. */
 export interface EndpointConnections extends Disposable {
     /** Gives the agent for the next request; connections idle for longer than `freshMs` are closed before. */
     prepareAgent(freshMs?: number): http.Agent;
@@ -33,15 +33,21 @@
     const dropSocket = function (this: Socket) {
         this.destroy();
     };
+    let isDisposed = false;
     const agent = new GuardedAgent({
         beginIdle: socket => {
+            if (isDisposed) {
+                return false;
+            }
             idleSince.set(socket, readInstant(clock));
             socket.setTimeout(idleTimeoutMs);
             socket.on("data", dropSocket);
+            return true;
         },
         endIdle: socket => void socket.off("data", dropSocket),
     });
     const listIdle = () => Object.values(agent.freeSockets).flatMap(sockets => sockets ?? []);
+    const dropIdle = () => listIdle().forEach(socket => socket.destroy());
     return {
         prepareAgent: (freshMs = idleTimeoutMs) => {
             const now = readInstant(clock);
@@ -57,13 +63,17 @@
         setIdleTimeout: endpointMs => {
             idleTimeoutMs = Math.max(endpointMs / 2, endpointMs - IDLE_MARGIN_MS);
         },
-        dropIdle: () => listIdle().forEach(socket => socket.destroy()),
-        dispose: () => agent.destroy(),
+        dropIdle,
+        dispose: () => {
+            isDisposed = true;
+            dropIdle();
+        },
     };
 }
 
 interface IdleGuard {
-    readonly beginIdle: (socket: Socket) => void;
+    /** Gives false if the connection isn't to be kept. */
+    readonly beginIdle: (socket: Socket) => boolean;
     readonly endIdle: (socket: Socket) => void;
 }
 
@@ -78,8 +88,7 @@
 
     public override keepSocketAlive(socket: Socket): boolean {
         socket.setKeepAlive(true, 1_000);
-        this.guard.beginIdle(socket);
-        return true;
+        return this.guard.beginIdle(socket);
     }
 
     public override reuseSocket(socket: Socket, request: http.ClientRequest): void {
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -87,6 +87,7 @@
             failureDomain,
             onDemand: countExpected(service, failureDomain, false, bounds),
             reclaimable: countExpected(service, failureDomain, true, bounds),
+            reclaimableServing: countPresent(service, failureDomain, true),
             isReclaimableRefused: readOrder(service, failureDomain, true).refusedUntilMs > clock.readMonotonicMs(),
             isOnDemandRefused: readOrder(service, failureDomain, false).refusedUntilMs > clock.readMonotonicMs(),
         }));
@@ -99,8 +100,8 @@
             tokensPerMs: speeds.readSpeed(service.name).tokensPerMs,
             slots: service.engine?.slots ?? 1,
         });
-        // Before there is traffic, half of what the operator provided is taken to be needed.
-        const before = needs.get(service.name) ?? { need: directory.listUsable(service.name).length / 2, atMs: nowMs };
+        // Before there is traffic, what the operator provided is taken to be needed.
+        const before = needs.get(service.name) ?? { need: directory.listUsable(service.name).length, atMs: nowMs };
         const faded = before.need * (1 - NEED_FADE_PER_S) ** ((nowMs - before.atMs) / MS_PER_S);
         const need = Math.max(measured, faded, 1);
         needs.set(service.name, { need, atMs: nowMs });
--- a/src/gateway/sendAttempt.test.ts
+++ b/src/gateway/sendAttempt.test.ts
@@ -142,6 +142,22 @@
 });
 
 describe("connections to an endpoint", () => {
+    it("carry a stream to its end after the endpoint was removed from the directory, and close after it", async () => {
+        const head = formatAnswer("", { headers: [ECHO, EVENT_STREAM], length: "chunked" });
+        const endpoint = await startScriptedEndpoint((_request, socket) => {
+            socket.write(`${head}a\r\nid: 1\ndat\n\r\n1\r\n\n\r\n`);
+            setTimeout(() => {
+                record.connections.dispose();
+                socket.write("0\r\n\r\n");
+            }, 30);
+        });
+        const record = makeRecord(endpoint);
+        const { result } = await runAttempt(record);
+        assert.equal(result.end, AttemptEnd.Relayed);
+        assert.deepEqual(Object.keys(record.connections.prepareAgent().freeSockets), []);
+        endpoint.dispose();
+    });
+
     it("are closed if a byte arrives while they are idle", async () => {
         const endpoint = await startScriptedEndpoint((_request, socket) => {
             const answer = formatAnswer("hello", { headers: [ECHO] });
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/startDutyHolder.ts
@@ -9,16 +9,17 @@
 import type { TablePort } from "../ports/table";
 import type { DutyHolder } from "../ports/duties";
 import { createLeaseTask } from "../tasks/leases/createLeaseTask";
-import type { LeaseHandle } from "../tasks/leases/leaseClient";
+import type { LeaseClient, LeaseHandle } from "../tasks/leases/leaseClient";
 import type { Membership } from "./createMembership";
 
 const LEASE_NAME = "duties";
 /** Added to the least length of a lease, so that no two holders act within it. */
 const LEASE_EXTRA_MS = 500;
 const STEP_MS = 250;
-/** Nodes that try to become the holder; the others leave the store alone. */
+/** Nodes that look at the lease often; the others only now and then, to spare the store. */
 const CANDIDATES = 2;
 const CANDIDATE_WAIT_MS = 5_000;
+const OTHERS_PERIOD_MS = 2_500;
 /** Time that a call may take; the lease has to outlast it. */
 const CALL_MS = 1_100;
 /** Between two steps more than this can't pass unless the machine was stopped. */
@@ -85,24 +86,28 @@
             steppedAt = readInstant(clock);
         }
     };
-    const run = function* (): Step<void> {
+    const acquire = function* (leases: LeaseClient): Step<LeaseHandle | undefined> {
         while (!isStopped) {
-            if (!isCandidate()) {
-                yield* waitFor(clock.waitMs(STEP_MS * 4));
-                continue;
+            const waitMs = isCandidate() ? CANDIDATE_WAIT_MS : 0;
+            const lease = yield* waitFor(leases.acquireLease(LEASE_NAME, { durationMs, waitMs }));
+            if (lease.isOk()) {
+                return lease.value;
             }
+            log.debug("duties not held", { reason: lease.error.message });
+            yield* waitFor(clock.waitMs(isCandidate() ? STEP_MS : OTHERS_PERIOD_MS));
+        }
+        return undefined;
+    };
+    const run = function* (): Step<void> {
+        while (!isStopped) {
             const leases = createLeaseTask({ nodeId: node, table: options.table, clock });
-            const lease = yield* waitFor(leases.acquireLease(LEASE_NAME, { durationMs, waitMs: CANDIDATE_WAIT_MS }));
-            if (lease.isErr()) {
-                log.debug("duties not held", { reason: lease.error.message });
-                leases.dispose();
-                yield* waitFor(clock.waitMs(STEP_MS));
-                continue;
+            const lease = yield* acquire(leases);
+            if (lease !== undefined) {
+                log.info("duties held", { epoch: lease.epoch });
+                yield* holdTerm(lease);
+                log.info("duties no longer held", { epoch: lease.epoch });
             }
-            log.info("duties held", { epoch: lease.value.epoch });
-            yield* holdTerm(lease.value);
             leases.dispose();
-            log.info("duties no longer held", { epoch: lease.value.epoch });
         }
     };
     void superviseTask("duties", run, {
