Plan the fleet once endpoints have registered; use the quota's overrun

Ruled out: the time to start of nodes, prefix placement. Quotas use 0.8 of the overrun and 0.4 of the slack; usage is written every 1.25 s.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -7,6 +7,14 @@
 import type { GatewayAccount } from "../../model/gateway";
 import { createSlidingCount, type SlidingCount } from "./slidingCount";
 
+/** The bound over all nodes. */
+export interface QuotaTerms {
+    readonly quotaWindowMs: number;
+    /** By how much a quota may be exceeded in a window: a share of it, and a constant beside. */
+    readonly quotaOverrun: number;
+    readonly quotaSlack: number;
+}
+
 /** What is known of the other nodes. */
 export interface PeerView {
     /** Live nodes, this one included. */
@@ -29,14 +37,15 @@
 /**
  * Creates the quotas.
  *
- * @param windowMs - Length of the sliding window
+ * @param terms - The bound
  * @param startedAtMs - Start of this process if nodes ran before it; what its predecessor charged isn't known, so the
  * limit grows from nothing over the first window. Absent at the first start of the whole system
  * @returns The quotas
  * @example
  * quotas.charge(account, 1_460, { nodes: 9, heard: 9 }, nowMs);
  */
-export function createAccountQuotas(windowMs: number, startedAtMs: number | undefined): AccountQuotas {
+export function createAccountQuotas(terms: QuotaTerms, startedAtMs: number | undefined): AccountQuotas {
+    const windowMs = terms.quotaWindowMs;
     const used = new Map<string, SlidingCount>();
     const totals = new Map<string, number>();
     const readCount = (account: string): SlidingCount => {
@@ -52,7 +61,7 @@
         charge: (account, amount, peers, nowMs) => {
             if (account.quotaPerSecond > 0) {
                 const limit =
-                    computeLimit(account, windowMs) * computeShare(peers) * computeRamp(startedAtMs, windowMs, nowMs);
+                    computeLimit(account, terms) * computeShare(peers) * computeRamp(startedAtMs, windowMs, nowMs);
                 if (readCount(account.name).sum(nowMs) + amount > limit) {
                     return false;
                 }
@@ -67,9 +76,14 @@
 }
 
 const MS_PER_S = 1_000;
+/** Shares of the overrun that are used; the rest is for what the nodes admit before they hear of each other. */
+const USED_OVERRUN = 0.8;
+const USED_SLACK = 0.4;
 
-function computeLimit(account: GatewayAccount, windowMs: number): number {
-    return (account.quotaPerSecond * windowMs) / MS_PER_S + account.quotaBurst;
+function computeLimit(account: GatewayAccount, { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaTerms): number {
+    const quota = (account.quotaPerSecond * quotaWindowMs) / MS_PER_S + account.quotaBurst;
+    const slack = account.countsTokens ? quotaSlack : 0;
+    return quota * (1 + quotaOverrun * USED_OVERRUN) + slack * USED_SLACK;
 }
 
 function computeShare({ nodes, heard }: PeerView): number {
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -16,6 +16,8 @@
 const PLAN_PERIOD_MS = 500;
 /** After a refusal the same kind of endpoint isn't ordered in the same failure domain for this long. */
 const REFUSED_MS = 2_500;
+/** When the whole system starts, endpoints take this long to register; nothing is planned on a part of them. */
+const REGISTRATION_MS = 5_000;
 /** The need sinks by at most this share of itself a second, so that a lull between two waves orders nothing away. */
 const NEED_FADE_PER_S = 0.03;
 const MS_PER_S = 1_000;
@@ -39,6 +41,8 @@
     readonly peers: PeerExchange;
     readonly speeds: ServiceSpeeds;
     readonly failureDomains: readonly string[];
+    /** True if the whole system starts for the first time. */
+    readonly isFirstStart: boolean;
     readonly clock: Clock;
     readonly log: Log;
 }
@@ -56,7 +60,7 @@
     const orders = new Map<string, OrderState>();
     const needs = new Map<string, NeedState>();
     const loggedNeeds = new Map<string, number>();
-    let nextPlanMs = 0;
+    let nextPlanMs = options.isFirstStart ? clock.readMonotonicMs() + REGISTRATION_MS : 0;
 
     const readOrder = (service: string, failureDomain: string, isReclaimable: boolean): OrderState => {
         const key = `${service}|${failureDomain}|${isReclaimable}`;
@@ -91,6 +95,13 @@
             isReclaimableRefused: readOrder(service, failureDomain, true).refusedUntilMs > clock.readMonotonicMs(),
             isOnDemandRefused: readOrder(service, failureDomain, false).refusedUntilMs > clock.readMonotonicMs(),
         }));
+    /** Counts what is there, without the reserve for the loss of a failure domain. */
+    const countProvided = (service: string): number => {
+        const present = directory.listUsable(service);
+        const reclaimable = present.filter(record => record.endpoint.isReclaimable).length;
+        const domains = Math.max(2, options.failureDomains.length);
+        return present.length - reclaimable / domains;
+    };
     const updateNeed = (service: GatewayService): number => {
         const nowMs = clock.readMonotonicMs();
         const loads = peers.listLoads(service.name);
@@ -100,8 +111,8 @@
             tokensPerMs: speeds.readSpeed(service.name).tokensPerMs,
             slots: service.engine?.slots ?? 1,
         });
-        // Before there is traffic, what the operator provided is taken to be needed.
-        const before = needs.get(service.name) ?? { need: directory.listUsable(service.name).length, atMs: nowMs };
+        // Without knowledge of the load, what is there is taken to be what it needs.
+        const before = needs.get(service.name) ?? { need: countProvided(service.name), atMs: nowMs };
         const faded = before.need * (1 - NEED_FADE_PER_S) ** ((nowMs - before.atMs) / MS_PER_S);
         const need = Math.max(measured, faded, 1);
         needs.set(service.name, { need, atMs: nowMs });
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -13,7 +13,7 @@
 import { buildMemberKey, decodeMember, MEMBER_PREFIX, type MemberRecord } from "./memberRecord";
 
 /** Time between two writes of the row while counts change, and while they don't. */
-const WRITE_PERIOD_MS = 2_400;
+const WRITE_PERIOD_MS = 1_250;
 const QUIET_WRITE_PERIOD_MS = 4_000;
 /** Time between two looks at the others' rows; the first ones come sooner. */
 const LIST_PERIOD_MS = 8_000;
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -87,10 +87,7 @@
     const usage = createUsageMeter(trueTime, settings.bounds.usageWindowMs);
     const metrics = createGatewayMetrics();
     configuration.watchConfiguration(view => metrics.setConfigurationVersion(view.configuration.version));
-    const quotas = createAccountQuotas(
-        settings.bounds.quotaWindowMs,
-        settings.isFirstStart ? undefined : clock.readMonotonicMs(),
-    );
+    const quotas = createAccountQuotas(settings.bounds, settings.isFirstStart ? undefined : clock.readMonotonicMs());
     const [peerPort] = settings.internalPorts;
     const membership = createMembership({
         node: settings.nodeName,
@@ -215,7 +212,13 @@
     const { usageWindowMs: windowMs, usageDueMs: dueMs, leaseMs } = settings.bounds;
     const creators = {
         [DutyKind.Usage]: () => createUsageDuty({ windowMs, dueMs, cloud, table, membership, trueTime, log }),
-        [DutyKind.Fleet]: () => createFleetDuty({ ...parts, cloud, failureDomains: Object.keys(settings.regions) }),
+        [DutyKind.Fleet]: () =>
+            createFleetDuty({
+                ...parts,
+                cloud,
+                failureDomains: Object.keys(settings.regions),
+                isFirstStart: settings.isFirstStart,
+            }),
     };
     const duties = settings.duties.map(kind => creators[kind]());
     startDutyHolder({ node: settings.nodeName, leaseMs, table, membership, duties, clock, log });
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -133,6 +133,9 @@
     readonly retrySlack: number;
     readonly retryWindowMs: number;
     readonly quotaWindowMs: number;
+    /** By how much all nodes together may exceed a quota in a window: a share of it, and a constant beside. */
+    readonly quotaOverrun: number;
+    readonly quotaSlack: number;
     /** Length of a duty lease, in milliseconds. */
     readonly leaseMs: number;
     readonly usageWindowMs: number;
