Order the fleet by a speed with a fixed part; keep a reserve while reclaimable endpoints are refused

A restarted store was confirmed only after a whole long poll. A dead holder's report waited for its dead node's row. Change: the above; usage also travels by datagram; a holder that leaves releases its lease if it held it long enough.

--- a/src/decisions/gateway/planGatewayFleet.ts
+++ b/src/decisions/gateway/planGatewayFleet.ts
@@ -5,6 +5,10 @@
 
 /** Share of an endpoint's time that may be spent on reading prompts, so that most requests find it free. */
 const BUSY_SHARE = 0.4;
+/** Share of the need that is covered even if another failure domain goes while reclaimable endpoints are refused. */
+const AT_RISK_SHARE = 0.75;
+/** Reclaimable endpoints are kept up to this multiple of the need, since a new one starts without cached prompts. */
+const KEPT_FACTOR = 1.25;
 /** Share of an endpoint's places that may be taken. */
 const SLOT_SHARE = 0.7;
 /** Load of a service over all nodes. */
@@ -27,6 +31,8 @@
     readonly reclaimableServing: number;
     /** True while reclaimable endpoints are refused there. */
     readonly isReclaimableRefused: boolean;
+    /** True if reclaimable endpoints were refused there a short time ago or still are. */
+    readonly wasReclaimableRefused: boolean;
     readonly isOnDemandRefused: boolean;
 }
 
@@ -68,15 +74,20 @@
     fleet: readonly DomainFleet[],
     bounds: FleetBounds,
 ): readonly DomainPlan[] {
-    const wanted = bounds.reclaimablePrice === undefined ? 0 : Math.ceil(need / Math.max(1, fleet.length - 1));
+    const countPerDomain = (load: number) =>
+        bounds.reclaimablePrice === undefined ? 0 : Math.ceil(load / Math.max(1, fleet.length - 1));
     const reclaimable = fleet.map(domain => {
-        const most = Math.min(wanted, bounds.perDomainMax);
+        const kept = Math.min(domain.reclaimable, countPerDomain(need * KEPT_FACTOR));
+        const most = Math.min(Math.max(countPerDomain(need), kept), bounds.perDomainMax);
         return domain.isReclaimableRefused ? Math.min(most, domain.reclaimable) : most;
     });
     const present = sumOf(fleet.map(domain => domain.onDemand));
-    const least = countMissing(need, fleet, domain => domain.reclaimable);
+    const least = Math.max(
+        countMissing(need, fleet, domain => domain.reclaimable),
+        countAtRisk(need, fleet),
+    );
     const most = countMissing(need, fleet, domain => domain.reclaimableServing);
-    const onDemand = planOnDemand(Math.min(most, Math.max(least, present)), fleet, bounds);
+    const onDemand = planOnDemand(Math.max(least, Math.min(most, present)), fleet, bounds);
     return fleet.map((domain, index) => ({
         failureDomain: domain.failureDomain,
         onDemand: onDemand[index] ?? 0,
@@ -84,6 +95,18 @@
     }));
 }
 
+/**
+ * Counts the on-demand endpoints that are needed in case the next failure domain is reclaimed while reclaimable ones
+ * are refused: reclaims come in waves, and an on-demand endpoint starts more slowly than a domain is emptied.
+ */
+function countAtRisk(need: number, fleet: readonly DomainFleet[]): number {
+    if (!fleet.some(domain => domain.wasReclaimableRefused)) {
+        return 0;
+    }
+    const serving = fleet.map(domain => domain.reclaimableServing);
+    return Math.max(0, Math.ceil(need * AT_RISK_SHARE - (sumOf(serving) - Math.max(...serving))));
+}
+
 /** Counts the on-demand endpoints that are needed beside reclaimable ones. */
 function countMissing(need: number, fleet: readonly DomainFleet[], count: (domain: DomainFleet) => number): number {
     return Math.max(0, Math.ceil(need - sumOf(fleet.map(count))));
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -16,6 +16,10 @@
 const PLAN_PERIOD_MS = 500;
 /** After a refusal the same kind of endpoint isn't ordered in the same failure domain for this long. */
 const REFUSED_MS = 2_500;
+/** A refusal of reclaimable endpoints is taken as a sign of a wave for this long after the last one. */
+const REFUSED_MEMORY_MS = 2_000;
+/** Without cached prompts requests take more reading than later on. */
+const FIRST_NEED_FACTOR = 1.4;
 /** When the whole system starts, endpoints take this long to register; nothing is planned on a part of them. */
 const REGISTRATION_MS = 5_000;
 /** The need sinks by at most this share of itself a second, so that a lull between two waves orders nothing away. */
@@ -23,7 +27,8 @@
 const MS_PER_S = 1_000;
 
 interface OrderState {
-    count: number;
+    /** Endpoints that the last order added. */
+    added: number;
     orderedAtMs: number;
     refusedUntilMs: number;
 }
@@ -64,17 +69,19 @@
 
     const readOrder = (service: string, failureDomain: string, isReclaimable: boolean): OrderState => {
         const key = `${service}|${failureDomain}|${isReclaimable}`;
-        const state = orders.get(key) ?? { count: -1, orderedAtMs: Number.NEGATIVE_INFINITY, refusedUntilMs: 0 };
+        const state = orders.get(key) ?? { added: 0, orderedAtMs: Number.NEGATIVE_INFINITY, refusedUntilMs: 0 };
         orders.set(key, state);
         return state;
     };
-    const countPresent = (service: string, failureDomain: string, isReclaimable: boolean): number =>
+    const listPlaced = (service: string, failureDomain: string, isReclaimable: boolean) =>
         directory
-            .listUsable(service)
+            .listAll(service)
             .filter(
                 ({ endpoint }) => endpoint.failureDomain === failureDomain && endpoint.isReclaimable === isReclaimable,
-            ).length;
-    /** What serves, or was ordered so recently that it may still be starting. */
+            );
+    const countPresent = (service: string, failureDomain: string, isReclaimable: boolean): number =>
+        listPlaced(service, failureDomain, isReclaimable).filter(record => !record.endpoint.isDraining).length;
+    /** Counts what serves, and what was ordered, has not come yet, and may still come. */
     const countExpected = (
         service: string,
         failureDomain: string,
@@ -82,9 +89,13 @@
         bounds: FleetBounds,
     ): number => {
         const order = readOrder(service, failureDomain, isReclaimable);
-        const present = countPresent(service, failureDomain, isReclaimable);
-        const isStarting = clock.readMonotonicMs() - order.orderedAtMs < (bounds.bootSeconds + 2) * MS_PER_S;
-        return isStarting ? Math.max(present, order.count) : present;
+        const placed = listPlaced(service, failureDomain, isReclaimable);
+        const present = placed.filter(record => !record.endpoint.isDraining).length;
+        const isOverdue = clock.readMonotonicMs() - order.orderedAtMs > (bounds.bootSeconds + 2) * MS_PER_S;
+        // A reclaim takes those that are starting as well.
+        const isReclaimed = isReclaimable && present < placed.length && present === 0;
+        const arrived = placed.filter(record => record.foundAtMs > order.orderedAtMs).length;
+        return present + (isOverdue || isReclaimed ? 0 : Math.max(0, order.added - arrived));
     };
     const describeFleet = (service: string, bounds: FleetBounds): readonly DomainFleet[] =>
         options.failureDomains.map(failureDomain => ({
@@ -93,6 +104,8 @@
             reclaimable: countExpected(service, failureDomain, true, bounds),
             reclaimableServing: countPresent(service, failureDomain, true),
             isReclaimableRefused: readOrder(service, failureDomain, true).refusedUntilMs > clock.readMonotonicMs(),
+            wasReclaimableRefused:
+                readOrder(service, failureDomain, true).refusedUntilMs > clock.readMonotonicMs() - REFUSED_MEMORY_MS,
             isOnDemandRefused: readOrder(service, failureDomain, false).refusedUntilMs > clock.readMonotonicMs(),
         }));
     /** Counts what is there, without the reserve for the loss of a failure domain. */
@@ -112,7 +125,10 @@
             slots: service.engine?.slots ?? 1,
         });
         // Without knowledge of the load, what is there is taken to be what it needs.
-        const before = needs.get(service.name) ?? { need: countProvided(service.name), atMs: nowMs };
+        const before = needs.get(service.name) ?? {
+            need: countProvided(service.name) * FIRST_NEED_FACTOR,
+            atMs: nowMs,
+        };
         const faded = before.need * (1 - NEED_FADE_PER_S) ** ((nowMs - before.atMs) / MS_PER_S);
         const need = Math.max(measured, faded, 1);
         needs.set(service.name, { need, atMs: nowMs });
@@ -135,7 +151,10 @@
         const sent = await cloud.orderFleet(holder, order);
         const nowMs = clock.readMonotonicMs();
         if (sent.isOk()) {
-            state.count = order.count;
+            state.added = Math.max(
+                0,
+                order.count - countPresent(order.service, order.failureDomain, order.isReclaimable),
+            );
             state.orderedAtMs = nowMs;
         } else if (sent.error.kind === FailureKind.NoEndpoint) {
             state.refusedUntilMs = nowMs + REFUSED_MS;
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -186,7 +186,10 @@
             const result = await runAttempt(course, record);
             if (MAY_HAVE_EXECUTED.has(result.end)) {
                 course.executions++;
-                beginUsage(course);
+                // A stream begins with its first event; other requests may have begun without a sign of it.
+                if (exchange.route.kind !== RouteKind.Streaming) {
+                    beginUsage(course);
+                }
             }
             parts.metrics.countAttempt(exchange.service, result.end);
             const step = decideNext(course, result);
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -13,7 +13,7 @@
 import { buildMemberKey, decodeMember, MEMBER_PREFIX, type MemberRecord } from "./memberRecord";
 
 /** Time between two writes of the row while counts change, and while they don't. */
-const WRITE_PERIOD_MS = 1_250;
+const WRITE_PERIOD_MS = 2_400;
 const QUIET_WRITE_PERIOD_MS = 4_000;
 /** Time between two looks at the others' rows; the first ones come sooner. */
 const LIST_PERIOD_MS = 8_000;
@@ -46,6 +46,8 @@
     listMembers(): readonly MemberRecord[];
     /** Counts the live members; a cautious guess until they are known. */
     countNodes(): number;
+    /** Gives this node's own record as of now. */
+    describeSelf(): MemberRecord;
     /** Reads all rows now, those of dead lives included. */
     readRecords(): Promise<readonly MemberRecord[] | undefined>;
 }
@@ -70,6 +72,11 @@
     let lists = 0;
     let nextListMs = 0;
 
+    const describeSelf = (): MemberRecord => ({
+        ...self,
+        atMs: trueTime.readTrueMs(),
+        windows: options.usage.readWindows(),
+    });
     const readRecords = async () => {
         const rows = await table.listRows(MEMBER_PREFIX);
         return rows.isErr() ? undefined : rows.value.flatMap(row => decodeMember(row.value) ?? []);
@@ -94,11 +101,10 @@
     };
     const writeRow = async (content: string) => {
         const window = Math.floor((trueTime.readTrueMs() - STEP_MS) / windowMs);
-        const record: MemberRecord = { ...self, atMs: trueTime.readTrueMs(), windows: options.usage.readWindows() };
         const written = await table.commitTransaction({
             token: ulid(),
             conditions: [],
-            writes: [{ key: buildMemberKey(self), value: JSON.stringify(record) }],
+            writes: [{ key: buildMemberKey(self), value: JSON.stringify(describeSelf()) }],
         });
         if (written.isOk()) {
             lastWritten = content;
@@ -127,10 +133,10 @@
     return {
         life,
         listMembers: () => {
-            const own: MemberRecord = { ...self, atMs: trueTime.readTrueMs(), windows: {} };
-            return [...(members ?? []), own].sort((left, right) => (left.node < right.node ? -1 : 1));
+            return [...(members ?? []), describeSelf()].sort((left, right) => (left.node < right.node ? -1 : 1));
         },
         countNodes: () => (members === undefined ? UNKNOWN_NODES : members.length + 1),
+        describeSelf,
         readRecords,
         dispose: () => {
             isStopped = true;
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -12,10 +12,15 @@
 import type { AccountQuotas, PeerView } from "../decisions/gateway/accountQuotas";
 import type { Membership } from "./createMembership";
 import type { ServiceLoad } from "./createDemandMeter";
+import type { TrueTime } from "./createTrueTime";
+import type { UsageLedger } from "./createUsageLedger";
+import type { UsageCounts, UsageMeter } from "./createUsageMeter";
 
 const SEND_PERIOD_MS = 200;
 /** Without news a datagram still goes out this often, so that the others know this node is heard. */
 const QUIET_SEND_PERIOD_MS = 800;
+/** Newest usage windows in a datagram. */
+const WINDOWS_SENT = 2;
 /** A node that was not heard for this long is out of touch. */
 const HEARD_MS = 2_000;
 
@@ -23,18 +28,23 @@
 interface PeerMessage {
     readonly node: string;
     readonly life: string;
+    /** True time at which it was sent. */
+    readonly atMs: number;
     readonly totals: Readonly<Record<string, number>>;
     readonly loads: Readonly<Record<string, ServiceLoad>>;
+    readonly windows: Readonly<Record<string, UsageCounts>>;
 }
 
 const MESSAGE_SCHEMA = z.object({
     node: z.string(),
     life: z.string(),
+    atMs: z.number(),
     totals: z.record(z.string(), z.number()),
     loads: z.record(
         z.string(),
         z.object({ tokensPerSecond: z.number(), requestsPerSecond: z.number(), inFlight: z.number() }),
     ),
+    windows: z.record(z.string(), z.record(z.string(), z.number())),
 });
 
 interface Peer {
@@ -51,6 +61,9 @@
     readonly port: number;
     readonly membership: Membership;
     readonly quotas: AccountQuotas;
+    readonly ledger: UsageLedger;
+    readonly usage: UsageMeter;
+    readonly trueTime: TrueTime;
     readonly readLoads: () => Readonly<Record<string, ServiceLoad>>;
     readonly clock: Clock;
     readonly log: Log;
@@ -85,6 +98,7 @@
             return;
         }
         const nowMs = clock.readMonotonicMs();
+        options.ledger.recordUsage(message);
         const before = peers.get(message.node);
         const known = before?.life === message.life ? before.totals : {};
         for (const [account, total] of Object.entries(message.totals)) {
@@ -98,15 +112,18 @@
     const listHeard = () => [...peers.values()].filter(peer => clock.readMonotonicMs() - peer.heardAtMs < HEARD_MS);
     const send = () => {
         const totals = Object.fromEntries([...quotas.readTotals()].map(([name, total]) => [name, Math.round(total)]));
-        const message: PeerMessage = { node: options.node, life: membership.life, totals, loads: options.readLoads() };
-        const text = JSON.stringify(message);
+        const loads = options.readLoads();
+        const windows = options.usage.readWindows(WINDOWS_SENT);
+        const text = JSON.stringify({ totals, loads, windows });
         const nowMs = clock.readMonotonicMs();
         if (text === lastSent && nowMs - lastSentAtMs < QUIET_SEND_PERIOD_MS) {
             return;
         }
         lastSent = text;
         lastSentAtMs = nowMs;
-        const bytes = Buffer.from(text);
+        const atMs = Math.round(options.trueTime.readTrueMs());
+        const message: PeerMessage = { node: options.node, life: membership.life, atMs, totals, loads, windows };
+        const bytes = Buffer.from(JSON.stringify(message));
         for (const member of membership.listMembers()) {
             if (member.node !== options.node) {
                 socket.send(bytes, member.port, member.address);
--- a/src/gateway/createServiceSpeeds.ts
+++ b/src/gateway/createServiceSpeeds.ts
@@ -5,12 +5,12 @@
 
 const FIRST_TOKENS_PER_MS = 40;
 const FIRST_SERVICE_MS = 30;
-/** Prompts shorter than this say little about the reading speed. */
+/** Prompts shorter than this say more about the fixed part of the time than about the reading speed. */
 const SHORT_PROMPT_TOKENS = 1_500;
-/** The speed follows this quantile of what is observed: slower answers had to wait for others. */
-const SPEED_QUANTILE = 0.85;
-const SPEED_STEP = 0.05;
-const SERVICE_WEIGHT = 0.05;
+/** Quantiles that are followed: slower answers had to wait for others. */
+const SPEED_QUANTILE = 0.8;
+const SERVICE_QUANTILE = 0.3;
+const STEP_SHARE = 0.05;
 
 /** One answer. */
 export interface AnswerTime {
@@ -26,7 +26,8 @@
 }
 
 /**
- * Creates the speeds, with a first guess for every service.
+ * Creates the speeds, with a first guess for every service. The time to an answer is taken as a fixed part and one that
+ * grows with the prompt; short prompts teach the one, long ones the other.
  *
  * @returns The speeds
  * @example
@@ -41,13 +42,17 @@
         recordAnswer: (service, { uncachedTokens, firstPartMs }) => {
             const { tokensPerMs, serviceMs } = readSpeed(service);
             if (uncachedTokens >= SHORT_PROMPT_TOKENS) {
-                const observed = uncachedTokens / Math.max(1, firstPartMs);
-                const step = observed > tokensPerMs ? SPEED_QUANTILE : SPEED_QUANTILE - 1;
-                speeds.set(service, { serviceMs, tokensPerMs: tokensPerMs * (1 + SPEED_STEP * step) });
+                const observed = uncachedTokens / Math.max(1, firstPartMs - serviceMs);
+                speeds.set(service, { serviceMs, tokensPerMs: advanceQuantile(tokensPerMs, observed, SPEED_QUANTILE) });
             } else {
-                const ownMs = Math.max(1, firstPartMs - uncachedTokens / tokensPerMs);
-                speeds.set(service, { tokensPerMs, serviceMs: serviceMs + SERVICE_WEIGHT * (ownMs - serviceMs) });
+                const observed = Math.max(1, firstPartMs - uncachedTokens / tokensPerMs);
+                speeds.set(service, { tokensPerMs, serviceMs: advanceQuantile(serviceMs, observed, SERVICE_QUANTILE) });
             }
         },
     };
 }
+
+/** Moves an estimate of a quantile one step towards an observation. */
+function advanceQuantile(estimate: number, observed: number, quantile: number): number {
+    return estimate * (1 + STEP_SHARE * (observed > estimate ? quantile : quantile - 1));
+}
--- a/src/gateway/createUsageDuty.ts
+++ b/src/gateway/createUsageDuty.ts
@@ -9,6 +9,7 @@
 import type { TablePort } from "../ports/table";
 import type { Membership } from "./createMembership";
 import type { TrueTime } from "./createTrueTime";
+import type { UsageLedger } from "./createUsageLedger";
 import type { UsageCounts } from "./createUsageMeter";
 import { buildMemberKey, type MemberRecord } from "./memberRecord";
 import type { CheckHolder, Duty } from "./startDutyHolder";
@@ -16,8 +17,10 @@
 const REPORT_PREFIX = "usage/";
 /** Time after a window's end by which the nodes have written their counts as a rule. */
 const SETTLE_MS = 1_200;
-/** Time before a report is due from which it is sent without the nodes that are late. */
-const LAST_MS = 3_000;
+/** Time after a window's end from which the report is sent without the nodes that are late. */
+const LATE_MS = 4_000;
+/** A node that told nothing for this long before a window's end was dead then. */
+const LIVE_MS = 2_500;
 /** A report is tried for this long after it is due. */
 const OVERDUE_MS = 6_000;
 const RETRY_MS = 500;
@@ -33,6 +36,7 @@
     readonly cloud: DutyPort;
     readonly table: TablePort;
     readonly membership: Membership;
+    readonly ledger: UsageLedger;
     readonly trueTime: TrueTime;
     readonly log: Log;
 }
@@ -43,10 +47,10 @@
  * @param options - What it needs
  * @returns The duty
  * @example
- * createUsageDuty({ windowMs: 5_000, dueMs: 10_000, cloud, table, membership, trueTime, log });
+ * createUsageDuty({ windowMs: 5_000, dueMs: 10_000, cloud, table, membership, ledger, trueTime, log });
  */
 export function createUsageDuty(options: UsageDutyOptions): Duty {
-    const { windowMs, dueMs, cloud, table, membership, trueTime, log } = options;
+    const { windowMs, dueMs, cloud, table, membership, ledger, trueTime, log } = options;
     const startedWindow = Math.floor(trueTime.readTrueMs() / windowMs);
     let sentUpTo = -1;
     let retryAtMs = 0;
@@ -61,10 +65,15 @@
             return decodeCounts(stored.value.value);
         }
         const records = await membership.readRecords();
-        if (records === undefined || !isComplete(records, window)) {
+        if (records === undefined) {
             return undefined;
         }
-        const counts = sumCounts(records, window);
+        records.forEach(ledger.recordUsage);
+        ledger.recordUsage(membership.describeSelf());
+        if (!isComplete(window)) {
+            return undefined;
+        }
+        const counts = ledger.sumWindow(window);
         const committed = await table.commitTransaction({
             token: ulid(),
             conditions: [{ key, version: undefined }],
@@ -76,11 +85,11 @@
         }
         return counts;
     };
-    /** Complete if every node that wrote of late has written after the window's end, or if there is no time left. */
-    const isComplete = (records: readonly MemberRecord[], window: number): boolean => {
+    /** Complete if every node that lived at the window's end has told of it since, or if none is waited for any longer. */
+    const isComplete = (window: number): boolean => {
         const endMs = (window + 1) * windowMs;
-        const late = records.filter(record => record.atMs < endMs && record.atMs > endMs - windowMs);
-        return late.length === 0 || trueTime.readTrueMs() > endMs + dueMs - LAST_MS;
+        const isLate = ({ atMs }: { readonly atMs: number }) => atMs < endMs && atMs > endMs - LIVE_MS;
+        return !ledger.listLives().some(isLate) || trueTime.readTrueMs() > endMs + LATE_MS;
     };
     const listOldRows = (records: readonly MemberRecord[], window: number) => {
         const beforeMs = trueTime.readTrueMs() - ROW_LIFE_MS;
@@ -135,13 +144,3 @@
         return undefined;
     }
 }
-
-function sumCounts(records: readonly MemberRecord[], window: number): UsageCounts {
-    const sums: Record<string, number> = {};
-    for (const record of records) {
-        for (const [account, count] of Object.entries(record.windows[String(window)] ?? {})) {
-            sums[account] = (sums[account] ?? 0) + count;
-        }
-    }
-    return sums;
-}
--- a/src/gateway/createUsageMeter.ts
+++ b/src/gateway/createUsageMeter.ts
@@ -13,8 +13,8 @@
 export interface UsageMeter {
     /** Counts a request whose execution began now. */
     recordBegun(account: string): void;
-    /** Gives the counts of the last windows, by number of the window. */
-    readWindows(): Readonly<Record<string, UsageCounts>>;
+    /** Gives the counts of the newest windows, all that are kept as a rule, by number of the window. */
+    readWindows(most?: number): Readonly<Record<string, UsageCounts>>;
 }
 
 /**
@@ -40,7 +40,9 @@
                 }
             }
         },
-        readWindows: () =>
-            Object.fromEntries([...windows].map(([window, counts]) => [String(window), Object.fromEntries(counts)])),
+        readWindows: (most = WINDOWS_KEPT) =>
+            Object.fromEntries(
+                [...windows].slice(-most).map(([window, counts]) => [String(window), Object.fromEntries(counts)]),
+            ),
     };
 }
--- a/src/gateway/endpointRecord.ts
+++ b/src/gateway/endpointRecord.ts
@@ -30,6 +30,8 @@
 export interface EndpointRecord {
     readonly endpoint: GatewayEndpoint;
     readonly connections: EndpointConnections;
+    /** Monotonic time at which this node learnt of it. */
+    readonly foundAtMs: number;
     /** Time there and back, and the cost of the distance in milliseconds of expected time. */
     readonly roundTripMs: number;
     readonly distancePenaltyMs: number;
@@ -56,6 +58,7 @@
     return {
         endpoint,
         connections: createEndpointConnections(clock),
+        foundAtMs: clock.readMonotonicMs(),
         roundTripMs: distance.roundTripMs,
         distancePenaltyMs: distance.penaltyMs,
         missingSinceMs: undefined,
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -21,15 +21,16 @@
 import { createForwarder } from "./createForwarder";
 import { createGatewayListener } from "./createGatewayListener";
 import { createGatewayMetrics } from "./createGatewayMetrics";
-import { createMembership } from "./createMembership";
+import { createMembership, type Membership } from "./createMembership";
 import { createPeerExchange } from "./createPeerExchange";
 import { createReadinessListener } from "./createReadinessListener";
 import { createServiceSpeeds } from "./createServiceSpeeds";
 import { createTrueTime, type TrueTime } from "./createTrueTime";
 import { createUsageDuty } from "./createUsageDuty";
+import { createUsageLedger, type UsageLedger } from "./createUsageLedger";
 import { createUsageMeter } from "./createUsageMeter";
 import type { GatewayParts } from "./gatewayParts";
-import { startDutyHolder } from "./startDutyHolder";
+import { type DutyHolding, startDutyHolder } from "./startDutyHolder";
 import { startTableWatch } from "./startTableWatch";
 
 /** What the platform's folder provides. */
@@ -88,6 +89,7 @@
     const metrics = createGatewayMetrics();
     configuration.watchConfiguration(view => metrics.setConfigurationVersion(view.configuration.version));
     const quotas = createAccountQuotas(settings.bounds, settings.isFirstStart ? undefined : clock.readMonotonicMs());
+    const ledger = createUsageLedger();
     const [peerPort] = settings.internalPorts;
     const membership = createMembership({
         node: settings.nodeName,
@@ -107,6 +109,9 @@
         port: peerPort,
         membership,
         quotas,
+        ledger,
+        usage,
+        trueTime,
         readLoads: demand.readLoads,
         clock,
         log,
@@ -157,9 +162,7 @@
         handleConfirmed: (_sentAt, answer) => trueTime.recordStoreClock(answer.storeNowMs),
     });
     void resolveTrueTime(platform.tables, trueTime, clock.waitMs, log);
-    if (platform.cloud !== undefined) {
-        startDuties(parts, platform, membership, trueTime);
-    }
+    const duties = startDuties({ parts, platform, membership, ledger, trueTime });
     const listener = createGatewayListener({ parts, forwarder: createForwarder(parts), quotas });
     let isLeaving = false;
     const isReady = () =>
@@ -184,6 +187,7 @@
     const leavingAtMs = clock.readMonotonicMs();
     log.info("gateway leaves", { signal, open: listener.countOpen() });
     listener.beginDrain();
+    duties?.leave();
     const passedMs = () => clock.readMonotonicMs() - leavingAtMs;
     while (passedMs() < settings.bounds.graceMs * GRACE_SHARE) {
         await new Promise(resolve => setTimeout(resolve, DRAIN_STEP_MS));
@@ -198,20 +202,23 @@
     return listener.countOpen() === 0 ? 0 : 1;
 }
 
-function startDuties(
-    parts: GatewayParts,
-    platform: GatewayPlatform,
-    membership: ReturnType<typeof createMembership>,
-    trueTime: TrueTime,
-) {
+interface DutyParts {
+    readonly parts: GatewayParts;
+    readonly platform: GatewayPlatform;
+    readonly membership: Membership;
+    readonly ledger: UsageLedger;
+    readonly trueTime: TrueTime;
+}
+
+function startDuties({ parts, platform, membership, ledger, trueTime }: DutyParts): DutyHolding | undefined {
     const { settings, clock, log } = parts;
     const { cloud, tables: table } = platform;
     if (cloud === undefined) {
-        return;
+        return undefined;
     }
     const { usageWindowMs: windowMs, usageDueMs: dueMs, leaseMs } = settings.bounds;
     const creators = {
-        [DutyKind.Usage]: () => createUsageDuty({ windowMs, dueMs, cloud, table, membership, trueTime, log }),
+        [DutyKind.Usage]: () => createUsageDuty({ windowMs, dueMs, cloud, table, membership, ledger, trueTime, log }),
         [DutyKind.Fleet]: () =>
             createFleetDuty({
                 ...parts,
@@ -221,7 +228,7 @@
             }),
     };
     const duties = settings.duties.map(kind => creators[kind]());
-    startDutyHolder({ node: settings.nodeName, leaseMs, table, membership, duties, clock, log });
+    return startDutyHolder({ node: settings.nodeName, leaseMs, table, membership, duties, clock, log });
 }
 
 /** Agrees with the other nodes on the difference between the time of day and the store's clock; the first one sets it. */
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/startDutyHolder.ts
@@ -3,7 +3,6 @@
  */
 import type { Clock } from "../base/clock";
 import { type Step, superviseTask, waitFor } from "../base/csp";
-import type { Disposable } from "../base/disposableStore";
 import { computeElapsedMs, readInstant } from "../base/instant";
 import type { Log } from "../base/log/log";
 import type { TablePort } from "../ports/table";
@@ -14,7 +13,7 @@
 
 const LEASE_NAME = "duties";
 /** Added to the least length of a lease, so that no two holders act within it. */
-const LEASE_EXTRA_MS = 500;
+const LEASE_EXTRA_MS = 100;
 const STEP_MS = 250;
 /** Nodes that look at the lease often; the others only now and then, to spare the store. */
 const CANDIDATES = 2;
@@ -36,6 +35,12 @@
     runStep(check: CheckHolder): Promise<void>;
 }
 
+/** The part of this node in the duties. */
+export interface DutyHolding {
+    /** Ends it. The lease is released only if it was held for its length, so that holders never alternate within it. */
+    leave(): void;
+}
+
 /** What holding the duties needs. */
 export interface DutyHolderOptions {
     readonly node: string;
@@ -48,15 +53,14 @@
 }
 
 /**
- * Starts to try for the duties, and to carry them out while this node holds them. The lease is never released early:
- * its end is waited for, so that holders never alternate within its length.
+ * Starts to try for the duties, and to carry them out while this node holds them.
  *
  * @param options - What is needed
- * @returns Dispose of it to stop
+ * @returns How to leave
  * @example
  * startDutyHolder({ node, leaseMs, table, membership, duties, clock, log });
  */
-export function startDutyHolder(options: DutyHolderOptions): Disposable {
+export function startDutyHolder(options: DutyHolderOptions): DutyHolding {
     const { clock, log, membership, node } = options;
     const durationMs = options.leaseMs + LEASE_EXTRA_MS;
     let isStopped = false;
@@ -104,7 +108,15 @@
             const lease = yield* acquire(leases);
             if (lease !== undefined) {
                 log.info("duties held", { epoch: lease.epoch });
+                const heldSince = readInstant(clock);
                 yield* holdTerm(lease);
+                if (
+                    isStopped &&
+                    lease.checkHeld().isOk() &&
+                    clock.readMonotonicMs() - heldSince.monotonicMs > durationMs
+                ) {
+                    yield* waitFor(lease.release());
+                }
                 log.info("duties no longer held", { epoch: lease.epoch });
             }
             leases.dispose();
@@ -115,7 +127,7 @@
         reportFailure: (name, failure) => log.error("task failed", { name, reason: failure.message }),
     });
     return {
-        dispose: () => {
+        leave: () => {
             isStopped = true;
         },
     };
--- a/src/gateway/startTableWatch.ts
+++ b/src/gateway/startTableWatch.ts
@@ -62,7 +62,9 @@
             const sentAt = readInstant(clock);
             const isWholeTable = revision === undefined;
             const result = yield* waitFor(
-                revision === undefined ? port.readTable(table) : port.waitForChanges(table, revision, options.waitMs),
+                revision === undefined
+                    ? port.readTable(table)
+                    : port.waitForChanges(table, revision, failures > 0 ? 0 : options.waitMs),
             );
             if (result.isOk() && result.value.revision >= (revision ?? 0)) {
                 handleAnswer(result.value, sentAt, isWholeTable);
