Order fewer endpoints for the same load

Change: endpoints may be busy 0.7 of their time; the reserve is 0.4 of the need; the need fades by 0.06 a second.

--- a/src/decisions/gateway/chooseEndpoint.ts
+++ b/src/decisions/gateway/chooseEndpoint.ts
@@ -45,7 +45,7 @@
 /** Share of a service's time by which an endpoint that is nearly full is slower. */
 const NEARLY_FULL_SHARE = 0.7;
 /** Share of the shared tokens that are taken to be cached at the endpoint where all nodes place them. */
-const PLACED_SHARE = 0.6;
+const PLACED_SHARE = 0.8;
 /** Estimates within this range count as equal, so that nodes with the same reports do not all choose the same one. */
 const EQUAL_MS = 4;
 
--- a/src/decisions/gateway/planGatewayFleet.ts
+++ b/src/decisions/gateway/planGatewayFleet.ts
@@ -4,9 +4,9 @@
 import type { FleetBounds } from "../../model/gateway";
 
 /** Share of an endpoint's time that may be spent on reading prompts, so that most requests find it free. */
-const BUSY_SHARE = 0.4;
+const BUSY_SHARE = 0.7;
 /** Share of the need that is covered even if another failure domain goes while reclaimable endpoints are refused. */
-const AT_RISK_SHARE = 0.75;
+const AT_RISK_SHARE = 0.4;
 /** Reclaimable endpoints are kept up to this multiple of the need, since a new one starts without cached prompts. */
 const KEPT_FACTOR = 1.25;
 /** Share of an endpoint's places that may be taken. */
@@ -49,7 +49,7 @@
  * @param demand - The load
  * @returns A number of endpoints, not rounded
  * @example
- * computeNeed({ tokensPerSecond: 90_000, inFlight: 40, tokensPerMs: 60, slots: 64 }); //=> 3.89
+ * computeNeed({ tokensPerSecond: 90_000, inFlight: 40, tokensPerMs: 60, slots: 64 }); //=> 3.03
  */
 export function computeNeed(demand: FleetDemand): number {
     const reading = demand.tokensPerSecond / 1_000 / Math.max(0.1, demand.tokensPerMs) / BUSY_SHARE;
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -18,12 +18,10 @@
 const REFUSED_MS = 2_500;
 /** A refusal of reclaimable endpoints is taken as a sign of a wave for this long after the last one. */
 const REFUSED_MEMORY_MS = 2_000;
-/** Without cached prompts requests take more reading than later on. */
-const FIRST_NEED_FACTOR = 1.4;
 /** When the whole system starts, endpoints take this long to register; nothing is planned on a part of them. */
 const REGISTRATION_MS = 5_000;
 /** The need sinks by at most this share of itself a second, so that a lull between two waves orders nothing away. */
-const NEED_FADE_PER_S = 0.03;
+const NEED_FADE_PER_S = 0.06;
 const MS_PER_S = 1_000;
 
 interface OrderState {
@@ -126,7 +124,7 @@
         });
         // Without knowledge of the load, what is there is taken to be what it needs.
         const before = needs.get(service.name) ?? {
-            need: countProvided(service.name) * FIRST_NEED_FACTOR,
+            need: countProvided(service.name),
             atMs: nowMs,
         };
         const faded = before.need * (1 - NEED_FADE_PER_S) ** ((nowMs - before.atMs) / MS_PER_S);
