--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,12 +7,12 @@
 const verbs = JSON.parse(fs.readFileSync(new URL("./scripts/verbs.json", import.meta.url), "utf8"));
 
 export default tseslint.config(
-    { ignores: ["node_modules", "dist", ".cache", "reports", "src/nodes/generated", "**/*.mjs"] },
+    { ignores: ["node_modules", "dist", "target", ".cache", "reports", "src/nodes/generated", "**/*.mjs"] },
     eslint.configs.recommended,
     ...tseslint.configs.recommended,
     ...tseslint.configs.stylistic,
     {
-        files: ["src/**/*.ts", "bench/**/*.ts"],
+        files: ["src/**/*.ts", "bench/**/*.ts", "platform/**/*.ts"],
         plugins: { jsdoc },
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
@@ -56,6 +56,26 @@
             ],
         },
     },
+    {
+        files: ["platform/**/*.ts"],
+        ignores: ["**/*.test.ts"],
+        rules: {
+            "no-restricted-imports": [
+                "error",
+                { patterns: [{ group: ["**/decisions/**"], message: "platform/ translates and decides nothing." }] },
+            ],
+        },
+    },
+    {
+        files: ["src/**/*.ts", "bench/**/*.ts"],
+        ignores: ["**/*.test.ts", "**/_testing/**"],
+        rules: {
+            "no-restricted-imports": [
+                "error",
+                { patterns: [{ group: ["**/platform/**"], message: "Nothing outside platform/ knows its names." }] },
+            ],
+        },
+    },
     {
         files: ["**/*.test.ts", "bench/**/*.ts"],
         rules: { "@typescript-eslint/no-floating-promises": "off", "@typescript-eslint/no-non-null-assertion": "off" },
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -17,7 +17,7 @@
         return entry.name.endsWith(".test.ts") ? [full] : [];
     });
 
-const roots = process.argv.length > 2 ? process.argv.slice(2) : ["src", "bench"];
+const roots = process.argv.length > 2 ? process.argv.slice(2) : ["src", "bench", "platform"];
 const files = roots.flatMap(root => (fs.statSync(root).isDirectory() ? findTests(root) : [root])).sort();
 const knownRed = fs.existsSync("KNOWN-RED.txt")
     ? fs
--- /dev/null
+++ b/src/gateway/createBoundedLog.ts
@@ -0,0 +1,61 @@
+/**
+ * @module A log whose volume is bounded, so that it can't slow requests down while callers press.
+ */
+import type { Clock } from "../base/clock";
+import type { Log, LogFields } from "../base/log/log";
+
+const PERIOD_MS = 1_000;
+/** Lines a period. Warnings and errors may use all of it, other lines half. */
+const LINES_MAX = 60;
+const ORDINARY_LINES_MAX = LINES_MAX / 2;
+
+/**
+ * Wraps a log. Lines beyond the budget are dropped and counted; the count is logged in the next period.
+ *
+ * @param log - Where the lines go
+ * @param clock - Cuts the periods
+ * @returns The bounded log
+ * @example
+ * const log = createBoundedLog(createLog({ format: LogFormat.Json }), clock);
+ */
+export function createBoundedLog(log: Log, clock: Clock): Log {
+    const budget = { startedAtMs: Number.NEGATIVE_INFINITY, lines: 0, dropped: 0 };
+    const beginPeriod = (nowMs: number) => {
+        const dropped = budget.dropped;
+        budget.startedAtMs = nowMs;
+        budget.lines = 0;
+        budget.dropped = 0;
+        if (dropped > 0) {
+            log.warn("log lines dropped", { dropped });
+        }
+    };
+    const takeLine = (most: number): boolean => {
+        const nowMs = clock.readMonotonicMs();
+        if (nowMs - budget.startedAtMs >= PERIOD_MS) {
+            beginPeriod(nowMs);
+        }
+        if (budget.lines >= most) {
+            budget.dropped++;
+            return false;
+        }
+        budget.lines++;
+        return true;
+    };
+    const wrap = (target: Log): Log => {
+        const bound = (most: number, write: (message: string, fields?: LogFields) => void) => {
+            return (message: string, fields?: LogFields) => {
+                if (takeLine(most)) {
+                    write(message, fields);
+                }
+            };
+        };
+        return {
+            debug: bound(ORDINARY_LINES_MAX, target.debug),
+            info: bound(ORDINARY_LINES_MAX, target.info),
+            warn: bound(LINES_MAX, target.warn),
+            error: bound(LINES_MAX, target.error),
+            withFields: fields => wrap(target.withFields(fields)),
+        };
+    };
+    return wrap(log);
+}
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -2,9 +2,12 @@
  * @module A gateway as a process: the one module that wires its parts.
  */
 import http from "node:http";
+import type { Result } from "neverthrow";
 import { ulid } from "ulid";
+import type { Clock } from "../base/clock";
 import { createSystemClock } from "../base/createSystemClock";
 import { createUnpredictableRandom } from "../base/createUnpredictableRandom";
+import type { Failure } from "../base/failure";
 import { createLog } from "../base/log/createLog";
 import { type Log, LogFormat } from "../base/log/log";
 import { createAccountQuotas } from "../decisions/gateway/accountQuotas";
@@ -14,6 +17,7 @@
 import type { ForwardingCodec } from "../ports/forwardingCodec";
 import type { TablePort } from "../ports/table";
 import type { WatchedRow, WatchedTablePort } from "../ports/watchedTable";
+import { createBoundedLog } from "./createBoundedLog";
 import { createConfigurationHolder } from "./createConfigurationHolder";
 import { createDemandMeter } from "./createDemandMeter";
 import { createEndpointDirectory } from "./createEndpointDirectory";
@@ -32,9 +36,12 @@
 import type { GatewayParts } from "./gatewayParts";
 import { type DutyHolding, startDutyHolder } from "./startDutyHolder";
 import { startTableWatch } from "./startTableWatch";
+import { type LiveSettings, watchSettings } from "./watchSettings";
 
 /** What the platform's folder provides. */
 export interface GatewayPlatform {
+    /** Reads the settings anew. */
+    readonly readSettings: () => Result<GatewaySettings, Failure>;
     readonly tables: TablePort & WatchedTablePort;
     readonly cloud: DutyPort | undefined;
     readonly codec: ForwardingCodec;
@@ -67,19 +74,18 @@
  * process.exitCode = await runGateway(settings, platform, 7_615);
  */
 export async function runGateway(
-    settings: GatewaySettings,
+    settings: LiveSettings,
     platform: GatewayPlatform,
     metricsPort: number,
 ): Promise<number> {
     const clock = createSystemClock();
     const random = createUnpredictableRandom();
-    const log = createLog({ format: LogFormat.Json, write: line => void process.stdout.write(`${line}\n`) }).withFields(
-        {
-            node: settings.nodeName,
-        },
-    );
+    const log = createProcessLog(clock).withFields({ node: settings.nodeName });
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenTold = waitForSignal();
+    watchSettings(settings, { readSettings: platform.readSettings, log });
+    process.on("unhandledRejection", reason => log.error("unhandled rejection", { reason: String(reason) }));
+    process.on("uncaughtException", error => log.error("uncaught exception", { reason: error.stack ?? error.message }));
     const trueTime = createTrueTime(clock);
     const configuration = createConfigurationHolder(clock, log);
     const directory = createEndpointDirectory(settings, clock, log);
@@ -256,10 +262,16 @@
     }
 }
 
+/** A log on the standard output; a reader that went away ends the log, not the process. */
+function createProcessLog(clock: Clock): Log {
+    process.stdout.on("error", () => undefined);
+    const write = (line: string) => void process.stdout.write(`${line}\n`);
+    return createBoundedLog(createLog({ format: LogFormat.Json, write }), clock);
+}
+
 function waitForSignal(): Promise<string> {
     return new Promise(resolve => {
         process.on("SIGTERM", () => resolve("SIGTERM"));
         process.on("SIGINT", () => resolve("SIGINT"));
-        process.on("SIGHUP", () => undefined);
     });
 }
