--- /dev/null
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -0,0 +1,232 @@
+/**
+ * @module A gateway's request path on loopback, with endpoints of a test's own and without a platform.
+ */
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+import { PLATFORM_CODEC } from "../../../platform/forwardingCodec";
+import { createRandom } from "../../base/createRandom";
+import { createSystemClock } from "../../base/createSystemClock";
+import type { Disposable } from "../../base/disposableStore";
+import { readInstant } from "../../base/instant";
+import { createLog } from "../../base/log/createLog";
+import { createAccountQuotas } from "../../decisions/gateway/accountQuotas";
+import type { GatewayAccount, GatewayConfiguration, GatewayRoute, GatewaySettings } from "../../model/gateway";
+import { createConfigurationHolder, type ConfigurationHolder } from "../createConfigurationHolder";
+import { createDemandMeter } from "../createDemandMeter";
+import { createEndpointDirectory, type EndpointDirectory } from "../createEndpointDirectory";
+import { createForwarder } from "../createForwarder";
+import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
+import { createGatewayMetrics } from "../createGatewayMetrics";
+import { createServiceSpeeds } from "../createServiceSpeeds";
+import { type EndpointScript, type ScriptedEndpoint, startScriptedEndpoint } from "./startScriptedEndpoint";
+
+/** What a caller got. */
+export interface CallerAnswer {
+    /** 0 if the connection was closed without an answer. */
+    readonly status: number;
+    readonly headers: http.IncomingHttpHeaders;
+    readonly body: string;
+    readonly isComplete: boolean;
+}
+
+/** A running request path. */
+export interface GatewayHarness extends Disposable {
+    readonly listener: GatewayListener;
+    readonly configuration: ConfigurationHolder;
+    readonly directory: EndpointDirectory;
+    readonly endpoints: readonly ScriptedEndpoint[];
+    /** Accounts of requests that were counted as begun. */
+    readonly begun: readonly string[];
+    /** Confirms the configuration as of so many milliseconds ago. */
+    confirm(agoMs?: number): void;
+    apply(changes: Partial<GatewayConfiguration>): void;
+    /** Sends a request; `leavesAfterMs` closes the caller's connection early. */
+    send(
+        options?: http.RequestOptions & { readonly body?: string; readonly leavesAfterMs?: number },
+    ): Promise<CallerAnswer>;
+}
+
+const ACCOUNT: GatewayAccount = {
+    name: "county",
+    keys: ["key-1"],
+    priority: undefined,
+    quotaPerSecond: 0,
+    quotaBurst: 0,
+    countsTokens: true,
+    defaultTokens: 10,
+};
+
+/** Makes the settings of a node on loopback. */
+export function makeSettings(): GatewaySettings {
+    return SETTINGS;
+}
+
+const SETTINGS: GatewaySettings = {
+    nodeName: "node-1",
+    failureDomain: "hobart-1",
+    address: "127.0.0.1",
+    regions: { "hobart-1": "hobart" },
+    callers: { address: "127.0.0.1", port: 0 },
+    readiness: { address: "127.0.0.1", port: 0 },
+    internalPorts: [0, 0],
+    store: { address: "127.0.0.1", port: 1 },
+    cloud: undefined,
+    duties: [],
+    bounds: {
+        revokeMs: 5_000,
+        graceMs: 8_000,
+        retryRatio: 0.2,
+        retrySlack: 50,
+        retryWindowMs: 10_000,
+        quotaWindowMs: 8_000,
+        quotaOverrun: 0,
+        quotaSlack: 0,
+        leaseMs: 3_000,
+        usageWindowMs: 5_000,
+        usageDueMs: 10_000,
+    },
+    heartbeatMs: 1_200,
+    descriptorsMax: 4_100,
+    isFirstStart: true,
+};
+
+/**
+ * Starts a request path with one route and an endpoint for each script.
+ *
+ * @param route - The route; its service is `chat`
+ * @param scripts - What the endpoints do
+ * @param options - `isWithoutConfiguration`: nothing was read from the store yet
+ * @returns The harness; the configuration is confirmed as of now
+ * @example
+ * const harness = await createGatewayHarness(makeRoute(), [answer]);
+ */
+export async function createGatewayHarness(
+    route: GatewayRoute,
+    scripts: readonly EndpointScript[],
+    options: { readonly isWithoutConfiguration?: boolean } = {},
+): Promise<GatewayHarness> {
+    const clock = createSystemClock();
+    const log = createLog({ write: () => undefined });
+    const configuration = createConfigurationHolder(clock, log);
+    const directory = createEndpointDirectory(SETTINGS, clock, log);
+    const endpoints = await Promise.all(scripts.map(startScriptedEndpoint));
+    const begun: string[] = [];
+    const parts = {
+        settings: SETTINGS,
+        clock,
+        random: createRandom(1),
+        log,
+        metrics: createGatewayMetrics(),
+        codec: PLATFORM_CODEC,
+        configuration,
+        directory,
+        speeds: createServiceSpeeds(),
+        usage: { recordBegun: (account: string) => void begun.push(account), readWindows: () => ({}) },
+        demand: createDemandMeter(clock),
+        peers: {
+            readView: () => ({ nodes: 1, heard: 1 }),
+            countNodes: () => 1,
+            listLoads: () => [],
+            dispose: () => undefined,
+        },
+    };
+    const quotas = createAccountQuotas(SETTINGS.bounds, undefined);
+    const listener = createGatewayListener({ parts, forwarder: createForwarder(parts), quotas });
+    let current: GatewayConfiguration = {
+        version: 1,
+        routes: [route],
+        services: [{ name: "chat", connectionsMax: 100, engine: undefined, fleet: undefined }],
+        accounts: [ACCOUNT],
+        limits: { headerBytesMax: 16_384, bodyBytesMax: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 4_000 },
+    };
+    const apply = (changes: Partial<GatewayConfiguration>) => {
+        current = { ...current, version: current.version + 1, ...changes };
+        configuration.applyConfiguration(current);
+    };
+    const confirm = (agoMs = 0) => {
+        const now = readInstant(clock);
+        configuration.recordConfirmed({ monotonicMs: now.monotonicMs - agoMs, wallMs: now.wallMs - agoMs });
+    };
+    directory.replaceAll(
+        endpoints.map((endpoint, index) => ({
+            id: `i-${index}`,
+            endpoint: {
+                id: `i-${index}`,
+                service: "chat",
+                target: { address: endpoint.address, port: endpoint.port },
+                failureDomain: "hobart-1",
+                version: "v1",
+                slots: 4,
+                isDraining: false,
+                isReclaimable: false,
+                startedAtMs: undefined,
+            },
+        })),
+        false,
+    );
+    await new Promise<void>(resolve => listener.server.listen(0, "127.0.0.1", resolve));
+    const port = (listener.server.address() as AddressInfo).port;
+    if (options.isWithoutConfiguration !== true) {
+        apply({});
+        confirm();
+    }
+    return {
+        listener,
+        configuration,
+        directory,
+        endpoints,
+        begun,
+        apply,
+        confirm,
+        send: options => sendRequest(port, options),
+        dispose: () => {
+            listener.server.closeAllConnections();
+            listener.server.close();
+            directory.dispose();
+            endpoints.forEach(endpoint => endpoint.dispose());
+        },
+    };
+}
+
+function sendRequest(
+    port: number,
+    options: http.RequestOptions & { readonly body?: string; readonly leavesAfterMs?: number } = {},
+): Promise<CallerAnswer> {
+    const { body, leavesAfterMs, ...request } = options;
+    return new Promise(resolve => {
+        const none = { status: 0, headers: {}, body: "", isComplete: false };
+        const call = http.request(
+            {
+                host: "127.0.0.1",
+                port,
+                path: "/a/b",
+                agent: false,
+                ...request,
+                headers: {
+                    host: "news.example",
+                    authorization: "Bearer key-1",
+                    "redwinglift-attempt-id": "attempt-1",
+                    ...(request.headers as http.OutgoingHttpHeaders | undefined),
+                },
+            },
+            response => {
+                let text = "";
+                response.on("data", chunk => (text += String(chunk)));
+                response.on("error", () => undefined);
+                response.on("close", () =>
+                    resolve({
+                        status: response.statusCode ?? 0,
+                        headers: response.headers,
+                        body: text,
+                        isComplete: response.complete,
+                    }),
+                );
+            },
+        );
+        call.on("error", () => resolve(none));
+        if (leavesAfterMs !== undefined) {
+            setTimeout(() => call.destroy(), leavesAfterMs);
+        }
+        call.end(body);
+    });
+}
