Call what the project has instead of writing it again; remove what nothing reads

Cause: a read-through of the gateway found twins of parseAnswer, HttpStatus, createWaitBound and of the handlers for stray errors; the endpoint's view built twice for each attempt; the member's own usage gathered at each datagram only to be skipped; fields that nothing reads (events of a batch, an answer's seal, requests a second, KV tokens, heartbeats). Change: those pieces are called, and the fields are gone; runGateway is split into wiring, watches and drain. No test or expectation was changed; the fixtures lost the removed fields.

--- a/src/decisions/gateway/decideAttemptStep.ts
+++ b/src/decisions/gateway/decideAttemptStep.ts
@@ -70,6 +70,11 @@
     return DECIDERS[state.end](route, state);
 }
 
+/** Tells whether a status says that the endpoint failed. */
+export function isFailedStatus(status: number | undefined): boolean {
+    return status !== undefined && status >= FIRST_FAILURE_STATUS;
+}
+
 /** Tells whether a request of the route may be executed more than once. */
 export function isRepeatable(route: GatewayRoute): boolean {
     return route.kind === RouteKind.Idempotent || (route.kind === RouteKind.Streaming && route.isResumable);
@@ -79,8 +84,9 @@
     [AttemptEnd.Relayed]: () => AttemptStep.Finish,
     [AttemptEnd.CallerGone]: () => AttemptStep.Finish,
     [AttemptEnd.Answered]: (route, state) => {
-        const hasFailed = (state.status ?? 0) >= FIRST_FAILURE_STATUS;
-        return hasFailed && isRepeatAllowed(route, state) ? AttemptStep.SendAgain : AttemptStep.Relay;
+        return isFailedStatus(state.status) && isRepeatAllowed(route, state)
+            ? AttemptStep.SendAgain
+            : AttemptStep.Relay;
     },
     [AttemptEnd.NotSent]: (_route, state) => {
         const canSend = state.hasTime && state.sends < SENDS_MAX;
--- a/src/decisions/gateway/planGatewayFleet.ts
+++ b/src/decisions/gateway/planGatewayFleet.ts
@@ -11,6 +11,7 @@
 const KEPT_FACTOR = 1.25;
 /** Share of an endpoint's places that may be taken. */
 const SLOT_SHARE = 0.7;
+
 /** Load of a service over all nodes. */
 export interface FleetDemand {
     readonly tokensPerSecond: number;
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -85,7 +85,6 @@
         usageWindowMs: 5_000,
         usageDueMs: 10_000,
     },
-    heartbeatMs: 1_200,
     descriptorsMax: 4_100,
     isFirstStart: true,
 };
@@ -125,7 +124,6 @@
         demand: createDemandMeter(clock),
         peers: {
             readView: () => ({ nodes: 1, heard: 1 }),
-            countNodes: () => 1,
             listLoads: () => [],
             dispose: () => undefined,
         },
--- a/src/gateway/createDemandMeter.ts
+++ b/src/gateway/createDemandMeter.ts
@@ -11,7 +11,6 @@
 export interface ServiceLoad {
     /** Prompt tokens to be read for the requests that arrived, cached ones left out as far as they are known. */
     readonly tokensPerSecond: number;
-    readonly requestsPerSecond: number;
     readonly inFlight: number;
 }
 
@@ -24,7 +23,6 @@
 
 interface Meter {
     readonly tokens: SlidingCount;
-    readonly requests: SlidingCount;
     inFlight: number;
 }
 
@@ -41,7 +39,6 @@
     const readMeter = (service: string): Meter => {
         const meter = meters.get(service) ?? {
             tokens: createSlidingCount(WINDOW_MS),
-            requests: createSlidingCount(WINDOW_MS),
             inFlight: 0,
         };
         meters.set(service, meter);
@@ -51,18 +48,17 @@
         recordArrival: (service, uncachedTokens) => {
             const nowMs = clock.readMonotonicMs();
             readMeter(service).tokens.add(uncachedTokens, nowMs);
-            readMeter(service).requests.add(1, nowMs);
         },
         recordInFlight: (service, change) => {
             readMeter(service).inFlight += change;
         },
         readLoads: () => {
             const nowMs = clock.readMonotonicMs();
-            const perSecond = (count: SlidingCount) => Math.round((count.sum(nowMs) * MS_PER_S) / WINDOW_MS);
+            const computePerSecond = (count: SlidingCount) => Math.round((count.sum(nowMs) * MS_PER_S) / WINDOW_MS);
             return Object.fromEntries(
-                [...meters].map(([service, { tokens, requests, inFlight }]) => [
+                [...meters].map(([service, { tokens, inFlight }]) => [
                     service,
-                    { tokensPerSecond: perSecond(tokens), requestsPerSecond: perSecond(requests), inFlight },
+                    { tokensPerSecond: computePerSecond(tokens), inFlight },
                 ]),
             );
         },
--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/createEventSplitter.ts
@@ -14,7 +14,6 @@
     readonly lastEventId: string | undefined;
     /** Id of the first event in the batch that has one. */
     readonly firstEventId: string | undefined;
-    readonly events: number;
 }
 
 /** Splits a stream. */
@@ -70,6 +69,5 @@
 function describeEvents(bytes: Buffer): EventBatch {
     const text = bytes.toString("latin1");
     const ids = [...text.matchAll(/^id: ?(.*?)\r?$/gm)].map(match => match[1] ?? "");
-    const events = text.split(/\r?\n\r?\n/).length - 1;
-    return { bytes, firstEventId: ids[0], lastEventId: ids.at(-1), events };
+    return { bytes, firstEventId: ids[0], lastEventId: ids.at(-1) };
 }
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -56,7 +56,7 @@
  * @param options - What it needs
  * @returns The duty
  * @example
- * createFleetDuty({ cloud, configuration, directory, peers, speeds, failureDomains, clock, log });
+ * createFleetDuty({ cloud, configuration, directory, peers, speeds, failureDomains, isFirstStart, clock, log });
  */
 export function createFleetDuty(options: FleetDutyOptions): Duty {
     const { cloud, configuration, directory, peers, speeds, clock, log } = options;
@@ -123,10 +123,7 @@
             slots: service.engine?.slots ?? 1,
         });
         // Without knowledge of the load, what is there is taken to be what it needs.
-        const before = needs.get(service.name) ?? {
-            need: countProvided(service.name),
-            atMs: nowMs,
-        };
+        const before = needs.get(service.name) ?? { need: countProvided(service.name), atMs: nowMs };
         const faded = before.need * (1 - NEED_FADE_PER_S) ** ((nowMs - before.atMs) / MS_PER_S);
         const need = Math.max(measured, faded, 1);
         needs.set(service.name, { need, atMs: nowMs });
@@ -172,19 +169,10 @@
         logNeed(service.name, need);
         for (const plan of planGatewayFleet(need, fleet, bounds)) {
             const now = fleet.find(domain => domain.failureDomain === plan.failureDomain);
+            const place = { service: service.name, failureDomain: plan.failureDomain };
             const steps: readonly FleetOrder[] = [
-                {
-                    service: service.name,
-                    failureDomain: plan.failureDomain,
-                    count: plan.reclaimable,
-                    isReclaimable: true,
-                },
-                {
-                    service: service.name,
-                    failureDomain: plan.failureDomain,
-                    count: plan.onDemand,
-                    isReclaimable: false,
-                },
+                { ...place, count: plan.reclaimable, isReclaimable: true },
+                { ...place, count: plan.onDemand, isReclaimable: false },
             ];
             for (const order of steps) {
                 const expected = (order.isReclaimable ? now?.reclaimable : now?.onDemand) ?? 0;
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -3,8 +3,19 @@
  */
 import { createFailure } from "../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../base/failure";
-import { chooseEndpoint, estimateAnswerMs } from "../decisions/gateway/chooseEndpoint";
-import { AttemptEnd, AttemptStep, decideAttemptStep, isRepeatable } from "../decisions/gateway/decideAttemptStep";
+import {
+    chooseEndpoint,
+    type EndpointView,
+    estimateAnswerMs,
+    type PlacementRequest,
+} from "../decisions/gateway/chooseEndpoint";
+import {
+    AttemptEnd,
+    AttemptStep,
+    decideAttemptStep,
+    isFailedStatus,
+    isRepeatable,
+} from "../decisions/gateway/decideAttemptStep";
 import { createRetryAllowance, type RetryAllowance } from "../decisions/gateway/retryAllowance";
 import { RouteKind } from "../model/gateway";
 import type { AnswerHead } from "../ports/forwardingCodec";
@@ -25,7 +36,6 @@
 
 /** Least time that must be left for another attempt. */
 const LEAST_ATTEMPT_MS = 60;
-const FIRST_FAILURE_STATUS = 500;
 /** Share of the objective after which a request that may be repeated is sent to another endpoint. */
 const PATIENCE_SHARE = 0.9;
 /** Longest pause inside a stream that may be resumed, in multiples of the route's target. */
@@ -45,8 +55,15 @@
     forwardRequest(exchange: GatewayExchange, ended: AbortSignal): Promise<ForwardingEnd>;
 }
 
+interface Candidate {
+    readonly record: EndpointRecord;
+    /** The endpoint as it was when it was chosen. */
+    readonly view: EndpointView;
+}
+
 interface Course {
     readonly exchange: GatewayExchange;
+    readonly request: PlacementRequest;
     readonly relay: StreamRelay;
     readonly ended: AbortSignal;
     readonly tried: Set<string>;
@@ -73,26 +90,27 @@
         return allowance;
     };
 
-    const pickEndpoint = (course: Course): EndpointRecord | undefined => {
-        const { service, head } = course.exchange;
+    const pickCandidate = (course: Course): Candidate | undefined => {
+        const { request } = course;
+        const { service } = course.exchange;
         const nowMs = clock.readMonotonicMs();
         const usable = directory.listUsable(service);
         const untried = usable.filter(record => !course.tried.has(record.endpoint.id));
         const reachable = untried.filter(record => record.suspectUntilMs <= nowMs);
-        const candidates = reachable.length > 0 ? reachable : untried;
-        const views = candidates.map(record => buildEndpointView(record, head.promptParts, nowMs));
-        const request = { promptTokens: head.promptTokens ?? 0, promptParts: head.promptParts };
+        const candidates = (reachable.length > 0 ? reachable : untried).map(record => ({
+            record,
+            view: buildEndpointView(record, request.promptParts, nowMs),
+        }));
+        const views = candidates.map(candidate => candidate.view);
         const id = chooseEndpoint(views, request, speeds.readSpeed(service), parts.random);
-        return candidates.find(record => record.endpoint.id === id);
+        return candidates.find(candidate => candidate.view.id === id);
     };
 
-    const runAttempt = async (course: Course, record: EndpointRecord): Promise<AttemptResult> => {
-        const { exchange } = course;
+    const runAttempt = async (course: Course, { record, view }: Candidate): Promise<AttemptResult> => {
+        const { exchange, request } = course;
         const { head, route, service } = exchange;
         const sentAtMs = clock.readMonotonicMs();
-        const view = buildEndpointView(record, head.promptParts, sentAtMs);
-        const uncachedTokens = Math.max(0, (head.promptTokens ?? 0) - view.cachedTokens);
-        const request = { promptTokens: head.promptTokens ?? 0, promptParts: head.promptParts };
+        const uncachedTokens = Math.max(0, request.promptTokens - view.cachedTokens);
         const estimatedMs = estimateAnswerMs(view, request, speeds.readSpeed(service), false) - view.distancePenaltyMs;
         let pendingTokens = uncachedTokens;
         const releasePending = () => {
@@ -112,7 +130,7 @@
         }
         record.ownInFlight++;
         record.pendingTokens += pendingTokens;
-        recordCachedParts(record, head.promptParts, sentAtMs);
+        recordCachedParts(record, request.promptParts, sentAtMs);
         const canSendElsewhere = isRepeatable(route) && course.executions + 1 < route.attemptsMax;
         const result = await sendAttempt({
             record,
@@ -161,13 +179,17 @@
             executions: course.executions,
             sends: course.sends,
             hasTime: exchange.endsAtMs - nowMs > LEAST_ATTEMPT_MS,
-            chargeSend: () => allowance.chargeSend(parts.peers.countNodes(), nowMs),
+            chargeSend: () => allowance.chargeSend(parts.peers.readView().nodes, nowMs),
         });
     };
 
     const forwardRequest = async (exchange: GatewayExchange, ended: AbortSignal): Promise<ForwardingEnd> => {
         const course: Course = {
             exchange,
+            request: {
+                promptTokens: exchange.head.promptTokens ?? 0,
+                promptParts: exchange.head.promptParts,
+            },
             ended,
             relay: createStreamRelay(exchange.response),
             tried: new Set(),
@@ -177,13 +199,13 @@
         };
         readAllowance(exchange.service).recordRequest(clock.readMonotonicMs());
         for (;;) {
-            const record = pickEndpoint(course);
-            if (record === undefined) {
+            const candidate = pickCandidate(course);
+            if (candidate === undefined) {
                 return describeWithoutEndpoint(course);
             }
-            course.tried.add(record.endpoint.id);
+            course.tried.add(candidate.view.id);
             course.sends++;
-            const result = await runAttempt(course, record);
+            const result = await runAttempt(course, candidate);
             if (MAY_HAVE_EXECUTED.has(result.end)) {
                 course.executions++;
                 // A stream begins with its first event; other requests may have begun without a sign of it.
@@ -194,7 +216,7 @@
             parts.metrics.countAttempt(exchange.service, result.end);
             const step = decideNext(course, result);
             if (!isOrdinary(result)) {
-                logAttempt(parts, course, record, result, step);
+                logAttempt(parts, course, candidate.record, result, step);
             }
             if (step !== AttemptStep.SendAgain) {
                 return endCourse(course, result, step);
@@ -278,7 +300,7 @@
 > = {
     [AttemptEnd.Relayed]: (record, nowMs) => recordAttemptOutcome(record, false, nowMs),
     [AttemptEnd.Answered]: (record, nowMs, result) =>
-        recordAttemptOutcome(record, (result.answer?.status ?? 0) >= FIRST_FAILURE_STATUS, nowMs),
+        recordAttemptOutcome(record, isFailedStatus(result.answer?.status), nowMs),
     [AttemptEnd.NotSent]: (record, nowMs) => {
         recordUnreachable(record, nowMs);
         record.connections.dropIdle();
@@ -297,7 +319,7 @@
 
 /** Tells whether an attempt came to a success, which isn't logged for itself. */
 function isOrdinary(result: AttemptResult): boolean {
-    const isSuccess = result.end === AttemptEnd.Answered && (result.answer?.status ?? 0) < FIRST_FAILURE_STATUS;
+    const isSuccess = result.end === AttemptEnd.Answered && !isFailedStatus(result.answer?.status);
     return result.end === AttemptEnd.Relayed || isSuccess;
 }
 
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -3,7 +3,7 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import { createFailure } from "../base/createFailure";
-import { type Failure, FailureKind } from "../base/failure";
+import { Execution, type Failure, FailureKind } from "../base/failure";
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
 import { AttemptEnd } from "../decisions/gateway/decideAttemptStep";
 import { findRoute } from "../decisions/gateway/routeTable";
@@ -22,6 +22,8 @@
 const REVOKE_MARGIN_MS = 250;
 /** Connections that other parts of the process need. */
 const RESERVED_DESCRIPTORS = 700;
+/** Longest deadline of a caller that is taken over, a day. */
+const DEADLINE_LONGEST_MS = 86_400_000;
 /** Successes of which one is logged. */
 const LOGGED_SUCCESS_PERIOD = 50;
 
@@ -193,7 +195,7 @@
             response.destroy();
             return;
         }
-        if (exchange.account !== undefined && end.failure.execution === "not_run") {
+        if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
             quotas.refund(exchange.account, amount, clock.readMonotonicMs());
         }
         answerFailure(exchange.request, response, end.failure, exchange.head);
@@ -241,7 +243,7 @@
     from: Admitted & Pick<GatewayExchange, "request" | "response" | "head" | "receivedAtMs" | "body">,
 ): GatewayExchange {
     const { route, account, view, head, receivedAtMs } = from;
-    const deadlineAtMs = receivedAtMs + Math.min(head.deadlineMs ?? route.timeoutMs, 24 * 3_600_000);
+    const deadlineAtMs = receivedAtMs + Math.min(head.deadlineMs ?? route.timeoutMs, DEADLINE_LONGEST_MS);
     return {
         request: from.request,
         response: from.response,
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -6,6 +6,7 @@
 import { type Step, superviseTask, waitFor } from "../base/csp";
 import type { Disposable } from "../base/disposableStore";
 import type { Log } from "../base/log/log";
+import { logTaskFailure } from "../base/log/logTaskFailure";
 import type { Random } from "../base/random";
 import type { TablePort } from "../ports/table";
 import type { TrueTime } from "./createTrueTime";
@@ -42,8 +43,8 @@
 /** The nodes that live. */
 export interface Membership extends Disposable {
     readonly life: string;
-    /** Lists the live members, this one included, by name. */
-    listMembers(): readonly MemberRecord[];
+    /** Lists the live members but this one. */
+    listOthers(): readonly MemberRecord[];
     /** Counts the live members; a cautious guess until they are known. */
     countNodes(): number;
     /** Gives this node's own record as of now. */
@@ -58,7 +59,7 @@
  * @param options - Who this node is
  * @returns The membership
  * @example
- * membership.listMembers().map(member => member.address);
+ * membership.listOthers().map(member => member.address);
  */
 export function createMembership(options: MembershipOptions): Membership {
     const { table, trueTime, clock, random, log, windowMs } = options;
@@ -128,13 +129,11 @@
     };
     void superviseTask("membership", run, {
         clock,
-        reportFailure: (name, failure) => log.error("task failed", { name, reason: failure.message }),
+        reportFailure: logTaskFailure(log),
     });
     return {
         life,
-        listMembers: () => {
-            return [...(members ?? []), describeSelf()].sort((left, right) => (left.node < right.node ? -1 : 1));
-        },
+        listOthers: () => members ?? [],
         countNodes: () => (members === undefined ? UNKNOWN_NODES : members.length + 1),
         describeSelf,
         readRecords,
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -6,6 +6,7 @@
  */
 import dgram from "node:dgram";
 import { z } from "zod";
+import { parseAnswer } from "../adapters/_lib/parseAnswer";
 import type { Clock } from "../base/clock";
 import type { Disposable } from "../base/disposableStore";
 import type { Log } from "../base/log/log";
@@ -14,7 +15,7 @@
 import type { ServiceLoad } from "./createDemandMeter";
 import type { TrueTime } from "./createTrueTime";
 import type { UsageLedger } from "./createUsageLedger";
-import type { UsageCounts, UsageMeter } from "./createUsageMeter";
+import { USAGE_COUNTS_SCHEMA, type UsageCounts, type UsageMeter } from "./createUsageMeter";
 
 const SEND_PERIOD_MS = 200;
 /** Without news a datagram still goes out this often, so that the others know this node is heard. */
@@ -24,7 +25,7 @@
 /** A node that was not heard for this long is out of touch. */
 const HEARD_MS = 2_000;
 
-/** One datagram. Names are short since it is sent often. */
+/** One datagram. */
 interface PeerMessage {
     readonly node: string;
     readonly life: string;
@@ -40,11 +41,8 @@
     life: z.string(),
     atMs: z.number(),
     totals: z.record(z.string(), z.number()),
-    loads: z.record(
-        z.string(),
-        z.object({ tokensPerSecond: z.number(), requestsPerSecond: z.number(), inFlight: z.number() }),
-    ),
-    windows: z.record(z.string(), z.record(z.string(), z.number())),
+    loads: z.record(z.string(), z.object({ tokensPerSecond: z.number(), inFlight: z.number() })),
+    windows: z.record(z.string(), USAGE_COUNTS_SCHEMA),
 });
 
 interface Peer {
@@ -72,7 +70,6 @@
 /** The other nodes, as far as they are heard. */
 export interface PeerExchange extends Disposable {
     readView(): PeerView;
-    countNodes(): number;
     /** Lists the loads of a service at all nodes that are heard, this one included. */
     listLoads(service: string): readonly ServiceLoad[];
 }
@@ -93,7 +90,7 @@
     let lastSentAtMs = Number.NEGATIVE_INFINITY;
 
     const receive = (bytes: Buffer) => {
-        const message = decodeMessage(bytes);
+        const message = parseAnswer(bytes, MESSAGE_SCHEMA);
         if (message === undefined || message.node === options.node) {
             return;
         }
@@ -124,10 +121,8 @@
         const atMs = Math.round(options.trueTime.readTrueMs());
         const message: PeerMessage = { node: options.node, life: membership.life, atMs, totals, loads, windows };
         const bytes = Buffer.from(JSON.stringify(message));
-        for (const member of membership.listMembers()) {
-            if (member.node !== options.node) {
-                socket.send(bytes, member.port, member.address);
-            }
+        for (const member of membership.listOthers()) {
+            socket.send(bytes, member.port, member.address);
         }
     };
     socket.on("message", receive);
@@ -136,7 +131,6 @@
     const timer = setInterval(send, SEND_PERIOD_MS);
     return {
         readView: () => ({ nodes: membership.countNodes(), heard: listHeard().length + 1 }),
-        countNodes: () => membership.countNodes(),
         listLoads: service =>
             [options.readLoads(), ...listHeard().map(peer => peer.loads)].flatMap(loads => loads[service] ?? []),
         dispose: () => {
@@ -145,11 +139,3 @@
         },
     };
 }
-
-function decodeMessage(bytes: Buffer): PeerMessage | undefined {
-    try {
-        return MESSAGE_SCHEMA.safeParse(JSON.parse(bytes.toString("utf8"))).data;
-    } catch {
-        return undefined;
-    }
-}
--- a/src/gateway/createReadinessListener.ts
+++ b/src/gateway/createReadinessListener.ts
@@ -2,9 +2,7 @@
  * @module The listener that tells the balancer whether this node takes new connections.
  */
 import http from "node:http";
-
-const STATUS_READY = 200;
-const STATUS_NOT_READY = 503;
+import { HttpStatus } from "../adapters/_lib/httpStatus";
 
 /**
  * Creates the listener; it does not listen yet.
@@ -17,7 +15,7 @@
 export function createReadinessListener(isReady: () => boolean): http.Server {
     return http.createServer((request, response) => {
         request.resume();
-        response.writeHead(isReady() ? STATUS_READY : STATUS_NOT_READY, { "content-length": 0 });
+        response.writeHead(isReady() ? HttpStatus.Ok : HttpStatus.ServiceUnavailable, { "content-length": 0 });
         response.end();
     });
 }
--- a/src/gateway/createUsageDuty.ts
+++ b/src/gateway/createUsageDuty.ts
@@ -2,7 +2,7 @@
  * @module The duty to report usage: once for each window, the same counts whoever sends them.
  */
 import { ulid } from "ulid";
-import { z } from "zod";
+import { parseAnswer } from "../adapters/_lib/parseAnswer";
 import { FailureKind } from "../base/failure";
 import type { Log } from "../base/log/log";
 import type { DutyPort, UsageReport } from "../ports/duties";
@@ -10,7 +10,7 @@
 import type { Membership } from "./createMembership";
 import type { TrueTime } from "./createTrueTime";
 import type { UsageLedger } from "./createUsageLedger";
-import type { UsageCounts } from "./createUsageMeter";
+import { USAGE_COUNTS_SCHEMA, type UsageCounts } from "./createUsageMeter";
 import { buildMemberKey, type MemberRecord } from "./memberRecord";
 import type { CheckHolder, Duty } from "./startDutyHolder";
 
@@ -27,8 +27,6 @@
 /** Rows of dead nodes and old reports are removed after this time. */
 const ROW_LIFE_MS = 90_000;
 
-const COUNTS_SCHEMA = z.record(z.string(), z.number());
-
 /** What the duty needs. */
 export interface UsageDutyOptions {
     readonly windowMs: number;
@@ -62,7 +60,7 @@
             return undefined;
         }
         if (stored.value !== undefined) {
-            return decodeCounts(stored.value.value);
+            return parseAnswer(stored.value.value, USAGE_COUNTS_SCHEMA);
         }
         const records = await membership.readRecords();
         if (records === undefined) {
@@ -136,11 +134,3 @@
         },
     };
 }
-
-function decodeCounts(value: string): UsageCounts | undefined {
-    try {
-        return COUNTS_SCHEMA.safeParse(JSON.parse(value)).data;
-    } catch {
-        return undefined;
-    }
-}
--- a/src/gateway/createUsageMeter.ts
+++ b/src/gateway/createUsageMeter.ts
@@ -1,6 +1,7 @@
 /**
  * @module Counts the requests that endpoints began to execute, by account and window of true time.
  */
+import { z } from "zod";
 import type { TrueTime } from "./createTrueTime";
 
 /** Windows kept: a report may be read late, never after these. */
@@ -9,6 +10,9 @@
 /** Counts by account. */
 export type UsageCounts = Readonly<Record<string, number>>;
 
+/** Counts by account, as rows and datagrams hold them. */
+export const USAGE_COUNTS_SCHEMA = z.record(z.string(), z.number());
+
 /** The counts of one node. */
 export interface UsageMeter {
     /** Counts a request whose execution began now. */
--- a/src/gateway/memberRecord.ts
+++ b/src/gateway/memberRecord.ts
@@ -2,7 +2,8 @@
  * @module What a node tells the others through its row in the store.
  */
 import { z } from "zod";
-import type { UsageCounts } from "./createUsageMeter";
+import { parseAnswer } from "../adapters/_lib/parseAnswer";
+import { USAGE_COUNTS_SCHEMA, type UsageCounts } from "./createUsageMeter";
 
 /** Keys of the nodes' rows begin with this. */
 export const MEMBER_PREFIX = "member/";
@@ -25,7 +26,7 @@
     address: z.string(),
     port: z.number(),
     atMs: z.number(),
-    windows: z.record(z.string(), z.record(z.string(), z.number())),
+    windows: z.record(z.string(), USAGE_COUNTS_SCHEMA),
 });
 
 /** Builds the key of a member's row. */
@@ -35,9 +36,5 @@
 
 /** Decodes a member's row; `undefined` if it can't be read. */
 export function decodeMember(value: string): MemberRecord | undefined {
-    try {
-        return MEMBER_SCHEMA.safeParse(JSON.parse(value)).data;
-    } catch {
-        return undefined;
-    }
+    return parseAnswer(value, MEMBER_SCHEMA);
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -17,13 +17,14 @@
 import type { ForwardingCodec } from "../ports/forwardingCodec";
 import type { TablePort } from "../ports/table";
 import type { WatchedRow, WatchedTablePort } from "../ports/watchedTable";
+import { logStrayErrors } from "../serve/logStrayErrors";
 import { createBoundedLog } from "./createBoundedLog";
 import { createConfigurationHolder } from "./createConfigurationHolder";
 import { createDemandMeter } from "./createDemandMeter";
 import { createEndpointDirectory } from "./createEndpointDirectory";
 import { createFleetDuty } from "./createFleetDuty";
 import { createForwarder } from "./createForwarder";
-import { createGatewayListener } from "./createGatewayListener";
+import { createGatewayListener, type GatewayListener } from "./createGatewayListener";
 import { createGatewayMetrics } from "./createGatewayMetrics";
 import { createMembership, type Membership } from "./createMembership";
 import { createPeerExchange } from "./createPeerExchange";
@@ -84,8 +85,7 @@
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenTold = waitForSignal();
     watchSettings(settings, { readSettings: platform.readSettings, log });
-    process.on("unhandledRejection", reason => log.error("unhandled rejection", { reason: String(reason) }));
-    process.on("uncaughtException", error => log.error("uncaught exception", { reason: error.stack ?? error.message }));
+    logStrayErrors(log);
     const trueTime = createTrueTime(clock);
     const configuration = createConfigurationHolder(clock, log);
     const directory = createEndpointDirectory(settings, clock, log);
@@ -136,6 +136,37 @@
         demand,
         peers,
     };
+    startWatches(parts, platform, trueTime);
+    void resolveTrueTime(platform.tables, trueTime, clock.waitMs, log);
+    const duties = startDuties({ parts, platform, membership, ledger, trueTime });
+    const listener = createGatewayListener({ parts, forwarder: createForwarder(parts), quotas });
+    let isLeaving = false;
+    const isReady = () =>
+        !isLeaving &&
+        configuration.readCurrent() !== undefined &&
+        directory.isKnown() &&
+        configuration.computeAgeMs() < settings.bounds.revokeMs * READY_SHARE;
+    const readiness = createReadinessListener(isReady);
+    const metricsListener = http.createServer((request, response) => {
+        request.resume();
+        void metrics.formatMetrics().then(text => response.end(text));
+    });
+    await Promise.all([
+        startListening(listener.server, settings.callers),
+        startListening(readiness, settings.readiness),
+        startListening(metricsListener, { address: settings.address, port: metricsPort }),
+    ]);
+    log.info("gateway listens", { startMs: Math.round(process.uptime() * 1_000) });
+
+    const signal = await whenTold;
+    isLeaving = true;
+    duties?.leave();
+    return drainGateway(parts, listener, signal);
+}
+
+/** Follows the configuration and the endpoints in the store. */
+function startWatches(parts: GatewayParts, platform: GatewayPlatform, trueTime: TrueTime): void {
+    const { configuration, directory, clock, random, log } = parts;
     startTableWatch({
         table: platform.configurationTable,
         port: platform.tables,
@@ -167,34 +198,15 @@
         },
         handleConfirmed: (_sentAt, answer) => trueTime.recordStoreClock(answer.storeNowMs),
     });
-    void resolveTrueTime(platform.tables, trueTime, clock.waitMs, log);
-    const duties = startDuties({ parts, platform, membership, ledger, trueTime });
-    const listener = createGatewayListener({ parts, forwarder: createForwarder(parts), quotas });
-    let isLeaving = false;
-    const isReady = () =>
-        !isLeaving &&
-        configuration.readCurrent() !== undefined &&
-        directory.isKnown() &&
-        configuration.computeAgeMs() < settings.bounds.revokeMs * READY_SHARE;
-    const readiness = createReadinessListener(isReady);
-    const metricsListener = http.createServer((request, response) => {
-        request.resume();
-        void metrics.formatMetrics().then(text => response.end(text));
-    });
-    await Promise.all([
-        startListening(listener.server, settings.callers),
-        startListening(readiness, settings.readiness),
-        startListening(metricsListener, { address: settings.address, port: metricsPort }),
-    ]);
-    log.info("gateway listens", { startMs: Math.round(process.uptime() * 1_000) });
+}
 
-    const signal = await whenTold;
-    isLeaving = true;
+/** Finishes what is open; gives the exit code. */
+async function drainGateway(parts: GatewayParts, listener: GatewayListener, signal: string): Promise<number> {
+    const { clock, log, settings } = parts;
     const leavingAtMs = clock.readMonotonicMs();
+    const passedMs = () => clock.readMonotonicMs() - leavingAtMs;
     log.info("gateway leaves", { signal, open: listener.countOpen() });
     listener.beginDrain();
-    duties?.leave();
-    const passedMs = () => clock.readMonotonicMs() - leavingAtMs;
     while (passedMs() < settings.bounds.graceMs * GRACE_SHARE) {
         await new Promise(resolve => setTimeout(resolve, DRAIN_STEP_MS));
         if (passedMs() > LISTEN_AFTER_SIGNAL_MS) {
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -2,7 +2,9 @@
  * @module One attempt to have a request executed at an endpoint.
  */
 import http from "node:http";
+import { createWaitBound } from "../adapters/_lib/createWaitBound";
 import { describeError } from "../adapters/_lib/describeError";
+import { HttpStatus } from "../adapters/_lib/httpStatus";
 import { trackSentBytes } from "../adapters/_lib/trackSentBytes";
 import { AttemptEnd } from "../decisions/gateway/decideAttemptStep";
 import type { AnswerHead, ForwardingCodec } from "../ports/forwardingCodec";
@@ -37,8 +39,6 @@
 /** An answer at hand, not relayed yet. */
 export interface WholeAnswer extends RelayedHead {
     readonly body: Buffer;
-    /** True if the endpoint signed it. */
-    readonly isSealed: boolean;
 }
 
 /** How an attempt ended. */
@@ -50,7 +50,6 @@
 }
 
 const EVENT_STREAM = /^text\/event-stream\b/i;
-const FIRST_FAILURE_STATUS = 300;
 /** Statuses by which an endpoint may only say that it did not execute a request. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -74,14 +73,12 @@
             agent: record.connections.prepareAgent(options.freshMs),
         });
         let isSettled = false;
-        let timer = setTimeout(
-            () => settle({ end: AttemptEnd.NotSent, reason: "no connection in time" }),
-            CONNECT_TIMEOUT_MS,
-        );
-        const beginWait = (delayMs: number | undefined, reason: string) => {
-            clearTimeout(timer);
-            if (delayMs !== undefined && !isSettled) {
-                timer = setTimeout(() => settle(describeLoss(options, reason)), delayMs);
+        const bound = createWaitBound(message => endUnanswered(message));
+        const beginWait: BeginWait = (delayMs, awaited) => {
+            if (delayMs === undefined || isSettled) {
+                bound.endWait();
+            } else {
+                bound.beginWait(delayMs, awaited);
             }
         };
         const settle = (result: AttemptResult, keepsConnection = false) => {
@@ -89,7 +86,7 @@
                 return;
             }
             isSettled = true;
-            clearTimeout(timer);
+            bound.endWait();
             ended.removeEventListener("abort", abandon);
             if (!keepsConnection) {
                 request.destroy();
@@ -101,16 +98,13 @@
                 end: ended.reason === AttemptEnd.TimedOut ? AttemptEnd.TimedOut : AttemptEnd.CallerGone,
                 reason: "ended from outside",
             });
-        const sent = trackSentBytes(request, () => beginWait(options.patienceMs, "no answer in time"));
-        request.on("error", error =>
-            settle(
-                sent.hasSentBytes()
-                    ? describeLoss(options, describeError(error))
-                    : { end: AttemptEnd.NotSent, reason: describeError(error) },
-            ),
-        );
+        const endUnanswered = (reason: string) =>
+            settle(sent.hasSentBytes() ? describeLoss(options, reason) : { end: AttemptEnd.NotSent, reason });
+        beginWait(CONNECT_TIMEOUT_MS, "connection");
+        const sent = trackSentBytes(request, () => beginWait(options.patienceMs, "answer"));
+        request.on("error", error => endUnanswered(describeError(error)));
         request.on("response", response => {
-            clearTimeout(timer);
+            bound.endWait();
             handleResponse(options, response, settle, beginWait);
         });
         if (ended.aborted) {
@@ -123,12 +117,14 @@
 }
 
 type Settle = (result: AttemptResult, keepsConnection?: boolean) => void;
+/** Bounds the next wait; without a delay it isn't bounded. */
+type BeginWait = (delayMs: number | undefined, awaited: string) => void;
 
 function handleResponse(
     options: AttemptOptions,
     response: http.IncomingMessage,
     settle: Settle,
-    beginWait: (delayMs: number | undefined, reason: string) => void,
+    beginWait: BeginWait,
 ): void {
     const status = response.statusCode ?? 0;
     const head = options.codec.readAnswerHead(status, response.headers);
@@ -147,16 +143,16 @@
     const isComplete = createCompletionCheck(response);
     const relayed = { status, headers: options.codec.buildCallerHeaders(response.rawHeaders) };
     const isUsable =
-        status < FIRST_FAILURE_STATUS ? head.isSealed && !head.isForeignBody : !PROMISING_STATUSES.has(status);
+        status < HttpStatus.FirstRedirect ? head.isSealed && !head.isForeignBody : !PROMISING_STATUSES.has(status);
     if (!isUsable) {
         settle(describeLoss(options, `unusable answer, status ${status}`));
         return;
     }
-    const isStream = status < FIRST_FAILURE_STATUS && EVENT_STREAM.test(response.headers["content-type"] ?? "");
+    const isStream = status < HttpStatus.FirstRedirect && EVENT_STREAM.test(response.headers["content-type"] ?? "");
     if (isStream) {
         streamAnswer(options, response, relayed, isComplete, settle, beginWait);
     } else {
-        readWhole(options, response, { ...relayed, isSealed: head.isSealed }, isComplete, settle);
+        readWhole(options, response, relayed, isComplete, settle);
     }
 }
 
@@ -166,11 +162,11 @@
     head: RelayedHead,
     isComplete: () => Promise<boolean>,
     settle: Settle,
-    beginWait: (delayMs: number | undefined, reason: string) => void,
+    beginWait: BeginWait,
 ): void {
     const splitter = createEventSplitter();
     let hasFirst = false;
-    beginWait(options.patienceMs, "no event in time");
+    beginWait(options.patienceMs, "event");
     response.on("data", (chunk: Buffer) => {
         const batch = splitter.push(chunk);
         if (batch === undefined || options.ended.aborted) {
@@ -180,7 +176,7 @@
             hasFirst = true;
             options.handleFirstPart();
         }
-        beginWait(options.eventPatienceMs, "no further event in time");
+        beginWait(options.eventPatienceMs, "further event");
         if (!options.relay.relayEvents(head, batch)) {
             settle({ end: AttemptEnd.Broken, reason: "events don't follow those before" });
         } else if (options.relay.waitForRoom(() => response.resume())) {
@@ -202,7 +198,7 @@
 function readWhole(
     options: AttemptOptions,
     response: http.IncomingMessage,
-    head: Omit<WholeAnswer, "body">,
+    head: RelayedHead,
     isComplete: () => Promise<boolean>,
     settle: Settle,
 ): void {
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/startDutyHolder.ts
@@ -5,6 +5,7 @@
 import { type Step, superviseTask, waitFor } from "../base/csp";
 import { computeElapsedMs, readInstant } from "../base/instant";
 import type { Log } from "../base/log/log";
+import { logTaskFailure } from "../base/log/logTaskFailure";
 import type { TablePort } from "../ports/table";
 import type { DutyHolder } from "../ports/duties";
 import { createLeaseTask } from "../tasks/leases/createLeaseTask";
@@ -65,19 +66,18 @@
     const durationMs = options.leaseMs + LEASE_EXTRA_MS;
     let isStopped = false;
 
-    const isCandidate = () => {
-        const names = membership.listMembers().map(member => member.node);
-        return names.indexOf(node) < CANDIDATES;
-    };
+    const isCandidate = () => membership.listOthers().filter(member => member.node < node).length < CANDIDATES;
     const holdTerm = function* (lease: LeaseHandle): Step<void> {
         let steppedAt = readInstant(clock);
         const wasStopped = () => computeElapsedMs(steppedAt, readInstant(clock)) > STOPPED_MS;
-        const check = () =>
-            !wasStopped() && !isStopped && lease.checkHeld(CALL_MS).isOk() ? { node, epoch: lease.epoch } : undefined;
+        const check: CheckHolder = () =>
+            !wasStopped() && !isStopped && lease.checkHeld(CALL_MS).isOk()
+                ? { nodeName: node, epoch: lease.epoch }
+                : undefined;
         options.duties.forEach(duty => duty.beginTerm());
         while (!isStopped && lease.checkHeld().isOk()) {
             for (const duty of options.duties) {
-                yield* waitFor(duty.runStep(() => toHolder(check())));
+                yield* waitFor(duty.runStep(check));
                 if (wasStopped()) {
                     return;
                 }
@@ -124,7 +124,7 @@
     };
     void superviseTask("duties", run, {
         clock,
-        reportFailure: (name, failure) => log.error("task failed", { name, reason: failure.message }),
+        reportFailure: logTaskFailure(log),
     });
     return {
         leave: () => {
@@ -132,7 +132,3 @@
         },
     };
 }
-
-function toHolder(held: { readonly node: string; readonly epoch: number } | undefined): DutyHolder | undefined {
-    return held === undefined ? undefined : { nodeName: held.node, epoch: held.epoch };
-}
--- a/src/gateway/startTableWatch.ts
+++ b/src/gateway/startTableWatch.ts
@@ -7,6 +7,7 @@
 import { FailureKind } from "../base/failure";
 import { type Instant, readInstant } from "../base/instant";
 import type { Log } from "../base/log/log";
+import { logTaskFailure } from "../base/log/logTaskFailure";
 import type { Random } from "../base/random";
 import type { TableRows, WatchedRow, WatchedTablePort } from "../ports/watchedTable";
 import { RETURN_GRACE_MS } from "./constants";
@@ -86,7 +87,7 @@
     };
     void superviseTask(`watch ${table}`, run, {
         clock,
-        reportFailure: (name, failure) => log.error("task failed", { name, reason: failure.message }),
+        reportFailure: logTaskFailure(log),
     });
     return {
         dispose: () => {
--- a/src/gateway/watchSettings.ts
+++ b/src/gateway/watchSettings.ts
@@ -25,7 +25,7 @@
 export type LiveSettings = { -readonly [Name in keyof GatewaySettings]: GatewaySettings[Name] };
 
 /**
- * Watches the settings, and reads them at once on SIGHUP. Bounds, regions and heartbeats are taken over; addresses and
+ * Watches the settings, and reads them at once on SIGHUP. Bounds and regions are taken over; addresses and
  * names only at the next start, which is logged. Settings that can't be read leave those in force as they are.
  *
  * @param settings - The settings in force; changed in place
@@ -50,9 +50,9 @@
             return;
         }
         lastText = text;
-        const { bounds, regions, heartbeatMs, ...fixed } = read.value;
+        const { bounds, regions, ...fixed } = read.value;
         const needsStart = listChanges(settings, fixed);
-        Object.assign(settings, { bounds, regions, heartbeatMs });
+        Object.assign(settings, { bounds, regions });
         log.info("settings reloaded", { reason, needsStart: needsStart.join(",") });
     };
     process.on("SIGHUP", () => refresh(Reason.Signal));
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -47,8 +47,6 @@
 export interface EngineTraits {
     /** Requests that one engine processes at once. */
     readonly slots: number;
-    /** Tokens that one engine's KV memory holds. */
-    readonly kvTokens: number;
 }
 
 /** Within which bounds a service's endpoints are ordered. */
@@ -164,8 +162,6 @@
     readonly cloud: HttpTarget | undefined;
     readonly duties: readonly DutyKind[];
     readonly bounds: GatewayBounds;
-    /** Time between two heartbeats of an endpoint, in milliseconds. */
-    readonly heartbeatMs: number;
     readonly descriptorsMax: number;
     /** True only if the whole system starts for the first time. */
     readonly isFirstStart: boolean;
--- a/src/serve/runServe.ts
+++ b/src/serve/runServe.ts
@@ -1,10 +1,10 @@
 /**
  * @module `redwinglift serve`: one node as a process.
  */
-import { FailureError } from "../base/failureError";
 import { createNodeParts } from "../createNodeParts";
 import type { Settings } from "../settings/settings";
 import { type RunningNode, wireNode } from "../wire";
+import { logStrayErrors } from "./logStrayErrors";
 
 const DRAIN_SIGNALS = ["SIGTERM", "SIGINT"] as const;
 const DUMP_SIGNAL = "SIGUSR2";
@@ -21,8 +21,7 @@
 export async function runServe(settings: Settings): Promise<number> {
     const parts = createNodeParts(settings);
     const { log } = parts;
-    process.on("unhandledRejection", reason => logStray(parts.log, "unhandled rejection", reason));
-    process.on("uncaughtException", error => logStray(parts.log, "uncaught exception", error));
+    logStrayErrors(log);
     const node = await wireNode(settings, parts);
     process.on(DUMP_SIGNAL, () => void process.stderr.write(`${JSON.stringify(node.dumpState())}\n`));
     log.info("node started", {
@@ -53,13 +52,3 @@
         void node.drain(boundMs).then(resolve);
     });
 }
-
-function logStray(
-    log: { error(message: string, fields: Record<string, string>): void },
-    what: string,
-    reason: unknown,
-) {
-    const text =
-        reason instanceof FailureError ? reason.message : reason instanceof Error ? reason.stack : String(reason);
-    log.error(what, { reason: text ?? "" });
-}
