--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -1,8 +1,9 @@
 /**
  * @module Quotas of accounts, summed over all nodes.
  *
- * Each node counts what it admits itself and what its peers tell it. Peers that it doesn't hear keep an equal part of
- * the limit for themselves, so groups of nodes that lost each other stay within the limit together.
+ * Each node counts what it admits itself and what its peers tell it. Nodes that hear each other may use their part of the
+ * limit, by their number, and no more than is left of what all are known to have used: so groups of nodes that lost each
+ * other stay within the limit together.
  */
 import type { GatewayAccount } from "../../model/gateway";
 import { createSlidingCount, type SlidingCount } from "./slidingCount";
@@ -19,8 +20,8 @@
 export interface PeerView {
     /** Live nodes, this one included. */
     readonly nodes: number;
-    /** Nodes heard of late, this one included. */
-    readonly heard: number;
+    /** Names of the other nodes that were heard a moment ago. */
+    readonly heard: readonly string[];
 }
 
 /** The quotas of all accounts. */
@@ -29,7 +30,7 @@
     charge(account: GatewayAccount, amount: number, peers: PeerView, nowMs: number): boolean;
     /** Gives back what was charged for a request that was not executed. */
     refund(account: string, amount: number, nowMs: number): void;
-    recordPeerUse(account: string, amount: number, nowMs: number): void;
+    recordPeerUse(peer: string, account: string, amount: number, nowMs: number): void;
     /** All that this node has charged, by account, since its start. */
     readTotals(): ReadonlyMap<string, number>;
 }
@@ -46,38 +47,67 @@
  */
 export function createAccountQuotas(terms: QuotaTerms, startedAtMs: number | undefined): AccountQuotas {
     const windowMs = terms.quotaWindowMs;
-    const used = new Map<string, SlidingCount>();
+    const states = new Map<string, AccountState>();
     const totals = new Map<string, number>();
-    const readCount = (account: string): SlidingCount => {
-        const count = used.get(account) ?? createSlidingCount(windowMs);
-        used.set(account, count);
-        return count;
+    const readState = (account: string): AccountState => {
+        const state = states.get(account) ?? {
+            all: createSlidingCount(windowMs),
+            own: createSlidingCount(windowMs),
+            untold: createSlidingCount(UNTOLD_MS),
+            peers: new Map<string, SlidingCount>(),
+        };
+        states.set(account, state);
+        return state;
     };
     const charge = (account: string, amount: number, nowMs: number) => {
-        readCount(account).add(amount, nowMs);
+        const { all, own, untold } = readState(account);
+        [all, own, untold].forEach(count => count.add(amount, nowMs));
         totals.set(account, (totals.get(account) ?? 0) + amount);
     };
+    const hasRoom = (account: GatewayAccount, amount: number, view: PeerView, nowMs: number): boolean => {
+        const limit = computeLimit(account, terms);
+        const state = readState(account.name);
+        const used = state.all.sum(nowMs) + estimateUntold(state, view, nowMs);
+        return (
+            used + amount <= limit * computeRamp(startedAtMs, windowMs, nowMs) &&
+            sumHeard(state, view, nowMs) + amount <= limit * computeHeardShare(view)
+        );
+    };
     return {
-        charge: (account, amount, peers, nowMs) => {
-            if (account.quotaPerSecond > 0) {
-                const limit =
-                    computeLimit(account, terms) * computeShare(peers) * computeRamp(startedAtMs, windowMs, nowMs);
-                if (readCount(account.name).sum(nowMs) + amount > limit) {
-                    return false;
-                }
+        charge: (account, amount, view, nowMs) => {
+            if (account.quotaPerSecond > 0 && !hasRoom(account, amount, view, nowMs)) {
+                return false;
             }
             charge(account.name, amount, nowMs);
             return true;
         },
         refund: (account, amount, nowMs) => charge(account, -amount, nowMs),
-        recordPeerUse: (account, amount, nowMs) => readCount(account).add(amount, nowMs),
+        recordPeerUse: (peer, account, amount, nowMs) => {
+            const { all, peers } = readState(account);
+            const count = peers.get(peer) ?? createSlidingCount(windowMs);
+            peers.set(peer, count);
+            [all, count].forEach(one => one.add(amount, nowMs));
+        },
         readTotals: () => totals,
     };
 }
 
+/** What is counted of an account over the window. */
+interface AccountState {
+    /** At all nodes, as far as they told. */
+    readonly all: SlidingCount;
+    readonly own: SlidingCount;
+    /** Charged here so lately that the peers may not know of it. */
+    readonly untold: SlidingCount;
+    /** At each other node. */
+    readonly peers: Map<string, SlidingCount>;
+}
+
 const MS_PER_S = 1_000;
+/** Time until what is charged here has reached the peers. */
+const UNTOLD_MS = 500;
 /** Shares of the overrun that are used; the rest is for what the nodes admit before they hear of each other. */
-const USED_OVERRUN = 0.8;
+const USED_OVERRUN = 0.6;
 const USED_SLACK = 0.4;
 
 function computeLimit(account: GatewayAccount, { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaTerms): number {
@@ -86,8 +116,21 @@
     return quota * (1 + quotaOverrun * USED_OVERRUN) + slack * USED_SLACK;
 }
 
-function computeShare({ nodes, heard }: PeerView): number {
-    return Math.min(1, heard / Math.max(1, nodes));
+/** Estimates what the peers charged and have not told yet: as much as this node, in the proportion of their use and its. */
+function estimateUntold({ all, own, untold }: AccountState, { nodes }: PeerView, nowMs: number): number {
+    const ownSum = Math.max(1, own.sum(nowMs));
+    const peersSum = Math.max(0, all.sum(nowMs) - ownSum);
+    return Math.max(0, untold.sum(nowMs)) * Math.min(nodes - 1, peersSum / ownSum);
+}
+
+/** Sums the use of the nodes that hear each other, this one included. */
+function sumHeard({ own, peers }: AccountState, { heard }: PeerView, nowMs: number): number {
+    return heard.reduce((sum, peer) => sum + (peers.get(peer)?.sum(nowMs) ?? 0), own.sum(nowMs));
+}
+
+/** Computes the share of the limit that nodes which hear each other may use. */
+function computeHeardShare({ nodes, heard }: PeerView): number {
+    return Math.min(1, (heard.length + 1) / Math.max(1, nodes));
 }
 
 function computeRamp(startedAtMs: number | undefined, windowMs: number, nowMs: number): number {
--- a/src/decisions/gateway/budgets.test.ts
+++ b/src/decisions/gateway/budgets.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import type { GatewayAccount } from "../../model/gateway";
-import { createAccountQuotas } from "./accountQuotas";
+import { createAccountQuotas, type QuotaTerms } from "./accountQuotas";
 import { createRetryAllowance } from "./retryAllowance";
 import { createSlidingCount } from "./slidingCount";
 
@@ -16,7 +16,48 @@
     defaultTokens: 1,
 };
 const TERMS = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 0 };
-const ALL_HEARD = { nodes: 1, heard: 1 };
+/** Nodes notice after this time that another one is silent. */
+const SILENT_MS = 500;
+const ALL_HEARD = { nodes: 1, heard: [] };
+
+/**
+ * Plays nodes that exchange their totals each 200 ms and get far more than the limit, until some of them are cut off, and
+ * gives the most that all admitted together in a window.
+ */
+function measureMostAdmitted(account: GatewayAccount, terms: QuotaTerms, isCut: (node: number) => boolean): number {
+    const nodes = Array.from({ length: 7 }, (_, index) => ({
+        index,
+        quotas: createAccountQuotas(terms, undefined),
+        heard: new Map<number, { atMs: number; total: number }>(),
+    }));
+    const limit = (account.quotaPerSecond * terms.quotaWindowMs) / 1_000 + account.quotaBurst;
+    const request = limit / 250;
+    const admitted: { atMs: number; amount: number }[] = [];
+    for (let nowMs = 0; nowMs < 30_000; nowMs += 20) {
+        const isApart = (one: number, other: number) =>
+            nowMs > 12_000 && nowMs < 22_000 && one !== other && (isCut(one) || isCut(other));
+        for (const from of nodes.filter(node => (nowMs + node.index * 40) % 200 === 0)) {
+            const total = from.quotas.readTotals().get(account.name) ?? 0;
+            for (const to of nodes.filter(node => node !== from && !isApart(node.index, from.index))) {
+                const added = total - (to.heard.get(from.index)?.total ?? 0);
+                to.quotas.recordPeerUse(String(from.index), account.name, added, nowMs);
+                to.heard.set(from.index, { atMs: nowMs, total });
+            }
+        }
+        for (const { quotas, heard } of nodes) {
+            const names = [...heard].filter(([, { atMs }]) => nowMs - atMs < SILENT_MS).map(([index]) => String(index));
+            if (quotas.charge(account, request, { nodes: nodes.length, heard: names }, nowMs)) {
+                admitted.push({ atMs: nowMs, amount: request });
+            }
+        }
+    }
+    const sums = admitted.map(({ atMs }) =>
+        admitted
+            .filter(one => one.atMs <= atMs && one.atMs > atMs - terms.quotaWindowMs)
+            .reduce((sum, one) => sum + one.amount, 0),
+    );
+    return Math.max(...sums);
+}
 
 describe("a count over a sliding window", () => {
     it("is never below what was added within the window", () => {
@@ -83,15 +124,25 @@
 
     it("count what peers charge", () => {
         const quotas = createAccountQuotas(TERMS, undefined);
-        quotas.recordPeerUse("county", 900, 0);
+        quotas.recordPeerUse("west-2", "county", 900, 0);
         assert.ok(quotas.charge(ACCOUNT, 10, ALL_HEARD, 100));
         assert.ok(!quotas.charge(ACCOUNT, 20, ALL_HEARD, 200));
     });
 
     it("leave an equal part to nodes that aren't heard", () => {
         const quotas = createAccountQuotas(TERMS, undefined);
-        assert.ok(quotas.charge(ACCOUNT, 80, { nodes: 10, heard: 1 }, 0));
-        assert.ok(!quotas.charge(ACCOUNT, 80, { nodes: 10, heard: 1 }, 100));
+        assert.ok(quotas.charge(ACCOUNT, 80, { nodes: 10, heard: [] }, 0));
+        assert.ok(!quotas.charge(ACCOUNT, 80, { nodes: 10, heard: [] }, 100));
+    });
+
+    it("hold over all nodes from the first moment at which some are cut off from each other", () => {
+        const account = { ...ACCOUNT, countsTokens: true };
+        const terms = { ...TERMS, quotaSlack: 45 };
+        const bound = 850 * 1.1 + 45;
+        for (const cut of [[], [3], [3, 5], [0, 1, 2], [0, 1, 2, 3, 4, 5, 6]]) {
+            const most = measureMostAdmitted(account, terms, node => cut.includes(node));
+            assert.ok(most <= bound, `${most} of ${bound} while ${cut.length} nodes are cut off`);
+        }
     });
 
     it("grow from nothing after a restart, since what was charged before isn't known", () => {
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -18,11 +18,11 @@
 import { USAGE_COUNTS_SCHEMA, type UsageCounts, type UsageMeter } from "./createUsageMeter";
 
 const SEND_PERIOD_MS = 200;
-/** Without news a datagram still goes out this often, so that the others know this node is heard. */
-const QUIET_SEND_PERIOD_MS = 800;
+/** After this time without a datagram a node counts as lost to this one. */
+const SILENT_MS = 500;
 /** Newest usage windows in a datagram. */
 const WINDOWS_SENT = 2;
-/** A node that was not heard for this long is out of touch. */
+/** The load that a node told counts for this long. */
 const HEARD_MS = 2_000;
 
 /** One datagram. */
@@ -86,8 +86,6 @@
     const { membership, quotas, clock, log } = options;
     const peers = new Map<string, Peer>();
     const socket = dgram.createSocket("udp4");
-    let lastSent = "";
-    let lastSentAtMs = Number.NEGATIVE_INFINITY;
 
     const receive = (bytes: Buffer) => {
         const message = parseAnswer(bytes, MESSAGE_SCHEMA);
@@ -101,23 +99,23 @@
         for (const [account, total] of Object.entries(message.totals)) {
             const added = total - (known[account] ?? 0);
             if (added !== 0 && before !== undefined) {
-                quotas.recordPeerUse(account, added, nowMs);
+                quotas.recordPeerUse(message.node, account, added, nowMs);
             }
         }
         peers.set(message.node, { life: message.life, heardAtMs: nowMs, totals: message.totals, loads: message.loads });
     };
     const listHeard = () => [...peers.values()].filter(peer => clock.readMonotonicMs() - peer.heardAtMs < HEARD_MS);
+    const listHeardNodes = () => {
+        const afterMs = clock.readMonotonicMs() - SILENT_MS;
+        return membership
+            .listOthers()
+            .map(({ node }) => node)
+            .filter(node => (peers.get(node)?.heardAtMs ?? Number.NEGATIVE_INFINITY) > afterMs);
+    };
     const send = () => {
         const totals = Object.fromEntries([...quotas.readTotals()].map(([name, total]) => [name, Math.round(total)]));
         const loads = options.readLoads();
         const windows = options.usage.readWindows(WINDOWS_SENT);
-        const text = JSON.stringify({ totals, loads, windows });
-        const nowMs = clock.readMonotonicMs();
-        if (text === lastSent && nowMs - lastSentAtMs < QUIET_SEND_PERIOD_MS) {
-            return;
-        }
-        lastSent = text;
-        lastSentAtMs = nowMs;
         const atMs = Math.round(options.trueTime.readTrueMs());
         const message: PeerMessage = { node: options.node, life: membership.life, atMs, totals, loads, windows };
         const bytes = Buffer.from(JSON.stringify(message));
@@ -130,7 +128,7 @@
     socket.bind(options.port, options.address);
     const timer = setInterval(send, SEND_PERIOD_MS);
     return {
-        readView: () => ({ nodes: membership.countNodes(), heard: listHeard().length + 1 }),
+        readView: () => ({ nodes: membership.countNodes(), heard: listHeardNodes() }),
         listLoads: service =>
             [options.readLoads(), ...listHeard().map(peer => peer.loads)].flatMap(loads => loads[service] ?? []),
         dispose: () => {
