--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -22,6 +22,8 @@
     readonly nodes: number;
     /** Names of the other nodes that were heard a moment ago. */
     readonly heard: readonly string[];
+    /** True if the nodes that aren't heard still leave a part of the limits to this one and those that it hears. */
+    readonly isCounted: boolean;
 }
 
 /** The quotas of all accounts. */
@@ -129,8 +131,8 @@
 }
 
 /** Computes the share of the limit that nodes which hear each other may use. */
-function computeHeardShare({ nodes, heard }: PeerView): number {
-    return Math.min(1, (heard.length + 1) / Math.max(1, nodes));
+function computeHeardShare({ nodes, heard, isCounted }: PeerView): number {
+    return isCounted ? Math.min(1, (heard.length + 1) / Math.max(1, nodes)) : 0;
 }
 
 function computeRamp(startedAtMs: number | undefined, windowMs: number, nowMs: number): number {
--- a/src/decisions/gateway/budgets.test.ts
+++ b/src/decisions/gateway/budgets.test.ts
@@ -18,7 +18,7 @@
 const TERMS = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 0 };
 /** Nodes notice after this time that another one is silent. */
 const SILENT_MS = 500;
-const ALL_HEARD = { nodes: 1, heard: [] };
+const ALL_HEARD = { nodes: 1, heard: [], isCounted: true };
 
 /**
  * Plays nodes that exchange their totals each 200 ms and get far more than the limit, until some of them are cut off, and
@@ -46,7 +46,7 @@
         }
         for (const { quotas, heard } of nodes) {
             const names = [...heard].filter(([, { atMs }]) => nowMs - atMs < SILENT_MS).map(([index]) => String(index));
-            if (quotas.charge(account, request, { nodes: nodes.length, heard: names }, nowMs)) {
+            if (quotas.charge(account, request, { nodes: nodes.length, heard: names, isCounted: true }, nowMs)) {
                 admitted.push({ atMs: nowMs, amount: request });
             }
         }
@@ -131,8 +131,13 @@
 
     it("leave an equal part to nodes that aren't heard", () => {
         const quotas = createAccountQuotas(TERMS, undefined);
-        assert.ok(quotas.charge(ACCOUNT, 80, { nodes: 10, heard: [] }, 0));
-        assert.ok(!quotas.charge(ACCOUNT, 80, { nodes: 10, heard: [] }, 100));
+        assert.ok(quotas.charge(ACCOUNT, 80, { nodes: 10, heard: [], isCounted: true }, 0));
+        assert.ok(!quotas.charge(ACCOUNT, 80, { nodes: 10, heard: [], isCounted: true }, 100));
+    });
+
+    it("grant nothing to a node that the others have stopped to count", () => {
+        const quotas = createAccountQuotas(TERMS, undefined);
+        assert.ok(!quotas.charge(ACCOUNT, 1, { nodes: 10, heard: ["west-2"], isCounted: false }, 0));
     });
 
     it("hold over all nodes from the first moment at which some are cut off from each other", () => {
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -123,7 +123,7 @@
         usage: { recordBegun: (account: string) => void begun.push(account), readWindows: () => ({}) },
         demand: createDemandMeter(clock),
         peers: {
-            readView: () => ({ nodes: 1, heard: [] }),
+            readView: () => ({ nodes: 1, heard: [], isCounted: true }),
             listLoads: () => [],
             dispose: () => undefined,
         },
--- a/src/gateway/control.test.ts
+++ b/src/gateway/control.test.ts
@@ -240,6 +240,19 @@
         assert.deepEqual(reported[0]?.report.counts, { county: 2, shire: 1 });
     });
 
+    it("are counted as members once all others have listed them", async () => {
+        const world = createWorld();
+        const { membership, holding } = createNode("left", world);
+        await runClock(world.clock, 2_000);
+        assert.equal(membership.isCounted(), false);
+        await runClock(world.clock, 13_000);
+        assert.equal(membership.isCounted(), true);
+        holding.leave();
+        membership.dispose();
+        await runClock(world.clock, 25_000);
+        assert.equal(membership.isCounted(), false);
+    });
+
     it("pass on to another node under a higher number, not within the lease's length of the last call", async () => {
         const world = createWorld();
         const nodes = [createNode("left", world), createNode("right", world)];
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -22,6 +22,10 @@
 const FIRST_LISTS = 2;
 /** A row that was not written for this long belongs to no live node: a node without the store serves no longer. */
 const LIVE_MS = 9_000;
+/** This long before its row counts as dead, a node takes it that the others stop to count it. */
+const COUNTED_MARGIN_MS = 1_500;
+/** After a first row, or one after such a pause, all others have listed it by then. */
+const LISTED_MS = 1.25 * LIST_PERIOD_MS;
 const STEP_MS = 125;
 /** Nodes assumed until the first list was read. */
 const UNKNOWN_NODES = 16;
@@ -47,6 +51,8 @@
     listOthers(): readonly MemberRecord[];
     /** Counts the live members; a cautious guess until they are known. */
     countNodes(): number;
+    /** True if all others that reach the store count this node as a member. */
+    isCounted(): boolean;
     /** Gives this node's own record as of now. */
     describeSelf(): MemberRecord;
     /** Reads all rows now, those of dead lives included. */
@@ -69,6 +75,7 @@
     let isStopped = false;
     let lastWritten = "";
     let lastWrittenAtMs = Number.NEGATIVE_INFINITY;
+    let countedFromMs = Number.POSITIVE_INFINITY;
     let lastWindow = -1;
     let lists = 0;
     let nextListMs = 0;
@@ -94,6 +101,7 @@
         const others = records.filter(record => record.life !== life && record.node !== self.node);
         members = others.filter(record => record.atMs > liveAfterMs);
     };
+    const isRowLive = () => clock.readMonotonicMs() - lastWrittenAtMs < LIVE_MS - COUNTED_MARGIN_MS;
     const isWriteDue = (content: string): boolean => {
         const sinceMs = clock.readMonotonicMs() - lastWrittenAtMs;
         const window = Math.floor((trueTime.readTrueMs() - STEP_MS) / windowMs);
@@ -108,6 +116,9 @@
             writes: [{ key: buildMemberKey(self), value: JSON.stringify(describeSelf()) }],
         });
         if (written.isOk()) {
+            if (!isRowLive()) {
+                countedFromMs = clock.readMonotonicMs() + LISTED_MS;
+            }
             lastWritten = content;
             lastWindow = window;
             lastWrittenAtMs = clock.readMonotonicMs();
@@ -134,7 +145,8 @@
     return {
         life,
         listOthers: () => members ?? [],
-        countNodes: () => (members === undefined ? UNKNOWN_NODES : members.length + 1),
+        countNodes: () => (members === undefined ? UNKNOWN_NODES : new Set(members.map(({ node }) => node)).size + 1),
+        isCounted: () => isRowLive() && clock.readMonotonicMs() >= countedFromMs,
         describeSelf,
         readRecords,
         dispose: () => {
--- /dev/null
+++ b/src/gateway/createPeerExchange.test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createSystemClock } from "../base/createSystemClock";
+import { createLog } from "../base/log/createLog";
+import { createAccountQuotas, type PeerView } from "../decisions/gateway/accountQuotas";
+import { createPeerExchange } from "./createPeerExchange";
+import type { Membership } from "./createMembership";
+import { createTrueTime } from "./createTrueTime";
+import { createUsageLedger } from "./createUsageLedger";
+import { createUsageMeter } from "./createUsageMeter";
+import type { MemberRecord } from "./memberRecord";
+import { makeSettings } from "./_testing/createGatewayHarness";
+
+const ADDRESS = "127.0.0.1";
+const PORTS = { left: 17_611, right: 17_612 };
+
+function makeMember(node: keyof typeof PORTS): MemberRecord {
+    return { node, life: `${node}-1`, address: ADDRESS, port: PORTS[node], atMs: 0, windows: {} };
+}
+
+function startExchange(node: keyof typeof PORTS, others: readonly MemberRecord[], isCounted: boolean) {
+    const clock = createSystemClock();
+    const trueTime = createTrueTime(clock);
+    const membership: Membership = {
+        life: `${node}-1`,
+        listOthers: () => others,
+        countNodes: () => others.length + 1,
+        isCounted: () => isCounted,
+        describeSelf: () => makeMember(node),
+        readRecords: async () => [],
+        dispose: () => undefined,
+    };
+    return createPeerExchange({
+        node,
+        address: ADDRESS,
+        port: PORTS[node],
+        membership,
+        quotas: createAccountQuotas(makeSettings().bounds, undefined),
+        ledger: createUsageLedger(),
+        usage: createUsageMeter(trueTime, 5_000),
+        trueTime,
+        readLoads: () => ({ chat: { tokensPerSecond: 10, inFlight: 1 } }),
+        clock,
+        log: createLog({ write: () => undefined }),
+    });
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+}
+
+describe("the exchange between nodes", () => {
+    it("answers a node that the list of members doesn't show yet, and counts it", async () => {
+        const left = startExchange("left", [], true);
+        const right = startExchange("right", [makeMember("left")], false);
+        assert.deepEqual(right.readView(), { nodes: 2, heard: [], isCounted: false } satisfies PeerView);
+        await waitUntil(() => left.readView().nodes === 2 && right.readView().isCounted);
+        assert.deepEqual(right.readView(), { nodes: 2, heard: ["left"], isCounted: true } satisfies PeerView);
+        assert.equal(right.listLoads("chat").length, 2);
+        left.dispose();
+        await waitUntil(() => right.readView().heard.length === 0);
+        assert.equal(right.readView().isCounted, false);
+        right.dispose();
+    });
+});
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -31,6 +31,8 @@
     readonly life: string;
     /** True time at which it was sent. */
     readonly atMs: number;
+    /** True if all nodes that reach the store count the sender as a member. */
+    readonly isCounted: boolean;
     readonly totals: Readonly<Record<string, number>>;
     readonly loads: Readonly<Record<string, ServiceLoad>>;
     readonly windows: Readonly<Record<string, UsageCounts>>;
@@ -40,16 +42,17 @@
     node: z.string(),
     life: z.string(),
     atMs: z.number(),
+    isCounted: z.boolean(),
     totals: z.record(z.string(), z.number()),
     loads: z.record(z.string(), z.object({ tokensPerSecond: z.number(), inFlight: z.number() })),
     windows: z.record(z.string(), USAGE_COUNTS_SCHEMA),
 });
 
-interface Peer {
-    life: string;
-    heardAtMs: number;
-    totals: Readonly<Record<string, number>>;
-    loads: Readonly<Record<string, ServiceLoad>>;
+/** Another node, as its last datagram showed it. */
+interface Peer extends Pick<PeerMessage, "node" | "life" | "isCounted" | "totals" | "loads"> {
+    readonly heardAtMs: number;
+    readonly address: string;
+    readonly port: number;
 }
 
 /** What the exchange needs. */
@@ -87,7 +90,7 @@
     const peers = new Map<string, Peer>();
     const socket = dgram.createSocket("udp4");
 
-    const receive = (bytes: Buffer) => {
+    const receive = (bytes: Buffer, { address, port }: dgram.RemoteInfo) => {
         const message = parseAnswer(bytes, MESSAGE_SCHEMA);
         if (message === undefined || message.node === options.node) {
             return;
@@ -102,25 +105,41 @@
                 quotas.recordPeerUse(message.node, account, added, nowMs);
             }
         }
-        peers.set(message.node, { life: message.life, heardAtMs: nowMs, totals: message.totals, loads: message.loads });
+        peers.set(message.node, { ...message, heardAtMs: nowMs, address, port });
+    };
+    const listHeard = (withinMs: number) =>
+        [...peers.values()].filter(peer => clock.readMonotonicMs() - peer.heardAtMs < withinMs);
+    const readView = (): PeerView => {
+        const heard = listHeard(SILENT_MS);
+        const names = new Set([...membership.listOthers(), ...heard].map(({ node }) => node));
+        const nodes = Math.max(names.size + 1, membership.countNodes());
+        const isMost = (heard.length + 1) * 2 > nodes;
+        const isCounted = membership.isCounted() || heard.some(peer => peer.isCounted) || isMost;
+        return { nodes, heard: heard.map(({ node }) => node), isCounted };
     };
-    const listHeard = () => [...peers.values()].filter(peer => clock.readMonotonicMs() - peer.heardAtMs < HEARD_MS);
-    const listHeardNodes = () => {
-        const afterMs = clock.readMonotonicMs() - SILENT_MS;
-        return membership
-            .listOthers()
-            .map(({ node }) => node)
-            .filter(node => (peers.get(node)?.heardAtMs ?? Number.NEGATIVE_INFINITY) > afterMs);
+    /** Lists where to send: to the members, and to nodes that the list in the store doesn't show yet. */
+    const listTargets = () => {
+        const targets = [...listHeard(HEARD_MS), ...membership.listOthers()];
+        return new Map(targets.map(target => [`${target.address}:${target.port}`, target])).values();
     };
     const send = () => {
         const totals = Object.fromEntries([...quotas.readTotals()].map(([name, total]) => [name, Math.round(total)]));
         const loads = options.readLoads();
         const windows = options.usage.readWindows(WINDOWS_SENT);
         const atMs = Math.round(options.trueTime.readTrueMs());
-        const message: PeerMessage = { node: options.node, life: membership.life, atMs, totals, loads, windows };
+        const isCounted = membership.isCounted();
+        const message: PeerMessage = {
+            node: options.node,
+            life: membership.life,
+            atMs,
+            isCounted,
+            totals,
+            loads,
+            windows,
+        };
         const bytes = Buffer.from(JSON.stringify(message));
-        for (const member of membership.listOthers()) {
-            socket.send(bytes, member.port, member.address);
+        for (const { address, port } of listTargets()) {
+            socket.send(bytes, port, address);
         }
     };
     socket.on("message", receive);
@@ -128,9 +147,11 @@
     socket.bind(options.port, options.address);
     const timer = setInterval(send, SEND_PERIOD_MS);
     return {
-        readView: () => ({ nodes: membership.countNodes(), heard: listHeardNodes() }),
+        readView,
         listLoads: service =>
-            [options.readLoads(), ...listHeard().map(peer => peer.loads)].flatMap(loads => loads[service] ?? []),
+            [options.readLoads(), ...listHeard(HEARD_MS).map(peer => peer.loads)].flatMap(
+                loads => loads[service] ?? [],
+            ),
         dispose: () => {
             clearInterval(timer);
             socket.close();
