Let the first requests after a start wait until the node knows its configuration

Ruled out: listening later (a refused connection costs the caller its retry). Change: a request waits up to 400 ms for both; then 503 as before. Test fails first: "waits while its node has just started, and is then forwarded".

--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -17,6 +17,7 @@
 import type { Forwarder } from "./createForwarder";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayParts } from "./gatewayParts";
+import { waitUntilKnown } from "./waitUntilKnown";
 
 /** Kept below the bound for the time from the check to the send. */
 const REVOKE_MARGIN_MS = 250;
@@ -24,6 +25,8 @@
 const RESERVED_DESCRIPTORS = 700;
 /** Longest deadline of a caller that is taken over, a day. */
 const DEADLINE_LONGEST_MS = 86_400_000;
+/** Longest wait of a request for a node that has just started: a few ways to the store of another region. */
+const KNOWN_WAIT_MS = 400;
 /** Successes of which one is logged. */
 const LOGGED_SUCCESS_PERIOD = 50;
 
@@ -137,6 +140,7 @@
         head: CallerHead,
         receivedAtMs: number,
     ) => {
+        await waitUntilKnown(parts, KNOWN_WAIT_MS);
         const admitted = admitHead(request, head);
         if ("kind" in admitted) {
             answerFailure(request, response, admitted, head);
--- a/src/gateway/gateway.test.ts
+++ b/src/gateway/gateway.test.ts
@@ -87,6 +87,15 @@
         assert.equal((await send({ method: "POST", body: "x".repeat(2_000) })).status, 413);
     });
 
+    it("waits while its node has just started, and is then forwarded", async () => {
+        harness = await createGatewayHarness(makeRoute(), [answerWell], { isWithoutConfiguration: true });
+        const answer = harness.send();
+        await new Promise(resolve => setTimeout(resolve, 60));
+        harness.apply({});
+        harness.confirm();
+        assert.equal((await answer).status, 200);
+    });
+
     it("is refused as not run, never with 404 or 401, before a configuration is known", async () => {
         harness = await createGatewayHarness(makeRoute(), [answerWell], { isWithoutConfiguration: true });
         assert.equal((await harness.send()).status, 503);
