Let a node that starts again hear from its peers what was charged before

Ruled out: the cut in the same window alone (tests with one to seven nodes cut hold). Change: each datagram tells what its sender knows to have been charged in the last window and for how long it has counted; the greatest of them counts. What peers have not told yet is also reckoned within the part of nodes that hear each other.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -16,12 +16,20 @@
     readonly quotaSlack: number;
 }
 
+/** Another node that was heard a moment ago. */
+export interface HeardPeer {
+    readonly node: string;
+    /** What it knows to have been charged at all nodes in the last window, by account. */
+    readonly used: Readonly<Record<string, number>>;
+    /** How long it has counted, in milliseconds. */
+    readonly countsForMs: number;
+}
+
 /** What is known of the other nodes. */
 export interface PeerView {
     /** Live nodes, this one included. */
     readonly nodes: number;
-    /** Names of the other nodes that were heard a moment ago. */
-    readonly heard: readonly string[];
+    readonly heard: readonly HeardPeer[];
     /** True if the nodes that aren't heard still leave a part of the limits to this one and those that it hears. */
     readonly isCounted: boolean;
 }
@@ -33,6 +41,8 @@
     /** Gives back what was charged for a request that was not executed. */
     refund(account: string, amount: number, nowMs: number): void;
     recordPeerUse(peer: string, account: string, amount: number, nowMs: number): void;
+    /** What this node tells the others of its counts. */
+    describeCounts(nowMs: number): Pick<HeardPeer, "used" | "countsForMs">;
     /** All that this node has charged, by account, since its start. */
     readTotals(): ReadonlyMap<string, number>;
 }
@@ -41,11 +51,11 @@
  * Creates the quotas.
  *
  * @param terms - The bound
- * @param startedAtMs - Start of this process if nodes ran before it; what its predecessor charged isn't known, so the
- * limit grows from nothing over the first window. Absent at the first start of the whole system
+ * @param startedAtMs - Start of this process if nodes ran before it: until it hears a node that counted before, the limit
+ * grows from nothing over the first window. Absent at the first start of the whole system
  * @returns The quotas
  * @example
- * quotas.charge(account, 1_460, { nodes: 9, heard: 9 }, nowMs);
+ * quotas.charge(account, 1_460, peers.readView(), nowMs);
  */
 export function createAccountQuotas(terms: QuotaTerms, startedAtMs: number | undefined): AccountQuotas {
     const windowMs = terms.quotaWindowMs;
@@ -66,13 +76,15 @@
         [all, own, untold].forEach(count => count.add(amount, nowMs));
         totals.set(account, (totals.get(account) ?? 0) + amount);
     };
+    const computeAgeMs = (nowMs: number) => (startedAtMs === undefined ? windowMs : nowMs - startedAtMs);
     const hasRoom = (account: GatewayAccount, amount: number, view: PeerView, nowMs: number): boolean => {
         const limit = computeLimit(account, terms);
         const state = readState(account.name);
-        const used = state.all.sum(nowMs) + estimateUntold(state, view, nowMs);
+        const { known, untold } = computeUsed(account.name, state, view, limit * ASSUMED_SHARE, nowMs);
+        const countsForMs = Math.max(computeAgeMs(nowMs), ...view.heard.map(peer => peer.countsForMs));
         return (
-            used + amount <= limit * computeRamp(startedAtMs, windowMs, nowMs) &&
-            sumHeard(state, view, nowMs) + amount <= limit * computeHeardShare(view)
+            known + untold + amount <= limit * Math.min(1, countsForMs / windowMs) &&
+            sumHeard(state, view, nowMs) + untold + amount <= limit * computeHeardShare(view)
         );
     };
     return {
@@ -90,6 +102,10 @@
             peers.set(peer, count);
             [all, count].forEach(one => one.add(amount, nowMs));
         },
+        describeCounts: nowMs => ({
+            used: Object.fromEntries([...states].map(([name, { all }]) => [name, Math.round(all.sum(nowMs))])),
+            countsForMs: Math.min(windowMs, computeAgeMs(nowMs)),
+        }),
         readTotals: () => totals,
     };
 }
@@ -111,6 +127,8 @@
 /** Shares of the overrun that are used; the rest is for what the nodes admit before they hear of each other. */
 const USED_OVERRUN = 0.6;
 const USED_SLACK = 0.4;
+/** Use of the peers, as a share of the limit, that is assumed until more is known of their proportion to this node's. */
+const ASSUMED_SHARE = 0.05;
 
 function computeLimit(account: GatewayAccount, { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaTerms): number {
     const quota = (account.quotaPerSecond * quotaWindowMs) / MS_PER_S + account.quotaBurst;
@@ -118,23 +136,36 @@
     return quota * (1 + quotaOverrun * USED_OVERRUN) + slack * USED_SLACK;
 }
 
-/** Estimates what the peers charged and have not told yet: as much as this node, in the proportion of their use and its. */
-function estimateUntold({ all, own, untold }: AccountState, { nodes }: PeerView, nowMs: number): number {
-    const ownSum = Math.max(1, own.sum(nowMs));
-    const peersSum = Math.max(0, all.sum(nowMs) - ownSum);
-    return Math.max(0, untold.sum(nowMs)) * Math.min(nodes - 1, peersSum / ownSum);
+/** What all nodes have charged. */
+interface UsedAmount {
+    /** By what any of them knows. */
+    readonly known: number;
+    /** Likely to have been charged by the nodes that are heard, and not told yet. */
+    readonly untold: number;
+}
+
+/** Computes what was charged; the peers charge as much as this node meanwhile, in the proportion of their use and its. */
+function computeUsed(
+    account: string,
+    state: AccountState,
+    { nodes, heard }: PeerView,
+    assumed: number,
+    nowMs: number,
+): UsedAmount {
+    const ownUntold = Math.max(0, state.untold.sum(nowMs));
+    const known = Math.max(state.all.sum(nowMs), ...heard.map(peer => (peer.used[account] ?? 0) + ownUntold));
+    const own = Math.max(0, state.own.sum(nowMs));
+    const peers = Math.max(1, nodes - 1);
+    const proportion = (Math.max(0, known - own) + assumed) / (own + assumed / peers);
+    return { known, untold: ownUntold * Math.min(nodes - 1, proportion) };
 }
 
 /** Sums the use of the nodes that hear each other, this one included. */
 function sumHeard({ own, peers }: AccountState, { heard }: PeerView, nowMs: number): number {
-    return heard.reduce((sum, peer) => sum + (peers.get(peer)?.sum(nowMs) ?? 0), own.sum(nowMs));
+    return heard.reduce((sum, { node }) => sum + (peers.get(node)?.sum(nowMs) ?? 0), own.sum(nowMs));
 }
 
 /** Computes the share of the limit that nodes which hear each other may use. */
 function computeHeardShare({ nodes, heard, isCounted }: PeerView): number {
     return isCounted ? Math.min(1, (heard.length + 1) / Math.max(1, nodes)) : 0;
 }
-
-function computeRamp(startedAtMs: number | undefined, windowMs: number, nowMs: number): number {
-    return startedAtMs === undefined ? 1 : Math.min(1, (nowMs - startedAtMs) / windowMs);
-}
--- a/src/decisions/gateway/budgets.test.ts
+++ b/src/decisions/gateway/budgets.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import type { GatewayAccount } from "../../model/gateway";
-import { createAccountQuotas, type QuotaTerms } from "./accountQuotas";
+import { createAccountQuotas, type HeardPeer, type QuotaTerms } from "./accountQuotas";
 import { createRetryAllowance } from "./retryAllowance";
 import { createSlidingCount } from "./slidingCount";
 
@@ -18,35 +18,52 @@
 const TERMS = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 0 };
 /** Nodes notice after this time that another one is silent. */
 const SILENT_MS = 500;
+/** Before the first request all nodes have heard each other. */
+const FIRST_DEMAND_MS = 400;
 const ALL_HEARD = { nodes: 1, heard: [], isCounted: true };
 
-/**
- * Plays nodes that exchange their totals each 200 ms and get far more than the limit, until some of them are cut off, and
- * gives the most that all admitted together in a window.
- */
-function measureMostAdmitted(account: GatewayAccount, terms: QuotaTerms, isCut: (node: number) => boolean): number {
-    const nodes = Array.from({ length: 7 }, (_, index) => ({
+/** What goes wrong among the nodes while all of them get eleven times the limit. */
+interface Trouble {
+    /** Nodes that hear nobody from 12 s to 22 s. */
+    readonly cut?: readonly number[];
+    /** Nodes that are killed at 9 s, after a flood, and back half a second later. */
+    readonly killed?: readonly number[];
+}
+
+/** Plays seven nodes that hear each other each 200 ms, and gives the most that all admitted together in a window. */
+function measureMostAdmitted(account: GatewayAccount, terms: QuotaTerms, { cut = [], killed = [] }: Trouble): number {
+    const createNode = (index: number, startedAtMs?: number) => ({
         index,
-        quotas: createAccountQuotas(terms, undefined),
-        heard: new Map<number, { atMs: number; total: number }>(),
-    }));
+        quotas: createAccountQuotas(terms, startedAtMs),
+        heard: new Map<number, { atMs: number; total: number; peer: HeardPeer }>(),
+    });
+    const nodes = Array.from({ length: 7 }, (_, index) => createNode(index));
     const limit = (account.quotaPerSecond * terms.quotaWindowMs) / 1_000 + account.quotaBurst;
     const request = limit / 250;
     const admitted: { atMs: number; amount: number }[] = [];
     for (let nowMs = 0; nowMs < 30_000; nowMs += 20) {
+        if (nowMs === 9_500) {
+            killed.forEach(index => nodes.splice(index, 1, createNode(index, nowMs)));
+        }
+        const live = nodes.filter(({ index }) => nowMs < 9_000 || nowMs >= 9_500 || !killed.includes(index));
         const isApart = (one: number, other: number) =>
-            nowMs > 12_000 && nowMs < 22_000 && one !== other && (isCut(one) || isCut(other));
-        for (const from of nodes.filter(node => (nowMs + node.index * 40) % 200 === 0)) {
+            nowMs > 12_000 && nowMs < 22_000 && one !== other && (cut.includes(one) || cut.includes(other));
+        for (const from of live.filter(node => (nowMs + node.index * 40) % 200 === 0)) {
             const total = from.quotas.readTotals().get(account.name) ?? 0;
-            for (const to of nodes.filter(node => node !== from && !isApart(node.index, from.index))) {
-                const added = total - (to.heard.get(from.index)?.total ?? 0);
-                to.quotas.recordPeerUse(String(from.index), account.name, added, nowMs);
-                to.heard.set(from.index, { atMs: nowMs, total });
+            const peer = { node: String(from.index), ...from.quotas.describeCounts(nowMs) };
+            for (const to of live.filter(node => node !== from && !isApart(node.index, from.index))) {
+                const before = to.heard.get(from.index);
+                const added = total - (before !== undefined && before.total <= total ? before.total : 0);
+                if (before !== undefined) {
+                    to.quotas.recordPeerUse(peer.node, account.name, added, nowMs);
+                }
+                to.heard.set(from.index, { atMs: nowMs, total, peer });
             }
         }
-        for (const { quotas, heard } of nodes) {
-            const names = [...heard].filter(([, { atMs }]) => nowMs - atMs < SILENT_MS).map(([index]) => String(index));
-            if (quotas.charge(account, request, { nodes: nodes.length, heard: names, isCounted: true }, nowMs)) {
+        for (const { quotas, heard } of nowMs < FIRST_DEMAND_MS ? [] : live) {
+            const lately = [...heard.values()].filter(({ atMs }) => nowMs - atMs < SILENT_MS);
+            const view = { nodes: nodes.length, heard: lately.map(({ peer }) => peer), isCounted: true };
+            if (quotas.charge(account, request, view, nowMs)) {
                 admitted.push({ atMs: nowMs, amount: request });
             }
         }
@@ -137,20 +154,35 @@
 
     it("grant nothing to a node that the others have stopped to count", () => {
         const quotas = createAccountQuotas(TERMS, undefined);
-        assert.ok(!quotas.charge(ACCOUNT, 1, { nodes: 10, heard: ["west-2"], isCounted: false }, 0));
+        assert.ok(
+            !quotas.charge(
+                ACCOUNT,
+                1,
+                { nodes: 10, heard: [{ node: "west-2", used: {}, countsForMs: 60_000 }], isCounted: false },
+                0,
+            ),
+        );
     });
 
+    const account = { ...ACCOUNT, countsTokens: true };
+    const terms = { ...TERMS, quotaSlack: 45 };
+    const bound = 850 * 1.1 + 45;
+
     it("hold over all nodes from the first moment at which some are cut off from each other", () => {
-        const account = { ...ACCOUNT, countsTokens: true };
-        const terms = { ...TERMS, quotaSlack: 45 };
-        const bound = 850 * 1.1 + 45;
         for (const cut of [[], [3], [3, 5], [0, 1, 2], [0, 1, 2, 3, 4, 5, 6]]) {
-            const most = measureMostAdmitted(account, terms, node => cut.includes(node));
+            const most = measureMostAdmitted(account, terms, { cut });
             assert.ok(most <= bound, `${most} of ${bound} while ${cut.length} nodes are cut off`);
         }
     });
 
-    it("grow from nothing after a restart, since what was charged before isn't known", () => {
+    it("hold over all nodes when some start again after a flood", () => {
+        for (const killed of [[2], [0, 1, 4, 6], [0, 1, 2, 3, 4, 5]]) {
+            const most = measureMostAdmitted(account, terms, { killed });
+            assert.ok(most <= bound, `${most} of ${bound} after ${killed.length} nodes were killed`);
+        }
+    });
+
+    it("grow from nothing after a restart while no node is heard that knows what was charged before", () => {
         const quotas = createAccountQuotas(TERMS, 0);
         assert.ok(!quotas.charge(ACCOUNT, 200, ALL_HEARD, 1_000));
         assert.ok(quotas.charge(ACCOUNT, 200, ALL_HEARD, 4_000));
--- a/src/gateway/createPeerExchange.test.ts
+++ b/src/gateway/createPeerExchange.test.ts
@@ -57,7 +57,9 @@
         const right = startExchange("right", [makeMember("left")], false);
         assert.deepEqual(right.readView(), { nodes: 2, heard: [], isCounted: false } satisfies PeerView);
         await waitUntil(() => left.readView().nodes === 2 && right.readView().isCounted);
-        assert.deepEqual(right.readView(), { nodes: 2, heard: ["left"], isCounted: true } satisfies PeerView);
+        const view = right.readView();
+        assert.deepEqual([view.nodes, view.heard.map(({ node }) => node), view.isCounted], [2, ["left"], true]);
+        assert.equal(view.heard[0]?.countsForMs, makeSettings().bounds.quotaWindowMs);
         assert.equal(right.listLoads("chat").length, 2);
         left.dispose();
         await waitUntil(() => right.readView().heard.length === 0);
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -33,6 +33,9 @@
     readonly atMs: number;
     /** True if all nodes that reach the store count the sender as a member. */
     readonly isCounted: boolean;
+    /** What the sender knows to have been charged in the last window, and for how long it has counted. */
+    readonly used: Readonly<Record<string, number>>;
+    readonly countsForMs: number;
     readonly totals: Readonly<Record<string, number>>;
     readonly loads: Readonly<Record<string, ServiceLoad>>;
     readonly windows: Readonly<Record<string, UsageCounts>>;
@@ -43,13 +46,15 @@
     life: z.string(),
     atMs: z.number(),
     isCounted: z.boolean(),
+    used: z.record(z.string(), z.number()),
+    countsForMs: z.number(),
     totals: z.record(z.string(), z.number()),
     loads: z.record(z.string(), z.object({ tokensPerSecond: z.number(), inFlight: z.number() })),
     windows: z.record(z.string(), USAGE_COUNTS_SCHEMA),
 });
 
 /** Another node, as its last datagram showed it. */
-interface Peer extends Pick<PeerMessage, "node" | "life" | "isCounted" | "totals" | "loads"> {
+interface Peer extends Omit<PeerMessage, "atMs" | "windows"> {
     readonly heardAtMs: number;
     readonly address: string;
     readonly port: number;
@@ -115,7 +120,7 @@
         const nodes = Math.max(names.size + 1, membership.countNodes());
         const isMost = (heard.length + 1) * 2 > nodes;
         const isCounted = membership.isCounted() || heard.some(peer => peer.isCounted) || isMost;
-        return { nodes, heard: heard.map(({ node }) => node), isCounted };
+        return { nodes, heard, isCounted };
     };
     /** Lists where to send: to the members, and to nodes that the list in the store doesn't show yet. */
     const listTargets = () => {
@@ -123,19 +128,15 @@
         return new Map(targets.map(target => [`${target.address}:${target.port}`, target])).values();
     };
     const send = () => {
-        const totals = Object.fromEntries([...quotas.readTotals()].map(([name, total]) => [name, Math.round(total)]));
-        const loads = options.readLoads();
-        const windows = options.usage.readWindows(WINDOWS_SENT);
-        const atMs = Math.round(options.trueTime.readTrueMs());
-        const isCounted = membership.isCounted();
         const message: PeerMessage = {
             node: options.node,
             life: membership.life,
-            atMs,
-            isCounted,
-            totals,
-            loads,
-            windows,
+            atMs: Math.round(options.trueTime.readTrueMs()),
+            isCounted: membership.isCounted(),
+            ...quotas.describeCounts(clock.readMonotonicMs()),
+            totals: Object.fromEntries([...quotas.readTotals()].map(([name, total]) => [name, Math.round(total)])),
+            loads: options.readLoads(),
+            windows: options.usage.readWindows(WINDOWS_SENT),
         };
         const bytes = Buffer.from(JSON.stringify(message));
         for (const { address, port } of listTargets()) {
