--- a/src/gateway/createEndpointDirectory.ts
+++ b/src/gateway/createEndpointDirectory.ts
@@ -29,6 +29,7 @@
     listUsable(service: string): readonly EndpointRecord[];
     /** Lists all endpoints of a service, draining ones included. */
     listAll(service: string): readonly EndpointRecord[];
+    findEndpoint(id: string): EndpointRecord | undefined;
     /** True once a complete list was read. */
     isKnown(): boolean;
 }
@@ -113,6 +114,7 @@
         },
         listAll,
         listUsable: service => listAll(service).filter(record => !record.endpoint.isDraining && !record.isMisdirected),
+        findEndpoint: id => records.get(id),
         isKnown: () => known,
         dumpState: () =>
             [...records.values()].map(({ endpoint, ownInFlight, bias, failures, suspectUntilMs, load }) => ({
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -36,6 +36,8 @@
 
 /** Least time that must be left for another attempt. */
 const LEAST_ATTEMPT_MS = 60;
+/** Prompts of this size are told to the peers, since they keep others waiting at the endpoint. */
+const ANNOUNCED_TOKENS = 2_000;
 /** Share of the objective after which a request that may be repeated is sent to another endpoint. */
 const PATIENCE_SHARE = 0.9;
 /** Longest pause inside a stream that may be resumed, in multiples of the route's target. */
@@ -97,12 +99,13 @@
         const usable = directory.listUsable(service);
         const untried = usable.filter(record => !course.tried.has(record.endpoint.id));
         const reachable = untried.filter(record => record.suspectUntilMs <= nowMs);
+        const speed = speeds.readSpeed(service);
         const candidates = (reachable.length > 0 ? reachable : untried).map(record => ({
             record,
-            view: buildEndpointView(record, request.promptParts, nowMs),
+            view: buildEndpointView(record, request.promptParts, speed.tokensPerMs, nowMs),
         }));
         const views = candidates.map(candidate => candidate.view);
-        const id = chooseEndpoint(views, request, speeds.readSpeed(service), parts.random);
+        const id = chooseEndpoint(views, request, speed, parts.random);
         return candidates.find(candidate => candidate.view.id === id);
     };
 
@@ -131,6 +134,9 @@
         record.ownInFlight++;
         record.pendingTokens += pendingTokens;
         recordCachedParts(record, request.promptParts, sentAtMs);
+        if (uncachedTokens >= ANNOUNCED_TOKENS) {
+            parts.peers.announcePrompt({ endpointId: record.endpoint.id, tokens: Math.round(uncachedTokens) });
+        }
         const canSendElsewhere = isRepeatable(route) && course.executions + 1 < route.attemptsMax;
         const result = await sendAttempt({
             record,
--- a/src/gateway/createPeerExchange.test.ts
+++ b/src/gateway/createPeerExchange.test.ts
@@ -3,7 +3,7 @@
 import { createSystemClock } from "../base/createSystemClock";
 import { createLog } from "../base/log/createLog";
 import { createAccountQuotas, type PeerView } from "../decisions/gateway/accountQuotas";
-import { createPeerExchange } from "./createPeerExchange";
+import { type AnnouncedPrompt, createPeerExchange } from "./createPeerExchange";
 import type { Membership } from "./createMembership";
 import { createTrueTime } from "./createTrueTime";
 import { createUsageLedger } from "./createUsageLedger";
@@ -18,7 +18,12 @@
     return { node, life: `${node}-1`, address: ADDRESS, port: PORTS[node], atMs: 0, windows: {} };
 }
 
-function startExchange(node: keyof typeof PORTS, others: readonly MemberRecord[], isCounted: boolean) {
+function startExchange(
+    node: keyof typeof PORTS,
+    others: readonly MemberRecord[],
+    isCounted: boolean,
+    prompts: AnnouncedPrompt[] = [],
+) {
     const clock = createSystemClock();
     const trueTime = createTrueTime(clock);
     const membership: Membership = {
@@ -39,6 +44,7 @@
         ledger: createUsageLedger(),
         usage: createUsageMeter(trueTime, 5_000),
         trueTime,
+        handlePrompt: prompt => prompts.push(prompt),
         readLoads: () => ({ chat: { tokensPerSecond: 10, inFlight: 1 } }),
         clock,
         log: createLog({ write: () => undefined }),
@@ -66,4 +72,14 @@
         assert.equal(right.readView().isCounted, false);
         right.dispose();
     });
+
+    it("tells of a long prompt at once", async () => {
+        const prompts: AnnouncedPrompt[] = [];
+        const left = startExchange("left", [], true, prompts);
+        const right = startExchange("right", [makeMember("left")], true);
+        right.announcePrompt({ endpointId: "i-1", tokens: 9_000 });
+        await waitUntil(() => prompts.length > 0);
+        assert.deepEqual(prompts, [{ endpointId: "i-1", tokens: 9_000 }]);
+        [left, right].forEach(exchange => exchange.dispose());
+    });
 });
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -53,6 +53,15 @@
     windows: z.record(z.string(), USAGE_COUNTS_SCHEMA),
 });
 
+/** A long prompt that was just sent to an endpoint. */
+export interface AnnouncedPrompt {
+    readonly endpointId: string;
+    /** Those that it has to read. */
+    readonly tokens: number;
+}
+
+const PROMPT_SCHEMA = z.object({ endpointId: z.string(), tokens: z.number().nonnegative() });
+
 /** Another node, as its last datagram showed it. */
 interface Peer extends Omit<PeerMessage, "atMs" | "windows"> {
     readonly heardAtMs: number;
@@ -70,6 +79,7 @@
     readonly ledger: UsageLedger;
     readonly usage: UsageMeter;
     readonly trueTime: TrueTime;
+    readonly handlePrompt: (prompt: AnnouncedPrompt) => void;
     readonly readLoads: () => Readonly<Record<string, ServiceLoad>>;
     readonly clock: Clock;
     readonly log: Log;
@@ -78,6 +88,8 @@
 /** The other nodes, as far as they are heard. */
 export interface PeerExchange extends Disposable {
     readView(): PeerView;
+    /** Tells the peers at once of a prompt that keeps others waiting at its endpoint. */
+    announcePrompt(prompt: AnnouncedPrompt): void;
     /** Lists the loads of a service at all nodes that are heard, this one included. */
     listLoads(service: string): readonly ServiceLoad[];
 }
@@ -96,6 +108,11 @@
     const socket = dgram.createSocket("udp4");
 
     const receive = (bytes: Buffer, { address, port }: dgram.RemoteInfo) => {
+        const prompt = parseAnswer(bytes, PROMPT_SCHEMA);
+        if (prompt !== undefined) {
+            options.handlePrompt(prompt);
+            return;
+        }
         const message = parseAnswer(bytes, MESSAGE_SCHEMA);
         if (message === undefined || message.node === options.node) {
             return;
@@ -127,6 +144,11 @@
         const targets = [...listHeard(HEARD_MS), ...membership.listOthers()];
         return new Map(targets.map(target => [`${target.address}:${target.port}`, target])).values();
     };
+    const sendToAll = (bytes: Buffer) => {
+        for (const { address, port } of listTargets()) {
+            socket.send(bytes, port, address);
+        }
+    };
     const send = () => {
         const message: PeerMessage = {
             node: options.node,
@@ -138,10 +160,7 @@
             loads: options.readLoads(),
             windows: options.usage.readWindows(WINDOWS_SENT),
         };
-        const bytes = Buffer.from(JSON.stringify(message));
-        for (const { address, port } of listTargets()) {
-            socket.send(bytes, port, address);
-        }
+        sendToAll(Buffer.from(JSON.stringify(message)));
     };
     socket.on("message", receive);
     socket.on("error", error => log.warn("datagram socket failed", { reason: error.message }));
@@ -149,6 +168,7 @@
     const timer = setInterval(send, SEND_PERIOD_MS);
     return {
         readView,
+        announcePrompt: prompt => sendToAll(Buffer.from(JSON.stringify(prompt))),
         listLoads: service =>
             [options.readLoads(), ...listHeard(HEARD_MS).map(peer => peer.loads)].flatMap(
                 loads => loads[service] ?? [],
--- a/src/gateway/endpointRecord.ts
+++ b/src/gateway/endpointRecord.ts
@@ -41,6 +41,8 @@
     isMisdirected: boolean;
     ownInFlight: number;
     pendingTokens: number;
+    /** Prompt tokens that the peers sent there, as of a moment; the endpoint reads them since. */
+    peerPending: FadingValue;
     load: (EndpointLoad & { readonly atMs: number; readonly ownInFlight: number }) | undefined;
     bias: FadingValue;
     failures: FadingValue;
@@ -65,6 +67,7 @@
         isMisdirected: false,
         ownInFlight: 0,
         pendingTokens: 0,
+        peerPending: { value: 0, atMs: 0 },
         load: undefined,
         bias: { value: 0, atMs: 0 },
         failures: { value: 0, atMs: 0 },
@@ -75,7 +78,12 @@
 }
 
 /** Gives the view of an endpoint for the placement of a request with these prompt parts. */
-export function buildEndpointView(record: EndpointRecord, parts: readonly PromptPart[], nowMs: number): EndpointView {
+export function buildEndpointView(
+    record: EndpointRecord,
+    parts: readonly PromptPart[],
+    tokensPerMs: number,
+    nowMs: number,
+): EndpointView {
     const { load } = record;
     const others = load === undefined ? 0 : Math.max(0, load.running + load.waiting - load.ownInFlight);
     const othersNow = load === undefined ? 0 : others * 0.5 ** ((nowMs - load.atMs) / LOAD_HALF_LIFE_MS);
@@ -85,13 +93,19 @@
         distancePenaltyMs: record.distancePenaltyMs,
         slots: load?.slots ?? record.endpoint.slots,
         occupancy: record.ownInFlight + othersNow,
-        pendingTokens: record.pendingTokens,
+        pendingTokens: record.pendingTokens + computeUnread(record.peerPending, tokensPerMs, nowMs),
         biasMs: computeFaded(record.bias, BIAS_HALF_LIFE_MS, nowMs),
         failureShare: computeFaded(record.failures, FAILURE_HALF_LIFE_MS, nowMs),
         cachedTokens: countCachedTokens(record, parts, nowMs),
     };
 }
 
+/** Notes a prompt that a peer sent to the endpoint. */
+export function recordPeerPrompt(record: EndpointRecord, tokens: number, tokensPerMs: number, nowMs: number): void {
+    const unread = computeUnread(record.peerPending, tokensPerMs, nowMs);
+    record.peerPending = { value: unread + tokens, atMs: nowMs };
+}
+
 /** Notes how an attempt compared with its estimate. */
 export function recordAnswerTime(record: EndpointRecord, observedMs: number, estimatedMs: number, nowMs: number): void {
     const before = computeFaded(record.bias, BIAS_HALF_LIFE_MS, nowMs);
@@ -144,6 +158,10 @@
     return tokens;
 }
 
+function computeUnread({ value, atMs }: FadingValue, tokensPerMs: number, nowMs: number): number {
+    return Math.max(0, value - (nowMs - atMs) * tokensPerMs);
+}
+
 function computeFaded({ value, atMs }: FadingValue, halfLifeMs: number, nowMs: number): number {
     return value * 0.5 ** ((nowMs - atMs) / halfLifeMs);
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -34,6 +34,7 @@
 import { createUsageDuty } from "./createUsageDuty";
 import { createUsageLedger, type UsageLedger } from "./createUsageLedger";
 import { createUsageMeter } from "./createUsageMeter";
+import { recordPeerPrompt } from "./endpointRecord";
 import type { GatewayParts } from "./gatewayParts";
 import { type DutyHolding, startDutyHolder } from "./startDutyHolder";
 import { startTableWatch } from "./startTableWatch";
@@ -119,6 +120,13 @@
         usage,
         trueTime,
         readLoads: demand.readLoads,
+        handlePrompt: ({ endpointId, tokens }) => {
+            const record = directory.findEndpoint(endpointId);
+            if (record !== undefined) {
+                const { tokensPerMs } = speeds.readSpeed(record.endpoint.service);
+                recordPeerPrompt(record, tokens, tokensPerMs, clock.readMonotonicMs());
+            }
+        },
         clock,
         log,
     });
