Count a node that starts again without a pause; let first requests wait for the list of nodes

Change 2: its former life's row shows that the others still count it; first requests wait (within the same 400 ms) for the list; 400 ms of the growing limit at once.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -83,7 +83,7 @@
         const { known, untold } = computeUsed(account.name, state, view, limit * ASSUMED_SHARE, nowMs);
         const countsForMs = Math.max(computeAgeMs(nowMs), ...view.heard.map(peer => peer.countsForMs));
         return (
-            known + untold + amount <= limit * Math.min(1, countsForMs / windowMs) &&
+            known + untold + amount <= limit * Math.min(1, (countsForMs + FIRST_GRANT_MS) / windowMs) &&
             sumHeard(state, view, nowMs) + untold + amount <= limit * computeHeardShare(view)
         );
     };
@@ -127,6 +127,8 @@
 /** Shares of the overrun that are used; the rest is for what the nodes admit before they hear of each other. */
 const USED_OVERRUN = 0.6;
 const USED_SLACK = 0.4;
+/** The first requests after a start of all nodes are granted as if they had counted for this long before. */
+const FIRST_GRANT_MS = 400;
 /** Use of the peers, as a share of the limit, that is assumed until more is known of their proportion to this node's. */
 const ASSUMED_SHARE = 0.05;
 
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -124,6 +124,7 @@
         demand: createDemandMeter(clock),
         peers: {
             readView: () => ({ nodes: 1, heard: [], isCounted: true }),
+            isKnown: () => true,
             announcePrompt: () => undefined,
             listLoads: () => [],
             dispose: () => undefined,
--- a/src/gateway/control.test.ts
+++ b/src/gateway/control.test.ts
@@ -240,7 +240,7 @@
         assert.deepEqual(reported[0]?.report.counts, { county: 2, shire: 1 });
     });
 
-    it("are counted as members once all others have listed them", async () => {
+    it("are counted as members once all others have listed them, also after a start without a pause", async () => {
         const world = createWorld();
         const { membership, holding } = createNode("left", world);
         await runClock(world.clock, 2_000);
@@ -249,8 +249,16 @@
         assert.equal(membership.isCounted(), true);
         holding.leave();
         membership.dispose();
+        await runClock(world.clock, 2_000);
+        const next = createNode("left", world);
+        await runClock(world.clock, 1_000);
+        assert.equal(next.membership.isCounted(), true);
+        next.membership.dispose();
         await runClock(world.clock, 25_000);
         assert.equal(membership.isCounted(), false);
+        const late = createNode("left", world);
+        await runClock(world.clock, 1_000);
+        assert.equal(late.membership.isCounted(), false);
     });
 
     it("pass on to another node under a higher number, not within the lease's length of the last call", async () => {
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -51,6 +51,8 @@
     listOthers(): readonly MemberRecord[];
     /** Counts the live members; a cautious guess until they are known. */
     countNodes(): number;
+    /** True once the others' rows were read. */
+    isKnown(): boolean;
     /** True if all others that reach the store count this node as a member. */
     isCounted(): boolean;
     /** Gives this node's own record as of now. */
@@ -89,6 +91,7 @@
         const rows = await table.listRows(MEMBER_PREFIX);
         return rows.isErr() ? undefined : rows.value.flatMap(row => decodeMember(row.value) ?? []);
     };
+    const isFormerLife = (record: MemberRecord) => record.node === self.node && record.life !== life;
     const refreshMembers = async () => {
         const records = await readRecords();
         const periodMs = lists < FIRST_LISTS ? FIRST_LIST_PERIOD_MS : LIST_PERIOD_MS;
@@ -97,6 +100,11 @@
             return;
         }
         lists++;
+        // Without a pause since its last life the others have not stopped to count this node.
+        const countedAfterMs = trueTime.readTrueMs() - LIVE_MS + COUNTED_MARGIN_MS;
+        if (lists === 1 && records.some(record => isFormerLife(record) && record.atMs > countedAfterMs)) {
+            countedFromMs = clock.readMonotonicMs();
+        }
         const liveAfterMs = trueTime.readTrueMs() - LIVE_MS;
         const others = records.filter(record => record.life !== life && record.node !== self.node);
         members = others.filter(record => record.atMs > liveAfterMs);
@@ -146,6 +154,7 @@
         life,
         listOthers: () => members ?? [],
         countNodes: () => (members === undefined ? UNKNOWN_NODES : new Set(members.map(({ node }) => node)).size + 1),
+        isKnown: () => members !== undefined,
         isCounted: () => isRowLive() && clock.readMonotonicMs() >= countedFromMs,
         describeSelf,
         readRecords,
--- a/src/gateway/createPeerExchange.test.ts
+++ b/src/gateway/createPeerExchange.test.ts
@@ -30,6 +30,7 @@
         life: `${node}-1`,
         listOthers: () => others,
         countNodes: () => others.length + 1,
+        isKnown: () => true,
         isCounted: () => isCounted,
         describeSelf: () => makeMember(node),
         readRecords: async () => [],
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -87,6 +87,8 @@
 
 /** The other nodes, as far as they are heard. */
 export interface PeerExchange extends Disposable {
+    /** True once it is known which nodes there are. */
+    isKnown(): boolean;
     readView(): PeerView;
     /** Tells the peers at once of a prompt that keeps others waiting at its endpoint. */
     announcePrompt(prompt: AnnouncedPrompt): void;
@@ -167,6 +169,7 @@
     socket.bind(options.port, options.address);
     const timer = setInterval(send, SEND_PERIOD_MS);
     return {
+        isKnown: membership.isKnown,
         readView,
         announcePrompt: prompt => sendToAll(Buffer.from(JSON.stringify(prompt))),
         listLoads: service =>
--- a/src/gateway/waitUntilKnown.ts
+++ b/src/gateway/waitUntilKnown.ts
@@ -6,20 +6,20 @@
 const STEP_MS = 10;
 
 /**
- * Waits until the configuration and the endpoints are known, so that the first requests after a start aren't refused.
+ * Waits until the configuration, the endpoints and the other nodes are known, so that the first requests after a start aren't refused.
  *
- * @param parts - The configuration, the directory and the clock
+ * @param parts - What has to be known, and the clock
  * @param limitMs - Longest wait in milliseconds
- * @returns When both are known, or after the limit
+ * @returns When all are known, or after the limit
  * @example
  * await waitUntilKnown(parts, 400);
  */
 export async function waitUntilKnown(
-    { configuration, directory, clock }: Pick<GatewayParts, "configuration" | "directory" | "clock">,
+    { configuration, directory, peers, clock }: Pick<GatewayParts, "configuration" | "directory" | "peers" | "clock">,
     limitMs: number,
 ): Promise<void> {
     const untilMs = clock.readMonotonicMs() + limitMs;
-    const isKnown = () => configuration.readCurrent() !== undefined && directory.isKnown();
+    const isKnown = () => configuration.readCurrent() !== undefined && directory.isKnown() && peers.isKnown();
     while (!isKnown() && clock.readMonotonicMs() < untilMs) {
         await clock.waitMs(STEP_MS);
     }
