--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -2,6 +2,7 @@
  * @module A gateway's request path on loopback, with endpoints of a test's own and without a platform.
  */
 import http from "node:http";
+import type { GatewayParts } from "../gatewayParts";
 import type { AddressInfo } from "node:net";
 import { PLATFORM_CODEC } from "../../../platform/forwardingCodec";
 import { createRandom } from "../../base/createRandom";
@@ -32,6 +33,7 @@
 /** A running request path. */
 export interface GatewayHarness extends Disposable {
     readonly listener: GatewayListener;
+    readonly parts: GatewayParts;
     readonly configuration: ConfigurationHolder;
     readonly directory: EndpointDirectory;
     readonly endpoints: readonly ScriptedEndpoint[];
@@ -124,6 +126,8 @@
         demand: createDemandMeter(clock),
         peers: {
             readView: () => ({ nodes: 1, heard: [], isCounted: true }),
+            name: "peers",
+            dumpState: () => ({}),
             isKnown: () => true,
             announcePrompt: () => undefined,
             listLoads: () => [],
@@ -172,6 +176,7 @@
     }
     return {
         listener,
+        parts,
         configuration,
         directory,
         endpoints,
--- a/src/gateway/createConfigurationHolder.ts
+++ b/src/gateway/createConfigurationHolder.ts
@@ -2,6 +2,7 @@
  * @module The configuration in force at a node, and how long ago the store confirmed it.
  */
 import type { Clock } from "../base/clock";
+import type { DumpSource } from "../base/dump";
 import { computeElapsedMs, type Instant, readInstant } from "../base/instant";
 import type { Log } from "../base/log/log";
 import { buildRouteTable, type RouteTable } from "../decisions/gateway/routeTable";
@@ -16,7 +17,7 @@
 }
 
 /** Holds the newest configuration that was seen. */
-export interface ConfigurationHolder {
+export interface ConfigurationHolder extends DumpSource {
     /** Gives the configuration in force; absent until the first was read. */
     readCurrent(): ConfigurationView | undefined;
     /** Takes a configuration over unless a newer one is in force. */
@@ -42,7 +43,17 @@
     const watchers: ((view: ConfigurationView) => void)[] = [];
     let current: ConfigurationView | undefined;
     let confirmedAt: Instant | undefined;
+    const computeAgeMs = () =>
+        confirmedAt === undefined ? Number.POSITIVE_INFINITY : computeElapsedMs(confirmedAt, readInstant(clock));
     return {
+        name: "configuration",
+        dumpState: () => ({
+            version: current?.configuration.version,
+            confirmedAgeMs: computeAgeMs(),
+            routes: current?.configuration.routes,
+            services: current?.configuration.services,
+            accounts: current?.configuration.accounts.map(({ name, quotaPerSecond }) => ({ name, quotaPerSecond })),
+        }),
         readCurrent: () => current,
         applyConfiguration: configuration => {
             const before = current?.configuration.version;
@@ -62,8 +73,7 @@
         recordConfirmed: at => {
             confirmedAt = at;
         },
-        computeAgeMs: () =>
-            confirmedAt === undefined ? Number.POSITIVE_INFINITY : computeElapsedMs(confirmedAt, readInstant(clock)),
+        computeAgeMs,
         watchConfiguration: handle => {
             watchers.push(handle);
             if (current !== undefined) {
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -9,6 +9,7 @@
 import { parseAnswer } from "../adapters/_lib/parseAnswer";
 import type { Clock } from "../base/clock";
 import type { Disposable } from "../base/disposableStore";
+import type { DumpSource } from "../base/dump";
 import type { Log } from "../base/log/log";
 import type { AccountQuotas, PeerView } from "../decisions/gateway/accountQuotas";
 import type { Membership } from "./createMembership";
@@ -86,7 +87,7 @@
 }
 
 /** The other nodes, as far as they are heard. */
-export interface PeerExchange extends Disposable {
+export interface PeerExchange extends Disposable, DumpSource {
     /** True once it is known which nodes there are. */
     isKnown(): boolean;
     readView(): PeerView;
@@ -169,6 +170,12 @@
     socket.bind(options.port, options.address);
     const timer = setInterval(send, SEND_PERIOD_MS);
     return {
+        name: "peers",
+        dumpState: () => ({
+            ...readView(),
+            members: membership.listOthers().map(({ node, life, atMs }) => ({ node, life, atMs })),
+            own: quotas.describeCounts(clock.readMonotonicMs()),
+        }),
         isKnown: membership.isKnown,
         readView,
         announcePrompt: prompt => sendToAll(Buffer.from(JSON.stringify(prompt))),
--- /dev/null
+++ b/src/gateway/dumpOnSignal.test.ts
@@ -0,0 +1,21 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
+import { createGatewayHarness } from "./_testing/createGatewayHarness";
+import { dumpOnSignal } from "./dumpOnSignal";
+
+describe("a dump of a gateway", () => {
+    it("shows configuration, endpoints and peers, and no key", async () => {
+        const harness = await createGatewayHarness(makeRoute(), [() => undefined]);
+        const line = await new Promise<string>(resolve => {
+            dumpOnSignal(harness.parts, resolve);
+            process.kill(process.pid, "SIGUSR2");
+        });
+        harness.dispose();
+        const dump = JSON.parse(line);
+        assert.equal(dump.tasks.configuration.version, 2);
+        assert.equal(dump.tasks.endpoints[0].endpoint.id, "i-0");
+        assert.ok("peers" in dump.tasks);
+        assert.doesNotMatch(line, /key-1/);
+    });
+});
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -34,6 +34,7 @@
 import { createUsageDuty } from "./createUsageDuty";
 import { createUsageLedger, type UsageLedger } from "./createUsageLedger";
 import { createUsageMeter } from "./createUsageMeter";
+import { dumpOnSignal } from "./dumpOnSignal";
 import { recordPeerPrompt } from "./endpointRecord";
 import type { GatewayParts } from "./gatewayParts";
 import { type DutyHolding, startDutyHolder } from "./startDutyHolder";
@@ -144,6 +145,7 @@
         demand,
         peers,
     };
+    dumpOnSignal(parts);
     startWatches(parts, platform, trueTime);
     void resolveTrueTime(platform.tables, trueTime, clock.waitMs, log);
     const duties = startDuties({ parts, platform, membership, ledger, trueTime });
--- a/src/queries/collectDump.ts
+++ b/src/queries/collectDump.ts
@@ -1,9 +1,20 @@
 /**
  * @module Dumps of the whole process.
  */
+import type { Clock } from "../base/clock";
+import type { DumpSource } from "../base/dump";
 import type { OperatorDependencies } from "../operator/operatorDependencies";
 import { redactState } from "./_lib/redactState";
 
+type NodeDescription = OperatorDependencies["node"];
+
+/** What is dumped. */
+export interface DumpDependencies {
+    readonly clock: Clock;
+    readonly node: Partial<NodeDescription> & Pick<NodeDescription, "nodeId">;
+    readonly listDumpSources: () => readonly DumpSource[];
+}
+
 /** The state of a process. */
 export interface Dump {
     readonly nodeId: string;
@@ -24,10 +35,7 @@
  * @example
  * JSON.stringify(collectDump(dependencies));
  */
-export function collectDump(
-    dependencies: Pick<OperatorDependencies, "clock" | "node" | "listDumpSources">,
-    options: { readonly task?: string } = {},
-): Dump {
+export function collectDump(dependencies: DumpDependencies, options: { readonly task?: string } = {}): Dump {
     const sources = dependencies.listDumpSources();
     const wanted = sources.filter(source => options.task === undefined || source.name === options.task);
     const tasks = wanted.map(source => [source.name, readState(() => source.dumpState())] as const);
