Report usage of windows that ended before the holder's process started

Ruled out: counts that were not at hand (rows and datagrams had them), no holder (14.45 s to 15 s were left of the due time). Change: only at the first start of the whole system nothing is due from before. Test fails first: "report windows that ended before the holder's process started".

--- a/src/gateway/control.test.ts
+++ b/src/gateway/control.test.ts
@@ -173,7 +173,7 @@
 describe("the duties", () => {
     const WINDOW_MS = 5_000;
 
-    function createNode(name: string, world: ReturnType<typeof createWorld>) {
+    function createNode(name: string, world: ReturnType<typeof createWorld>, isFirstStart = true) {
         const { clock, table, sent } = world;
         const trueTime = createTrueTime(clock);
         trueTime.recordStoreClock(clock.readMonotonicMs());
@@ -208,6 +208,7 @@
             membership,
             ledger,
             trueTime,
+            isFirstStart,
             log: QUIET,
         });
         const holding = startDutyHolder({
@@ -261,6 +262,25 @@
         assert.equal(late.membership.isCounted(), false);
     });
 
+    it("report windows that ended before the holder's process started", async () => {
+        const world = createWorld();
+        const left = createNode("left", world);
+        await runClock(world.clock, 7_000);
+        left.usage.recordBegun("county");
+        await runClock(world.clock, 3_500);
+        left.holding.leave();
+        left.membership.dispose();
+        const right = createNode("right", world, false);
+        await runClock(world.clock, 9_000);
+        const reported = world.sent.filter(call => call.report.window === 201);
+        assert.deepEqual(
+            reported.map(call => [call.holder.nodeName, call.report.counts]),
+            [["right", { county: 1 }]],
+        );
+        right.holding.leave();
+        right.membership.dispose();
+    });
+
     it("pass on to another node under a higher number, not within the lease's length of the last call", async () => {
         const world = createWorld();
         const nodes = [createNode("left", world), createNode("right", world)];
--- a/src/gateway/createUsageDuty.ts
+++ b/src/gateway/createUsageDuty.ts
@@ -36,6 +36,8 @@
     readonly membership: Membership;
     readonly ledger: UsageLedger;
     readonly trueTime: TrueTime;
+    /** True if the whole system starts for the first time: there is nothing to report from before. */
+    readonly isFirstStart: boolean;
     readonly log: Log;
 }
 
@@ -45,11 +47,11 @@
  * @param options - What it needs
  * @returns The duty
  * @example
- * createUsageDuty({ windowMs: 5_000, dueMs: 10_000, cloud, table, membership, ledger, trueTime, log });
+ * createUsageDuty({ windowMs: 5_000, dueMs: 10_000, cloud, table, membership, ledger, trueTime, isFirstStart, log });
  */
 export function createUsageDuty(options: UsageDutyOptions): Duty {
     const { windowMs, dueMs, cloud, table, membership, ledger, trueTime, log } = options;
-    const startedWindow = Math.floor(trueTime.readTrueMs() / windowMs);
+    const firstWindow = options.isFirstStart ? Math.floor(trueTime.readTrueMs() / windowMs) : 0;
     let sentUpTo = -1;
     let retryAtMs = 0;
 
@@ -111,7 +113,7 @@
     };
     return {
         beginTerm: () => {
-            sentUpTo = Math.max(startedWindow, Math.floor((trueTime.readTrueMs() - dueMs - OVERDUE_MS) / windowMs)) - 1;
+            sentUpTo = Math.max(firstWindow, Math.floor((trueTime.readTrueMs() - dueMs - OVERDUE_MS) / windowMs)) - 1;
         },
         runStep: async check => {
             const nowMs = trueTime.readTrueMs();
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -245,14 +245,16 @@
         return undefined;
     }
     const { usageWindowMs: windowMs, usageDueMs: dueMs, leaseMs } = settings.bounds;
+    const { isFirstStart } = settings;
     const creators = {
-        [DutyKind.Usage]: () => createUsageDuty({ windowMs, dueMs, cloud, table, membership, ledger, trueTime, log }),
+        [DutyKind.Usage]: () =>
+            createUsageDuty({ windowMs, dueMs, cloud, table, membership, ledger, trueTime, isFirstStart, log }),
         [DutyKind.Fleet]: () =>
             createFleetDuty({
                 ...parts,
                 cloud,
                 failureDomains: Object.keys(settings.regions),
-                isFirstStart: settings.isFirstStart,
+                isFirstStart,
             }),
     };
     const duties = settings.duties.map(kind => creators[kind]());
