--- a/scripts/buildGateway.mjs
+++ b/scripts/buildGateway.mjs
@@ -1,13 +1,13 @@
-// Builds the gateway into target/: the script that starts it, its program, small so that it loads fast, and the code that
-// V8 compiled from the program. V8 takes that code only under the flags it was compiled with: run this with the flags
-// that deploy/system.toml starts the gateway with.
+// Builds the gateway into a folder, target/ unless one is given: the script that starts it, its program, small so that it
+// loads fast, and the code that V8 compiled from the program. V8 takes that code only under the flags it was compiled
+// with: run this with the flags that deploy/system.toml starts the gateway with.
 import fs from "node:fs";
 import { createRequire } from "node:module";
 import path from "node:path";
 import vm from "node:vm";
 import { build } from "esbuild";
 
-const FOLDER = path.resolve("target");
+const FOLDER = path.resolve(process.argv[2] ?? "target");
 const PROGRAM = path.join(FOLDER, "gatewayProgram.cjs");
 
 fs.mkdirSync(FOLDER, { recursive: true });
