--- a/scripts/buildGateway.mjs
+++ b/scripts/buildGateway.mjs
@@ -11,11 +11,7 @@
 const PROGRAM = path.join(FOLDER, "gatewayProgram.cjs");
 
 fs.mkdirSync(FOLDER, { recursive: true });
-await build({
-    entryPoints: {
-        gateway: "platform/start.ts",
-        gatewayProgram: "platform/main.ts",
-    },
+const shared = {
     outdir: FOLDER,
     outExtension: { ".js": ".cjs" },
     bundle: true,
@@ -27,11 +23,17 @@
     external: ["unix-dgram"],
     define: { "import.meta.url": "undefined" },
     logLevel: "error",
+};
+await build({ ...shared, entryPoints: { gateway: "platform/start.ts" } });
+await build({
+    ...shared,
+    entryPoints: { gatewayProgram: "platform/main.ts" },
+    banner: { js: "(function (exports, require, module) {" },
+    footer: { js: "})" },
 });
 
 // The code of functions is kept if they ran, so the program is loaded once; it runs nothing by itself.
-const text = fs.readFileSync(PROGRAM, "utf8");
-const script = new vm.Script(`(function (exports, require, module) {${text}\n})`, { filename: PROGRAM });
+const script = new vm.Script(fs.readFileSync(PROGRAM, "utf8"), { filename: PROGRAM });
 const module = { exports: {} };
 script.runInThisContext()(module.exports, createRequire(PROGRAM), module);
 fs.writeFileSync(path.join(FOLDER, "gatewayProgram.cache"), script.createCachedData());
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -2,7 +2,6 @@
  * @module A gateway's request path on loopback, with endpoints of a test's own and without a platform.
  */
 import http from "node:http";
-import type { GatewayParts } from "../gatewayParts";
 import type { AddressInfo } from "node:net";
 import { PLATFORM_CODEC } from "../../../platform/forwardingCodec";
 import { createRandom } from "../../base/createRandom";
@@ -19,6 +18,8 @@
 import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
 import { createGatewayMetrics } from "../createGatewayMetrics";
 import { createServiceSpeeds } from "../createServiceSpeeds";
+import type { GatewayParts } from "../gatewayParts";
+import { makeEndpoint } from "./makeEndpoint";
 import { type EndpointScript, type ScriptedEndpoint, startScriptedEndpoint } from "./startScriptedEndpoint";
 
 /** What a caller got. */
@@ -154,17 +155,7 @@
     directory.replaceAll(
         endpoints.map((endpoint, index) => ({
             id: `i-${index}`,
-            endpoint: {
-                id: `i-${index}`,
-                service: "chat",
-                target: { address: endpoint.address, port: endpoint.port },
-                failureDomain: "hobart-1",
-                version: "v1",
-                slots: 4,
-                isDraining: false,
-                isReclaimable: false,
-                startedAtMs: undefined,
-            },
+            endpoint: makeEndpoint(`i-${index}`, { target: { address: endpoint.address, port: endpoint.port } }),
         })),
         false,
     );
--- /dev/null
+++ b/src/gateway/_testing/makeEndpoint.ts
@@ -0,0 +1,28 @@
+/**
+ * @module Endpoints for tests.
+ */
+import type { GatewayEndpoint } from "../../model/gateway";
+
+/**
+ * Makes an endpoint of the service `chat` that serves.
+ *
+ * @param id - Its id
+ * @param changes - Anything to set otherwise
+ * @returns The endpoint
+ * @example
+ * makeEndpoint("i-1", { isDraining: true });
+ */
+export function makeEndpoint(id: string, changes: Partial<GatewayEndpoint> = {}): GatewayEndpoint {
+    return {
+        id,
+        service: "chat",
+        target: { address: "127.0.0.1", port: 1 },
+        failureDomain: "hobart-1",
+        version: "v1",
+        slots: 4,
+        isDraining: false,
+        isReclaimable: false,
+        startedAtMs: undefined,
+        ...changes,
+    };
+}
--- a/src/gateway/_testing/runAttempt.ts
+++ b/src/gateway/_testing/runAttempt.ts
@@ -9,6 +9,7 @@
 import { createStreamRelay } from "../createStreamRelay";
 import { createEndpointRecord, type EndpointRecord } from "../endpointRecord";
 import { type AttemptOptions, type AttemptResult, sendAttempt } from "../sendAttempt";
+import { makeEndpoint } from "./makeEndpoint";
 
 /** What an attempt came to, on both sides. */
 export interface ObservedAttempt {
@@ -21,18 +22,7 @@
 
 /** Creates the record of an endpoint on loopback. */
 export function makeRecord(target: HttpTarget, id = "i-1"): EndpointRecord {
-    const endpoint = {
-        id,
-        service: "chat",
-        target,
-        failureDomain: "hobart-1",
-        version: "v1",
-        slots: 4,
-        isDraining: false,
-        isReclaimable: false,
-        startedAtMs: undefined,
-    };
-    return createEndpointRecord(endpoint, { roundTripMs: 0, penaltyMs: 0 }, createSystemClock());
+    return createEndpointRecord(makeEndpoint(id, { target }), { roundTripMs: 0, penaltyMs: 0 }, createSystemClock());
 }
 
 /**
--- a/src/gateway/control.test.ts
+++ b/src/gateway/control.test.ts
@@ -6,12 +6,12 @@
 import { createRandom } from "../base/createRandom";
 import { type Failure, FailureKind } from "../base/failure";
 import { createLog } from "../base/log/createLog";
-import type { GatewayEndpoint } from "../model/gateway";
 import { createFakeTable } from "../nodes/_testing/createFakeTable";
 import { runClock } from "../nodes/_testing/runClock";
 import type { DutyHolder, DutyPort, UsageReport } from "../ports/duties";
 import type { TableRows, WatchedTablePort } from "../ports/watchedTable";
 import { makeSettings } from "./_testing/createGatewayHarness";
+import { makeEndpoint } from "./_testing/makeEndpoint";
 import { createBoundedLog } from "./createBoundedLog";
 import { createEndpointDirectory } from "./createEndpointDirectory";
 import { createMembership } from "./createMembership";
@@ -24,21 +24,6 @@
 
 const QUIET = createLog({ write: () => undefined });
 
-function makeEndpoint(id: string, changes: Partial<GatewayEndpoint> = {}): GatewayEndpoint {
-    return {
-        id,
-        service: "chat",
-        target: { address: "127.0.0.1", port: 1 },
-        failureDomain: "hobart-1",
-        version: "v1",
-        slots: 4,
-        isDraining: false,
-        isReclaimable: false,
-        startedAtMs: undefined,
-        ...changes,
-    };
-}
-
 describe("the directory of endpoints", () => {
     const create = () => {
         const clock = createManualClock();
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -27,8 +27,6 @@
 /** After a first row, or one after such a pause, all others have listed it by then. */
 const LISTED_MS = 1.25 * LIST_PERIOD_MS;
 const STEP_MS = 125;
-/** Nodes assumed until the first list was read. */
-const UNKNOWN_NODES = 16;
 
 /** What the membership needs. */
 export interface MembershipOptions {
@@ -49,8 +47,6 @@
     readonly life: string;
     /** Lists the live members but this one. */
     listOthers(): readonly MemberRecord[];
-    /** Counts the live members; a cautious guess until they are known. */
-    countNodes(): number;
     /** True once the others' rows were read. */
     isKnown(): boolean;
     /** True if all others that reach the store count this node as a member. */
@@ -153,7 +149,6 @@
     return {
         life,
         listOthers: () => members ?? [],
-        countNodes: () => (members === undefined ? UNKNOWN_NODES : new Set(members.map(({ node }) => node)).size + 1),
         isKnown: () => members !== undefined,
         isCounted: () => isRowLive() && clock.readMonotonicMs() >= countedFromMs,
         describeSelf,
--- a/src/gateway/createPeerExchange.test.ts
+++ b/src/gateway/createPeerExchange.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { waitUntil } from "../adapters/contracts/waitUntil";
 import { createSystemClock } from "../base/createSystemClock";
 import { createLog } from "../base/log/createLog";
 import { createAccountQuotas, type PeerView } from "../decisions/gateway/accountQuotas";
@@ -29,7 +30,6 @@
     const membership: Membership = {
         life: `${node}-1`,
         listOthers: () => others,
-        countNodes: () => others.length + 1,
         isKnown: () => true,
         isCounted: () => isCounted,
         describeSelf: () => makeMember(node),
@@ -52,24 +52,18 @@
     });
 }
 
-async function waitUntil(condition: () => boolean): Promise<void> {
-    while (!condition()) {
-        await new Promise(resolve => setTimeout(resolve, 20));
-    }
-}
-
 describe("the exchange between nodes", () => {
     it("answers a node that the list of members doesn't show yet, and counts it", async () => {
         const left = startExchange("left", [], true);
         const right = startExchange("right", [makeMember("left")], false);
         assert.deepEqual(right.readView(), { nodes: 2, heard: [], isCounted: false } satisfies PeerView);
-        await waitUntil(() => left.readView().nodes === 2 && right.readView().isCounted);
+        await waitUntil(() => left.readView().nodes === 2 && right.readView().isCounted, "both hear each other");
         const view = right.readView();
         assert.deepEqual([view.nodes, view.heard.map(({ node }) => node), view.isCounted], [2, ["left"], true]);
         assert.equal(view.heard[0]?.countsForMs, makeSettings().bounds.quotaWindowMs);
         assert.equal(right.listLoads("chat").length, 2);
         left.dispose();
-        await waitUntil(() => right.readView().heard.length === 0);
+        await waitUntil(() => right.readView().heard.length === 0, "the left one counts as lost");
         assert.equal(right.readView().isCounted, false);
         right.dispose();
     });
@@ -79,7 +73,7 @@
         const left = startExchange("left", [], true, prompts);
         const right = startExchange("right", [makeMember("left")], true);
         right.announcePrompt({ endpointId: "i-1", tokens: 9_000 });
-        await waitUntil(() => prompts.length > 0);
+        await waitUntil(() => prompts.length > 0, "the prompt is told");
         assert.deepEqual(prompts, [{ endpointId: "i-1", tokens: 9_000 }]);
         [left, right].forEach(exchange => exchange.dispose());
     });
--- a/src/gateway/createPeerExchange.ts
+++ b/src/gateway/createPeerExchange.ts
@@ -23,6 +23,8 @@
 const SILENT_MS = 500;
 /** Newest usage windows in a datagram. */
 const WINDOWS_SENT = 2;
+/** Nodes assumed until the members are known. */
+const UNKNOWN_NODES = 16;
 /** The load that a node told counts for this long. */
 const HEARD_MS = 2_000;
 
@@ -62,6 +64,7 @@
 }
 
 const PROMPT_SCHEMA = z.object({ endpointId: z.string(), tokens: z.number().nonnegative() });
+const DATAGRAM_SCHEMA = z.union([PROMPT_SCHEMA, MESSAGE_SCHEMA]);
 
 /** Another node, as its last datagram showed it. */
 interface Peer extends Omit<PeerMessage, "atMs" | "windows"> {
@@ -111,15 +114,17 @@
     const socket = dgram.createSocket("udp4");
 
     const receive = (bytes: Buffer, { address, port }: dgram.RemoteInfo) => {
-        const prompt = parseAnswer(bytes, PROMPT_SCHEMA);
-        if (prompt !== undefined) {
-            options.handlePrompt(prompt);
+        const datagram = parseAnswer(bytes, DATAGRAM_SCHEMA);
+        if (datagram === undefined) {
             return;
         }
-        const message = parseAnswer(bytes, MESSAGE_SCHEMA);
-        if (message === undefined || message.node === options.node) {
-            return;
+        if ("endpointId" in datagram) {
+            options.handlePrompt(datagram);
+        } else if (datagram.node !== options.node) {
+            recordMessage(datagram, address, port);
         }
+    };
+    const recordMessage = (message: PeerMessage, address: string, port: number) => {
         const nowMs = clock.readMonotonicMs();
         options.ledger.recordUsage(message);
         const before = peers.get(message.node);
@@ -137,7 +142,7 @@
     const readView = (): PeerView => {
         const heard = listHeard(SILENT_MS);
         const names = new Set([...membership.listOthers(), ...heard].map(({ node }) => node));
-        const nodes = Math.max(names.size + 1, membership.countNodes());
+        const nodes = membership.isKnown() ? names.size + 1 : Math.max(names.size + 1, UNKNOWN_NODES);
         const isMost = (heard.length + 1) * 2 > nodes;
         const isCounted = membership.isCounted() || heard.some(peer => peer.isCounted) || isMost;
         return { nodes, heard, isCounted };
--- a/src/gateway/dumpOnSignal.ts
+++ b/src/gateway/dumpOnSignal.ts
@@ -2,26 +2,23 @@
  * @module The dump of a gateway's state on request.
  */
 import { collectDump } from "../queries/collectDump";
+import { writeDumpOnSignal } from "../serve/writeDumpOnSignal";
 import type { GatewayParts } from "./gatewayParts";
 
-const DUMP_SIGNAL = "SIGUSR2";
-
 /**
- * Writes a dump of the state to the standard error stream, as one line of JSON, at each `SIGUSR2`.
+ * Writes a dump of the configuration, the endpoints and the peers at each `SIGUSR2`.
  *
- * @param parts - The parts whose state is shown: configuration, endpoints and peers
- * @param write - Where the line goes
+ * @param parts - The parts whose state is shown
+ * @param write - Where the line goes; absent: the standard error stream
  * @example
  * dumpOnSignal(parts);
  */
-export function dumpOnSignal(
-    { clock, settings, configuration, directory, peers }: GatewayParts,
-    write: (line: string) => void = line => void process.stderr.write(line),
-): void {
+export function dumpOnSignal(parts: GatewayParts, write?: (line: string) => void): void {
+    const { clock, settings, configuration, directory, peers } = parts;
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
         listDumpSources: () => [configuration, directory, peers],
     };
-    process.on(DUMP_SIGNAL, () => write(`${JSON.stringify(collectDump(dependencies))}\n`));
+    writeDumpOnSignal(() => collectDump(dependencies), write);
 }
--- a/src/serve/runServe.ts
+++ b/src/serve/runServe.ts
@@ -5,9 +5,9 @@
 import type { Settings } from "../settings/settings";
 import { type RunningNode, wireNode } from "../wire";
 import { logStrayErrors } from "./logStrayErrors";
+import { writeDumpOnSignal } from "./writeDumpOnSignal";
 
 const DRAIN_SIGNALS = ["SIGTERM", "SIGINT"] as const;
-const DUMP_SIGNAL = "SIGUSR2";
 
 /**
  * Runs a node until a signal ends it. `SIGTERM` and `SIGINT` drain it; a second one ends it at once. `SIGUSR2` writes a
@@ -23,7 +23,7 @@
     const { log } = parts;
     logStrayErrors(log);
     const node = await wireNode(settings, parts);
-    process.on(DUMP_SIGNAL, () => void process.stderr.write(`${JSON.stringify(node.dumpState())}\n`));
+    writeDumpOnSignal(() => node.dumpState());
     log.info("node started", {
         callerPort: node.callerPort,
         operatorPort: node.operatorPort,
