Bound endless answers, and end planned stops without cutting late requests

Cause: operators of similar systems met endpoints that send bytes that are no answer until the caller closes, and requests cut at a planned stop. Both could happen here, shown by tests that failed first: a body without a length or in chunks, informational answers and an event without an end were taken for ever (an event over 1 MiB was passed on although it was not whole); a body that trickles kept a call to the store for ever. Change: an attempt reads at most 8 MiB of a whole answer, 8 informational answers and 1 MiB of one event; a call that reads a whole answer has a bound on its time. While draining, each connection closes after its answer whenever that began, and a request that can't be ended in what is left is refused with 503, not run, and Retry-After.

--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -4,7 +4,7 @@
 import http from "node:http";
 import https from "node:https";
 import { ulid } from "ulid";
-import { CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, SILENCE_TIMEOUT_MS } from "../constants";
+import { CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, SILENCE_TIMEOUT_MS, WHOLE_ANSWER_TIMEOUT_MS } from "../constants";
 import type { ConnectionPool } from "./createConnectionPool";
 import { createWaitBound } from "./createWaitBound";
 import { describeError } from "./describeError";
@@ -17,6 +17,8 @@
     readonly connectMs?: number;
     readonly firstByteMs?: number;
     readonly silenceMs?: number;
+    /** From the head of the answer to its end; an answer that never falls silent may still never end. */
+    readonly wholeMs?: number;
 }
 
 /** A request to send. */
@@ -84,8 +86,10 @@
         const request = createRequest(target, call, callId, pool);
         const bound = createWaitBound(message => endCall(LossReason.Silent, message));
         const sent = trackSentBytes(request, () => bound.beginWait(firstByteMs ?? FIRST_BYTE_TIMEOUT_MS, "answer"));
+        const wholeBound = createWaitBound(message => endCall(LossReason.Silent, message));
         const settle = (outcome: HttpOutcome) => {
             bound.endWait();
+            wholeBound.endWait();
             call.cancelled?.removeEventListener("abort", cancelCall);
             resolve(outcome);
         };
@@ -104,6 +108,7 @@
         request.on("error", failBroken);
         request.on("response", response => {
             beginSilence();
+            wholeBound.beginWait(call.timeouts?.wholeMs ?? WHOLE_ANSWER_TIMEOUT_MS, "end of the answer");
             readWholeAnswer(response, {
                 handlePart: beginSilence,
                 handleTooLarge: () => endCall(LossReason.Unusable, "The answer is too large."),
--- a/src/adapters/badServers.test.ts
+++ b/src/adapters/badServers.test.ts
@@ -8,7 +8,7 @@
 import { createHttpModelRunner } from "./httpModelRunner/createHttpModelRunner";
 import { createHttpTable } from "./httpTable/createHttpTable";
 
-const TIMEOUTS = { connectMs: 500, firstByteMs: 200, silenceMs: 200 };
+const TIMEOUTS = { connectMs: 500, firstByteMs: 200, silenceMs: 200, wholeMs: 500 };
 const HEAD = "HTTP/1.1 200 OK\r\n";
 const STREAM_HEAD = `${HEAD}content-type: text/event-stream\r\n\r\n`;
 const TOKEN = 'data: {"choices":[{"delta":{"content":"a"}}]}\n\n';
@@ -18,6 +18,7 @@
     readonly parts: readonly string[];
     readonly endsAfter?: boolean;
     readonly repeats?: boolean;
+    readonly pauseMs?: number;
 }
 
 const BAD_ANSWERS: readonly BadServer[] = [
@@ -30,6 +31,14 @@
     { name: "answers with something else than JSON", parts: [`${HEAD}content-length: 5\r\n\r\nhello`] },
     { name: "answers with other JSON", parts: [`${HEAD}content-length: 14\r\n\r\n{"row":"none"}`] },
     { name: "has an endless head", parts: [HEAD, "x: y\r\n"], repeats: true },
+    { name: "has an endless body", parts: [`${HEAD}\r\n`, "x".repeat(1_000)], repeats: true },
+    {
+        name: "has an endless body in chunks",
+        parts: [`${HEAD}transfer-encoding: chunked\r\n\r\n`, "1\r\nx\r\n"],
+        repeats: true,
+    },
+    { name: "has informational answers without end", parts: ["HTTP/1.1 102 Processing\r\n\r\n"], repeats: true },
+    { name: "sends a body slowly without end", parts: [`${HEAD}\r\n`, "x"], pauseMs: 50 },
     { name: "answers with a server error", parts: ["HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\n\r\n"] },
 ];
 
--- a/src/adapters/constants.ts
+++ b/src/adapters/constants.ts
@@ -11,6 +11,9 @@
 /** Longest wait between two parts of an answer. Engines send a comment at least every half second. */
 export const SILENCE_TIMEOUT_MS = 2_000;
 
+/** Longest time from the head of an answer that is read whole to its end. */
+export const WHOLE_ANSWER_TIMEOUT_MS = 60_000;
+
 /** Longest wait for the sign of life of an endpoint. */
 export const PROBE_TIMEOUT_MS = 1_000;
 
--- a/src/adapters/contracts/_lib/startRawServer.ts
+++ b/src/adapters/contracts/_lib/startRawServer.ts
@@ -9,14 +9,15 @@
  * Starts a server that answers the first bytes of each connection with fixed ones.
  *
  * @param parts - What it writes, one part after the other; nothing: it never answers
- * @param options - `endsAfter`: closes the connection after the last part; `repeats`: sends the last part for ever
+ * @param options - `endsAfter`: closes the connection after the last part; `repeats`: sends the last part for ever;
+ * `pauseMs`: with a pause before each time
  * @returns Where it listens on loopback
  * @example
  * const server = await startRawServer(["HTTP/1.1 200 OK\r\n"]);
  */
 export async function startRawServer(
     parts: readonly string[],
-    options: { readonly endsAfter?: boolean; readonly repeats?: boolean } = {},
+    options: { readonly endsAfter?: boolean; readonly repeats?: boolean; readonly pauseMs?: number } = {},
 ): Promise<HttpTarget & Disposable> {
     const sockets = new Set<net.Socket>();
     const server = net.createServer(socket => {
@@ -27,6 +28,11 @@
             if (options.endsAfter === true) {
                 socket.end();
             }
+            if (options.pauseMs !== undefined) {
+                const timer = setInterval(() => socket.write(parts.at(-1) ?? ""), options.pauseMs);
+                socket.once("close", () => clearInterval(timer));
+                return;
+            }
             const repeatLast = () => {
                 while (options.repeats === true && !socket.destroyed && socket.write(parts.at(-1) ?? "")) {
                     // The socket has room for more.
--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/createEventSplitter.ts
@@ -4,8 +4,8 @@
 
 const LF = 0x0a;
 const CR = 0x0d;
-/** Above this size the buffered bytes are passed on even if the last event is not whole. */
-const BUFFERED_BYTES_MAX = 1_048_576;
+/** Largest event. */
+const EVENT_BYTES_MAX = 1_048_576;
 
 /** Whole events, byte for byte as they were received. */
 export interface EventBatch {
@@ -20,6 +20,8 @@
 export interface EventSplitter {
     /** Adds received bytes; gives the events that are now whole, or `undefined` if there are none. */
     push(chunk: Buffer): EventBatch | undefined;
+    /** True if an event is larger than any that an endpoint may send; the stream must be given up. */
+    isOverfull(): boolean;
     /** Removes and gives the bytes after the last whole event. */
     takeRemainder(): Buffer;
 }
@@ -36,7 +38,7 @@
     return {
         push: chunk => {
             buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-            const end = buffered.length > BUFFERED_BYTES_MAX ? buffered.length : findEventsEnd(buffered);
+            const end = findEventsEnd(buffered);
             if (end === 0) {
                 return undefined;
             }
@@ -44,6 +46,7 @@
             buffered = buffered.subarray(end);
             return describeEvents(bytes);
         },
+        isOverfull: () => buffered.length > EVENT_BYTES_MAX,
         takeRemainder: () => {
             const remainder = buffered;
             buffered = Buffer.alloc(0);
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -6,6 +6,7 @@
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
+import { isServableBeforeStop } from "../decisions/gateway/isServableBeforeStop";
 import { findRoute } from "../decisions/gateway/routeTable";
 import { installConnectionLimit } from "../http/installConnectionLimit";
 import { readBody } from "../http/readBody";
@@ -33,13 +34,19 @@
 /** One of this many successful requests is logged. */
 const SUCCESSES_PER_LOG_LINE = 50;
 
+/** Failures after which the caller should come back by another connection, which may lead to another node. */
+const CLOSING_FAILURES: ReadonlySet<FailureKind> = new Set([FailureKind.StoreUnavailable, FailureKind.ShuttingDown]);
+const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
+    retryAfterMs: RETRY_AFTER_MS,
+});
+
 /** The HTTP listener for callers. */
 export interface GatewayListener {
     readonly server: http.Server;
     /** Counts the requests without a final answer. */
     countOpen(): number;
-    /** Starts to close each connection after its next answer. */
-    beginDrain(): void;
+    /** Starts to close each connection after its next answer; the node stops after `stopAfterMs`. */
+    beginDrain(stopAfterMs?: number): void;
     /** Stops accepting connections, and closes the idle ones. */
     closeIdle(): void;
 }
@@ -69,8 +76,9 @@
 export function createGatewayListener(options: GatewayListenerOptions): GatewayListener {
     const { components, forwarder, quotas } = options;
     const { clock, demand, configuration, codec, log, metrics, settings } = components;
-    let isDraining = false;
-    let openRequests = 0;
+    /** Monotonic time at which this node stops; absent while it does not drain. */
+    let stopsAtMs: number | undefined;
+    const openResponses = new Set<ServerResponse>();
     let successes = 0;
 
     /** Refuses a request if the store last confirmed the keys too long ago: one of them may have been revoked since. */
@@ -135,7 +143,7 @@
             configurationVersion: configuration.readCurrent()?.configuration.version,
             confirmedAgeMs: Math.round(configuration.computeAgeMs()),
         });
-        if (isDraining || failure.kind === FailureKind.StoreUnavailable) {
+        if (stopsAtMs !== undefined || CLOSING_FAILURES.has(failure.kind)) {
             response.setHeader("connection", "close");
         }
         if (!request.complete) {
@@ -168,6 +176,11 @@
             sendFailureAnswer(request, response, current, head);
             return;
         }
+        const remainingMs = (stopsAtMs ?? Number.POSITIVE_INFINITY) - clock.readMonotonicMs();
+        if (!isServableBeforeStop(current.route, remainingMs)) {
+            sendFailureAnswer(request, response, SHUTTING_DOWN_FAILURE, head);
+            return;
+        }
         const charged = chargeQuota(current, head);
         if ("kind" in charged) {
             sendFailureAnswer(request, response, charged, head);
@@ -188,9 +201,6 @@
         );
         const handleClose = () => ended.abort(AttemptOutcome.CallerGone);
         response.once("close", handleClose);
-        if (isDraining) {
-            response.setHeader("connection", "close");
-        }
         demand.recordInFlight(service, 1);
         metrics.recordOverhead(clock.readMonotonicMs() - exchange.receivedAtMs);
         const end = await forwarder.forwardRequest(exchange, ended.signal);
@@ -218,8 +228,16 @@
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
         const head = codec.readCallerHead(request.headers);
-        openRequests++;
-        response.once("close", () => openRequests--);
+        openResponses.add(response);
+        if (stopsAtMs !== undefined) {
+            response.setHeader("connection", "close");
+        }
+        response.once("close", () => {
+            openResponses.delete(response);
+            if (stopsAtMs !== undefined) {
+                request.socket.destroySoon();
+            }
+        });
         forward(request, response, head, receivedAtMs).catch((error: unknown) => {
             log.error("request failed inside the node", {
                 requestId: head.requestId,
@@ -241,9 +259,12 @@
     });
     return {
         server,
-        countOpen: () => openRequests,
-        beginDrain: () => {
-            isDraining = true;
+        countOpen: () => openResponses.size,
+        beginDrain: (stopAfterMs = Number.POSITIVE_INFINITY) => {
+            stopsAtMs = clock.readMonotonicMs() + stopAfterMs;
+            [...openResponses]
+                .filter(response => !response.headersSent)
+                .forEach(response => response.setHeader("connection", "close"));
         },
         closeIdle: () => {
             server.close();
--- a/src/gateway/createRelayedTables.ts
+++ b/src/gateway/createRelayedTables.ts
@@ -27,6 +27,8 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** Another node may hold a call for longer than the store, since it answers whenever the store has answered it. */
 const EXTRA_WAIT_MS = 400;
+/** Longest time to read an answer, which may be as long as a whole table. */
+const WHOLE_ANSWER_TIMEOUT_MS = 2_000;
 /** Added to the time for which another node may hold a call. */
 const ANSWER_MARGIN_MS = 300;
 /** A node that turns to the store spreads its calls over this time, since others lost the same relay with it. */
@@ -81,7 +83,11 @@
                 method: "GET",
                 path: `${ROWS_PATH}${table}?${new URLSearchParams(query)}`,
                 omitsRequestId: true,
-                timeouts: { connectMs: CONNECT_TIMEOUT_MS, firstByteMs: waitMs + EXTRA_WAIT_MS + ANSWER_MARGIN_MS },
+                timeouts: {
+                    connectMs: CONNECT_TIMEOUT_MS,
+                    firstByteMs: waitMs + EXTRA_WAIT_MS + ANSWER_MARGIN_MS,
+                    wholeMs: WHOLE_ANSWER_TIMEOUT_MS,
+                },
             },
             pool,
         );
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -29,8 +29,9 @@
     const leavingAtMs = clock.readMonotonicMs();
     const computeDrainingMs = () => clock.readMonotonicMs() - leavingAtMs;
     log.info("gateway leaves", { signal, open: listener.countOpen() });
-    listener.beginDrain();
-    while (computeDrainingMs() < settings.bounds.graceMs * GRACE_SHARE) {
+    const stopAfterMs = settings.bounds.graceMs * GRACE_SHARE;
+    listener.beginDrain(stopAfterMs);
+    while (computeDrainingMs() < stopAfterMs) {
         await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_PERIOD_MS));
         if (computeDrainingMs() > ACCEPT_AFTER_SIGNAL_MS) {
             listener.closeIdle();
--- a/src/gateway/gateway.test.ts
+++ b/src/gateway/gateway.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import http from "node:http";
 import { afterEach, describe, it } from "node:test";
 import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
 import { type GatewayRoute, RouteKind } from "../model/gateway";
@@ -247,4 +248,43 @@
         assert.equal(answer.status, 200);
         assert.equal(answer.headers["connection"], "close");
     });
+
+    it("tells a caller to close whose request came before the signal and whose answer begins after it", async () => {
+        const { send, listener } = await start(makeRoute(), (_request, socket) => {
+            setTimeout(() => socket.write(formatAnswer("hello", { headers: [ATTEMPT_ID] })), 60);
+        });
+        const pending = send({ headers: { connection: "keep-alive" } });
+        await new Promise(resolve => setTimeout(resolve, 20));
+        listener.beginDrain();
+        assert.equal((await pending).headers["connection"], "close");
+    });
+
+    it("closes a connection after an answer that began before the signal, so that no request comes late on it", async () => {
+        const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+        const { send, listener } = await start(STREAM, (_request, socket) => {
+            socket.write(STREAM_HEAD + formatChunk(formatEvent(1)));
+            setTimeout(() => socket.write(formatChunk(formatEvent(2)) + "0\r\n\r\n"), 60);
+        });
+        const pending = send({ agent });
+        await new Promise(resolve => setTimeout(resolve, 30));
+        listener.beginDrain();
+        const answer = await pending;
+        assert.equal(answer.isComplete, true);
+        await new Promise(resolve => setTimeout(resolve, 30));
+        assert.equal(Object.keys(agent.freeSockets).length, 0);
+        agent.destroy();
+    });
+
+    it("refuses a request that can't be ended in what is left of the grace time, and says that it was not run", async () => {
+        const { send, listener } = await start(makeRoute(), (_request, socket) =>
+            socket.write(formatAnswer("hello", { headers: [ATTEMPT_ID] })),
+        );
+        listener.beginDrain(1_000);
+        const answer = await send();
+        assert.equal(answer.status, 503);
+        assert.equal(JSON.parse(answer.body).error.execution, "not_run");
+        assert.equal(answer.headers["connection"], "close");
+        assert.ok(Number(answer.headers["retry-after"]) > 0);
+        assert.equal(countRequests(), 0);
+    });
 });
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -52,6 +52,10 @@
     readonly reason: string;
 }
 
+/** Largest answer that is read whole before it is relayed. */
+const WHOLE_ANSWER_BYTES_MAX = 8 * 1_048_576;
+/** Most informational answers (status 1xx) before the final one. */
+const INFORMATIONAL_ANSWERS_MAX = 8;
 const EVENT_STREAM = /^text\/event-stream\b/i;
 /**
  * Statuses with which an endpoint refuses a request before executing it. Unless its headers state that it did not
@@ -111,6 +115,12 @@
         beginWait(CONNECT_TIMEOUT_MS, "connection");
         const sentBytes = trackSentBytes(request, () => beginWait(options.answerTimeoutMs, "answer"));
         request.on("error", error => settleUnanswered(describeError(error)));
+        let informationalAnswers = 0;
+        request.on("information", () => {
+            if (++informationalAnswers > INFORMATIONAL_ANSWERS_MAX) {
+                settleUnanswered("too many informational answers");
+            }
+        });
         request.on("response", response => {
             waitBound.endWait();
             handleResponse(options, response, settle, beginWait);
@@ -178,6 +188,10 @@
     beginWait(options.answerTimeoutMs, "event");
     response.on("data", (chunk: Buffer) => {
         const batch = splitter.push(chunk);
+        if (splitter.isOverfull()) {
+            settle(buildLossResult(options, "an event is too large"));
+            return;
+        }
         if (batch === undefined || options.ended.aborted) {
             return;
         }
@@ -212,7 +226,15 @@
     settle: Settle,
 ): void {
     const chunks: Buffer[] = [];
-    response.on("data", (chunk: Buffer) => void chunks.push(chunk));
+    let bytes = 0;
+    response.on("data", (chunk: Buffer) => {
+        bytes += chunk.length;
+        if (bytes > WHOLE_ANSWER_BYTES_MAX) {
+            settle(buildLossResult(options, "the answer is too large"));
+            return;
+        }
+        chunks.push(chunk);
+    });
     response.on("end", () => {
         void isComplete().then(complete => {
             if (!complete) {
