Describe relays; count calls to the store and show relays in metrics and logs

Cause: operators could not see which node relays, where rows come from or which calls to the store a node makes; the design of the relays had no page.

--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -119,6 +119,7 @@
     let askedAtMs = Number.NEGATIVE_INFINITY;
     let countedAtMs = Number.NEGATIVE_INFINITY;
     let hasMembers = false;
+    let wasRelay = false;
 
     const isFresh = (atMs: number, withinMs: number) => clock.readMonotonicMs() - atMs < withinMs;
     const send = (bytes: Buffer, { address, port }: NodeIdentity) => socket.send(bytes, port, address);
@@ -287,7 +288,14 @@
             return;
         }
         sendReports();
-        if (isRelay()) {
+        const isRelaying = isRelay();
+        if (isRelaying !== wasRelay) {
+            log.info(isRelaying ? "relay begins" : "relay ends", {
+                members: collector.listMembers(clock.readMonotonicMs()).length,
+            });
+            wasRelay = isRelaying;
+        }
+        if (isRelaying) {
             relayNews();
         }
     };
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -5,6 +5,14 @@
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
 
+/** What the metrics show of the news between nodes. */
+export interface NewsState {
+    readonly isRelay: boolean;
+    /** Live nodes, and those that this node hears of. */
+    readonly nodes: number;
+    readonly reachable: number;
+}
+
 /** The metrics of a gateway. */
 export interface GatewayMetrics {
     countRequest(service: string, outcome: string): void;
@@ -14,6 +22,10 @@
     /** Records the time that the gateway spends on a request before it is first sent to an endpoint. */
     recordOverhead(milliseconds: number): void;
     setConfigurationVersion(version: number): void;
+    /** Counts a call to the platform's store. */
+    countStoreCall(call: string, outcome: string): void;
+    /** Sets where the news of this node stands: whether it is a relay, and the age of its view of the fleet. */
+    setNewsState(state: NewsState): void;
     /** Formats all metrics in the Prometheus text format. */
     formatMetrics(): Promise<string>;
 }
@@ -58,12 +70,31 @@
         help: "Version of the configuration in force.",
         registers,
     });
+    const storeCalls = new Counter({
+        name: "redwinglift_store_calls_total",
+        help: "Calls to the platform's store by kind and outcome.",
+        labelNames: ["call", "outcome"],
+        registers,
+    });
+    const relay = new Gauge({ name: "redwinglift_relay", help: "1 while this node is a relay.", registers });
+    const nodes = new Gauge({
+        name: "redwinglift_nodes",
+        help: "Live nodes, and those whose reports reach this node.",
+        labelNames: ["state"],
+        registers,
+    });
     return {
         countRequest: (service, outcome) => requests.inc({ service, outcome }),
         countAttempt: (service, end) => attempts.inc({ service, end }),
         recordFirstPart: (service, milliseconds) => firstPart.observe({ service }, milliseconds),
         recordOverhead: milliseconds => overhead.observe(milliseconds),
         setConfigurationVersion: value => version.set(value),
+        countStoreCall: (call, outcome) => storeCalls.inc({ call, outcome }),
+        setNewsState: state => {
+            relay.set(state.isRelay ? 1 : 0);
+            nodes.set({ state: "live" }, state.nodes);
+            nodes.set({ state: "reachable" }, state.reachable);
+        },
         formatMetrics: () => registry.metrics(),
     };
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -12,6 +12,7 @@
 import { startListening } from "../http/startListening";
 import type { GatewaySettings } from "../model/gateway";
 import { logStrayErrors } from "../serve/logStrayErrors";
+import { createCountedTables } from "./createCountedTables";
 import { createClusterTime } from "./createClusterTime";
 import { createConfigurationHolder } from "./createConfigurationHolder";
 import { createDemandMeter } from "./createDemandMeter";
@@ -45,7 +46,7 @@
  * Runs a gateway until a signal ends it.
  *
  * @param settings - Its settings
- * @param platform - The adapters of the platform
+ * @param platformPorts - The adapters of the platform
  * @param metricsPort - Port of the metrics listener, on the node's address
  * @returns The exit code
  * @example
@@ -53,7 +54,7 @@
  */
 export async function runGateway(
     settings: LiveSettings,
-    platform: GatewayPlatform,
+    platformPorts: GatewayPlatform,
     metricsPort: number,
 ): Promise<number> {
     const clock = createSystemClock();
@@ -61,15 +62,16 @@
     const log = createProcessLog(clock).withFields({ node: settings.nodeName });
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenSignalled = waitForSignal();
-    watchSettings(settings, { readSettings: platform.readSettings, log });
+    watchSettings(settings, { readSettings: platformPorts.readSettings, log });
     logStrayErrors(log);
+    const metrics = createGatewayMetrics();
+    const platform = { ...platformPorts, tables: createCountedTables(platformPorts.tables, metrics) };
     const clusterTime = createClusterTime(clock);
     const configuration = createConfigurationHolder(clock, log);
     const directory = createEndpointDirectory(settings, clock, log);
     const speeds = createServiceSpeeds();
     const demand = createDemandMeter(clock);
     const usage = createUsageMeter(clusterTime, settings.bounds.usageWindowMs);
-    const metrics = createGatewayMetrics();
     configuration.watchConfiguration(view => metrics.setConfigurationVersion(view.configuration.version));
     const quotas = createAccountQuotas(
         settings.bounds,
@@ -148,6 +150,8 @@
     const readiness = createReadinessListener(isReady);
     const metricsListener = http.createServer((request, response) => {
         request.resume();
+        const { nodes, reachable } = news.readUsage();
+        metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
         void metrics.formatMetrics().then(text => response.end(text));
     });
     await Promise.all([
