Send requests only to endpoints that have loaded their model

Cause: entries name the loaded models and how long an endpoint stays slow after its start; the choice read neither, so endpoints that had just been added, empty and idle, were the best choice for every node at once ("newly added runners with nothing loaded still took staff questions").

--- a/src/decisions/gateway/chooseEndpoint.test.ts
+++ b/src/decisions/gateway/chooseEndpoint.test.ts
@@ -19,6 +19,7 @@
         occupancy: 0,
         pendingTokens: 0,
         biasMs: 0,
+        coldMs: 0,
         failureRate: 0,
         cachedTokens: 0,
         ...changes,
--- a/src/decisions/gateway/chooseEndpoint.ts
+++ b/src/decisions/gateway/chooseEndpoint.ts
@@ -20,6 +20,8 @@
     readonly pendingTokens: number;
     /** By how much its recent responses took longer than estimated, in milliseconds. */
     readonly biasMs: number;
+    /** Time for which it is still slow after its start, in milliseconds. */
+    readonly coldMs: number;
     /** Share of its recent attempts that failed. */
     readonly failureRate: number;
     /** Leading tokens of the prompt that are expected to be in its prefix cache. */
@@ -41,6 +43,8 @@
     readonly serviceMs: number;
 }
 
+/** Most that a cold endpoint is estimated to delay a response. */
+const COLD_DELAY_MAX_MS = 400;
 /** Approximate delay that a failed attempt causes its caller. */
 const FAILURE_COST_MS = 2_500;
 /** Share of occupied slots above which an endpoint is estimated to become slower. */
@@ -115,6 +119,7 @@
         slowdownMs +
         queueMs +
         view.biasMs +
+        Math.min(COLD_DELAY_MAX_MS, view.coldMs) +
         view.failureRate * FAILURE_COST_MS
     );
 }
--- a/src/gateway/_testing/makeEndpoint.ts
+++ b/src/gateway/_testing/makeEndpoint.ts
@@ -22,6 +22,8 @@
         slots: 4,
         isDraining: false,
         isReclaimable: false,
+        loadedModels: undefined,
+        coldForMs: 0,
         startedAtMs: undefined,
         ...changes,
     };
--- a/src/gateway/createEndpointDirectory.ts
+++ b/src/gateway/createEndpointDirectory.ts
@@ -75,7 +75,14 @@
             if (endpoint.isDraining && !record.endpoint.isDraining) {
                 log.info("endpoint drains", { endpointId: endpoint.id, service: endpoint.service });
             }
-            records.set(endpoint.id, Object.assign(record, { endpoint, missingSinceMs: undefined }));
+            records.set(
+                endpoint.id,
+                Object.assign(record, {
+                    endpoint,
+                    coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs,
+                    missingSinceMs: undefined,
+                }),
+            );
             return;
         }
         if (record !== undefined) {
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -16,6 +16,7 @@
     isFailedStatus,
     isRepeatable,
 } from "../decisions/gateway/decideNextAction";
+import { filterServable } from "../decisions/gateway/filterServable";
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../decisions/gateway/serviceRetryBudget";
 import { RouteKind } from "../model/gateway";
 import type { ResponseHead } from "../ports/forwardingCodec";
@@ -103,7 +104,7 @@
         const { request } = state;
         const { service } = state.exchange;
         const nowMs = clock.readMonotonicMs();
-        const usable = directory.listUsable(service);
+        const usable = filterServable(directory.listUsable(service), state.exchange.head.model);
         const untried = usable.filter(record => !state.triedEndpoints.has(record.endpoint.id));
         const reachable = untried.filter(record => record.suspectUntilMs <= nowMs);
         const speed = speeds.readSpeed(service);
--- a/src/gateway/endpointRecord.ts
+++ b/src/gateway/endpointRecord.ts
@@ -39,6 +39,8 @@
     /** Network round-trip time, and the added cost of the distance, both in milliseconds of expected time. */
     readonly roundTripMs: number;
     readonly distancePenaltyMs: number;
+    /** Monotonic time until which the endpoint is slow after its start. */
+    coldUntilMs: number;
     /** Monotonic time at which the entry disappeared after a store outage; absent while the entry exists. */
     missingSinceMs: number | undefined;
     /** True once a different endpoint has answered at this address. */
@@ -74,6 +76,7 @@
         discoveredAtMs: clock.readMonotonicMs(),
         roundTripMs: distance.roundTripMs,
         distancePenaltyMs: distance.penaltyMs,
+        coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs,
         missingSinceMs: undefined,
         isMisdirected: false,
         ownInFlight: 0,
@@ -100,6 +103,7 @@
         occupancy: record.ownInFlight + others.inFlight,
         pendingTokens: record.pendingTokens + others.pendingTokens,
         biasMs: computeDecayed(record.bias, BIAS_HALF_LIFE_MS, nowMs),
+        coldMs: Math.max(0, record.coldUntilMs - nowMs),
         failureRate: computeDecayed(record.failures, FAILURE_HALF_LIFE_MS, nowMs),
         cachedTokens: countCachedTokens(record, parts, nowMs),
     };
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -123,6 +123,10 @@
     readonly isDraining: boolean;
     /** True if its VM may be reclaimed. */
     readonly isReclaimable: boolean;
+    /** Names of the models that are loaded; `undefined` if it names none, as a plain service does. */
+    readonly loadedModels: readonly string[] | undefined;
+    /** Time for which it stays slow after its start, in milliseconds, when the entry was written. */
+    readonly coldForMs: number;
     /** Epoch milliseconds of its start, which distinguish two starts with the same id; `undefined` if not reported. */
     readonly startedAtMs: number | undefined;
 }
--- a/src/ports/forwardingCodec.ts
+++ b/src/ports/forwardingCodec.ts
@@ -14,6 +14,8 @@
 export interface CallerRequestHead {
     /** Id of this attempt of the caller. */
     readonly requestId: string | undefined;
+    /** Name of the model that the request needs; absent for a request to a plain service. */
+    readonly model: string | undefined;
     /** Time for which the caller waits for the response, in milliseconds. */
     readonly deadlineMs: number | undefined;
     readonly promptTokens: number | undefined;
