Let accounts with a small quota use most of the slack

Change: several nodes use 0.915 of the whole limit, tolerance included; a node alone uses all of it, since it knows all usage. The margin belongs to the limit, as what the estimate misses grows with it.

--- a/src/decisions/gateway/_testing/simulateQuotas.ts
+++ b/src/decisions/gateway/_testing/simulateQuotas.ts
@@ -27,6 +27,8 @@
     readonly policy: QuotaPolicy;
     readonly nodes: number;
     readonly failureDomains: number;
+    /** Size of the requests: how many of them fill the limit; default: 250. */
+    readonly requestsPerLimit?: number;
     /** Number of nodes that the account sends to; default: all. */
     readonly senders?: number;
     /** Nodes that receive no news, and whose reports arrive nowhere, from 12 s to 22 s. */
@@ -148,7 +150,7 @@
     };
 
     const limit = (account.quotaPerSecond * policy.quotaWindowMs) / 1_000 + account.quotaBurst;
-    const amount = limit / REQUESTS_PER_LIMIT;
+    const amount = limit / (simulation.requestsPerLimit ?? REQUESTS_PER_LIMIT);
     const senders = simulation.senders ?? nodeCount;
     const admitted: { readonly atMs: number; readonly amount: number }[] = [];
     for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -73,7 +73,7 @@
     };
     const computeUptimeMs = (nowMs: number) => (startedAtMs === undefined ? windowMs : nowMs - startedAtMs);
     const hasQuotaLeft = (account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean => {
-        const limit = computeLimit(account, policy);
+        const limit = computeLimit(account, policy, fleet.nodes);
         const state = readState(account.name);
         const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
         const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
@@ -122,9 +122,8 @@
 }
 
 const MS_PER_S = 1_000;
-/** Used shares of the tolerance. The rest covers what the estimate of unreported usage misses. */
-const USED_OVERRUN_SHARE = 0.6;
-const USED_SLACK_SHARE = 0.2;
+/** Share of the limit that several nodes use, since the estimate of unreported usage misses some of it. */
+const USABLE_SHARE = 0.915;
 /** Head start of the ramp-up, without which the first requests after a restart of all nodes would be refused. */
 const RAMP_UP_HEAD_START_MS = 400;
 /** Length of the ramp-up to the full limit, in windows. Above 1, since usage before the start may have been uneven. */
@@ -137,11 +136,15 @@
 /** Number of requests of the present size that the estimate of growth assumes in addition to the received ones. */
 const GROWTH_PRIOR_REQUESTS = 1;
 
-/** Computes what all nodes together may charge to an account in a window, including the used part of the tolerance. */
-function computeLimit(account: GatewayAccount, { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaPolicy): number {
+/** Computes what all nodes together may charge to an account in a window, including the usable part of the tolerance. */
+function computeLimit(
+    account: GatewayAccount,
+    { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaPolicy,
+    nodes: number,
+): number {
     const quota = (account.quotaPerSecond * quotaWindowMs) / MS_PER_S + account.quotaBurst;
     const slack = account.countsTokens ? quotaSlack : 0;
-    return quota * (1 + quotaOverrun * USED_OVERRUN_SHARE) + slack * USED_SLACK_SHARE;
+    return (quota * (1 + quotaOverrun) + slack) * (nodes > 1 ? USABLE_SHARE : 1);
 }
 
 function readOwnSums({ own, recent, asked }: AccountState, nowMs: number): UsageSums {
