Count what killed nodes may have charged after their last report

Change: the usage of silent nodes, and of a failure domain whose relay was killed, includes as much as most recently for one or two periods.

--- a/src/decisions/relays/_testing/makeReport.ts
+++ b/src/decisions/relays/_testing/makeReport.ts
@@ -3,10 +3,14 @@
  */
 import type { NodeReport } from "../news";
 
-/** Makes a report of a node of `west`; `used` is the usage of the account `county`. */
+/** Makes a report of a node of `west`; `used` and `recent` are the usage of the account `county`. */
 export function makeReport(
     node: string,
-    { used = 0, ...changes }: Partial<NodeReport> & { readonly used?: number } = {},
+    {
+        used = 0,
+        recent = 0,
+        ...changes
+    }: Partial<NodeReport> & { readonly used?: number; readonly recent?: number } = {},
 ): NodeReport {
     return {
         node,
@@ -17,7 +21,7 @@
         capacity: 1,
         sequence: 1,
         countsForMs: 8_000,
-        usage: { county: { used, recent: used, asked: used } },
+        usage: { county: { used, recent, asked: used } },
         loads: { chat: { tokensPerSecond: 10, inFlight: 1 } },
         endpoints: { "i-1": { inFlight: 1, pendingTokens: 100 } },
         counted: undefined,
--- a/src/decisions/relays/createReportCollector.ts
+++ b/src/decisions/relays/createReportCollector.ts
@@ -1,7 +1,8 @@
 /**
  * @module The reports that a relay has received from the nodes of its failure domain.
  */
-import { MEMBER_TIMEOUT_MS, UNREACHABLE_AFTER_MS } from "./constants";
+import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "./constants";
+import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
 import type { DomainSummary, NodeIdentity, NodeReport, WindowCounts } from "./news";
 import { sumNews, sumRecords } from "./sumNews";
 
@@ -96,11 +97,12 @@
     };
 }
 
+/** Gives the usage of a silent node, with what it may have charged after its last report. */
 function pickUsed({ usage }: NodeReport): Readonly<Record<string, number>> {
     return Object.fromEntries(
         Object.entries(usage)
             .filter(([, { used }]) => used > 0)
-            .map(([account, { used }]) => [account, used]),
+            .map(([account, sums]) => [account, estimateUsedAtEnd(sums, NEWS_PERIOD_MS)]),
     );
 }
 
--- a/src/decisions/relays/createSummaryMerger.ts
+++ b/src/decisions/relays/createSummaryMerger.ts
@@ -1,7 +1,8 @@
 /**
  * @module Merges the summaries of all failure domains into one view of the fleet.
  */
-import { MEMBER_TIMEOUT_MS, NEWS_DELAY_MAX_MS, UNREACHABLE_AFTER_MS } from "./constants";
+import { MEMBER_TIMEOUT_MS, NEWS_DELAY_MAX_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "./constants";
+import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
 import type { DomainSummary, FleetView, NodeIdentity, UsageSums } from "./news";
 import { createLostUsage, type UsageByAccount } from "./createLostUsage";
 import { sumNews, sumRecords } from "./sumNews";
@@ -55,10 +56,18 @@
         const summaries = splitByDomain(listWithin(MEMBER_TIMEOUT_MS, nowMs)).get(failureDomain) ?? [];
         return Math.max(storedNodes, ...summaries.map(({ nodes }) => nodes));
     };
-    /** Sums the usage of a failure domain by the summaries that arrived within some time. */
-    const readDomainUsage = (failureDomain: string, withinMs: number, nowMs: number): UsageByAccount => {
+    /**
+     * Sums the usage of a failure domain by the summaries that arrived within some time, with what its nodes may have
+     * charged in `unreportedMs` after them.
+     */
+    const readDomainUsage = (
+        failureDomain: string,
+        withinMs: number,
+        nowMs: number,
+        unreportedMs = 0,
+    ): UsageByAccount => {
         const summaries = splitByDomain(listWithin(withinMs, nowMs)).get(failureDomain);
-        return summaries === undefined ? {} : pickAllUsed(mergeDomain(summaries));
+        return summaries === undefined ? {} : pickAllUsed(mergeDomain(summaries), unreportedMs);
     };
     /** Records what the former relays of a failure domain said, if a new relay sums it and none of them is left. */
     const recordTakeover = ({ node, failureDomain }: NodeIdentity, nowMs: number) => {
@@ -67,7 +76,7 @@
             ({ summary, heardAtMs }) => summary.relay.node !== node && nowMs - heardAtMs < UNREACHABLE_AFTER_MS,
         );
         if (former.length > 0 && !isAnyLeft) {
-            const used = readDomainUsage(failureDomain, quotaWindowMs, nowMs);
+            const used = readDomainUsage(failureDomain, quotaWindowMs, nowMs, 2 * NEWS_PERIOD_MS);
             const heardAtMs = Math.max(...former.map(one => one.heardAtMs));
             lostUsage.recordTakeover(failureDomain, { used, heardAtMs }, nowMs);
             former.forEach(({ summary }) => heard.delete(summary.relay.node));
@@ -101,7 +110,7 @@
             const silentUsage = sumRecords(
                 [
                     ...merged.map(domain => domain.silentUsage),
-                    ...silent.map(([, summaries]) => pickAllUsed(mergeDomain(summaries))),
+                    ...silent.map(([, summaries]) => pickAllUsed(mergeDomain(summaries), 2 * NEWS_PERIOD_MS)),
                 ],
                 (left, right) => left + right,
             );
@@ -156,10 +165,9 @@
     };
 }
 
-function pickAllUsed({
-    usage,
-    silentUsage,
-}: Pick<DomainSummary, "usage" | "silentUsage">): Readonly<Record<string, number>> {
-    const used = Object.fromEntries(Object.entries(usage).map(([account, sums]) => [account, sums.used]));
-    return sumRecords([used, silentUsage], (left, right) => left + right);
+function pickAllUsed({ usage, silentUsage }: DomainSummary, unreportedMs: number): UsageByAccount {
+    const used = Object.entries(usage).map(
+        ([account, sums]) => [account, estimateUsedAtEnd(sums, unreportedMs)] as const,
+    );
+    return sumRecords([Object.fromEntries(used), silentUsage], (left, right) => left + right);
 }
--- a/src/decisions/relays/relays.test.ts
+++ b/src/decisions/relays/relays.test.ts
@@ -167,6 +167,17 @@
         assert.deepEqual(merger.mergeView(QUOTA_WINDOW_MS).lostUsage, {});
     });
 
+    it("adds what killed nodes may have charged after their last report", () => {
+        const merger = createSummaryMerger(QUOTA_WINDOW_MS);
+        merger.recordSummary(summarize([makeReport("a", { used: 300, recent: 60 })], "a", 1, 0), 0);
+        const relay = makeReport("a", { life: "a-2" });
+        merger.recordSummary({ ...summarize([relay], "a", 1, 500), relay }, 500);
+        assert.deepEqual(merger.mergeView(500).lostUsage, { county: 360 });
+        const collector = createReportCollector(QUOTA_WINDOW_MS);
+        collector.recordReport(makeReport("b", { used: 300, recent: 60 }), 0);
+        assert.deepEqual(collector.summarize(2_000).silentUsage, { county: 330 });
+    });
+
     it("takes nothing for lost when the second relay of a failure domain takes over", () => {
         const merger = createSummaryMerger(QUOTA_WINDOW_MS);
         const reports = [makeReport("a", { used: 300 }), makeReport("b", { used: 50 })];
--- a/src/gateway/createFleetNews.test.ts
+++ b/src/gateway/createFleetNews.test.ts
@@ -37,7 +37,7 @@
                 quotaWindowMs: 8_000,
                 readOwnNews: () => ({
                     countsForMs: 8_000,
-                    usage: { county: { used: 10, recent: 1, asked: 2 } },
+                    usage: { county: { used: 10, recent: 0, asked: 2 } },
                     loads: { chat: { tokensPerSecond: 10, inFlight: 1 } },
                     endpoints: { "i-1": { inFlight: 1, pendingTokens: 50 } },
                 }),
