Let other relays take the duties, and new relays bring what they knew

Change: relays that are not first by name try for the lease every 3 s; a leaving node gives up waiting for it. A node that becomes a relay counts the fleet's usage by its last view until it has left the window. Tests: control.test.ts (fails, by time, with the former code), relays.test.ts.

--- a/src/decisions/relays/createSummaryMerger.ts
+++ b/src/decisions/relays/createSummaryMerger.ts
@@ -11,6 +11,11 @@
 export interface SummaryMerger {
     /** Takes a summary; one that is not newer than the last one of the same relay's life is ignored. */
     recordSummary(summary: DomainSummary, nowMs: number): void;
+    /**
+     * Records the last view of a node that becomes a relay: if the former relays died together, nobody else may know
+     * what the nodes that died with them had used.
+     */
+    recordFormerView(view: FleetView, atMs: number, nowMs: number): void;
     /** Records how many live nodes a failure domain has by the rows of its relays in the store. */
     recordStoredCount(failureDomain: string, nodes: number, nowMs: number): void;
     /** Sums all failure domains. */
@@ -21,6 +26,9 @@
     listRelays(nowMs: number): readonly NodeIdentity[];
 }
 
+/** Stands for all failure domains where the usage of one is recorded; no failure domain has an empty name. */
+const WHOLE_FLEET = "";
+
 interface HeardSummary {
     readonly summary: DomainSummary;
     readonly heardAtMs: number;
@@ -93,6 +101,10 @@
                 heard.set(summary.relay.node, { summary, heardAtMs: nowMs });
             }
         },
+        recordFormerView: (view, atMs, nowMs) => {
+            const used = sumRecords([pickAllUsed(view, 2 * NEWS_PERIOD_MS), view.lostUsage], addAmounts);
+            lostUsage.recordTakeover(WHOLE_FLEET, { used, heardAtMs: atMs }, nowMs);
+        },
         recordStoredCount: (failureDomain, nodes, nowMs) => {
             stored.set(failureDomain, { nodes, atMs: nowMs });
         },
@@ -112,9 +124,13 @@
                     ...merged.map(domain => domain.silentUsage),
                     ...silent.map(([, summaries]) => pickAllUsed(mergeDomain(summaries), 2 * NEWS_PERIOD_MS)),
                 ],
-                (left, right) => left + right,
+                addAmounts,
+            );
+            const fleetUsage = pickAllUsed({ usage: sums.usage, silentUsage }, 0);
+            ownLost = lostUsage.sumLost(
+                domain => (domain === WHOLE_FLEET ? fleetUsage : readDomainUsage(domain, UNREACHABLE_AFTER_MS, nowMs)),
+                nowMs,
             );
-            ownLost = lostUsage.sumLost(domain => readDomainUsage(domain, UNREACHABLE_AFTER_MS, nowMs), nowMs);
             const othersLost = listWithin(UNREACHABLE_AFTER_MS, nowMs).map(({ summary }) => summary.lostUsage);
             return {
                 ...sums,
@@ -165,9 +181,16 @@
     };
 }
 
-function pickAllUsed({ usage, silentUsage }: DomainSummary, unreportedMs: number): UsageByAccount {
+function pickAllUsed(
+    { usage, silentUsage }: Pick<DomainSummary, "usage" | "silentUsage">,
+    unreportedMs: number,
+): UsageByAccount {
     const used = Object.entries(usage).map(
         ([account, sums]) => [account, estimateUsedAtEnd(sums, unreportedMs)] as const,
     );
-    return sumRecords([Object.fromEntries(used), silentUsage], (left, right) => left + right);
+    return sumRecords([Object.fromEntries(used), silentUsage], addAmounts);
+}
+
+function addAmounts(left: number, right: number): number {
+    return left + right;
 }
--- a/src/decisions/relays/relays.test.ts
+++ b/src/decisions/relays/relays.test.ts
@@ -167,6 +167,18 @@
         assert.deepEqual(merger.mergeView(QUOTA_WINDOW_MS).lostUsage, {});
     });
 
+    it("keeps what a node knew of the fleet when all relays died and it becomes one", () => {
+        const former = createSummaryMerger(QUOTA_WINDOW_MS);
+        former.recordSummary(summarize([makeReport("a", { used: 300 }), makeReport("b", { used: 50 })], "a", 1, 0), 0);
+        const view = former.mergeView(0);
+        const merger = createSummaryMerger(QUOTA_WINDOW_MS);
+        merger.recordFormerView(view, 0, 1_000);
+        const relay = makeReport("b", { used: 50 });
+        merger.recordSummary({ ...summarize([relay], "b", 1, 1_000), relay }, 1_000);
+        assert.deepEqual(merger.mergeView(1_000).lostUsage, { county: 300 });
+        assert.deepEqual(merger.mergeView(QUOTA_WINDOW_MS).lostUsage, {});
+    });
+
     it("adds what killed nodes may have charged after their last report", () => {
         const merger = createSummaryMerger(QUOTA_WINDOW_MS);
         merger.recordSummary(summarize([makeReport("a", { used: 300, recent: 60 })], "a", 1, 0), 0);
--- a/src/gateway/control.test.ts
+++ b/src/gateway/control.test.ts
@@ -351,6 +351,20 @@
         right.stop();
     });
 
+    it("pass to a relay that is not among the first by name when those stop in turn, and not to one that leaves", async () => {
+        const environment = createEnvironment();
+        const [first, second, third] = ["a", "b", "c"].map(name => createNode(name, environment));
+        await runClock(environment.clock, 12_000);
+        // Both still serve as relays while they drain.
+        first?.holding.leave();
+        second?.holding.leave();
+        await runClock(environment.clock, 20_000);
+        const holders = environment.sent.filter(call => call.atMs > 22_000).map(call => call.holder.nodeName);
+        assert.ok(holders.length > 0);
+        assert.deepEqual(new Set(holders), new Set(["c"]));
+        [first, second, third].forEach(node => node?.stop());
+    });
+
     it("move to another node under a higher epoch, and never report a window with other counts", async () => {
         const environment = createEnvironment();
         const nodes = [createNode("left", environment), createNode("right", environment)];
--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -294,6 +294,9 @@
                 members: collector.listMembers(clock.readMonotonicMs()).length,
             });
             wasRelay = isRelaying;
+            if (isRelaying && view !== undefined) {
+                merger.recordFormerView(view.content, view.atMs, clock.readMonotonicMs());
+            }
         }
         if (isRelaying) {
             relayNews();
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/startDutyHolder.ts
@@ -16,11 +16,15 @@
 /** Added to the length of the lease, so that two nodes never act within one lease length. */
 const LEASE_MARGIN_MS = 100;
 const STEP_PERIOD_MS = 250;
-/** Number of relays, the first ones by name, that wait for the lease; other nodes leave the store alone. */
+/**
+ * Number of relays, the first ones by name, that wait for the lease. The other relays try rarely, in case those stop in
+ * turn; other nodes leave the store alone.
+ */
 const CANDIDATE_COUNT = 2;
 const CANDIDATE_WAIT_MS = 30_000;
+const NON_CANDIDATE_PERIOD_MS = 3_000;
 /** A node that has just started may not hear all relays yet. */
-const CANDIDATE_AFTER_MS = 1_500;
+const RELAY_AFTER_MS = 750;
 /** Longest time that a call to the cloud may take; the lease must be valid for longer. */
 const CALL_MAX_MS = 1_100;
 /** A longer time between two steps means that the process or its machine was paused. */
@@ -69,18 +73,18 @@
 export function startDutyHolder(options: DutyHolderOptions): DutyHandle {
     const { clock, log, news, node } = options;
     const durationMs = options.leaseMs + LEASE_MARGIN_MS;
-    let candidateSinceMs: number | undefined;
+    let relaySinceMs: number | undefined;
     let isStopped = false;
+    let abandonWait: () => void = () => undefined;
 
-    /** True if this node has been one of the first by name among the live relays for a while. */
-    const isCandidate = () => {
-        const isFirst =
-            news.isLoaded() &&
-            news.isRelay() &&
-            news.listAllRelays().filter(relay => relay.node < node).length < CANDIDATE_COUNT;
-        candidateSinceMs = isFirst ? (candidateSinceMs ?? clock.readMonotonicMs()) : undefined;
-        return candidateSinceMs !== undefined && clock.readMonotonicMs() - candidateSinceMs > CANDIDATE_AFTER_MS;
+    /** True if this node has been a relay for a while. */
+    const isEligible = () => {
+        const isRelay = news.isLoaded() && news.isRelay();
+        relaySinceMs = isRelay ? (relaySinceMs ?? clock.readMonotonicMs()) : undefined;
+        return relaySinceMs !== undefined && clock.readMonotonicMs() - relaySinceMs > RELAY_AFTER_MS;
     };
+    /** True if this node is one of the first by name among the live relays. */
+    const isCandidate = () => news.listAllRelays().filter(relay => relay.node < node).length < CANDIDATE_COUNT;
     /** Carries out the duties until the lease ends, this node leaves, or a pause makes the state outdated. */
     const holdTerm = function* (lease: LeaseHandle): TaskGenerator<void> {
         let steppedAt = readInstant(clock);
@@ -107,23 +111,25 @@
     };
     const acquireDutyLease = function* (leases: LeaseClient): TaskGenerator<LeaseHandle | undefined> {
         while (!isStopped) {
-            if (isCandidate()) {
-                const lease = yield* waitFor(
-                    leases.acquireLease(LEASE_NAME, { durationMs, waitMs: CANDIDATE_WAIT_MS }),
-                );
+            const isWaiting = isCandidate();
+            if (isEligible()) {
+                const waitMs = isWaiting ? CANDIDATE_WAIT_MS : 0;
+                const lease = yield* waitFor(leases.acquireLease(LEASE_NAME, { durationMs, waitMs }));
                 if (lease.isOk()) {
                     return lease.value;
                 }
                 log.debug("duties not held", { reason: lease.error.message });
             }
-            yield* waitFor(clock.waitMs(STEP_PERIOD_MS));
+            yield* waitFor(clock.waitMs(isWaiting ? STEP_PERIOD_MS : NON_CANDIDATE_PERIOD_MS));
         }
         return undefined;
     };
     const run = function* (): TaskGenerator<void> {
         while (!isStopped) {
             const leases = createLeaseTask({ nodeId: node, table: options.table, clock });
+            abandonWait = leases.dispose;
             const lease = yield* acquireDutyLease(leases);
+            abandonWait = () => undefined;
             if (lease !== undefined) {
                 log.info("duties held", { epoch: lease.epoch });
                 const heldFrom = readInstant(clock);
@@ -147,6 +153,7 @@
     return {
         leave: () => {
             isStopped = true;
+            abandonWait();
         },
     };
 }
