Split the choice of a node's relays from the exchange of news

Change: createRelayRoster.ts knows the members and replaces silent relays; one merge a period; stale entries go. Behaviour stays.

--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -12,17 +12,15 @@
 import type { DumpSource } from "../base/dump";
 import type { Log } from "../base/log/log";
 import type { FleetUsage } from "../decisions/gateway/accountQuotas";
-import { chooseRelays, countRelays } from "../decisions/relays/chooseRelays";
+import { chooseRelays } from "../decisions/relays/chooseRelays";
 import { RowRole } from "../decisions/relays/chooseRowSource";
 import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "../decisions/relays/constants";
 import { createReportCollector, type ReportedCounts } from "../decisions/relays/createReportCollector";
 import { createSummaryMerger } from "../decisions/relays/createSummaryMerger";
 import type { EndpointActivity, FleetView, NodeIdentity, NodeReport, ServiceLoad } from "../decisions/relays/news";
+import { createRelayRoster } from "./createRelayRoster";
 import { decodeNews, encodeNews, NewsKind, type NewsMessage } from "./newsCodec";
 
-/** A relay from which no view came for this long, while this node reported to it, is replaced for a while. */
-const RELAY_SILENT_MS = 800;
-const RELAY_SUSPECT_MS = 10_000;
 /** A node stops acting as a relay when nobody has reported to it for this long. */
 const RELAY_UNUSED_MS = 3_000;
 /** Time between two lists of members, and between two reports with usage counts, in periods of the news. */
@@ -108,13 +106,11 @@
     const socket = dgram.createSocket("udp4");
     const collector = createReportCollector(quotaWindowMs);
     const merger = createSummaryMerger(quotaWindowMs);
-    const members = new Map<string, KnownNode>();
+    const roster = createRelayRoster(self, clock, log);
     const storedRelays = new Map<string, KnownNode>();
     const viewers = new Set<string>();
-    const suspectUntilMs = new Map<string, number>();
     let view: { readonly content: FleetView; readonly atMs: number } | undefined;
     let reported: Readonly<Record<string, EndpointActivity>> = {};
-    let primary: { readonly identity: NodeIdentity; heardAtMs: number } | undefined;
     let sequence = 0;
     let askedAtMs = Number.NEGATIVE_INFINITY;
     let countedAtMs = Number.NEGATIVE_INFINITY;
@@ -123,15 +119,8 @@
 
     const isFresh = (atMs: number, withinMs: number) => clock.readMonotonicMs() - atMs < withinMs;
     const send = (bytes: Buffer, { address, port }: NodeIdentity) => socket.send(bytes, port, address);
-    const isSuspect = (node: string) => clock.readMonotonicMs() < (suspectUntilMs.get(node) ?? 0);
-    const chooseOwnRelays = () => {
-        const listed = [...members.values()].filter(({ listedAtMs }) => isFresh(listedAtMs, MEMBER_TIMEOUT_MS));
-        const others = listed.map(({ identity }) => identity).filter(({ node }) => node !== self.node);
-        const usable = [self, ...others].filter(({ node }) => !isSuspect(node));
-        return chooseRelays(usable, countRelays(usable.length));
-    };
     const isRelay = () =>
-        isFresh(askedAtMs, RELAY_UNUSED_MS) || chooseOwnRelays().some(({ node }) => node === self.node);
+        isFresh(askedAtMs, RELAY_UNUSED_MS) || roster.listRelays().some(({ node }) => node === self.node);
     const isInTouch = () => view !== undefined && isFresh(view.atMs, UNREACHABLE_AFTER_MS);
 
     const applyView = (content: FleetView) => {
@@ -145,23 +134,17 @@
         }
         options.handleActivity(activity);
     };
-    const addMembers = (list: readonly NodeIdentity[]) => {
-        const listedAtMs = clock.readMonotonicMs();
-        list.filter(({ failureDomain }) => failureDomain === self.failureDomain).forEach(identity =>
-            members.set(identity.node, { identity, listedAtMs }),
-        );
-    };
     const handlers: { readonly [K in NewsKind]: (message: Extract<NewsMessage, { kind: K }>) => void } = {
         [NewsKind.Report]: ({ report, wantsViews }) => {
             const nowMs = clock.readMonotonicMs();
             if (report.failureDomain !== self.failureDomain) {
                 return;
             }
-            const isNew = !members.has(report.node) || !collector.hasLife(report.life);
+            const isNew = !roster.hasMember(report.node) || !collector.hasLife(report.life);
             askedAtMs = nowMs;
             collector.recordReport(report, nowMs);
-            addMembers([report]);
-            suspectUntilMs.delete(report.node);
+            roster.addMembers([report]);
+            roster.recordLife(report.node);
             if (wantsViews) {
                 viewers.add(report.life);
             } else {
@@ -169,7 +152,7 @@
             }
             if (isNew) {
                 send(encodeMembers(), report);
-                send(encodeView(), report);
+                send(encodeView(merger.mergeView(nowMs)), report);
             }
         },
         [NewsKind.Summary]: ({ summary }) => {
@@ -178,17 +161,14 @@
             }
         },
         [NewsKind.View]: ({ relay, view: content }) => {
-            if (primary?.identity.node === relay) {
-                primary.heardAtMs = clock.readMonotonicMs();
-            }
-            suspectUntilMs.delete(relay);
+            roster.recordView(relay);
             if (!isRelay()) {
                 applyView(content);
             }
         },
         [NewsKind.Members]: ({ relay, members: list }) => {
-            addMembers(list);
-            suspectUntilMs.delete(relay);
+            roster.addMembers(list);
+            roster.recordLife(relay);
             if (list.some(({ life }) => life === self.life)) {
                 countedAtMs = clock.readMonotonicMs();
             }
@@ -207,8 +187,7 @@
         sequence: ++sequence,
         counted: sequence % COUNTS_EVERY_PERIODS === 1 ? options.readCounts() : undefined,
     });
-    const encodeView = () => {
-        const content = merger.mergeView(clock.readMonotonicMs());
+    const encodeView = (content: FleetView) => {
         const near = Object.entries(content.endpoints).filter(([id]) => options.isNearEndpoint(id));
         return encodeNews({
             kind: NewsKind.View,
@@ -222,30 +201,11 @@
             relay: self.node,
             members: collector.listMembers(clock.readMonotonicMs()),
         });
-    const replaceSilentRelay = (choices: readonly NodeIdentity[]): readonly NodeIdentity[] => {
-        const [first] = choices;
-        if (first === undefined || first.node === self.node) {
-            primary = undefined;
-            return choices;
-        }
-        if (primary?.identity.node !== first.node) {
-            primary = { identity: first, heardAtMs: clock.readMonotonicMs() };
-        }
-        if (isFresh(primary.heardAtMs, RELAY_SILENT_MS)) {
-            return choices;
-        }
-        log.info("relay replaced", {
-            relay: first.node,
-            silentMs: Math.round(clock.readMonotonicMs() - primary.heardAtMs),
-        });
-        suspectUntilMs.set(first.node, clock.readMonotonicMs() + RELAY_SUSPECT_MS);
-        return replaceSilentRelay(chooseOwnRelays());
-    };
     const sendReports = () => {
         const report = buildReport();
         reported = report.endpoints;
         collector.recordReport(report, clock.readMonotonicMs());
-        for (const [index, relay] of replaceSilentRelay(chooseOwnRelays()).entries()) {
+        for (const [index, relay] of roster.replaceSilentRelay().entries()) {
             if (relay.node !== self.node) {
                 send(encodeNews({ kind: NewsKind.Report, wantsViews: index === 0, report }), relay);
             }
@@ -255,7 +215,7 @@
     const listSummaryTargets = () => {
         const stored = [...storedRelays.values()].filter(({ listedAtMs }) => isFresh(listedAtMs, MEMBER_TIMEOUT_MS));
         const targets = [
-            ...chooseOwnRelays(),
+            ...roster.listRelays(),
             ...stored.map(({ identity }) => identity),
             ...merger.listRelays(clock.readMonotonicMs()),
         ];
@@ -270,10 +230,14 @@
         merger.recordSummary(summary, nowMs);
         const bytes = encodeNews({ kind: NewsKind.Summary, summary });
         listSummaryTargets().forEach(target => send(bytes, target));
-        applyView(merger.mergeView(nowMs));
+        const merged = merger.mergeView(nowMs);
+        applyView(merged);
         const receivers = collector.listReachable(nowMs).filter(({ node }) => node !== self.node);
-        const viewBytes = encodeView();
-        receivers.filter(({ life }) => viewers.has(life)).forEach(receiver => send(viewBytes, receiver));
+        const viewBytes = encodeView(merged);
+        const listening = receivers.filter(({ life }) => viewers.has(life));
+        listening.forEach(receiver => send(viewBytes, receiver));
+        viewers.clear();
+        listening.forEach(({ life }) => viewers.add(life));
         if (sequence % MEMBERS_EVERY_PERIODS === 0) {
             const membersBytes = encodeMembers();
             // Nodes that fell silent get it as well: after a network partition they find back by it.
@@ -305,7 +269,7 @@
     const listFreshRelays = () => merger.listRelays(clock.readMonotonicMs()).filter(({ node }) => node !== self.node);
     const readRowSources = (): RowSources => {
         if (!isRelay()) {
-            return { role: RowRole.Node, nodes: chooseOwnRelays() };
+            return { role: RowRole.Node, nodes: roster.listRelays() };
         }
         const others = listFreshRelays();
         const readers = chooseRelays([self, ...others], READER_COUNT);
@@ -334,13 +298,13 @@
             isInTouch: isInTouch(),
             viewAgeMs: view === undefined ? undefined : Math.round(clock.readMonotonicMs() - view.atMs),
             view: view?.content,
-            ownRelays: chooseOwnRelays().map(({ node }) => node),
+            ownRelays: roster.listRelays().map(({ node }) => node),
             allRelays: merger.listRelays(clock.readMonotonicMs()).map(({ node }) => node),
             members: collector.listMembers(clock.readMonotonicMs()).map(({ node, life }) => ({ node, life })),
         }),
         isLoaded: () => view !== undefined,
         isRelay,
-        isOnlyRelay: () => chooseOwnRelays().every(({ node }) => node === self.node),
+        isOnlyRelay: () => roster.listRelays().every(({ node }) => node === self.node),
         isInTouch,
         readUsage,
         readLoad: service =>
@@ -355,7 +319,7 @@
         listMembers: () => collector.listMembers(clock.readMonotonicMs()),
         listCounts: collector.listCounts,
         addMembers: list => {
-            addMembers(list);
+            roster.addMembers(list);
             if (!hasMembers) {
                 hasMembers = true;
                 exchangeNews();
