--- a/src/gateway/control.test.ts
+++ b/src/gateway/control.test.ts
@@ -15,9 +15,7 @@
 import { makeEndpoint } from "./_testing/makeEndpoint";
 import { createRateLimitedLog } from "./createRateLimitedLog";
 import { createEndpointDirectory } from "./createEndpointDirectory";
-import type { FleetNews } from "./createFleetNews";
 import { createMembership } from "./createMembership";
-import { decodeMember, decodeRelay } from "./memberRecord";
 import { createClusterTime } from "./createClusterTime";
 import { createUsageDuty } from "./createUsageDuty";
 import { createUsageLedger } from "./createUsageLedger";
@@ -104,88 +102,6 @@
     });
 });
 
-describe("the rows of the nodes", () => {
-    const SELF = {
-        node: "west-1",
-        life: "west-1-a",
-        failureDomain: "west",
-        address: "127.0.0.1",
-        port: 7_600,
-        capacity: 1,
-    };
-
-    function startNode(news: Partial<FleetNews>) {
-        const clock = createManualClock();
-        const fake = createFakeTable();
-        const table = fake.createClient(clock);
-        const calls: string[] = [];
-        const clusterTime = createClusterTime(clock);
-        clusterTime.recordStoreClock(clock.readMonotonicMs());
-        clusterTime.setAgreedOffset(1_000_000);
-        const membership = createMembership({
-            self: SELF,
-            windowMs: 5_000,
-            news: makeNews(news),
-            table: {
-                ...table,
-                listRows: prefix => {
-                    calls.push(`list ${prefix}`);
-                    return table.listRows(prefix);
-                },
-                commitTransaction: transaction => {
-                    calls.push(...transaction.writes.map(write => `write ${write.key}`));
-                    return table.commitTransaction(transaction);
-                },
-            },
-            clusterTime,
-            usage: createUsageMeter(clusterTime, 5_000),
-            clock,
-            random: createRandom(1),
-            log: SILENT_LOG,
-        });
-        return { clock, table, calls, membership };
-    }
-
-    it("cost a node with a relay nothing after its start", async () => {
-        const { clock, calls, membership } = startNode({ isRelay: () => false });
-        await runClock(clock, 6_000);
-        const started = calls.length;
-        assert.ok(started <= 5, calls.join(", "));
-        await runClock(clock, 60_000);
-        assert.equal(calls.length, started);
-        membership.dispose();
-    });
-
-    it("are written by a node that has lost its relays, which also looks for new ones", async () => {
-        const { clock, calls, membership } = startNode({ isRelay: () => false, isInTouch: () => false });
-        await runClock(clock, 6_000);
-        const started = calls.length;
-        await runClock(clock, 10_000);
-        const later = calls.slice(started);
-        assert.ok(later.filter(call => call === "write member/west/west-1").length >= 3);
-        assert.ok(later.includes("list member/west/"));
-        membership.dispose();
-    });
-
-    it("of a relay name it and its nodes, and replace those that its nodes wrote", async () => {
-        const member = { ...SELF, node: "west-2", life: "west-2-a", port: 7_601 };
-        const { clock, table, calls, membership } = startNode({ listMembers: () => [SELF, member] });
-        await runClock(clock, 12_000);
-        const rows = await table.listRows("member/west/");
-        assert.deepEqual(
-            rows._unsafeUnwrap().flatMap(row => decodeMember(row.value)?.members.map(({ node }) => node) ?? []),
-            ["west-1", "west-2"],
-        );
-        assert.equal(calls.filter(call => call === "write member/west/west-2").length, 1);
-        const relays = await table.listRows("relay/");
-        assert.deepEqual(
-            relays._unsafeUnwrap().map(row => decodeRelay(row.value)?.nodes),
-            [2],
-        );
-        membership.dispose();
-    });
-});
-
 describe("cluster time", () => {
     it("follows the store's clock and ignores changes of the wall clock", () => {
         const clock = createManualClock({ startWallMs: 1_000_000 });
@@ -351,6 +267,25 @@
         right.stop();
     });
 
+    it("report what a node counted before it was killed, also when it starts again at once", async () => {
+        const environment = createEnvironment();
+        const left = createNode("left", environment);
+        await runClock(environment.clock, 6_000);
+        left.usage.recordExecutionStart("county");
+        await runClock(environment.clock, 3_000);
+        left.stop();
+        const next = createNode("left", environment, false);
+        await runClock(environment.clock, 500);
+        next.usage.recordExecutionStart("county");
+        await runClock(environment.clock, 9_000);
+        const reported = environment.sent.filter(call => call.report.window === 201);
+        assert.deepEqual(
+            reported.map(call => call.report.counts),
+            [{ county: 2 }],
+        );
+        next.stop();
+    });
+
     it("pass to a relay that is not among the first by name when those stop in turn, and not to one that leaves", async () => {
         const environment = createEnvironment();
         const [first, second, third] = ["a", "b", "c"].map(name => createNode(name, environment));
--- /dev/null
+++ b/src/gateway/createMembership.test.ts
@@ -0,0 +1,96 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createManualClock } from "../base/createManualClock";
+import { createRandom } from "../base/createRandom";
+import { createLog } from "../base/log/createLog";
+import { createFakeTable } from "../nodes/_testing/createFakeTable";
+import { runClock } from "../nodes/_testing/runClock";
+import { makeNews } from "./_testing/makeNews";
+import { createClusterTime } from "./createClusterTime";
+import type { FleetNews } from "./createFleetNews";
+import { createMembership } from "./createMembership";
+import { createUsageMeter } from "./createUsageMeter";
+import { decodeMember, decodeRelay } from "./memberRecord";
+
+const SILENT_LOG = createLog({ write: () => undefined });
+
+describe("the rows of the nodes", () => {
+    const SELF = {
+        node: "west-1",
+        life: "west-1-a",
+        failureDomain: "west",
+        address: "127.0.0.1",
+        port: 7_600,
+        capacity: 1,
+    };
+
+    function startNode(news: Partial<FleetNews>) {
+        const clock = createManualClock();
+        const fake = createFakeTable();
+        const table = fake.createClient(clock);
+        const calls: string[] = [];
+        const clusterTime = createClusterTime(clock);
+        clusterTime.recordStoreClock(clock.readMonotonicMs());
+        clusterTime.setAgreedOffset(1_000_000);
+        const membership = createMembership({
+            self: SELF,
+            windowMs: 5_000,
+            news: makeNews(news),
+            table: {
+                ...table,
+                listRows: prefix => {
+                    calls.push(`list ${prefix}`);
+                    return table.listRows(prefix);
+                },
+                commitTransaction: transaction => {
+                    calls.push(...transaction.writes.map(write => `write ${write.key}`));
+                    return table.commitTransaction(transaction);
+                },
+            },
+            clusterTime,
+            usage: createUsageMeter(clusterTime, 5_000),
+            clock,
+            random: createRandom(1),
+            log: SILENT_LOG,
+        });
+        return { clock, table, calls, membership };
+    }
+
+    it("cost a node with a relay nothing after its start", async () => {
+        const { clock, calls, membership } = startNode({ isRelay: () => false });
+        await runClock(clock, 6_000);
+        const started = calls.length;
+        assert.ok(started <= 5, calls.join(", "));
+        await runClock(clock, 60_000);
+        assert.equal(calls.length, started);
+        membership.dispose();
+    });
+
+    it("are written by a node that has lost its relays, which also looks for new ones", async () => {
+        const { clock, calls, membership } = startNode({ isRelay: () => false, isInTouch: () => false });
+        await runClock(clock, 6_000);
+        const started = calls.length;
+        await runClock(clock, 10_000);
+        const later = calls.slice(started);
+        assert.ok(later.filter(call => call === "write member/west/west-1/west-1-a").length >= 3);
+        assert.ok(later.includes("list member/west/"));
+        membership.dispose();
+    });
+
+    it("of a relay name it and its nodes", async () => {
+        const member = { ...SELF, node: "west-2", life: "west-2-a", port: 7_601 };
+        const { clock, table, membership } = startNode({ listMembers: () => [SELF, member] });
+        await runClock(clock, 12_000);
+        const rows = await table.listRows("member/west/");
+        assert.deepEqual(
+            rows._unsafeUnwrap().flatMap(row => decodeMember(row.value)?.members.map(({ node }) => node) ?? []),
+            ["west-1", "west-2"],
+        );
+        const relays = await table.listRows("relay/");
+        assert.deepEqual(
+            relays._unsafeUnwrap().map(row => decodeRelay(row.value)?.nodes),
+            [2],
+        );
+        membership.dispose();
+    });
+});
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -41,8 +41,6 @@
 const MEMBER_LIST_PERIOD_MS = 1_500;
 /** Reads of the members after a start, when many nodes may start together. */
 const INITIAL_LIST_COUNT = 3;
-/** Most rows that a relay deletes in one transaction. */
-const ROWS_REPLACED_MAX = 50;
 /** Time between two checks while this node starts. */
 const START_CHECK_PERIOD_MS = 20;
 /** Reads of the members after which a node takes itself for a relay in the store. */
@@ -88,7 +86,6 @@
  */
 export function createMembership(options: MembershipOptions): Membership {
     const { self, news, table, clusterTime, clock, random, log, windowMs } = options;
-    const replacedRows = new Set<string>();
     let isStopped = false;
     let hasWritten = false;
     let lastWrittenAtMs = Number.NEGATIVE_INFINITY;
@@ -117,21 +114,8 @@
             return [memberRow];
         }
         const relayRecord = { atMs, identity: self, nodes: record.members.length };
-        return [
-            memberRow,
-            { key: buildRelayKey(self), value: JSON.stringify(relayRecord) },
-            ...listReplacedRows(members),
-        ];
+        return [memberRow, { key: buildRelayKey(self), value: JSON.stringify(relayRecord) }];
     };
-    /** Lists deletions of the rows that members wrote at their start, since the relay's row now names them. */
-    const listReplacedRows = (members: readonly NodeIdentity[]): readonly RowWrite[] =>
-        members
-            .filter(({ node, life }) => node !== self.node && !replacedRows.has(life))
-            .slice(0, ROWS_REPLACED_MAX)
-            .map(member => {
-                replacedRows.add(member.life);
-                return { key: buildMemberKey(member), value: undefined };
-            });
     const isWriteDue = (): boolean => {
         const sinceMs = clock.readMonotonicMs() - lastWrittenAtMs;
         const isOrphan = orphanedSinceMs !== undefined && clock.readMonotonicMs() - orphanedSinceMs > ORPHAN_AFTER_MS;
--- a/src/gateway/createUsageDuty.ts
+++ b/src/gateway/createUsageDuty.ts
@@ -12,7 +12,6 @@
 import type { ClusterTime } from "./createClusterTime";
 import type { UsageLedger } from "./createUsageLedger";
 import { USAGE_COUNTS_SCHEMA, type UsageCounts } from "./createUsageMeter";
-import { MEMBER_PREFIX, RELAY_PREFIX } from "./memberRecord";
 import type { CheckHolder, Duty } from "./startDutyHolder";
 
 const REPORT_PREFIX = "usage/";
@@ -28,7 +27,7 @@
 /** Rows that are no longer written, and stored reports, are deleted after this time. */
 const ROW_RETENTION_MS = 90_000;
 /** Most members whose rows are deleted in one transaction. */
-const ROWS_DELETED_MAX = 40;
+const ROWS_DELETED_MAX = 80;
 
 /** Dependencies and settings of the duty. */
 export interface UsageDutyOptions {
@@ -105,7 +104,7 @@
         const dead = rows
             .filter(({ atMs }) => atMs < beforeMs)
             .slice(0, ROWS_DELETED_MAX)
-            .flatMap(({ key }) => [key, key.replace(MEMBER_PREFIX, RELAY_PREFIX)]);
+            .map(({ key }) => key);
         const oldReport = `${REPORT_PREFIX}${window - Math.ceil(ROW_RETENTION_MS / windowMs)}`;
         return [...dead, oldReport].map(key => ({ key, value: undefined }));
     };
--- a/src/gateway/memberRecord.ts
+++ b/src/gateway/memberRecord.ts
@@ -52,9 +52,9 @@
 });
 const RELAY_SCHEMA = z.object({ atMs: z.number(), identity: IDENTITY_SCHEMA, nodes: z.number() });
 
-/** Builds the key of the row about members that a node writes. */
-export function buildMemberKey({ failureDomain, node }: Pick<NodeIdentity, "failureDomain" | "node">): string {
-    return `${MEMBER_PREFIX}${failureDomain}/${node}`;
+/** Builds the key of the row about members that a node writes. Each life has its own, so that no counts are lost. */
+export function buildMemberKey({ failureDomain, node, life }: NodeIdentity): string {
+    return `${MEMBER_PREFIX}${failureDomain}/${node}/${life}`;
 }
 
 /** Builds the key of a relay's row. */
