--- a/src/decisions/relays/news.ts
+++ b/src/decisions/relays/news.ts
@@ -31,6 +31,19 @@
     readonly pendingTokens: number;
 }
 
+/** Evidence on whether requests with a prompt part crash endpoints. */
+export interface PartEvidence {
+    /**
+     * Age in milliseconds of each crash of an endpoint that a request with this part may have caused, by the key of the
+     * crash. Nodes pass on all crashes that they know; the greater age counts, so that no crash becomes younger thereby.
+     */
+    readonly crashes: Readonly<Record<string, number>>;
+    /** Answers with this part that began after the oldest of those crashes at an endpoint that lived on. */
+    readonly clearances: number;
+    /** Answers with this part that began before it at an endpoint that lived on. */
+    readonly earlierClearances: number;
+}
+
 /** Values that are summed over nodes. */
 export interface NewsSums {
     /** Longest time for which one of the nodes has counted usage, in milliseconds; at most one quota window. */
