--- a/src/gateway/createDemandMeter.ts
+++ b/src/gateway/createDemandMeter.ts
@@ -29,7 +29,7 @@
  * @param clock - Measures the rate
  * @returns The meter
  * @example
- * demand.recordArrival("newsdesk-llm", 6_610);
+ * demand.recordArrival("assistant", 6_610);
  */
 export function createDemandMeter(clock: Clock): DemandMeter {
     const meters = new Map<string, Meter>();
--- a/src/gateway/createEndpointDirectory.ts
+++ b/src/gateway/createEndpointDirectory.ts
@@ -50,7 +50,7 @@
  * @param log - Gets a line for each endpoint that is found, drains or is removed
  * @returns The directory
  * @example
- * directory.listUsable("newsdesk-llm");
+ * directory.listUsable("assistant");
  */
 export function createEndpointDirectory(settings: GatewaySettings, clock: Clock, log: Log): EndpointDirectory {
     const records = new Map<string, EndpointRecord>();
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -35,7 +35,7 @@
  *
  * @returns The metrics
  * @example
- * metrics.countRequest("newsdesk-llm", "relayed");
+ * metrics.countRequest("assistant", "relayed");
  */
 export function createGatewayMetrics(): GatewayMetrics {
     const registry = new Registry();
--- a/src/gateway/createServiceSpeeds.ts
+++ b/src/gateway/createServiceSpeeds.ts
@@ -33,7 +33,7 @@
  *
  * @returns The estimates
  * @example
- * speeds.readSpeed("newsdesk-llm").tokensPerMs;
+ * speeds.readSpeed("assistant").tokensPerMs;
  */
 export function createServiceSpeeds(): ServiceSpeeds {
     const speeds = new Map<string, ServiceSpeed>();
