Show in logs and metrics what a stopping node has open and how it ends

Callers saw: nothing yet; this changes no handling of requests.

Cause: 'gateway leaves' and 'gateway ended' gave one number, the requests whose head was parsed. Connections, bytes of unfinished heads, the phase of an open request and how requests of a stop ended for their callers were not counted, and both lines went through the limit of log lines, so that a burst of refusals could drop them.

Change: createCallerConnections counts connections by state, createOpenRequests the open requests by phase and the ended ones by end. The lines of a stop carry them, come each second, and are never dropped; three metrics show the same.

--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -14,8 +14,10 @@
 import { type GatewayAccount, type GatewayRoute } from "../model/gateway";
 import type { CallerRequestHead } from "../ports/forwardingCodec";
 import { QUOTA_RETRY_AFTER_MS, RETRY_AFTER_MS } from "./constants";
+import { type CallerConnections, type ConnectionCounts, createCallerConnections } from "./createCallerConnections";
 import type { ConfigurationView } from "./createConfigurationHolder";
 import type { Forwarder } from "./createForwarder";
+import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
 import { waitUntilLoaded } from "./waitUntilLoaded";
@@ -40,11 +42,18 @@
     retryAfterMs: RETRY_AFTER_MS,
 });
 
+/** Numbers of the callers' connections and of the open requests by phase, and of the requests that have ended. */
+export interface CallerCounts extends ConnectionCounts {
+    readonly phases: Readonly<Record<RequestPhase, number>>;
+    readonly ends: Readonly<Record<RequestEnd, number>>;
+}
+
 /** The HTTP listener for callers. */
 export interface GatewayListener {
     readonly server: http.Server;
     /** Counts the requests without a final answer. */
     countOpen(): number;
+    countCallers(): CallerCounts;
     /** Starts to close each connection after its next answer; the node stops after `stopAfterMs`. */
     beginDrain(stopAfterMs?: number): void;
     /** Stops accepting connections, and closes the idle ones. */
@@ -78,7 +87,7 @@
     const { clock, demand, configuration, codec, log, metrics, settings } = components;
     /** Monotonic time at which this node stops; absent while it does not drain. */
     let stopsAtMs: number | undefined;
-    const openResponses = new Set<ServerResponse>();
+    const openRequests = createOpenRequests();
     let successes = 0;
 
     /** Refuses a request if the store last confirmed the keys too long ago: one of them may have been revoked since. */
@@ -127,12 +136,9 @@
               });
     };
 
-    const sendFailureAnswer = (
-        request: IncomingMessage,
-        response: ServerResponse,
-        failure: Failure,
-        head: CallerRequestHead,
-    ) => {
+    const sendFailureAnswer = (open: OpenRequest, failure: Failure, head: CallerRequestHead) => {
+        const { request, response } = open;
+        open.end = failure.execution === Execution.NotRun ? RequestEnd.Refused : RequestEnd.Failed;
         metrics.countRequest("", failure.kind);
         log.warn("request refused", {
             requestId: head.requestId,
@@ -152,47 +158,46 @@
         sendFailure(response, failure, head.requestId, { hasFractionalRetryAfter: true });
     };
 
-    const forward = async (
-        request: IncomingMessage,
-        response: ServerResponse,
-        head: CallerRequestHead,
-        receivedAtMs: number,
-    ) => {
+    const forward = async (open: OpenRequest, head: CallerRequestHead, receivedAtMs: number) => {
+        const { request, response } = open;
         await waitUntilLoaded(components, STARTUP_WAIT_MAX_MS);
         const admitted = admitHead(request, head);
         if ("kind" in admitted) {
-            sendFailureAnswer(request, response, admitted, head);
+            sendFailureAnswer(open, admitted, head);
             return;
         }
+        open.phase = RequestPhase.Body;
         const { limits } = admitted.view.configuration;
         const body = await readBody(request, { bodyBytes: limits.bodyBytesMax, idleMs: limits.idleTimeoutMs });
         if (body.isErr()) {
-            sendFailureAnswer(request, response, body.error, head);
+            sendFailureAnswer(open, body.error, head);
             return;
         }
         // While the body arrived, the configuration may have changed or its confirmation may have become too old.
         const current = admitHead(request, head);
         if ("kind" in current) {
-            sendFailureAnswer(request, response, current, head);
+            sendFailureAnswer(open, current, head);
             return;
         }
         const remainingMs = (stopsAtMs ?? Number.POSITIVE_INFINITY) - clock.readMonotonicMs();
         if (!isServableBeforeStop(current.route, remainingMs)) {
-            sendFailureAnswer(request, response, SHUTTING_DOWN_FAILURE, head);
+            sendFailureAnswer(open, SHUTTING_DOWN_FAILURE, head);
             return;
         }
         const charged = chargeQuota(current, head);
         if ("kind" in charged) {
-            sendFailureAnswer(request, response, charged, head);
+            sendFailureAnswer(open, charged, head);
             return;
         }
+        open.phase = RequestPhase.Forwarded;
         await forwardAdmitted(
+            open,
             buildExchange(components, { request, response, head, receivedAtMs, body: body.value, ...current }),
             charged.amount,
         );
     };
 
-    const forwardAdmitted = async (exchange: GatewayExchange, amount: number) => {
+    const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, amount: number) => {
         const { response, service } = exchange;
         const ended = new AbortController();
         const timer = setTimeout(
@@ -216,33 +221,35 @@
         }
         if (end.failure === undefined) {
             metrics.countRequest(service, "closed");
+            open.end = ended.signal.reason === AttemptOutcome.CallerGone ? RequestEnd.Left : RequestEnd.Cut;
             response.destroy();
             return;
         }
         if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
             quotas.refund(exchange.account, amount, clock.readMonotonicMs());
         }
-        sendFailureAnswer(exchange.request, response, end.failure, exchange.head);
+        sendFailureAnswer(open, end.failure, exchange.head);
     };
 
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
         const head = codec.readCallerHead(request.headers);
-        openResponses.add(response);
+        const open = openRequests.addRequest(request, response);
+        connections.recordRequest(request, response);
         if (stopsAtMs !== undefined) {
             response.setHeader("connection", "close");
         }
         response.once("close", () => {
-            openResponses.delete(response);
             if (stopsAtMs !== undefined) {
                 request.socket.destroySoon();
             }
         });
-        forward(request, response, head, receivedAtMs).catch((error: unknown) => {
+        forward(open, head, receivedAtMs).catch((error: unknown) => {
             log.error("request failed inside the node", {
                 requestId: head.requestId,
                 reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
             });
+            open.end = RequestEnd.Cut;
             response.destroy();
         });
     };
@@ -251,6 +258,7 @@
         { keepAlive: true, noDelay: true, connectionsCheckingInterval: 1_000 },
         handleRequest,
     );
+    const connections: CallerConnections = createCallerConnections(server);
     installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS));
     configuration.watchConfiguration(({ configuration: { limits } }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -259,12 +267,18 @@
     });
     return {
         server,
-        countOpen: () => openResponses.size,
+        countOpen: () => openRequests.list().length,
+        countCallers: () => ({
+            ...connections.countConnections(),
+            phases: openRequests.countPhases(),
+            ends: openRequests.countEnds(),
+        }),
         beginDrain: (stopAfterMs = Number.POSITIVE_INFINITY) => {
             stopsAtMs = clock.readMonotonicMs() + stopAfterMs;
-            [...openResponses]
-                .filter(response => !response.headersSent)
-                .forEach(response => response.setHeader("connection", "close"));
+            openRequests
+                .list()
+                .filter(({ response }) => !response.headersSent)
+                .forEach(({ response }) => response.setHeader("connection", "close"));
         },
         closeIdle: () => {
             server.close();
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -2,6 +2,7 @@
  * @module Counters and latency histograms of a gateway, in the Prometheus text format.
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { CallerCounts } from "./createGatewayListener";
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
 
@@ -26,6 +27,8 @@
     countStoreCall(call: string, outcome: string): void;
     /** Sets where the news of this node stands: whether it is a relay, and the age of its view of the fleet. */
     setNewsState(state: NewsState): void;
+    /** Sets the numbers of the callers' connections and requests. */
+    setCallers(counts: CallerCounts): void;
     /** Formats all metrics in the Prometheus text format. */
     formatMetrics(): Promise<string>;
 }
@@ -83,6 +86,24 @@
         labelNames: ["state"],
         registers,
     });
+    const connections = new Gauge({
+        name: "redwinglift_caller_connections",
+        help: "Open connections of callers: idle, with bytes of an unfinished head, or with a request.",
+        labelNames: ["state"],
+        registers,
+    });
+    const openRequests = new Gauge({
+        name: "redwinglift_open_requests",
+        help: "Requests without a final answer by phase.",
+        labelNames: ["phase"],
+        registers,
+    });
+    const endedRequests = new Gauge({
+        name: "redwinglift_ended_requests",
+        help: "Requests since the start by how they ended for their caller.",
+        labelNames: ["end"],
+        registers,
+    });
     return {
         countRequest: (service, outcome) => requests.inc({ service, outcome }),
         countAttempt: (service, end) => attempts.inc({ service, end }),
@@ -95,6 +116,13 @@
             nodes.set({ state: "live" }, state.nodes);
             nodes.set({ state: "reachable" }, state.reachable);
         },
+        setCallers: ({ connections: open, idle, unfinished, phases, ends }) => {
+            connections.set({ state: "idle" }, idle);
+            connections.set({ state: "unfinished" }, unfinished);
+            connections.set({ state: "busy" }, open - idle - unfinished);
+            Object.entries(phases).forEach(([phase, count]) => openRequests.set({ phase }, count));
+            Object.entries(ends).forEach(([end, count]) => endedRequests.set({ end }, count));
+        },
         formatMetrics: () => registry.metrics(),
     };
 }
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -1,7 +1,8 @@
 /**
  * @module The end of a gateway after a signal.
  */
-import type { GatewayListener } from "./createGatewayListener";
+import type { LogFields } from "../base/log/log";
+import type { CallerCounts, GatewayListener } from "./createGatewayListener";
 import type { GatewayComponents } from "./gatewayComponents";
 
 /** After a signal, new connections may arrive until the load balancer has checked the readiness twice. */
@@ -9,11 +10,13 @@
 const DRAIN_CHECK_PERIOD_MS = 100;
 /** Share of the grace time after which open requests are cut off. */
 const GRACE_SHARE = 0.97;
+/** Time between two log lines that show how far the drain has got. */
+const LOG_PERIOD_MS = 1_000;
 
 /**
  * Waits until the open requests are finished or the grace time is over.
  *
- * @param components - The components of the gateway
+ * @param components - The clock, the settings, and a log without a limit of lines
  * @param listener - The listener for callers
  * @param signal - Name of the signal, for the log
  * @returns The exit code: 1 if requests were cut off
@@ -21,18 +24,25 @@
  * process.exitCode = await drainGateway(components, listener, "SIGTERM");
  */
 export async function drainGateway(
-    components: GatewayComponents,
+    components: Pick<GatewayComponents, "clock" | "log" | "settings">,
     listener: GatewayListener,
     signal: string,
 ): Promise<number> {
     const { clock, log, settings } = components;
     const leavingAtMs = clock.readMonotonicMs();
     const computeDrainingMs = () => clock.readMonotonicMs() - leavingAtMs;
-    log.info("gateway leaves", { signal, open: listener.countOpen() });
+    const { ends: endsBefore } = listener.countCallers();
+    const describeProgress = () => describeCounts(listener.countCallers(), endsBefore);
+    log.info("gateway leaves", { signal, open: listener.countOpen(), ...describeProgress() });
     const stopAfterMs = settings.bounds.graceMs * GRACE_SHARE;
     listener.beginDrain(stopAfterMs);
+    let nextLogMs = LOG_PERIOD_MS;
     while (computeDrainingMs() < stopAfterMs) {
         await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_PERIOD_MS));
+        if (computeDrainingMs() >= nextLogMs) {
+            nextLogMs += LOG_PERIOD_MS;
+            log.info("gateway drains", { drainMs: Math.round(computeDrainingMs()), ...describeProgress() });
+        }
         if (computeDrainingMs() > ACCEPT_AFTER_SIGNAL_MS) {
             listener.closeIdle();
             if (listener.countOpen() === 0) {
@@ -40,6 +50,29 @@
             }
         }
     }
-    log.info("gateway ended", { cut: listener.countOpen(), drainMs: Math.round(computeDrainingMs()) });
+    log.info("gateway ended", {
+        cut: listener.countOpen(),
+        drainMs: Math.round(computeDrainingMs()),
+        ...describeProgress(),
+    });
     return listener.countOpen() === 0 ? 0 : 1;
 }
+
+/** Gives the numbers as fields of a log line; the ended requests are those since the signal. */
+function describeCounts({ phases, ends, ...connections }: CallerCounts, endsBefore: CallerCounts["ends"]): LogFields {
+    const before: Readonly<Record<string, number>> = endsBefore;
+    return {
+        ...connections,
+        ...withPrefix("open", Object.entries(phases)),
+        ...withPrefix(
+            "ended",
+            Object.entries(ends).map(([end, count]) => [end, count - (before[end] ?? 0)]),
+        ),
+    };
+}
+
+function withPrefix(prefix: string, entries: readonly (readonly [string, number])[]): LogFields {
+    return Object.fromEntries(
+        entries.map(([name, count]) => [`${prefix}${name.charAt(0).toUpperCase()}${name.slice(1)}`, count]),
+    );
+}
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -3,7 +3,6 @@
  */
 import http from "node:http";
 import { ulid } from "ulid";
-import type { Clock } from "../base/clock";
 import { createEntropySeededRandom } from "../base/createEntropySeededRandom";
 import { createSystemClock } from "../base/createSystemClock";
 import { createLog } from "../base/log/createLog";
@@ -59,7 +58,8 @@
 ): Promise<number> {
     const clock = createSystemClock();
     const random = createEntropySeededRandom();
-    const log = createProcessLog(clock).withFields({ node: settings.nodeName });
+    const lifeLog = createProcessLog().withFields({ node: settings.nodeName });
+    const log = createRateLimitedLog(lifeLog, clock);
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenSignalled = waitForSignal();
     watchSettings(settings, { readSettings: platformPorts.readSettings, log });
@@ -152,6 +152,7 @@
         request.resume();
         const { nodes, reachable } = news.readUsage();
         metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
+        metrics.setCallers(listener.countCallers());
         void metrics.formatMetrics().then(text => response.end(text));
     });
     await Promise.all([
@@ -165,7 +166,7 @@
     const signal = await whenSignalled;
     isLeaving = true;
     duties?.leave();
-    return drainGateway(components, listener, signal);
+    return drainGateway({ clock, settings, log: lifeLog }, listener, signal);
 }
 
 /** Creates the check whether an endpoint is in the region of this node. */
@@ -180,10 +181,10 @@
 }
 
 /** Creates the log on the standard output. If its reader goes away, lines are lost, and the process keeps running. */
-function createProcessLog(clock: Clock): Log {
+function createProcessLog(): Log {
     process.stdout.on("error", () => undefined);
     const write = (line: string) => void process.stdout.write(`${line}\n`);
-    return createRateLimitedLog(createLog({ format: LogFormat.Json, write }), clock);
+    return createLog({ format: LogFormat.Json, write });
 }
 
 /** Waits for SIGTERM or SIGINT; gives its name. */
