End every request that a node has taken with an answer before it stops

Callers: a request whose body was under way when the drain time ended, at either HTTP face, got no byte of an answer; a failure of an answer that the drain time cut went out in the same instant in which the connections were closed. The exit code was 0 where answers had been cut. Cause: the whole drain time went to the executions, so none was left for bodies under way and for sending failures; the operators' face had no drain; cut answers were not counted. Change: the last 2 s of the drain time (at most a quarter) end what is left: bodies under way are refused as not run, requests without an answer after half of it get a failure with an unknown outcome. Both faces count their open requests. The connection closes after a refusal because the node leaves. Handing jobs on can't outlast the bound any more.

--- a/src/faces/callerListener.ts
+++ b/src/faces/callerListener.ts
@@ -29,6 +29,8 @@
     refuseNew(): void;
     /** Resolves when no request is in progress, or with the number still open when `timeoutMs` has passed. */
     waitUntilIdle(timeoutMs: number): Promise<number>;
+    /** Ends what is in progress within `timeoutMs`, with a failure where it has no answer; gives the number it cut. */
+    finish(timeoutMs: number): Promise<number>;
     countOpenRequests(): number;
     /** Uses another certificate for new connections. */
     replaceIdentity(identity: TlsIdentity): void;
--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -9,6 +9,7 @@
 import { startTask } from "../base/csp";
 import { createFailure } from "../base/createFailure";
 import { type Failure, FailureKind } from "../base/failure";
+import { createOpenRequests } from "../http/createOpenRequests";
 import { installConnectionLimit } from "../http/installConnectionLimit";
 import { sendJson } from "../http/sendJson";
 import type { Account } from "../model/configuration";
@@ -25,7 +26,6 @@
     RESPONSE_BUFFER_BYTES,
 } from "./constants";
 import type { ExchangeEnd, HttpExchange } from "./httpExchange";
-import { createOpenRequests } from "./_lib/createOpenRequests";
 import { sendFailure } from "../http/sendFailure";
 import { startListening } from "../http/startListening";
 
@@ -58,8 +58,9 @@
     dependencies: Omit<CallerDependencies, "limits">,
     options: CallerListenerOptions,
 ): Promise<CallerListener> {
-    const routes = buildCallerRoutes({ ...dependencies, limits: options.limits });
     const openRequests = createOpenRequests();
+    const limits = { ...options.limits, stopped: openRequests.stopped };
+    const routes = buildCallerRoutes({ ...dependencies, limits });
     let isLeaving = false;
     let isRefusing = false;
 
@@ -76,7 +77,7 @@
         if (sendHealth(arrival.url.pathname, response, () => options.isReady() && !isLeaving)) {
             return;
         }
-        const release = openRequests.begin(response);
+        const release = openRequests.begin(response, arrival.requestId);
         const admitted = checkCapacity().andThen(() => matchExchange(routes, request, arrival.url, listAccounts()));
         const finish = (end: ExchangeEnd) => {
             release();
@@ -123,6 +124,7 @@
             isRefusing = true;
         },
         waitUntilIdle: timeoutMs => openRequests.waitUntilNone(timeoutMs),
+        finish: timeoutMs => openRequests.finish(timeoutMs),
         countOpenRequests: () => openRequests.count(),
         replaceIdentity: identity => {
             if (server instanceof https.Server) {
--- a/src/http/readBody.ts
+++ b/src/http/readBody.ts
@@ -12,6 +12,8 @@
     readonly bodyBytes: number;
     /** Longest time without data before the body is complete, in milliseconds. */
     readonly idleMs: number;
+    /** Aborted when the process stops and waits for no body any more. */
+    readonly stopped?: AbortSignal;
 }
 
 /**
@@ -20,7 +22,7 @@
  *
  * @param request - The request
  * @param limits - Largest accepted size, and longest time without data
- * @returns The body, or `BodyTooLarge`, `CallerTooSlow` or `CallerGone`
+ * @returns The body, or `BodyTooLarge`, `CallerTooSlow`, `CallerGone` or `ShuttingDown`
  * @example
  * const body = yield* waitFor(readBody(request, { bodyBytes: 1_048_576, idleMs: 30_000 }));
  */
@@ -34,6 +36,9 @@
         }
         const chunks: Buffer[] = [];
         let length = 0;
+        const handleStop = () =>
+            resolve(err(createFailure(FailureKind.ShuttingDown, "The node stopped before the request was complete.")));
+        limits.stopped?.addEventListener("abort", handleStop, { once: true });
         const idleTimer = setTimeout(
             () =>
                 resolve(
@@ -54,6 +59,7 @@
         request.on("end", () => resolve(ok(Buffer.concat(chunks))));
         request.on("close", () => {
             clearTimeout(idleTimer);
+            limits.stopped?.removeEventListener("abort", handleStop);
             resolve(
                 err(
                     createFailure(
--- a/src/http/sendFailure.ts
+++ b/src/http/sendFailure.ts
@@ -9,10 +9,11 @@
 
 const MS_PER_SECOND = 1_000;
 
-// The connection is closed after these failures, because the rest of the request is of no use.
+// The connection is closed after these failures, because the rest of the request or connection is of no use.
 const CONNECTION_CLOSING_KINDS: ReadonlySet<FailureKind> = new Set([
     FailureKind.CallerTooSlow,
     FailureKind.BodyTooLarge,
+    FailureKind.ShuttingDown,
 ]);
 
 /**
--- a/src/operator/createOperatorListener.ts
+++ b/src/operator/createOperatorListener.ts
@@ -14,6 +14,7 @@
 import { Metric } from "../base/metrics/metric";
 import type { Metrics } from "../base/metrics/metrics";
 import { buildCommandRoutes } from "../commands/buildCommandRoutes";
+import { createOpenRequests } from "../http/createOpenRequests";
 import { installConnectionLimit } from "../http/installConnectionLimit";
 import { parseJson } from "../http/parseJson";
 import { readBody } from "../http/readBody";
@@ -61,6 +62,11 @@
 /** The running listener. */
 export interface OperatorListener extends DumpSource {
     readonly port: number;
+    /**
+     * Refuses new requests and ends those in progress within `timeoutMs`, with a failure where they have no answer; gives
+     * the number it cut.
+     */
+    finish(timeoutMs: number): Promise<number>;
     /** Uses another certificate for new connections. */
     replaceIdentity(identity: TlsIdentity): void;
     /** Closes the listener and all its connections. */
@@ -93,12 +99,14 @@
 ): Promise<OperatorListener> {
     const limits = { ...DEFAULT_LIMITS, ...options.limits };
     const routes = [...buildQueryRoutes(dependencies), ...buildCommandRoutes(dependencies)];
+    const openRequests = createOpenRequests();
     let served = 0;
     const handleRequest: http.RequestListener = (request, response) => {
         served++;
         const exchange = { request, response, requestId: ulid() };
         response.setHeader("redwinglift-request-id", exchange.requestId);
-        serveExchange(exchange, routes, limits, options);
+        const release = openRequests.begin(response, exchange.requestId);
+        void serveExchange(exchange, routes, { ...limits, stopped: openRequests.stopped }, options).then(release);
     };
     const server = createServer(options, limits, handleRequest);
     const connections = installConnectionLimit(server, limits.connections);
@@ -111,6 +119,7 @@
                 server.setSecureContext({ key: identity.key, cert: identity.certificate });
             }
         },
+        finish: timeoutMs => openRequests.finish(timeoutMs),
         dumpState: () => ({ connections: connections.count(), requestsServed: served }),
         dispose: () => {
             server.close();
@@ -125,13 +134,20 @@
     connections: OPERATOR_CONNECTIONS,
 };
 
-function serveExchange(
+/** Limits of one request, and the signal that the node stops. */
+interface ExchangeLimits extends OperatorLimits {
+    readonly stopped: AbortSignal;
+}
+
+async function serveExchange(
     exchange: Exchange,
     routes: readonly OperatorRoute[],
-    limits: OperatorLimits,
+    limits: ExchangeLimits,
     options: OperatorListenerOptions,
-): void {
-    const authorized = admitExchange(exchange.request, routes, options.keyHashes);
+): Promise<void> {
+    const authorized = limits.stopped.aborted
+        ? err(createFailure(FailureKind.ShuttingDown, "This node is leaving.", { retryAfterMs: 0 }))
+        : admitExchange(exchange.request, routes, options.keyHashes);
     if (authorized.isErr()) {
         exchange.request.resume();
         sendFailure(exchange.response, authorized.error, exchange.requestId);
@@ -148,13 +164,12 @@
             sendJson(exchange.response, 200, result.value);
         }
     });
-    void task.ended.then(end => {
-        if (end.failure !== undefined) {
-            const shown = createFailure(FailureKind.Internal, "The request failed inside the system.");
-            sendFailure(exchange.response, shown, exchange.requestId);
-        }
-        reportEnd(exchange, authorized.value, end.failure ?? failure, options);
-    });
+    const end = await task.ended;
+    if (end.failure !== undefined) {
+        const shown = createFailure(FailureKind.Internal, "The request failed inside the system.");
+        sendFailure(exchange.response, shown, exchange.requestId);
+    }
+    reportEnd(exchange, authorized.value, end.failure ?? failure, options);
 }
 
 function admitExchange(
@@ -182,7 +197,7 @@
 function* runHandler(
     exchange: Exchange,
     authorized: AuthorizedExchange,
-    limits: OperatorLimits,
+    limits: ExchangeLimits,
 ): TaskGenerator<Result<unknown, Failure>> {
     const { route, pathParameters, url } = authorized;
     const body = yield* readJsonBody(exchange.request, route, limits);
@@ -195,13 +210,13 @@
 function* readJsonBody(
     request: http.IncomingMessage,
     route: OperatorRoute,
-    limits: OperatorLimits,
+    limits: ExchangeLimits,
 ): TaskGenerator<Result<unknown, Failure>> {
     if (route.method === "GET" || route.method === "DELETE") {
         request.resume();
         return ok(undefined);
     }
-    const body = yield* waitFor(readBody(request, { bodyBytes: limits.bodyBytes, idleMs: limits.headerMs }));
+    const body = yield* waitFor(readBody(request, { ...limits, idleMs: limits.headerMs }));
     return body.andThen(parseJson);
 }
 
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -7,6 +7,7 @@
 import type { DumpSource } from "./base/dump";
 import type { Failure } from "./base/failure";
 import { Metric } from "./base/metrics/metric";
+import { drainNode } from "./drainNode";
 import type { CallerListener, ExchangeSummary } from "./faces/callerListener";
 import { createCallerListener } from "./faces/createCallerListener";
 import { watchTlsIdentity } from "./http/watchTlsIdentity";
@@ -14,7 +15,7 @@
 import { createGrpcTransport } from "./nodes/createGrpcTransport";
 import { createTlsWatcher } from "./nodes/createTlsWatcher";
 import type { NodeParts } from "./nodeParts";
-import { createOperatorListener } from "./operator/createOperatorListener";
+import { createOperatorListener, type OperatorListener } from "./operator/createOperatorListener";
 import { collectDump } from "./queries/collectDump";
 import { validateConfiguration } from "./queries/validateConfiguration";
 import type { Settings } from "./settings/settings";
@@ -37,9 +38,6 @@
 import { createRoutingTask } from "./tasks/routing/createRoutingTask";
 import { createVersionTask } from "./tasks/versions/createVersionTask";
 
-/** How long the balancer may still send callers after the node has said that it leaves. */
-const BALANCER_NOTICE_MS = 3_000;
-
 /** A running node. */
 export interface RunningNode {
     readonly nodeId: string;
@@ -56,7 +54,8 @@
     countOpenRequests(): number;
     /**
      * Leaves: tells balancer and nodes, hands jobs on, refuses new requests after a moment and finishes those in
-     * progress. Resolves with the number of requests that its bound cut.
+     * progress. What has no answer shortly before the bound is ended with a failure. Resolves with the number of
+     * requests that its bound cut.
      */
     drain(boundMs: number): Promise<number>;
     /** Stops at once; what is in progress is cut. */
@@ -146,7 +145,8 @@
         dumpState: () =>
             collectDump({ node: describeNode(settings), clock: parts.clock, listDumpSources: () => dumpSources }),
         countOpenRequests: () => callers.countOpenRequests(),
-        drain: boundMs => drainNode(wiring, agreement, work, callers, boundMs),
+        drain: boundMs =>
+            drainNode({ clock: parts.clock, membership: agreement.membership, ...work, callers, operators }, boundMs),
         dispose: () => owned.dispose(),
     };
 }
@@ -309,7 +309,12 @@
     return listener;
 }
 
-async function wireOperators(wiring: Wiring, agreement: Agreement, work: Work, dumpSources: readonly DumpSource[]) {
+async function wireOperators(
+    wiring: Wiring,
+    agreement: Agreement,
+    work: Work,
+    dumpSources: readonly DumpSource[],
+): Promise<OperatorListener> {
     const { settings, parts, owned, reportFailure } = wiring;
     const { clock, log, metrics } = parts;
     const { address, port, tls } = settings.operators;
@@ -350,26 +355,6 @@
     });
 }
 
-async function drainNode(
-    wiring: Wiring,
-    agreement: Agreement,
-    work: Work,
-    callers: CallerListener,
-    boundMs: number,
-): Promise<number> {
-    const { clock } = wiring.parts;
-    const endAtMs = clock.readMonotonicMs() + boundMs;
-    const computeRest = () => Math.max(0, endAtMs - clock.readMonotonicMs());
-    callers.announceLeaving();
-    const left = agreement.membership.leave();
-    // A job that may not be repeated can take the whole bound; callers' requests finish beside it.
-    const jobsDrained = work.jobs.drain(boundMs);
-    await clock.waitMs(Math.min(BALANCER_NOTICE_MS, boundMs));
-    callers.refuseNew();
-    await Promise.all([left, jobsDrained, work.execution.drain(computeRest())]);
-    return callers.waitUntilIdle(computeRest());
-}
-
 function describeNode(settings: Settings) {
     const { nodeId, vmId, region, failureDomain } = settings;
     return { nodeId, vmId, region, failureDomain, programVersion: process.env["REDWINGLIFT_VERSION"] ?? "development" };
