--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -10,7 +10,13 @@
 import { readInstant } from "../../base/instant";
 import { createLog } from "../../base/log/createLog";
 import { createAccountQuotas } from "../../decisions/gateway/accountQuotas";
-import type { GatewayAccount, GatewayConfiguration, GatewayRoute, GatewaySettings } from "../../model/gateway";
+import type {
+    GatewayAccount,
+    GatewayBounds,
+    GatewayConfiguration,
+    GatewayRoute,
+    GatewaySettings,
+} from "../../model/gateway";
 import { createConfigurationHolder, type ConfigurationHolder } from "../createConfigurationHolder";
 import { createDemandMeter } from "../createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "../createEndpointDirectory";
@@ -102,7 +108,7 @@
  * @param route - The route; its service is `chat`
  * @param scripts - The behaviour of each endpoint
  * @param options - `isWithoutConfiguration`: no configuration is in force and none was confirmed; `confirmedAgoMs`: how
- * long ago the store confirmed it (default 0)
+ * long ago the store confirmed it (default 0); `bounds`: bounds to override
  * @returns The harness; otherwise the configuration is in force and has just been confirmed
  * @example
  * const harness = await createGatewayHarness(makeRoute(), [answer]);
@@ -110,16 +116,21 @@
 export async function createGatewayHarness(
     route: GatewayRoute,
     scripts: readonly EndpointScript[],
-    options: { readonly isWithoutConfiguration?: boolean; readonly confirmedAgoMs?: number } = {},
+    options: {
+        readonly isWithoutConfiguration?: boolean;
+        readonly confirmedAgoMs?: number;
+        readonly bounds?: Partial<GatewayBounds>;
+    } = {},
 ): Promise<GatewayHarness> {
+    const settings: GatewaySettings = { ...SETTINGS, bounds: { ...SETTINGS.bounds, ...options.bounds } };
     const clock = createSystemClock();
     const log = createLog({ write: () => undefined });
     const configuration = createConfigurationHolder(clock, log);
-    const directory = createEndpointDirectory(SETTINGS, clock, log);
+    const directory = createEndpointDirectory(settings, clock, log);
     const endpoints = await Promise.all(scripts.map(startScriptedEndpoint));
     const countedAccounts: string[] = [];
     const components = {
-        settings: SETTINGS,
+        settings,
         clock,
         random: createRandom(1),
         log,
@@ -135,7 +146,7 @@
         demand: createDemandMeter(clock),
         news: makeNews(),
     };
-    const quotas = createAccountQuotas(SETTINGS.bounds, undefined, createRandom(1));
+    const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
     const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
     let current: GatewayConfiguration = {
         version: 1,
