Give an attempt up only for an endpoint that is there

What callers saw: with two attempts allowed and one usable endpoint, 502 outcome_unknown after 0.9 of the route's objective for a request that the endpoint would have answered with 200; a resumable stream cut after a pause of a second.

Cause: the time limits of an attempt were set when it was sent, by what the route permits; whether another endpoint existed, could be reached, and whether the retry budget and the time allowed it, was asked only after the attempt had been dropped.

Change: when a limit is over, decideGiveUp asks for another endpoint that is usable, untried and reachable and is expected to answer in the time left, and charges the retry budget; otherwise the attempt waits on and it is asked again every 250 ms. Without anything better the attempt ends at the route's timeout.

--- a/src/gateway/_testing/runAttempt.ts
+++ b/src/gateway/_testing/runAttempt.ts
@@ -58,6 +58,7 @@
             maxIdleMs: undefined,
             answerTimeoutMs: undefined,
             eventTimeoutMs: undefined,
+            canGiveUp: () => true,
             ended: new AbortController().signal,
             handleAnswerHead: () => undefined,
             handleFirstPart: () => undefined,
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -16,6 +16,7 @@
     isFailedStatus,
     isRepeatable,
 } from "../decisions/gateway/decideNextAction";
+import { decideGiveUp } from "../decisions/gateway/decideGiveUp";
 import { filterServable } from "../decisions/gateway/filterServable";
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../decisions/gateway/serviceRetryBudget";
 import { RouteKind } from "../model/gateway";
@@ -37,7 +38,7 @@
 
 /** Time that must be left before the timeout for another attempt. */
 const ATTEMPT_TIME_MIN_MS = 60;
-/** Share of the route's objective after which a repeatable request without an answer is sent to another endpoint. */
+/** Share of the route's objective after which a repeatable request without an answer may go to another endpoint. */
 const ANSWER_TIMEOUT_SHARE = 0.9;
 /** Longest pause between two events of a resumable stream, as a multiple of the route's target. */
 const EVENT_TIMEOUT_FACTOR = 3;
@@ -78,6 +79,8 @@
     executions: number;
     /** All attempts. */
     sends: number;
+    /** True if the next attempt was charged to the retry budget when the one before it was given up. */
+    isRetryCharged: boolean;
     /** True once the request was counted in the usage of its account. */
     isUsageRecorded: boolean;
 }
@@ -100,14 +103,42 @@
         return allowance;
     };
 
+    const listUntried = ({ exchange, triedEndpoints }: ForwardingState, nowMs: number) => {
+        const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
+        const untried = usable.filter(record => !triedEndpoints.has(record.endpoint.id));
+        return { untried, reachable: untried.filter(record => record.suspectUntilMs <= nowMs) };
+    };
+
+    const chargeRetry = ({ exchange }: ForwardingState, nowMs: number): boolean =>
+        readAllowance(exchange.service).chargeRetry(components.news.readUsage().nodes, nowMs);
+
+    /** Decides whether the present attempt is given up; the retry is charged then. */
+    const canGiveUp = (state: ForwardingState): boolean => {
+        const { exchange, request } = state;
+        const nowMs = clock.readMonotonicMs();
+        const speed = speeds.readSpeed(exchange.service);
+        const isGivenUp = decideGiveUp(exchange.route, {
+            executions: state.executions,
+            sends: state.sends,
+            remainingMs: exchange.timeoutAtMs - nowMs - ATTEMPT_TIME_MIN_MS,
+            estimateElsewhereMs: () => {
+                const { reachable } = listUntried(state, nowMs);
+                const estimatesMs = reachable.map(record =>
+                    estimateResponseMs(buildEndpointView(record, request.promptParts, nowMs), request, speed, false),
+                );
+                return estimatesMs.length === 0 ? undefined : Math.min(...estimatesMs);
+            },
+            chargeRetry: () => chargeRetry(state, nowMs),
+        });
+        state.isRetryCharged ||= isGivenUp;
+        return isGivenUp;
+    };
+
     const pickCandidate = (state: ForwardingState): Candidate | undefined => {
-        const { request } = state;
-        const { service } = state.exchange;
+        const { request, exchange } = state;
         const nowMs = clock.readMonotonicMs();
-        const usable = filterServable(directory.listUsable(service), state.exchange.head.model);
-        const untried = usable.filter(record => !state.triedEndpoints.has(record.endpoint.id));
-        const reachable = untried.filter(record => record.suspectUntilMs <= nowMs);
-        const speed = speeds.readSpeed(service);
+        const { untried, reachable } = listUntried(state, nowMs);
+        const speed = speeds.readSpeed(exchange.service);
         const candidates = (reachable.length > 0 ? reachable : untried).map(record => ({
             record,
             view: buildEndpointView(record, request.promptParts, nowMs),
@@ -143,7 +174,7 @@
         record.ownInFlight++;
         record.pendingTokens += pendingTokens;
         recordCachedParts(record, request.promptParts, sentAtMs);
-        const canSendElsewhere = isRepeatable(route) && state.executions + 1 < route.attemptsMax;
+        const isBounded = isRepeatable(route) && state.executions + 1 < route.attemptsMax;
         const result = await sendAttempt({
             record,
             method: exchange.request.method ?? "GET",
@@ -162,10 +193,11 @@
             codec: components.codec,
             relay: state.relay,
             maxIdleMs: isRepeatable(route) ? undefined : NON_REPEATABLE_IDLE_MAX_MS,
-            answerTimeoutMs: canSendElsewhere
+            answerTimeoutMs: isBounded
                 ? Math.max(route.objectiveMs * ANSWER_TIMEOUT_SHARE, estimatedMs * 2)
                 : undefined,
-            eventTimeoutMs: canSendElsewhere ? Math.max(1_000, route.gapTargetMs * EVENT_TIMEOUT_FACTOR) : undefined,
+            eventTimeoutMs: isBounded ? Math.max(1_000, route.gapTargetMs * EVENT_TIMEOUT_FACTOR) : undefined,
+            canGiveUp: () => canGiveUp(state),
             ended: state.ended,
             handleAnswerHead: answer => applyAnswerHead(record, answer, clock.readMonotonicMs()),
             handleFirstPart,
@@ -184,16 +216,16 @@
     };
 
     const decideNext = (state: ForwardingState, result: AttemptResult): NextAction => {
-        const { exchange } = state;
-        const allowance = readAllowance(exchange.service);
+        const { exchange, isRetryCharged } = state;
         const nowMs = clock.readMonotonicMs();
+        state.isRetryCharged = false;
         return decideNextAction(exchange.route, {
             end: result.end,
             status: result.answer?.status,
             executions: state.executions,
             sends: state.sends,
             hasTime: exchange.timeoutAtMs - nowMs > ATTEMPT_TIME_MIN_MS,
-            chargeRetry: () => allowance.chargeRetry(components.news.readUsage().nodes, nowMs),
+            chargeRetry: () => isRetryCharged || chargeRetry(state, nowMs),
         });
     };
 
@@ -209,6 +241,7 @@
             triedEndpoints: new Set(),
             executions: 0,
             sends: 0,
+            isRetryCharged: false,
             isUsageRecorded: false,
         };
         readAllowance(exchange.service).recordRequest(clock.readMonotonicMs());
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -28,9 +28,14 @@
     readonly relay: StreamRelay;
     /** Longest idle time of a connection that may be used; default: the idle timeout of the endpoint. */
     readonly maxIdleMs: number | undefined;
-    /** Longest wait for the answer or its first event, and between two events; absent: no limit but `ended`. */
+    /**
+     * Time without the answer or its first event, and between two events, after which `canGiveUp` is asked, at first and
+     * again from time to time; absent: there is no limit but `ended`.
+     */
     readonly answerTimeoutMs: number | undefined;
     readonly eventTimeoutMs: number | undefined;
+    /** Decides, when one of the two times is over, whether the attempt is given up. */
+    readonly canGiveUp: () => boolean;
     /** Aborts the attempt when the caller leaves or the request times out; its reason is the `AttemptOutcome`. */
     readonly ended: AbortSignal;
     readonly handleAnswerHead: (head: ResponseHead) => void;
@@ -54,6 +59,8 @@
 
 /** Largest answer that is read whole before it is relayed. */
 const WHOLE_ANSWER_BYTES_MAX = 8 * 1_048_576;
+/** Time after which it is asked again whether an attempt is given up. */
+const GIVE_UP_INTERVAL_MS = 250;
 /** Most informational answers (status 1xx) before the final one. */
 const INFORMATIONAL_ANSWERS_MAX = 8;
 const EVENT_STREAM = /^text\/event-stream\b/i;
@@ -83,8 +90,17 @@
             agent: record.connections.prepareAgent(options.maxIdleMs),
         });
         let isSettled = false;
-        const waitBound = createWaitBound(message => settleUnanswered(message));
+        let overdue: string | undefined;
+        const waitBound = createWaitBound(message => {
+            overdue ??= message;
+            if (!sentBytes.hasSentBytes() || options.canGiveUp()) {
+                settleUnanswered(overdue);
+            } else {
+                waitBound.beginWait(GIVE_UP_INTERVAL_MS, "answer");
+            }
+        });
         const beginWait: BeginWait = (delayMs, awaited) => {
+            overdue = undefined;
             if (delayMs === undefined || isSettled) {
                 waitBound.endWait();
             } else {
