Keep a whole answer that other bytes follow

What callers saw: 502 outcome_unknown, or a stream closed without any event, where an endpoint's answer had been received whole by its length or chunks and bytes of no protocol followed in the same packet.

Cause: the parser's error about the bytes after the answer ended the attempt before the answer's own end was handled.

Change: an error of the connection after the answer was received whole doesn't end the attempt; the connection is closed as before.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -130,7 +130,13 @@
             );
         beginWait(CONNECT_TIMEOUT_MS, "connection");
         const sentBytes = trackSentBytes(request, () => beginWait(options.answerTimeoutMs, "answer"));
-        request.on("error", error => settleUnanswered(describeError(error)));
+        let answer: http.IncomingMessage | undefined;
+        request.on("error", error => {
+            // Bytes after a whole answer belong to no request; the answer stands, and the connection is closed.
+            if (answer?.complete !== true) {
+                settleUnanswered(describeError(error));
+            }
+        });
         let informationalAnswers = 0;
         request.on("information", () => {
             if (++informationalAnswers > INFORMATIONAL_ANSWERS_MAX) {
@@ -138,6 +144,7 @@
             }
         });
         request.on("response", response => {
+            answer = response;
             waitBound.endWait();
             handleResponse(options, response, settle, beginWait);
         });
