--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -18,6 +18,7 @@
 import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
 import { createGatewayMetrics } from "../createGatewayMetrics";
 import { createServiceSpeeds } from "../createServiceSpeeds";
+import { drainGateway } from "../drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
 import { makeEndpoint } from "./makeEndpoint";
 import { makeNews } from "./makeNews";
@@ -40,6 +41,10 @@
     readonly configuration: ConfigurationHolder;
     readonly directory: EndpointDirectory;
     readonly endpoints: readonly ScriptedEndpoint[];
+    /** Port of the listener for callers. */
+    readonly port: number;
+    /** Stops the node as a signal does; its connections are closed when the process would end. */
+    stop(): Promise<number>;
     /** Account of each request that was counted in the usage. */
     readonly countedAccounts: readonly string[];
     /** Records that the store confirmed the configuration this many milliseconds ago; default: now. */
@@ -102,7 +107,7 @@
  * @param route - The route; its service is `chat`
  * @param scripts - The behaviour of each endpoint
  * @param options - `isWithoutConfiguration`: no configuration is in force and none was confirmed; `confirmedAgoMs`: how
- * long ago the store confirmed it (default 0)
+ * long ago the store confirmed it (default 0); `graceMs`: time between the signal and the end of the process
  * @returns The harness; otherwise the configuration is in force and has just been confirmed
  * @example
  * const harness = await createGatewayHarness(makeRoute(), [answer]);
@@ -110,8 +115,13 @@
 export async function createGatewayHarness(
     route: GatewayRoute,
     scripts: readonly EndpointScript[],
-    options: { readonly isWithoutConfiguration?: boolean; readonly confirmedAgoMs?: number } = {},
+    options: {
+        readonly isWithoutConfiguration?: boolean;
+        readonly confirmedAgoMs?: number;
+        readonly graceMs?: number;
+    } = {},
 ): Promise<GatewayHarness> {
+    const { graceMs = SETTINGS.bounds.graceMs } = options;
     const clock = createSystemClock();
     const log = createLog({ write: () => undefined });
     const configuration = createConfigurationHolder(clock, log);
@@ -119,7 +129,7 @@
     const endpoints = await Promise.all(scripts.map(startScriptedEndpoint));
     const countedAccounts: string[] = [];
     const components = {
-        settings: SETTINGS,
+        settings: { ...SETTINGS, bounds: { ...SETTINGS.bounds, graceMs } },
         clock,
         random: createRandom(1),
         log,
@@ -171,6 +181,12 @@
         configuration,
         directory,
         endpoints,
+        port,
+        stop: async () => {
+            const exitCode = await drainGateway(components, listener, "SIGTERM");
+            listener.server.closeAllConnections();
+            return exitCode;
+        },
         countedAccounts,
         apply,
         confirm,
