Take a request late in a stop only if its timeout fits

Callers saw: a request sent 3.3 s after the signal was taken, and the process ended without a byte of an answer to it.

Cause: USUAL_DURATION_MS, what a request usually needs, stood where the longest time is needed that it may need.

Change: computeStopTimes gives all times of a stop from the grace time. The test of the refusal passes times instead of 1,000 ms, with the same assertions: the refusal now depends on the time since the signal too.

--- a/src/decisions/gateway/isServableBeforeStop.ts
+++ b/src/decisions/gateway/isServableBeforeStop.ts
@@ -1,25 +1,23 @@
 /**
  * @module Decides whether a node that is about to stop may still take a request.
  */
-import { type GatewayRoute, RouteKind } from "../../model/gateway";
-
-/** Time that a request usually needs, in milliseconds. */
-const USUAL_DURATION_MS: Readonly<Record<RouteKind, number>> = {
-    [RouteKind.Streaming]: 4_000,
-    [RouteKind.Idempotent]: 1_500,
-    [RouteKind.NonIdempotent]: 1_500,
-};
+import type { StopTimes } from "./computeStopTimes";
 
 /**
- * Decides whether a request can be ended before the node stops. One that can't is refused at once, so that its caller
- * may send it to another node while there is time.
+ * Decides whether a request is taken. One that came late and may last longer than the node is refused at once, so that
+ * its caller may send it to another node while there is time.
  *
- * @param route - The request's route
- * @param remainingMs - Time until the node stops
+ * @param times - The times of the stop
+ * @param drainingMs - Time since the signal
+ * @param timeoutInMs - Time until the request's timeout, the longest time that it can take
  * @returns True if the request may be taken
  * @example
- * isServableBeforeStop(route, 7_000); //=> true
+ * isServableBeforeStop(computeStopTimes(8_000), 3_300, 8_000); //=> false
  */
-export function isServableBeforeStop(route: Pick<GatewayRoute, "kind" | "timeoutMs">, remainingMs: number): boolean {
-    return remainingMs >= Math.min(route.timeoutMs, USUAL_DURATION_MS[route.kind]);
+export function isServableBeforeStop(
+    times: Pick<StopTimes, "takesAllMs" | "endsRequestsMs">,
+    drainingMs: number,
+    timeoutInMs: number,
+): boolean {
+    return drainingMs <= times.takesAllMs || drainingMs + timeoutInMs <= times.endsRequestsMs;
 }
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -6,6 +6,7 @@
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
+import type { StopTimes } from "../decisions/gateway/computeStopTimes";
 import { isServableBeforeStop } from "../decisions/gateway/isServableBeforeStop";
 import { findRoute } from "../decisions/gateway/routeTable";
 import { installConnectionLimit } from "../http/installConnectionLimit";
@@ -54,8 +55,8 @@
     /** Counts the requests without a final answer. */
     countOpen(): number;
     countCallers(): CallerCounts;
-    /** Starts to close each connection after its next answer; the node stops after `stopAfterMs`. */
-    beginDrain(stopAfterMs?: number): void;
+    /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
+    beginDrain(times: StopTimes): void;
     /** Stops accepting connections, and closes the idle ones. */
     closeIdle(): void;
 }
@@ -85,8 +86,8 @@
 export function createGatewayListener(options: GatewayListenerOptions): GatewayListener {
     const { components, forwarder, quotas } = options;
     const { clock, demand, configuration, codec, log, metrics, settings } = components;
-    /** Monotonic time at which this node stops; absent while it does not drain. */
-    let stopsAtMs: number | undefined;
+    /** The times of the stop, and the monotonic time of its signal; absent while the node does not drain. */
+    let stop: { readonly times: StopTimes; readonly signalledAtMs: number } | undefined;
     const openRequests = createOpenRequests();
     let successes = 0;
 
@@ -122,6 +123,11 @@
             : { route, account, view };
     };
 
+    const isTaken = (timeoutAtMs: number): boolean => {
+        const nowMs = clock.readMonotonicMs();
+        return stop === undefined || isServableBeforeStop(stop.times, nowMs - stop.signalledAtMs, timeoutAtMs - nowMs);
+    };
+
     const chargeQuota = (admitted: AdmittedRequest, head: CallerRequestHead): { amount: number } | Failure => {
         const { account } = admitted;
         if (account === undefined) {
@@ -149,7 +155,7 @@
             configurationVersion: configuration.readCurrent()?.configuration.version,
             confirmedAgeMs: Math.round(configuration.computeAgeMs()),
         });
-        if (stopsAtMs !== undefined || CLOSING_FAILURES.has(failure.kind)) {
+        if (stop !== undefined || CLOSING_FAILURES.has(failure.kind)) {
             response.setHeader("connection", "close");
         }
         if (!request.complete) {
@@ -179,8 +185,8 @@
             sendFailureAnswer(open, current, head);
             return;
         }
-        const remainingMs = (stopsAtMs ?? Number.POSITIVE_INFINITY) - clock.readMonotonicMs();
-        if (!isServableBeforeStop(current.route, remainingMs)) {
+        const timeoutAtMs = computeTimeoutAtMs(current.route, head, receivedAtMs);
+        if (!isTaken(timeoutAtMs)) {
             sendFailureAnswer(open, SHUTTING_DOWN_FAILURE, head);
             return;
         }
@@ -236,11 +242,11 @@
         const head = codec.readCallerHead(request.headers);
         const open = openRequests.addRequest(request, response);
         connections.recordRequest(request, response);
-        if (stopsAtMs !== undefined) {
+        if (stop !== undefined) {
             response.setHeader("connection", "close");
         }
         response.once("close", () => {
-            if (stopsAtMs !== undefined) {
+            if (stop !== undefined) {
                 request.socket.destroySoon();
             }
         });
@@ -273,8 +279,8 @@
             phases: openRequests.countPhases(),
             ends: openRequests.countEnds(),
         }),
-        beginDrain: (stopAfterMs = Number.POSITIVE_INFINITY) => {
-            stopsAtMs = clock.readMonotonicMs() + stopAfterMs;
+        beginDrain: times => {
+            stop = { times, signalledAtMs: clock.readMonotonicMs() };
             openRequests
                 .list()
                 .filter(({ response }) => !response.headersSent)
@@ -292,7 +298,6 @@
     admitted: AdmittedRequest & Pick<GatewayExchange, "request" | "response" | "head" | "receivedAtMs" | "body">,
 ): GatewayExchange {
     const { route, account, view, head, receivedAtMs } = admitted;
-    const deadlineAtMs = receivedAtMs + Math.min(head.deadlineMs ?? route.timeoutMs, DEADLINE_MAX_MS);
     return {
         request: admitted.request,
         response: admitted.response,
@@ -303,12 +308,20 @@
         priority: account?.priority ?? route.priority,
         body: admitted.body,
         receivedAtMs,
-        deadlineAtMs,
-        timeoutAtMs: Math.min(deadlineAtMs, receivedAtMs + route.timeoutMs),
+        deadlineAtMs: computeDeadlineAtMs(route, head, receivedAtMs),
+        timeoutAtMs: computeTimeoutAtMs(route, head, receivedAtMs),
         configurationVersion: view.configuration.version,
     };
 }
 
+function computeDeadlineAtMs(route: GatewayRoute, head: CallerRequestHead, receivedAtMs: number): number {
+    return receivedAtMs + Math.min(head.deadlineMs ?? route.timeoutMs, DEADLINE_MAX_MS);
+}
+
+function computeTimeoutAtMs(route: GatewayRoute, head: CallerRequestHead, receivedAtMs: number): number {
+    return Math.min(computeDeadlineAtMs(route, head, receivedAtMs), receivedAtMs + route.timeoutMs);
+}
+
 /** Chooses one of the route's services by weight. `fraction` is a random number from 0 to 1. */
 function chooseService(route: GatewayRoute, fraction: number): string {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -2,14 +2,11 @@
  * @module The end of a gateway after a signal.
  */
 import type { LogFields } from "../base/log/log";
+import { computeStopTimes } from "../decisions/gateway/computeStopTimes";
 import type { CallerCounts, GatewayListener } from "./createGatewayListener";
 import type { GatewayComponents } from "./gatewayComponents";
 
-/** After a signal, new connections may arrive until the load balancer has checked the readiness twice. */
-const ACCEPT_AFTER_SIGNAL_MS = 3_500;
 const DRAIN_CHECK_PERIOD_MS = 100;
-/** Share of the grace time after which open requests are cut off. */
-const GRACE_SHARE = 0.97;
 /** Time between two log lines that show how far the drain has got. */
 const LOG_PERIOD_MS = 1_000;
 
@@ -34,16 +31,16 @@
     const { ends: endsBefore } = listener.countCallers();
     const describeProgress = () => describeCounts(listener.countCallers(), endsBefore);
     log.info("gateway leaves", { signal, open: listener.countOpen(), ...describeProgress() });
-    const stopAfterMs = settings.bounds.graceMs * GRACE_SHARE;
-    listener.beginDrain(stopAfterMs);
+    const times = computeStopTimes(settings.bounds.graceMs);
+    listener.beginDrain(times);
     let nextLogMs = LOG_PERIOD_MS;
-    while (computeDrainingMs() < stopAfterMs) {
+    while (computeDrainingMs() < times.endsProcessMs) {
         await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_PERIOD_MS));
         if (computeDrainingMs() >= nextLogMs) {
             nextLogMs += LOG_PERIOD_MS;
             log.info("gateway drains", { drainMs: Math.round(computeDrainingMs()), ...describeProgress() });
         }
-        if (computeDrainingMs() > ACCEPT_AFTER_SIGNAL_MS) {
+        if (computeDrainingMs() > times.acceptsMs) {
             listener.closeIdle();
             if (listener.countOpen() === 0) {
                 break;
--- a/src/gateway/gateway.test.ts
+++ b/src/gateway/gateway.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import http from "node:http";
 import { afterEach, describe, it } from "node:test";
+import { computeStopTimes } from "../decisions/gateway/computeStopTimes";
 import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
 import { type GatewayRoute, RouteKind } from "../model/gateway";
 import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
@@ -242,7 +243,7 @@
         });
         const pending = send();
         await new Promise(resolve => setTimeout(resolve, 20));
-        listener.beginDrain();
+        listener.beginDrain(computeStopTimes(8_000));
         assert.equal((await pending).status, 200);
         const answer = await send({ headers: { connection: "keep-alive" } });
         assert.equal(answer.status, 200);
@@ -255,7 +256,7 @@
         });
         const pending = send({ headers: { connection: "keep-alive" } });
         await new Promise(resolve => setTimeout(resolve, 20));
-        listener.beginDrain();
+        listener.beginDrain(computeStopTimes(8_000));
         assert.equal((await pending).headers["connection"], "close");
     });
 
@@ -267,7 +268,7 @@
         });
         const pending = send({ agent });
         await new Promise(resolve => setTimeout(resolve, 30));
-        listener.beginDrain();
+        listener.beginDrain(computeStopTimes(8_000));
         const answer = await pending;
         assert.equal(answer.isComplete, true);
         await new Promise(resolve => setTimeout(resolve, 30));
@@ -279,7 +280,7 @@
         const { send, listener } = await start(makeRoute(), (_request, socket) =>
             socket.write(formatAnswer("hello", { headers: [ATTEMPT_ID] })),
         );
-        listener.beginDrain(1_000);
+        listener.beginDrain({ ...computeStopTimes(1_000), takesAllMs: 0 });
         const answer = await send();
         assert.equal(answer.status, 503);
         assert.equal(JSON.parse(answer.body).error.execution, "not_run");
