--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -24,6 +24,7 @@
 import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
 import { createGatewayMetrics } from "../createGatewayMetrics";
 import { createServiceSpeeds } from "../createServiceSpeeds";
+import { drainGateway } from "../drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
 import { makeEndpoint } from "./makeEndpoint";
 import { makeNews } from "./makeNews";
@@ -46,6 +47,10 @@
     readonly configuration: ConfigurationHolder;
     readonly directory: EndpointDirectory;
     readonly endpoints: readonly ScriptedEndpoint[];
+    /** Port of the listener for callers. */
+    readonly port: number;
+    /** Stops the node as a signal does; its connections are closed when the process would end. */
+    stop(): Promise<number>;
     /** Account of each request that was counted in the usage. */
     readonly countedAccounts: readonly string[];
     /** Records that the store confirmed the configuration this many milliseconds ago; default: now. */
@@ -182,6 +187,12 @@
         configuration,
         directory,
         endpoints,
+        port,
+        stop: async () => {
+            const exitCode = await drainGateway(components, listener, "SIGTERM");
+            listener.server.closeAllConnections();
+            return exitCode;
+        },
         countedAccounts,
         apply,
         confirm,
