Log what an endpoint and an answer did at the end of an attempt

Callers saw: one prompt part ended endpoint after endpoint. Cause: not looked at yet. The line "attempt ended" named neither the prompt parts nor whether the answer had begun, nor what else broke at the endpoint at that moment, so that a crash could not be told from other breaks. Change: the line names the connection's end (broken by the other side, refused, or neither), the age of the answer, the shared prompt parts, the start of the endpoint, the breaks of this node there within 250 ms and the requests still there. A counter redwinglift_connection_ends_total. What is recorded of an endpoint moved to applyAttemptOutcome.ts unchanged. Nothing is decided by it.

--- /dev/null
+++ b/src/gateway/applyAttemptOutcome.ts
@@ -0,0 +1,64 @@
+/**
+ * @module Records in the state of an endpoint what an attempt tells about it.
+ */
+import { AttemptOutcome, isFailedStatus } from "../decisions/gateway/decideNextAction";
+import type { ResponseHead } from "../ports/forwardingCodec";
+import { type EndpointRecord, recordAttemptOutcome, recordLoad, recordUnreachable } from "./endpointRecord";
+import type { AttemptResult } from "./sendAttempt";
+
+/**
+ * Records what the head of an answer tells about the endpoint.
+ *
+ * @param record - The endpoint
+ * @param answer - The head
+ * @param nowMs - Monotonic time
+ * @example
+ * applyAnswerHead(record, answer, clock.readMonotonicMs());
+ */
+export function applyAnswerHead(record: EndpointRecord, answer: ResponseHead, nowMs: number): void {
+    if (answer.load !== undefined) {
+        recordLoad(record, answer.load, nowMs);
+    }
+    if (answer.idleTimeoutMs !== undefined) {
+        record.connections.setIdleTimeout(answer.idleTimeoutMs);
+    }
+    if (answer.isMisdirected) {
+        record.isMisdirected = true;
+    }
+}
+
+/**
+ * Records what the end of an attempt tells about the endpoint.
+ *
+ * @param record - The endpoint
+ * @param result - How the attempt ended
+ * @param nowMs - Monotonic time
+ * @example
+ * applyOutcome(record, result, clock.readMonotonicMs());
+ */
+export function applyOutcome(record: EndpointRecord, result: AttemptResult, nowMs: number): void {
+    OUTCOME_RECORDERS[result.end]?.(record, nowMs, result);
+}
+
+/** What is recorded about the endpoint after each end of an attempt. */
+const OUTCOME_RECORDERS: Readonly<
+    Partial<Record<AttemptOutcome, (record: EndpointRecord, nowMs: number, result: AttemptResult) => void>>
+> = {
+    [AttemptOutcome.Relayed]: (record, nowMs) => recordAttemptOutcome(record, false, nowMs),
+    [AttemptOutcome.Answered]: (record, nowMs, result) =>
+        recordAttemptOutcome(record, isFailedStatus(result.answer?.status), nowMs),
+    [AttemptOutcome.NotSent]: (record, nowMs) => {
+        recordUnreachable(record, nowMs);
+        record.connections.closeIdle();
+    },
+    [AttemptOutcome.NotExecuted]: (record, nowMs) => recordAttemptOutcome(record, true, nowMs),
+    [AttemptOutcome.Lost]: (record, nowMs) => {
+        recordAttemptOutcome(record, true, nowMs);
+        record.connections.closeIdle();
+    },
+    [AttemptOutcome.Broken]: (record, nowMs) => recordAttemptOutcome(record, true, nowMs),
+    [AttemptOutcome.TimedOut]: (record, nowMs) => {
+        recordAttemptOutcome(record, true, nowMs);
+        record.connections.closeIdle();
+    },
+};
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -17,23 +17,22 @@
     isRepeatable,
 } from "../decisions/gateway/decideNextAction";
 import { filterServable } from "../decisions/gateway/filterServable";
+import { listSharedParts } from "../decisions/gateway/listSharedParts";
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../decisions/gateway/serviceRetryBudget";
 import { RouteKind } from "../model/gateway";
-import type { ResponseHead } from "../ports/forwardingCodec";
+import { applyAnswerHead, applyOutcome } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS, RETRY_AFTER_MS } from "./constants";
 import { createStreamRelay, type StreamRelay } from "./createStreamRelay";
 import {
     buildEndpointView,
     type EndpointRecord,
     recordAnswerTime,
-    recordAttemptOutcome,
     recordCachedParts,
-    recordLoad,
-    recordUnreachable,
+    recordConnectionBreak,
 } from "./endpointRecord";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
-import { type AttemptResult, sendAttempt, type WholeAnswer } from "./sendAttempt";
+import { type AttemptResult, ConnectionEnd, sendAttempt, type WholeAnswer } from "./sendAttempt";
 
 /** Time that must be left before the timeout for another attempt. */
 const ATTEMPT_TIME_MIN_MS = 60;
@@ -66,6 +65,16 @@
     readonly view: EndpointView;
 }
 
+/** How an attempt ended, with what else is known at its end about the answer and the endpoint. */
+interface EndedAttempt {
+    readonly result: AttemptResult;
+    /** Time since the first part of the answer arrived; absent if none did. */
+    readonly answerAgeMs: number | undefined;
+    /** Connections of this node to the endpoint that broke about now; 0 if this attempt's did not. */
+    readonly breaksTogether: number;
+    readonly stillInFlight: number;
+}
+
 /** The state of one request while it is forwarded. */
 interface ForwardingState {
     readonly exchange: GatewayExchange;
@@ -117,7 +126,7 @@
         return candidates.find(candidate => candidate.view.id === id);
     };
 
-    const runAttempt = async (state: ForwardingState, { record, view }: Candidate): Promise<AttemptResult> => {
+    const runAttempt = async (state: ForwardingState, { record, view }: Candidate): Promise<EndedAttempt> => {
         const { exchange, request } = state;
         const { head, route, service } = exchange;
         const sentAtMs = clock.readMonotonicMs();
@@ -125,12 +134,14 @@
         const estimatedMs =
             estimateResponseMs(view, request, speeds.readSpeed(service), false) - view.distancePenaltyMs;
         let pendingTokens = uncachedTokens;
+        let firstPartAtMs: number | undefined;
         const releasePending = () => {
             record.pendingTokens -= pendingTokens;
             pendingTokens = 0;
         };
         const handleFirstPart = () => {
             const nowMs = clock.readMonotonicMs();
+            firstPartAtMs = nowMs;
             releasePending();
             recordAnswerTime(record, nowMs - sentAtMs, estimatedMs, nowMs);
             speeds.recordAnswer(service, { uncachedTokens, firstPartMs: nowMs - sentAtMs - record.roundTripMs });
@@ -172,8 +183,17 @@
         });
         record.ownInFlight--;
         releasePending();
-        applyOutcome(record, result, clock.readMonotonicMs());
-        return result;
+        const nowMs = clock.readMonotonicMs();
+        applyOutcome(record, result, nowMs);
+        if (result.connection !== undefined) {
+            components.metrics.countConnectionEnd(service, result.connection, firstPartAtMs !== undefined);
+        }
+        return {
+            result,
+            answerAgeMs: firstPartAtMs === undefined ? undefined : Math.round(nowMs - firstPartAtMs),
+            breaksTogether: result.connection === ConnectionEnd.Broken ? recordConnectionBreak(record, nowMs) : 0,
+            stillInFlight: record.ownInFlight,
+        };
     };
 
     const recordUsage = (state: ForwardingState) => {
@@ -219,7 +239,8 @@
             }
             state.triedEndpoints.add(candidate.view.id);
             state.sends++;
-            const result = await runAttempt(state, candidate);
+            const attempt = await runAttempt(state, candidate);
+            const { result } = attempt;
             if (MAY_HAVE_EXECUTED.has(result.end)) {
                 state.executions++;
                 // A stream counts as executed from its first event; other requests may be executed without any sign.
@@ -230,7 +251,7 @@
             components.metrics.countAttempt(exchange.service, result.end);
             const step = decideNext(state, result);
             if (!isSuccessful(result)) {
-                logAttempt(components, state, candidate.record, result, step);
+                logAttempt(components, state, candidate.record, attempt, step);
             }
             if (step !== NextAction.SendAgain) {
                 return finishForwarding(state, result, step);
@@ -296,45 +317,6 @@
     response.end(answer.body);
 }
 
-function applyAnswerHead(record: EndpointRecord, answer: ResponseHead, nowMs: number): void {
-    if (answer.load !== undefined) {
-        recordLoad(record, answer.load, nowMs);
-    }
-    if (answer.idleTimeoutMs !== undefined) {
-        record.connections.setIdleTimeout(answer.idleTimeoutMs);
-    }
-    if (answer.isMisdirected) {
-        record.isMisdirected = true;
-    }
-}
-
-function applyOutcome(record: EndpointRecord, result: AttemptResult, nowMs: number): void {
-    OUTCOME_RECORDERS[result.end]?.(record, nowMs, result);
-}
-
-/** What is recorded about the endpoint after each end of an attempt. */
-const OUTCOME_RECORDERS: Readonly<
-    Partial<Record<AttemptOutcome, (record: EndpointRecord, nowMs: number, result: AttemptResult) => void>>
-> = {
-    [AttemptOutcome.Relayed]: (record, nowMs) => recordAttemptOutcome(record, false, nowMs),
-    [AttemptOutcome.Answered]: (record, nowMs, result) =>
-        recordAttemptOutcome(record, isFailedStatus(result.answer?.status), nowMs),
-    [AttemptOutcome.NotSent]: (record, nowMs) => {
-        recordUnreachable(record, nowMs);
-        record.connections.closeIdle();
-    },
-    [AttemptOutcome.NotExecuted]: (record, nowMs) => recordAttemptOutcome(record, true, nowMs),
-    [AttemptOutcome.Lost]: (record, nowMs) => {
-        recordAttemptOutcome(record, true, nowMs);
-        record.connections.closeIdle();
-    },
-    [AttemptOutcome.Broken]: (record, nowMs) => recordAttemptOutcome(record, true, nowMs),
-    [AttemptOutcome.TimedOut]: (record, nowMs) => {
-        recordAttemptOutcome(record, true, nowMs);
-        record.connections.closeIdle();
-    },
-};
-
 /** Tells whether an attempt was successful; only other attempts are logged one by one. */
 function isSuccessful(result: AttemptResult): boolean {
     const isSuccess = result.end === AttemptOutcome.Answered && !isFailedStatus(result.answer?.status);
@@ -349,13 +331,19 @@
     { log }: GatewayComponents,
     state: ForwardingState,
     record: EndpointRecord,
-    result: AttemptResult,
+    { result, ...attempt }: EndedAttempt,
     step: NextAction,
 ): void {
     log.warn("attempt ended", {
         requestId: state.exchange.head.requestId,
         route: state.exchange.route.name,
         endpointId: record.endpoint.id,
+        endpointStartedAtMs: record.endpoint.startedAtMs,
+        connection: result.connection,
+        answerAgeMs: attempt.answerAgeMs,
+        breaksTogether: attempt.breaksTogether,
+        stillInFlight: attempt.stillInFlight,
+        sharedParts: listSharedParts(state.request.promptParts).join(","),
         end: result.end,
         status: result.answer?.status,
         reason: result.reason,
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -17,6 +17,8 @@
 export interface GatewayMetrics {
     countRequest(service: string, outcome: string): void;
     countAttempt(service: string, end: string): void;
+    /** Counts an attempt whose connection the endpoint ended. */
+    countConnectionEnd(service: string, connection: string, hasAnswerBegun: boolean): void;
     /** Records the time from receiving a request to the first part of its answer. */
     recordFirstPart(service: string, milliseconds: number): void;
     /** Records the time that the gateway spends on a request before it is first sent to an endpoint. */
@@ -52,6 +54,12 @@
         labelNames: ["service", "end"],
         registers,
     });
+    const connectionEnds = new Counter({
+        name: "redwinglift_connection_ends_total",
+        help: "Attempts whose connection broke or was refused, by whether their answer had begun.",
+        labelNames: ["service", "connection", "answer"],
+        registers,
+    });
     const firstPart = new Histogram({
         name: "redwinglift_first_part_milliseconds",
         help: "Time from a request's head to the first part of its answer.",
@@ -86,6 +94,8 @@
     return {
         countRequest: (service, outcome) => requests.inc({ service, outcome }),
         countAttempt: (service, end) => attempts.inc({ service, end }),
+        countConnectionEnd: (service, connection, hasAnswerBegun) =>
+            connectionEnds.inc({ service, connection, answer: hasAnswerBegun ? "begun" : "waiting" }),
         recordFirstPart: (service, milliseconds) => firstPart.observe({ service }, milliseconds),
         recordOverhead: milliseconds => overhead.observe(milliseconds),
         setConfigurationVersion: value => version.set(value),
--- a/src/gateway/endpointRecord.ts
+++ b/src/gateway/endpointRecord.ts
@@ -24,6 +24,9 @@
 /** Half-life of the reported load by other nodes, whose requests are assumed to end at this rate. */
 const REPORTED_LOAD_HALF_LIFE_MS = 1_500;
 
+/** Connections that break within this time of each other are assumed to have one cause. */
+const BREAKS_TOGETHER_MS = 250;
+
 /** A value that decreases over time, as it was at `atMs`. */
 interface DecayingValue {
     readonly value: number;
@@ -60,6 +63,8 @@
     /** Monotonic time until which the endpoint counts as unreachable, and the length of the next such period. */
     suspectUntilMs: number;
     suspectBackoffMs: number;
+    /** Monotonic times of the last connections that broke under a request of this node, the newest last. */
+    recentBreaks: readonly number[];
     /** Monotonic time of the last use of each prompt part, by the part's id; the least recently used comes first. */
     readonly cachedParts: Map<string, number>;
 }
@@ -87,6 +92,7 @@
         failures: { value: 0, atMs: 0 },
         suspectUntilMs: 0,
         suspectBackoffMs: SUSPECT_INITIAL_MS,
+        recentBreaks: [],
         cachedParts: new Map(),
     };
 }
@@ -151,6 +157,13 @@
     }
 }
 
+/** Records that a connection broke; gives how many did so within `BREAKS_TOGETHER_MS`, this one included. */
+export function recordConnectionBreak(record: EndpointRecord, nowMs: number): number {
+    const recent = record.recentBreaks.filter(atMs => nowMs - atMs < BREAKS_TOGETHER_MS);
+    record.recentBreaks = [...recent, nowMs];
+    return record.recentBreaks.length;
+}
+
 /** Records the load that the endpoint reported. */
 export function recordLoad(record: EndpointRecord, load: ReportedLoad, nowMs: number): void {
     record.load = { ...load, atMs: nowMs, ownInFlight: record.ownInFlight };
--- a/src/gateway/sendAttempt.test.ts
+++ b/src/gateway/sendAttempt.test.ts
@@ -3,7 +3,7 @@
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
 import { makeEndpointRecord, runAttempt } from "./_testing/runAttempt";
 import { type EndpointScript, formatAnswer, startScriptedEndpoint } from "./_testing/startScriptedEndpoint";
-import type { AttemptOptions } from "./sendAttempt";
+import { type AttemptOptions, ConnectionEnd } from "./sendAttempt";
 
 const ATTEMPT_ID = "Redwinglift-Attempt-Id: attempt-1";
 const EVENT_STREAM = "Content-Type: text/event-stream";
@@ -42,6 +42,19 @@
         }
     });
 
+    // Guards against taking a silent endpoint for a crashed one.
+    it("tells a connection that broke or was refused from one that was given up", async () => {
+        const broken = await runScript((_request, socket) => socket.resetAndDestroy());
+        const silent = await runScript(() => undefined, { answerTimeoutMs: 30 });
+        const endpoint = await startScriptedEndpoint(() => undefined);
+        endpoint.dispose();
+        const refused = await runAttempt(makeEndpointRecord(endpoint));
+        assert.deepEqual(
+            [broken, silent, refused].map(({ result }) => result.connection),
+            [ConnectionEnd.Broken, undefined, ConnectionEnd.Refused],
+        );
+    });
+
     it("is lost if the answer is shorter than its length", async () => {
         const { result } = await runScript((_request, socket) =>
             socket.end(formatAnswer("hel", { headers: [ATTEMPT_ID], length: 5 })),
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -43,11 +43,21 @@
     readonly body: Buffer;
 }
 
+/** What happened to the connection of an attempt that the endpoint, and not this node, ended. */
+export enum ConnectionEnd {
+    /** It broke after a byte of the request can have been sent. */
+    Broken = "broken",
+    /** The endpoint's address refused it. */
+    Refused = "refused",
+}
+
 /** How an attempt ended. */
 export interface AttemptResult {
     readonly end: AttemptOutcome;
     /** Present only with `AttemptOutcome.Answered`. */
     readonly answer?: WholeAnswer;
+    /** Absent if the connection was not ended by the other side. */
+    readonly connection?: ConnectionEnd;
     /** Reason of the end, for log lines and failure messages. */
     readonly reason: string;
 }
@@ -108,13 +118,17 @@
                 end: ended.reason === AttemptOutcome.TimedOut ? AttemptOutcome.TimedOut : AttemptOutcome.CallerGone,
                 reason: "aborted by the gateway",
             });
-        const settleUnanswered = (reason: string) =>
+        const settleUnanswered = (reason: string, error?: NodeJS.ErrnoException) => {
+            const isRefused = error?.code === "ECONNREFUSED";
             settle(
-                sentBytes.hasSentBytes() ? buildLossResult(options, reason) : { end: AttemptOutcome.NotSent, reason },
+                sentBytes.hasSentBytes()
+                    ? buildLossResult(options, reason, error === undefined ? undefined : ConnectionEnd.Broken)
+                    : { end: AttemptOutcome.NotSent, reason, ...(isRefused && { connection: ConnectionEnd.Refused }) },
             );
+        };
         beginWait(CONNECT_TIMEOUT_MS, "connection");
         const sentBytes = trackSentBytes(request, () => beginWait(options.answerTimeoutMs, "answer"));
-        request.on("error", error => settleUnanswered(describeError(error)));
+        request.on("error", error => settleUnanswered(describeError(error), error));
         let informationalAnswers = 0;
         request.on("information", () => {
             if (++informationalAnswers > INFORMATIONAL_ANSWERS_MAX) {
@@ -147,8 +161,8 @@
 ): void {
     const status = response.statusCode ?? 0;
     const head = options.codec.readResponseHead(status, response.headers);
-    response.on("error", error => settle(buildLossResult(options, describeError(error))));
-    response.on("aborted", () => settle(buildLossResult(options, "the answer was cut off")));
+    response.on("error", error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)));
+    response.on("aborted", () => settle(buildLossResult(options, "the answer was cut off", ConnectionEnd.Broken)));
     if (head.requestId !== undefined && head.requestId !== options.requestId) {
         settle(buildLossResult(options, "the answer belongs to another request"));
         return;
@@ -209,7 +223,7 @@
     response.on("end", () => {
         void isComplete().then(complete => {
             if (!complete || splitter.takeRemainder().length > 0 || options.ended.aborted) {
-                settle(buildLossResult(options, "the stream was cut off"));
+                settle(buildLossResult(options, "the stream was cut off", complete ? undefined : ConnectionEnd.Broken));
                 return;
             }
             options.relay.endRelay(head);
@@ -238,7 +252,7 @@
     response.on("end", () => {
         void isComplete().then(complete => {
             if (!complete) {
-                settle(buildLossResult(options, "the answer was cut off"));
+                settle(buildLossResult(options, "the answer was cut off", ConnectionEnd.Broken));
                 return;
             }
             options.handleFirstPart();
@@ -264,6 +278,7 @@
 /**
  * Builds the result of an attempt without a usable answer: `Lost` if nothing was relayed to the caller, else `Broken`.
  */
-function buildLossResult(options: AttemptOptions, reason: string): AttemptResult {
-    return { end: options.relay.hasBegun() ? AttemptOutcome.Broken : AttemptOutcome.Lost, reason };
+function buildLossResult(options: AttemptOptions, reason: string, connection?: ConnectionEnd): AttemptResult {
+    const end = options.relay.hasBegun() ? AttemptOutcome.Broken : AttemptOutcome.Lost;
+    return connection === undefined ? { end, reason } : { end, reason, connection };
 }
