Reproduce endpoints that crash one after the other on a prompt part, red

Callers saw: requests with one prompt part ended endpoint after endpoint. Cause: nothing connects the end of an endpoint with the requests that were there; retries go on to the next one.

--- a/src/gateway/_testing/startScriptedEndpoint.ts
+++ b/src/gateway/_testing/startScriptedEndpoint.ts
@@ -14,6 +14,8 @@
     listRequests(): readonly string[];
     /** Counts the connections accepted so far. */
     countConnections(): number;
+    /** Resets all connections and refuses new ones, until it starts again at the same address. */
+    crash(backAfterMs: number): void;
 }
 
 /**
@@ -42,12 +44,21 @@
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    let isDisposed = false;
     return {
         address: "127.0.0.1",
-        port: (server.address() as AddressInfo).port,
+        port,
         listRequests: () => requests,
         countConnections: () => connections,
+        crash: backAfterMs => {
+            server.close();
+            sockets.forEach(socket => socket.resetAndDestroy());
+            sockets.clear();
+            setTimeout(() => isDisposed || server.listening || server.listen(port, "127.0.0.1"), backAfterMs).unref();
+        },
         dispose: () => {
+            isDisposed = true;
             server.close();
             sockets.forEach(socket => socket.destroy());
         },
--- /dev/null
+++ b/src/gateway/createPartQuarantine.test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
+import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
+import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
+
+const ENDPOINTS = 6;
+const BACK_AFTER_MS = 400;
+const WORK_MS = 20;
+const FIRST_PART = "base:100";
+
+let harness: GatewayHarness;
+afterEach(() => harness.dispose());
+
+/** Starts endpoints of which each crashes as it begins to answer a request with the part `deadly`. */
+async function startCrashing() {
+    const scripts = Array.from({ length: ENDPOINTS }, (_, index): EndpointScript => {
+        return (request, socket) =>
+            setTimeout(() => {
+                if (request.includes("deadly:")) {
+                    harness.endpoints[index]?.crash(BACK_AFTER_MS);
+                } else {
+                    socket.write(formatAnswer("hello", { headers: ["Redwinglift-Attempt-Id: attempt-1"] }));
+                }
+            }, WORK_MS);
+    });
+    harness = await createGatewayHarness(makeRoute({ attemptsMax: 3 }), scripts);
+}
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+const send = (parts: string) => harness.send({ headers: { "redwinglift-prefix-hash": parts } });
+const countDeadly = () =>
+    harness.endpoints.flatMap(endpoint => endpoint.listRequests()).filter(request => request.includes("deadly:"))
+        .length;
+
+describe("the quarantine of prompt parts", () => {
+    // Guards against one prompt part that ends endpoint after endpoint, by retries and by new requests.
+    it("keeps a part that crashes endpoints from them, and no other", async () => {
+        await startCrashing();
+        const sound: number[] = [];
+        const soundSenders = Array.from({ length: 4 }, async (_, sender) => {
+            for (let round = 0; round < 100; round++) {
+                const answer = await send(`${FIRST_PART},topic-${round % 5}:20,own-${sender}-${round}:3`);
+                sound.push(answer.status);
+                await sleep(20);
+            }
+        });
+        await sleep(500);
+        const deadly = Array.from({ length: 20 }, async (_, index) => {
+            await sleep(index * 150);
+            const answer = await send(`${FIRST_PART},deadly:40,own-d-${index}:3`);
+            return answer.status;
+        });
+        const statuses = await Promise.all(deadly);
+        await Promise.all(soundSenders);
+        assert.ok(countDeadly() <= 4, `${countDeadly()} requests with the part reached endpoints`);
+        assert.ok(
+            statuses.every(status => status === 502 || status === 503),
+            statuses.join(" "),
+        );
+        assert.deepEqual(
+            sound.filter(status => status !== 200),
+            [],
+        );
+    });
+});
