--- a/src/decisions/relays/createReportCollector.ts
+++ b/src/decisions/relays/createReportCollector.ts
@@ -4,7 +4,7 @@
 import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "./constants";
 import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
 import type { DomainSummary, NodeIdentity, NodeReport, WindowCounts } from "./news";
-import { sumNews, sumRecords } from "./sumNews";
+import { sumAmounts, sumNews } from "./sumNews";
 
 /** The usage counts of one incarnation, as its last reports gave them. */
 export interface ReportedCounts extends Pick<NodeIdentity, "node" | "life"> {
@@ -85,10 +85,7 @@
                 ...sumNews(reachable.map(({ report }) => report)),
                 nodes: listNewestLives(MEMBER_TIMEOUT_MS, nowMs).length,
                 reachable: reachable.length,
-                silentUsage: sumRecords(
-                    silent.map(({ report }) => pickUsed(report)),
-                    (left, right) => left + right,
-                ),
+                silentUsage: sumAmounts(silent.map(({ report }) => pickUsed(report))),
             };
         },
         listMembers: nowMs => listNewestLives(MEMBER_TIMEOUT_MS, nowMs).map(({ report }) => pickIdentity(report)),
--- a/src/decisions/relays/createSummaryMerger.ts
+++ b/src/decisions/relays/createSummaryMerger.ts
@@ -5,7 +5,7 @@
 import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
 import type { DomainSummary, FleetView, NodeIdentity, UsageSums } from "./news";
 import { createLostUsage, type UsageByAccount } from "./createLostUsage";
-import { sumNews, sumRecords } from "./sumNews";
+import { sumAmounts, sumNews, sumRecords } from "./sumNews";
 
 /** Merges summaries. */
 export interface SummaryMerger {
@@ -102,7 +102,7 @@
             }
         },
         recordFormerView: (view, atMs, nowMs) => {
-            const used = sumRecords([pickAllUsed(view, 2 * NEWS_PERIOD_MS), view.lostUsage], addAmounts);
+            const used = sumAmounts([pickAllUsed(view, 2 * NEWS_PERIOD_MS), view.lostUsage]);
             lostUsage.recordTakeover(WHOLE_FLEET, { used, heardAtMs: atMs }, nowMs);
         },
         recordStoredCount: (failureDomain, nodes, nowMs) => {
@@ -119,13 +119,10 @@
             const sums = sumNews(merged);
             mergingSinceMs = nowMs - mergedAtMs < UNREACHABLE_AFTER_MS ? mergingSinceMs : nowMs;
             mergedAtMs = nowMs;
-            const silentUsage = sumRecords(
-                [
-                    ...merged.map(domain => domain.silentUsage),
-                    ...silent.map(([, summaries]) => pickAllUsed(mergeDomain(summaries), 2 * NEWS_PERIOD_MS)),
-                ],
-                addAmounts,
-            );
+            const silentUsage = sumAmounts([
+                ...merged.map(domain => domain.silentUsage),
+                ...silent.map(([, summaries]) => pickAllUsed(mergeDomain(summaries), 2 * NEWS_PERIOD_MS)),
+            ]);
             const fleetUsage = pickAllUsed({ usage: sums.usage, silentUsage }, 0);
             ownLost = lostUsage.sumLost(
                 domain => (domain === WHOLE_FLEET ? fleetUsage : readDomainUsage(domain, UNREACHABLE_AFTER_MS, nowMs)),
@@ -188,9 +185,5 @@
     const used = Object.entries(usage).map(
         ([account, sums]) => [account, estimateUsedAtEnd(sums, unreportedMs)] as const,
     );
-    return sumRecords([Object.fromEntries(used), silentUsage], addAmounts);
-}
-
-function addAmounts(left: number, right: number): number {
-    return left + right;
+    return sumAmounts([Object.fromEntries(used), silentUsage]);
 }
--- a/src/decisions/relays/sumNews.ts
+++ b/src/decisions/relays/sumNews.ts
@@ -52,6 +52,18 @@
     return sums;
 }
 
+/**
+ * Sums amounts by key.
+ *
+ * @param records - The amounts
+ * @returns The sum of all amounts of each key
+ * @example
+ * sumAmounts([{ county: 2 }, { county: 3 }]); //=> { county: 5 }
+ */
+export function sumAmounts(records: readonly Readonly<Record<string, number>>[]): Readonly<Record<string, number>> {
+    return sumRecords(records, (left, right) => left + right);
+}
+
 function addUsage(left: UsageSums, right: UsageSums): UsageSums {
     return { used: left.used + right.used, recent: left.recent + right.recent, asked: left.asked + right.asked };
 }
