Carry evidence on crashing prompt parts in the news between nodes

What callers saw: a prompt part that crashed endpoints went on crashing them through nodes that had not seen it. Cause: nodes told each other nothing about crashes. Change: reports, summaries and views name prompt parts that may crash endpoints (PartEvidence): crashes are united by key, the greater age counts, and ages advance while they wait in a relay; clearances are summed over distinct nodes and failure domains. What silent nodes and failure domains reported stays. Evidence is decoded leniently: a fault in it does not cost the rest of the datagram. A node merges it before it counts as loaded. The test of bytes was extended, not relaxed: it measures reports too, and evidence in both.

--- a/src/decisions/gateway/_testing/simulateQuotas.ts
+++ b/src/decisions/gateway/_testing/simulateQuotas.ts
@@ -108,6 +108,7 @@
             sequence: ++node.sequence,
             loads: {},
             endpoints: {},
+            suspects: {},
             counted: undefined,
         };
         for (const relay of [...relays, ...(simulation.lostRelays === true ? spareRelays : [])]) {
--- a/src/decisions/relays/_testing/makeReport.ts
+++ b/src/decisions/relays/_testing/makeReport.ts
@@ -24,6 +24,7 @@
         usage: { county: { used, recent, asked: used } },
         loads: { chat: { tokensPerSecond: 10, inFlight: 1 } },
         endpoints: { "i-1": { inFlight: 1, pendingTokens: 100 } },
+        suspects: {},
         counted: undefined,
         ...changes,
     };
--- a/src/decisions/relays/createReportCollector.ts
+++ b/src/decisions/relays/createReportCollector.ts
@@ -1,8 +1,9 @@
 /**
  * @module The reports that a relay has received from the nodes of its failure domain.
  */
-import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "./constants";
+import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, SILENT_EVIDENCE_MS, UNREACHABLE_AFTER_MS } from "./constants";
 import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
+import { advanceSuspects, mergeSuspects, sumClearances } from "./mergeSuspects";
 import type { DomainSummary, NodeIdentity, NodeReport, WindowCounts } from "./news";
 import { sumAmounts, sumNews } from "./sumNews";
 
@@ -85,6 +86,13 @@
                 ...sumNews(reachable.map(({ report }) => report)),
                 nodes: listNewestLives(MEMBER_TIMEOUT_MS, nowMs).length,
                 reachable: reachable.length,
+                // Dead incarnations have counted other answers than living ones.
+                suspects: mergeSuspects(
+                    listHeardWithin(SILENT_EVIDENCE_MS, nowMs).map(({ report, heardAtMs }) =>
+                        advanceSuspects(report.suspects, nowMs - heardAtMs),
+                    ),
+                    sumClearances,
+                ),
                 silentUsage: sumAmounts(silent.map(({ report }) => pickUsed(report))),
             };
         },
--- a/src/decisions/relays/createSummaryMerger.ts
+++ b/src/decisions/relays/createSummaryMerger.ts
@@ -1,10 +1,17 @@
 /**
  * @module Merges the summaries of all failure domains into one view of the fleet.
  */
-import { MEMBER_TIMEOUT_MS, NEWS_DELAY_MAX_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "./constants";
+import {
+    MEMBER_TIMEOUT_MS,
+    NEWS_DELAY_MAX_MS,
+    NEWS_PERIOD_MS,
+    SILENT_EVIDENCE_MS,
+    UNREACHABLE_AFTER_MS,
+} from "./constants";
 import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
-import type { DomainSummary, FleetView, NodeIdentity, UsageSums } from "./news";
+import type { DomainSummary, FleetView, NodeIdentity, SuspectParts, UsageSums } from "./news";
 import { createLostUsage, type UsageByAccount } from "./createLostUsage";
+import { advanceSuspects, mergeSuspects, sumClearances } from "./mergeSuspects";
 import { sumAmounts, sumNews, sumRecords } from "./sumNews";
 
 /** Merges summaries. */
@@ -77,6 +84,19 @@
         const summaries = splitByDomain(listWithin(withinMs, nowMs)).get(failureDomain);
         return summaries === undefined ? {} : pickAllUsed(mergeDomain(summaries), unreportedMs);
     };
+    /** Merges the evidence of all failure domains, of those as well that can't be reached. */
+    const mergeAllSuspects = (nowMs: number): SuspectParts => {
+        const byDomain = new Map<string, SuspectParts[]>();
+        for (const { summary, heardAtMs } of listWithin(SILENT_EVIDENCE_MS, nowMs)) {
+            const { failureDomain } = summary.relay;
+            const suspects = advanceSuspects(summary.suspects, nowMs - heardAtMs);
+            byDomain.set(failureDomain, [...(byDomain.get(failureDomain) ?? []), suspects]);
+        }
+        return mergeSuspects(
+            [...byDomain.values()].map(list => mergeSuspects(list, Math.max)),
+            sumClearances,
+        );
+    };
     /** Records what the former relays of a failure domain said, if a new relay sums it and none of them is left. */
     const recordTakeover = ({ node, failureDomain }: NodeIdentity, nowMs: number) => {
         const former = [...heard.values()].filter(({ summary }) => summary.relay.failureDomain === failureDomain);
@@ -136,6 +156,7 @@
                 nodes: [...domains].reduce((sum, domain) => sum + countNodes(domain, nowMs), 0),
                 reachable: merged.reduce((sum, domain) => sum + domain.reachable, 0),
                 silentUsage,
+                suspects: mergeAllSuspects(nowMs),
                 lostUsage: sumRecords([ownLost, ...othersLost], Math.max),
             };
         },
--- a/src/decisions/relays/news.ts
+++ b/src/decisions/relays/news.ts
@@ -44,6 +44,9 @@
     readonly earlierClearances: number;
 }
 
+/** Evidence by prompt part; only parts with a crash are in it. */
+export type SuspectParts = Readonly<Record<string, PartEvidence>>;
+
 /** Values that are summed over nodes. */
 export interface NewsSums {
     /** Longest time for which one of the nodes has counted usage, in milliseconds; at most one quota window. */
@@ -51,6 +54,8 @@
     readonly usage: Readonly<Record<string, UsageSums>>;
     readonly loads: Readonly<Record<string, ServiceLoad>>;
     readonly endpoints: Readonly<Record<string, EndpointActivity>>;
+    /** Prompt parts that may crash endpoints. */
+    readonly suspects: SuspectParts;
 }
 
 /** Identity of a node and its address for news. */
--- a/src/decisions/relays/relays.test.ts
+++ b/src/decisions/relays/relays.test.ts
@@ -5,10 +5,10 @@
 import { makeReport } from "./_testing/makeReport";
 import { chooseRelays, countRelays } from "./chooseRelays";
 import { chooseRowSource, RowRole, STORE_SOURCE } from "./chooseRowSource";
-import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "./constants";
+import { CRASHES_PER_PART_MAX, MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "./constants";
 import { createReportCollector } from "./createReportCollector";
 import { createSummaryMerger } from "./createSummaryMerger";
-import type { DomainSummary, NodeReport } from "./news";
+import type { DomainSummary, NodeReport, SuspectParts } from "./news";
 
 const QUOTA_WINDOW_MS = 8_000;
 
@@ -23,6 +23,16 @@
     return { ...collector.summarize(nowMs), relay: makeReport(relay), sequence, lostUsage: {} };
 }
 
+/** Makes evidence on parts that only one node knows, each with as many crashes of its own as news may name. */
+function makeSuspects(node: string, count: number): SuspectParts {
+    const keys = Array.from({ length: CRASHES_PER_PART_MAX }, (_unused, index) => index);
+    const parts = Array.from({ length: count }, (_unused, part) => {
+        const crashes = Object.fromEntries(keys.map(key => [`i-${node}-${part + 10}-${key}`, 1_000]));
+        return [`p-${node}-${part + 10}`, { crashes, clearances: 0, earlierClearances: 0 }] as const;
+    });
+    return Object.fromEntries(parts);
+}
+
 describe("the choice of relays", () => {
     it("is the same for all nodes with the same members, in any order", () => {
         for (const count of [2, 30, 400]) {
@@ -179,6 +189,25 @@
         assert.deepEqual(merger.mergeView(QUOTA_WINDOW_MS).lostUsage, {});
     });
 
+    // Guards against a crash that is forgotten because the node that saw it, its relay or its failure domain is gone.
+    it("keeps crashes that silent nodes and failure domains reported, older by the time since, and their clearances", () => {
+        const suspects = (ageMs: number, clearances: number) => ({
+            p: { crashes: { "c-1": ageMs }, clearances, earlierClearances: 0 },
+        });
+        const collector = createReportCollector(QUOTA_WINDOW_MS);
+        collector.recordReport(makeReport("a", { suspects: suspects(100, 2) }), 0);
+        collector.recordReport(makeReport("a", { life: "a-2", suspects: {} }), 500);
+        collector.recordReport(makeReport("b", { suspects: suspects(600, 3) }), 600);
+        assert.deepEqual(collector.summarize(2_000).suspects, suspects(2_100, 5));
+        const merger = createSummaryMerger(QUOTA_WINDOW_MS);
+        const relay = (node: string, failureDomain: string) => makeReport(node, { failureDomain });
+        const summary = { ...summarize([], "a", 1, 2_000), suspects: suspects(2_100, 5) };
+        merger.recordSummary(summary, 2_000);
+        merger.recordSummary({ ...summary, relay: relay("b", "west"), suspects: suspects(2_050, 4) }, 2_000);
+        merger.recordSummary({ ...summary, relay: relay("e", "east"), suspects: suspects(1_900, 1) }, 30_000);
+        assert.deepEqual(merger.mergeView(30_000).suspects, suspects(30_100, 6));
+    });
+
     it("adds what killed nodes may have charged after their last report", () => {
         const merger = createSummaryMerger(QUOTA_WINDOW_MS);
         merger.recordSummary(summarize([makeReport("a", { used: 300, recent: 60 })], "a", 1, 0), 0);
@@ -212,19 +241,29 @@
         assert.equal(merger.mergeView(1_000).countsForMs, 8_000);
     });
 
-    it("and a report take as many bytes with 400 nodes as with 30", () => {
-        const measureView = (nodes: number) => {
+    it("and a report take as many bytes with 400 nodes as with 30, though each node suspects other parts", () => {
+        const measureBytes = (nodes: number) => {
             const merger = createSummaryMerger(QUOTA_WINDOW_MS);
             for (let domain = 0; domain < 6; domain++) {
-                const reports = Array.from({ length: nodes / 6 }, (_unused, index) =>
-                    makeReport(`${domain}-${index}`, { failureDomain: String(domain), used: 100 }),
-                );
+                const reports = Array.from({ length: nodes / 6 }, (_unused, index) => {
+                    const failureDomain = String(domain);
+                    const suspects = makeSuspects(`${domain}-${index}`.padEnd(5, "0"), 20);
+                    return makeReport(`${domain}-${index}`, { failureDomain, used: 100, suspects });
+                });
                 const relay = makeReport(`${domain}-0`, { failureDomain: String(domain) });
                 merger.recordSummary({ ...summarize(reports, "x", 1, 0), relay }, 0);
             }
-            return encodeNews({ kind: NewsKind.View, relay: "x", view: merger.mergeView(0) }).length;
+            const view = merger.mergeView(0);
+            const report = makeReport("x", { suspects: view.suspects });
+            return [
+                encodeNews({ kind: NewsKind.View, relay: "x", view }).length,
+                encodeNews({ kind: NewsKind.Report, wantsViews: true, report }).length,
+            ] as const;
         };
-        assert.ok(measureView(400) < measureView(30) * 1.1);
+        const [viewOfFew, reportOfFew] = measureBytes(30);
+        const [viewOfMany, reportOfMany] = measureBytes(400);
+        assert.ok(viewOfMany < viewOfFew * 1.1, `${viewOfMany} and ${viewOfFew}`);
+        assert.ok(reportOfMany < reportOfFew * 1.1, `${reportOfMany} and ${reportOfFew}`);
     });
 });
 
--- a/src/decisions/relays/sumNews.ts
+++ b/src/decisions/relays/sumNews.ts
@@ -3,6 +3,9 @@
  */
 import type { EndpointActivity, NewsSums, ServiceLoad, UsageSums } from "./news";
 
+/** Sums of news that is only valid while its nodes are reachable; evidence on prompt parts outlasts them. */
+export type ReachableSums = Omit<NewsSums, "suspects">;
+
 /**
  * Sums news by account, service and endpoint.
  *
@@ -11,7 +14,7 @@
  * @example
  * sumNews([...reports.values()]).usage["county"]?.used;
  */
-export function sumNews(parts: readonly NewsSums[]): NewsSums {
+export function sumNews(parts: readonly ReachableSums[]): ReachableSums {
     return {
         countsForMs: Math.max(0, ...parts.map(part => part.countsForMs)),
         usage: sumRecords(
--- a/src/gateway/createFleetNews.test.ts
+++ b/src/gateway/createFleetNews.test.ts
@@ -43,6 +43,7 @@
                 }),
                 readCounts: () => ({ atMs: 1, windows: { 3: { county: 4 } } }),
                 isNearEndpoint: () => true,
+                evidence: { readEvidence: () => ({}), mergeEvidence: () => undefined },
                 handleActivity: activity => (node.activity = activity),
                 clock: createSystemClock(),
                 log: createLog({ write: () => undefined }),
--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -17,8 +17,10 @@
 import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "../decisions/relays/constants";
 import { createReportCollector, type ReportedCounts } from "../decisions/relays/createReportCollector";
 import { createSummaryMerger } from "../decisions/relays/createSummaryMerger";
+import { mergeSuspects, sumClearances } from "../decisions/relays/mergeSuspects";
 import type { EndpointActivity, FleetView, NodeIdentity, NodeReport, ServiceLoad } from "../decisions/relays/news";
 import { createRelayRoster } from "./createRelayRoster";
+import type { PartEvidenceSource } from "./partEvidence";
 import { decodeNews, encodeNews, NewsKind, type NewsMessage } from "./newsCodec";
 
 /** A node stops acting as a relay when nobody has reported to it for this long. */
@@ -43,6 +45,8 @@
     readonly readCounts: () => NodeReport["counted"];
     /** True for endpoints whose activity is sent to the nodes of this failure domain. */
     readonly isNearEndpoint: (endpointId: string) => boolean;
+    /** What this node knows of prompt parts that crash endpoints. */
+    readonly evidence: PartEvidenceSource;
     /** Called with what the other nodes do at endpoints. */
     readonly handleActivity: (activity: ReadonlyMap<string, EndpointActivity>) => void;
     readonly clock: Clock;
@@ -124,6 +128,8 @@
     const isInTouch = () => view !== undefined && isFresh(view.atMs, UNREACHABLE_AFTER_MS);
 
     const applyView = (content: FleetView) => {
+        // Before this node counts as loaded: its first request must not go where the others know that it must not.
+        options.evidence.mergeEvidence(content.suspects);
         view = { content, atMs: clock.readMonotonicMs() };
         const activity = new Map<string, EndpointActivity>();
         for (const [id, { inFlight, pendingTokens }] of Object.entries(content.endpoints)) {
@@ -181,8 +187,10 @@
         }
     };
 
+    const readOwnSuspects = () => mergeSuspects([options.evidence.readEvidence()], sumClearances);
     const buildReport = (): NodeReport => ({
         ...options.readOwnNews(),
+        suspects: readOwnSuspects(),
         ...self,
         sequence: ++sequence,
         counted: sequence % COUNTS_EVERY_PERIODS === 1 ? options.readCounts() : undefined,
@@ -351,4 +359,5 @@
     lostUsage: {},
     loads: {},
     endpoints: {},
+    suspects: {},
 };
--- a/src/gateway/newsCodec.ts
+++ b/src/gateway/newsCodec.ts
@@ -12,6 +12,7 @@
     NodeIdentity,
     NodeReport,
 } from "../decisions/relays/news";
+import { decodeSuspects, encodeSuspects } from "./suspectsCodec";
 
 /** Kinds of datagrams. */
 export enum NewsKind {
@@ -68,11 +69,14 @@
         z.record(z.string(), z.tuple([COUNT, COUNT])),
         z.record(z.string(), z.tuple([COUNT, COUNT])),
     ])
-    .transform(([countsForMs, usage, loads, endpoints]): NewsSums => ({
+    // Evidence on prompt parts, if there is any. It is decoded leniently: a fault in it must not cost the rest.
+    .rest(z.unknown())
+    .transform(([countsForMs, usage, loads, endpoints, suspects]): NewsSums => ({
         countsForMs,
         usage: convertRecord(usage, ([used, recent, asked]) => ({ used, recent, asked })),
         loads: convertRecord(loads, ([tokensPerSecond, inFlight]) => ({ tokensPerSecond, inFlight })),
         endpoints: convertRecord(endpoints, ([inFlight, pendingTokens]) => ({ inFlight, pendingTokens })),
+        suspects: decodeSuspects(suspects),
     }));
 const SENDER = z.tuple([z.string(), z.string(), z.string(), z.number().positive()]);
 const COUNTED = z.tuple([z.number(), z.record(z.string(), NUMBERS)]);
@@ -206,12 +210,13 @@
     return { node, life, failureDomain, capacity, address: address.address, port: address.port };
 }
 
-function listSums({ countsForMs, usage, loads, endpoints }: NewsSums): z.input<typeof SUMS> {
+function listSums({ countsForMs, usage, loads, endpoints, suspects }: NewsSums): z.input<typeof SUMS> {
     return [
         Math.round(countsForMs),
         convertRecord(usage, ({ used, recent, asked }): [number, number, number] => [used, recent, asked]),
         convertRecord(loads, ({ tokensPerSecond, inFlight }): [number, number] => [tokensPerSecond, inFlight]),
         convertRecord(endpoints, listActivity),
+        ...(Object.keys(suspects).length === 0 ? [] : [encodeSuspects(suspects)]),
     ];
 }
 
