--- a/src/decisions/relays/createReportCollector.ts
+++ b/src/decisions/relays/createReportCollector.ts
@@ -1,10 +1,11 @@
 /**
  * @module The reports that a relay has received from the nodes of its failure domain.
  */
-import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "./constants";
+import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, SILENT_EVIDENCE_MS, UNREACHABLE_AFTER_MS } from "./constants";
 import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
+import { advanceSuspects, mergeSuspects, sumClearances } from "./mergeSuspects";
 import type { DomainSummary, NodeIdentity, NodeReport, WindowCounts } from "./news";
-import { sumNews, sumRecords } from "./sumNews";
+import { sumAmounts, sumNews } from "./sumNews";
 
 /** The usage counts of one incarnation, as its last reports gave them. */
 export interface ReportedCounts extends Pick<NodeIdentity, "node" | "life"> {
@@ -85,10 +86,14 @@
                 ...sumNews(reachable.map(({ report }) => report)),
                 nodes: listNewestLives(MEMBER_TIMEOUT_MS, nowMs).length,
                 reachable: reachable.length,
-                silentUsage: sumRecords(
-                    silent.map(({ report }) => pickUsed(report)),
-                    (left, right) => left + right,
+                // Dead incarnations have counted other answers than living ones.
+                suspects: mergeSuspects(
+                    listHeardWithin(SILENT_EVIDENCE_MS, nowMs).map(({ report, heardAtMs }) =>
+                        advanceSuspects(report.suspects, nowMs - heardAtMs),
+                    ),
+                    sumClearances,
                 ),
+                silentUsage: sumAmounts(silent.map(({ report }) => pickUsed(report))),
             };
         },
         listMembers: nowMs => listNewestLives(MEMBER_TIMEOUT_MS, nowMs).map(({ report }) => pickIdentity(report)),
