Accept an answer without an id only as the first on its connection

What callers saw: the answer of an earlier request, with status 200, if an endpoint sent a late copy of it without the echoed id on a connection in use again; or 503, "not run", from such a copy of a refusal.

Cause: only an id that differs was refused; an absent one was accepted, though the request carried one.

Change: such an answer is accepted only as the first on its connection, which is closed after it; on a connection in use again it counts as lost.

Copies with an id, in one packet with the answer, or on an idle connection never reached a caller, before either.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -146,7 +146,8 @@
         request.on("response", response => {
             answer = response;
             waitBound.endWait();
-            handleResponse(options, response, settle, beginWait);
+            const isFirst = !request.reusedSocket;
+            handleResponse(options, response, isFirst, settle, beginWait);
         });
         if (ended.aborted) {
             abandon();
@@ -165,14 +166,18 @@
 function handleResponse(
     options: AttemptOptions,
     response: http.IncomingMessage,
-    settle: Settle,
+    isFirst: boolean,
+    settleAttempt: Settle,
     beginWait: BeginWait,
 ): void {
     const status = response.statusCode ?? 0;
     const head = options.codec.readResponseHead(status, response.headers);
+    const hasOwnId = head.requestId === options.requestId;
+    // Without an id, only the first answer on a connection is sure to be no copy of an earlier one.
+    const settle: Settle = (result, keepsConnection = false) => settleAttempt(result, keepsConnection && hasOwnId);
     response.on("error", error => settle(buildLossResult(options, describeError(error))));
     response.on("aborted", () => settle(buildLossResult(options, "the answer was cut off")));
-    if (head.requestId !== undefined && head.requestId !== options.requestId) {
+    if (!hasOwnId && (head.requestId !== undefined || !isFirst)) {
         settle(buildLossResult(options, "the answer belongs to another request"));
         return;
     }
