Relay no answer whose status is below 200

What callers saw: nothing until the timeout of their route, where an endpoint sent a stream with a status such as 042; an exception in the handler of the answer's data was handled by nothing but the process's last resort.

Cause: the parser takes any three digits for a status, and Node refuses to write one below 100.

Change: an answer below 200 is unusable. A table of malformed and of strange answers asserts that none of them harms its caller or the next one.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -189,9 +189,7 @@
     }
     const isComplete = createCompletionCheck(response);
     const relayed = { status, headers: options.codec.buildCallerHeaders(response.rawHeaders) };
-    const isUsable =
-        status < HttpStatus.FirstRedirect ? head.isSealed && !head.isBodyAltered : !REFUSAL_STATUSES.has(status);
-    if (!isUsable) {
+    if (!isUsable(status, head)) {
         settle(buildLossResult(options, `unusable answer, status ${status}`));
         return;
     }
@@ -203,6 +201,14 @@
     }
 }
 
+/** Tells whether an answer may be relayed. */
+function isUsable(status: number, head: ResponseHead): boolean {
+    if (status < HttpStatus.FirstRedirect) {
+        return status >= HttpStatus.Ok && head.isSealed && !head.isBodyAltered;
+    }
+    return !REFUSAL_STATUSES.has(status);
+}
+
 function streamAnswer(
     options: AttemptOptions,
     response: http.IncomingMessage,
