End an attempt at once if the endpoint switches protocols

What callers saw: 504 at the timeout of their route, or no second attempt where one was permitted, after an answer 101.

Cause: Node closes such a connection without an error or an end of the request.

Change: an answer 101 ends the attempt as lost.

Evidence: node scripts/runTests.mjs src/gateway/malformedAnswers.test.ts: before 2 failed (status 504 after 1,544 ms), now 58 passed.

--- a/src/gateway/malformedAnswers.test.ts
+++ b/src/gateway/malformedAnswers.test.ts
@@ -18,6 +18,7 @@
     "a stream with a status below 100": `HTTP/1.1 042 Low\r\n${HEAD}${EVENT_STREAM}\r\nConnection: close\r\n\r\n${EVENT}`,
     "a status above 999": `HTTP/1.1 9999 High\r\n${HEAD}Content-Length: 2\r\n\r\nok`,
     "a status that is no number": `HTTP/1.1 abc\r\n${HEAD}Content-Length: 2\r\n\r\nok`,
+    "a switch of protocols": `HTTP/1.1 101 Switching Protocols\r\n${HEAD}Upgrade: x\r\nConnection: upgrade\r\n\r\n`,
     "an unknown version": `HTTP/9.9 200 OK\r\n${HEAD}Content-Length: 2\r\n\r\nok`,
     "a header with control characters": `HTTP/1.1 200 OK\r\n${HEAD}X-A: a\u0001b\r\nContent-Length: 2\r\n\r\nok`,
     "a header without a name": `HTTP/1.1 200 OK\r\n${HEAD}: a\r\nContent-Length: 2\r\n\r\nok`,
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -143,6 +143,10 @@
                 settleUnanswered("too many informational answers");
             }
         });
+        request.on("upgrade", (_response, socket) => {
+            socket.destroy();
+            settleUnanswered("the endpoint switched protocols");
+        });
         request.on("response", response => {
             answer = response;
             waitBound.endWait();
