--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -157,10 +157,15 @@
                 settleUnanswered("too many informational answers");
             }
         });
+        request.on("upgrade", (_response, socket) => {
+            socket.destroy();
+            settleUnanswered("the endpoint switched protocols");
+        });
         request.on("response", response => {
             answer = response;
             waitBound.endWait();
-            handleResponse(options, response, settle, beginWait);
+            const isFirst = !request.reusedSocket;
+            handleResponse(options, response, isFirst, settle, beginWait);
         });
         if (ended.aborted) {
             abandon();
@@ -179,14 +184,18 @@
 function handleResponse(
     options: AttemptOptions,
     response: http.IncomingMessage,
-    settle: Settle,
+    isFirst: boolean,
+    settleAttempt: Settle,
     beginWait: BeginWait,
 ): void {
     const status = response.statusCode ?? 0;
     const head = options.codec.readResponseHead(status, response.headers);
+    const hasOwnId = head.requestId === options.requestId;
+    // Without an id, only the first answer on a connection is sure to be no copy of an earlier one.
+    const settle: Settle = (result, keepsConnection = false) => settleAttempt(result, keepsConnection && hasOwnId);
     response.on("error", error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)));
     response.on("aborted", () => settle(buildLossResult(options, "the answer was cut off", ConnectionEnd.Broken)));
-    if (head.requestId !== undefined && head.requestId !== options.requestId) {
+    if (!hasOwnId && (head.requestId !== undefined || !isFirst)) {
         settle(buildLossResult(options, "the answer belongs to another request"));
         return;
     }
@@ -198,9 +207,7 @@
     }
     const isComplete = createCompletionCheck(response);
     const relayed = { status, headers: options.codec.buildCallerHeaders(response.rawHeaders) };
-    const isUsable =
-        status < HttpStatus.FirstRedirect ? head.isSealed && !head.isBodyAltered : !REFUSAL_STATUSES.has(status);
-    if (!isUsable) {
+    if (!isUsable(status, head)) {
         settle(buildLossResult(options, `unusable answer, status ${status}`));
         return;
     }
@@ -212,6 +219,14 @@
     }
 }
 
+/** Tells whether an answer may be relayed. */
+function isUsable(status: number, head: ResponseHead): boolean {
+    if (status < HttpStatus.FirstRedirect) {
+        return status >= HttpStatus.Ok && head.isSealed && !head.isBodyAltered;
+    }
+    return !REFUSAL_STATUSES.has(status);
+}
+
 function streamAnswer(
     options: AttemptOptions,
     response: http.IncomingMessage,
