Show answers that signals to a node break off

Callers: SIGHUP ends a node's process at once and with it every answer under way; a second SIGTERM breaks streams off without an error event. Evidence: node scripts/runTests.mjs src/serve: both fail ('SIGHUP' !== null; a stream without its last chunk).

--- /dev/null
+++ b/src/serve/runServe.test.ts
@@ -0,0 +1,129 @@
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import net from "node:net";
+import { after, before, describe, it } from "node:test";
+import { LogLevel } from "../base/log/log";
+import { createEmbeddedNodes } from "../dev/createEmbeddedNodes";
+import { createEmbeddedPlatform, type EmbeddedPlatform } from "../dev/createEmbeddedPlatform";
+import { DEPLOYMENT_PRESETS, PresetName } from "../dev/deploymentPreset";
+import { installPresetConfiguration } from "../dev/installPresetConfiguration";
+
+const ACCOUNT_KEY = "rwl_signals";
+const PRESET = DEPLOYMENT_PRESETS[PresetName.Small];
+
+/** A node as a process of its own. */
+interface NodeProcess {
+    readonly child: ChildProcess;
+    readonly callerPort: number;
+    readonly exitCode: Promise<number | NodeJS.Signals>;
+}
+
+let embedded: EmbeddedPlatform;
+
+before(async () => {
+    embedded = await createEmbeddedPlatform(PRESET, {
+        modelRunner: { engine: { tokenGapMs: 300 } },
+        platform: { vmListLagMs: 0 },
+    });
+    const options = { operatorKey: "rwl_operator", logLevel: LogLevel.Error, count: 1 };
+    const [node] = await createEmbeddedNodes(PRESET, embedded, options);
+    await node!.whenReady;
+    assert.equal((await installPresetConfiguration(PRESET, node!.configuration, ACCOUNT_KEY)).isOk(), true);
+    node!.dispose();
+});
+
+after(() => embedded.dispose());
+
+// Guards against answers lost because a signal ends the process before they are complete.
+describe("signals to a node", () => {
+    it("keeps its requests at SIGHUP", async () => {
+        const node = await startNodeProcess();
+        const caller = openStream(node.callerPort);
+        await caller.begun;
+        node.child.kill("SIGHUP");
+        await sleepMs(500);
+        assert.equal(node.child.signalCode, null); // eslint-disable-line no-restricted-syntax -- Node's value
+        node.child.kill("SIGTERM");
+        node.child.kill("SIGHUP");
+        await sleepMs(500);
+        node.child.kill("SIGTERM");
+        assert.match(await caller.ended, /shutting_down[\s\S]*\r\n0\r\n\r\n$/);
+        assert.equal(await node.exitCode, 1);
+    });
+
+    it("ends a stream with an error event at a second SIGTERM", async () => {
+        const node = await startNodeProcess();
+        const caller = openStream(node.callerPort);
+        await caller.begun;
+        node.child.kill("SIGTERM");
+        await sleepMs(300);
+        const secondAtMs = performance.now();
+        node.child.kill("SIGTERM");
+        assert.match(await caller.ended, /shutting_down[\s\S]*\r\n0\r\n\r\n$/);
+        assert.equal(await node.exitCode, 1);
+        assert.ok(performance.now() - secondAtMs < 4_000);
+    });
+});
+
+function listFlags(): Readonly<Record<string, string>> {
+    const url = embedded.platformUrl;
+    return {
+        nodeId: "node-9",
+        vmId: "node-vm-9",
+        region: "local",
+        failureDomain: "local",
+        callerPort: "0",
+        operatorPort: "0",
+        nodePort: "0",
+        platformTableUrl: url,
+        platformObjectsUrl: url,
+        platformCloudUrl: url,
+        platformVmListUrl: url,
+        operatorKeyHashes: "0".repeat(64),
+        logFormat: "json",
+    };
+}
+
+async function startNodeProcess(): Promise<NodeProcess> {
+    const flags = Object.entries(listFlags()).flatMap(([name, value]) => [
+        `--${name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`,
+        value,
+    ]);
+    const child = spawn(process.execPath, ["--import", "tsx", "src/main.ts", "serve", ...flags], {
+        stdio: ["ignore", "ignore", "pipe"],
+    });
+    after(() => child.kill("SIGKILL"));
+    let logged = "";
+    child.stderr.on("data", chunk => (logged += String(chunk)));
+    const exitCode = new Promise<number | NodeJS.Signals>(resolve =>
+        child.once("exit", (code, signal) => resolve(code ?? signal ?? -1)),
+    );
+    await waitUntil(() => logged.includes("node ready"));
+    return { child, callerPort: Number(/"callerPort":"?(\d+)/.exec(logged)?.[1]), exitCode };
+}
+
+function openStream(port: number): { readonly begun: Promise<void>; readonly ended: Promise<string> } {
+    const messages = [{ role: "user", content: "Which feeders are out?" }];
+    const body = JSON.stringify({ model: "assistant", messages, max_tokens: 400, stream: true });
+    const head = ["POST /v1/chat/completions HTTP/1.1", "host: node", `authorization: Bearer ${ACCOUNT_KEY}`];
+    const socket = net.connect({ port, host: "127.0.0.1" });
+    let received = "";
+    socket.on("data", chunk => (received += chunk.toString()));
+    socket.write([...head, `content-length: ${body.length}`, "", body].join("\r\n"));
+    const ended = new Promise<string>(resolve => {
+        socket.once("error", error => (received += `\n${error.message}`));
+        socket.once("close", () => resolve(received));
+    });
+    return { begun: waitUntil(() => received.includes("data:")), ended };
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+    for (let tries = 0; tries < 100 && !condition(); tries++) {
+        await sleepMs(50);
+    }
+    assert.equal(condition(), true);
+}
+
+function sleepMs(delayMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, delayMs));
+}
