Let no signal break off the answers of a node

Callers: SIGHUP, and SIGTERM while a node started, ended the process at once and every answer under way with it; a second SIGTERM broke streams off without an error event. Cause: SIGHUP had its default effect; SIGTERM was handled only after all listeners had been opened; a second signal disposed of the node at once.

--- a/src/serve/runServe.test.ts
+++ b/src/serve/runServe.test.ts
@@ -7,6 +7,8 @@
 import { createEmbeddedPlatform, type EmbeddedPlatform } from "../dev/createEmbeddedPlatform";
 import { DEPLOYMENT_PRESETS, PresetName } from "../dev/deploymentPreset";
 import { installPresetConfiguration } from "../dev/installPresetConfiguration";
+import { readSettings } from "../settings/readSettings";
+import { runServe } from "./runServe";
 
 const ACCOUNT_KEY = "rwl_signals";
 const PRESET = DEPLOYMENT_PRESETS[PresetName.Small];
@@ -63,6 +65,13 @@
         assert.equal(await node.exitCode, 1);
         assert.ok(performance.now() - secondAtMs < 4_000);
     });
+
+    it("ends orderly at a SIGTERM that arrives while it starts", { timeout: 10_000 }, async () => {
+        const settings = readSettings({ ...listFlags(), drainMs: "100" }, {})._unsafeUnwrap();
+        const ended = runServe(settings);
+        process.emit("SIGTERM", "SIGTERM");
+        assert.equal(await ended, 0);
+    });
 });
 
 function listFlags(): Readonly<Record<string, string>> {
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -7,7 +7,8 @@
 import type { DumpSource } from "./base/dump";
 import type { Failure } from "./base/failure";
 import { Metric } from "./base/metrics/metric";
-import { drainNode } from "./drainNode";
+import { type DrainedParts, drainNode } from "./drainNode";
+import { endNode } from "./endNode";
 import type { CallerListener, ExchangeSummary } from "./faces/callerListener";
 import { createCallerListener } from "./faces/createCallerListener";
 import { watchTlsIdentity } from "./http/watchTlsIdentity";
@@ -58,6 +59,11 @@
      * requests that its bound cut.
      */
     drain(boundMs: number): Promise<number>;
+    /**
+     * Ends what is in progress with failures, at any time, also during a drain. Resolves with the number of requests that
+     * it cut.
+     */
+    end(timeoutMs: number): Promise<number>;
     /** Stops at once; what is in progress is cut. */
     dispose(): void;
 }
@@ -133,6 +139,7 @@
             reportFailure: wiring.reportFailure,
         }),
     );
+    const drained: DrainedParts = { clock: parts.clock, membership: agreement.membership, ...work, callers, operators };
     return {
         nodeId: settings.nodeId,
         callerPort: callers.port,
@@ -145,8 +152,8 @@
         dumpState: () =>
             collectDump({ node: describeNode(settings), clock: parts.clock, listDumpSources: () => dumpSources }),
         countOpenRequests: () => callers.countOpenRequests(),
-        drain: boundMs =>
-            drainNode({ clock: parts.clock, membership: agreement.membership, ...work, callers, operators }, boundMs),
+        drain: boundMs => drainNode(drained, boundMs),
+        end: timeoutMs => endNode(drained, timeoutMs),
         dispose: () => owned.dispose(),
     };
 }
