End what a stopping node has open with a complete answer

Callers saw: requests without an answer when the grace time was over got a closed connection, at 0.97 of the grace time, and so did a request whose body was still arriving.

Cause: the process ended at its time whatever was open; nothing told open requests of it.

The check of the drain runs each 20 ms.

--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -57,6 +57,8 @@
     countCallers(): CallerCounts;
     /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
+    /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
+    endRequests(): void;
     /** Stops accepting connections, and closes the idle ones. */
     closeIdle(): void;
 }
@@ -142,8 +144,8 @@
               });
     };
 
-    const sendFailureAnswer = (open: OpenRequest, failure: Failure, head: CallerRequestHead) => {
-        const { request, response } = open;
+    const sendFailureAnswer = (open: OpenRequest, failure: Failure) => {
+        const { request, response, head } = open;
         open.end = failure.execution === Execution.NotRun ? RequestEnd.Refused : RequestEnd.Failed;
         metrics.countRequest("", failure.kind);
         log.warn("request refused", {
@@ -164,35 +166,41 @@
         sendFailure(response, failure, head.requestId, { hasFractionalRetryAfter: true });
     };
 
-    const forward = async (open: OpenRequest, head: CallerRequestHead, receivedAtMs: number) => {
-        const { request, response } = open;
+    const forward = async (open: OpenRequest, receivedAtMs: number) => {
+        const { request, response, head } = open;
         await waitUntilLoaded(components, STARTUP_WAIT_MAX_MS);
+        if (open.end !== undefined) {
+            return;
+        }
         const admitted = admitHead(request, head);
         if ("kind" in admitted) {
-            sendFailureAnswer(open, admitted, head);
+            sendFailureAnswer(open, admitted);
             return;
         }
         open.phase = RequestPhase.Body;
         const { limits } = admitted.view.configuration;
         const body = await readBody(request, { bodyBytes: limits.bodyBytesMax, idleMs: limits.idleTimeoutMs });
+        if (open.end !== undefined) {
+            return;
+        }
         if (body.isErr()) {
-            sendFailureAnswer(open, body.error, head);
+            sendFailureAnswer(open, body.error);
             return;
         }
         // While the body arrived, the configuration may have changed or its confirmation may have become too old.
         const current = admitHead(request, head);
         if ("kind" in current) {
-            sendFailureAnswer(open, current, head);
+            sendFailureAnswer(open, current);
             return;
         }
         const timeoutAtMs = computeTimeoutAtMs(current.route, head, receivedAtMs);
         if (!isTaken(timeoutAtMs)) {
-            sendFailureAnswer(open, SHUTTING_DOWN_FAILURE, head);
+            sendFailureAnswer(open, SHUTTING_DOWN_FAILURE);
             return;
         }
         const charged = chargeQuota(current, head);
         if ("kind" in charged) {
-            sendFailureAnswer(open, charged, head);
+            sendFailureAnswer(open, charged);
             return;
         }
         open.phase = RequestPhase.Forwarded;
@@ -210,6 +218,7 @@
             () => ended.abort(AttemptOutcome.TimedOut),
             Math.max(0, exchange.timeoutAtMs - clock.readMonotonicMs()),
         );
+        open.abort = () => ended.abort(AttemptOutcome.TimedOut);
         const handleClose = () => ended.abort(AttemptOutcome.CallerGone);
         response.once("close", handleClose);
         demand.recordInFlight(service, 1);
@@ -234,13 +243,13 @@
         if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
             quotas.refund(exchange.account, amount, clock.readMonotonicMs());
         }
-        sendFailureAnswer(open, end.failure, exchange.head);
+        sendFailureAnswer(open, end.failure);
     };
 
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
         const head = codec.readCallerHead(request.headers);
-        const open = openRequests.addRequest(request, response);
+        const open = openRequests.addRequest(request, response, head);
         connections.recordRequest(request, response);
         if (stop !== undefined) {
             response.setHeader("connection", "close");
@@ -250,7 +259,7 @@
                 request.socket.destroySoon();
             }
         });
-        forward(open, head, receivedAtMs).catch((error: unknown) => {
+        forward(open, receivedAtMs).catch((error: unknown) => {
             log.error("request failed inside the node", {
                 requestId: head.requestId,
                 reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
@@ -286,6 +295,11 @@
                 .filter(({ response }) => !response.headersSent)
                 .forEach(({ response }) => response.setHeader("connection", "close"));
         },
+        endRequests: () =>
+            openRequests
+                .list()
+                .filter(({ response, end }) => !response.headersSent && end === undefined)
+                .forEach(open => (open.abort ?? (() => sendFailureAnswer(open, SHUTTING_DOWN_FAILURE)))()),
         closeIdle: () => {
             server.close();
             server.closeIdleConnections();
--- a/src/gateway/createOpenRequests.ts
+++ b/src/gateway/createOpenRequests.ts
@@ -2,6 +2,7 @@
  * @module The requests that have no final answer yet, by phase, and how those before them ended.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallerRequestHead } from "../ports/forwardingCodec";
 
 /** How far a request without a final answer has got. The values appear in log lines and metrics. */
 export enum RequestPhase {
@@ -33,7 +34,11 @@
 export interface OpenRequest {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
+    /** What its headers say. */
+    readonly head: CallerRequestHead;
     phase: RequestPhase;
+    /** Ends the attempts at endpoints, so that the caller gets a failure; present once it was forwarded. */
+    abort?: () => void;
     /** What the node has decided; counted once the response is closed. */
     end: RequestEnd | undefined;
 }
@@ -41,7 +46,7 @@
 /** The requests without a final answer. */
 export interface OpenRequests {
     /** Adds a request; it is removed, and its end counted, when its response is closed. */
-    addRequest(request: IncomingMessage, response: ServerResponse): OpenRequest;
+    addRequest(request: IncomingMessage, response: ServerResponse, head: CallerRequestHead): OpenRequest;
     list(): readonly OpenRequest[];
     /** Counts the open requests by phase. */
     countPhases(): Readonly<Record<RequestPhase, number>>;
@@ -54,15 +59,15 @@
  *
  * @returns The collection
  * @example
- * const open = requests.addRequest(request, response);
+ * const open = requests.addRequest(request, response, head);
  * open.phase = RequestPhase.Body;
  */
 export function createOpenRequests(): OpenRequests {
     const requests = new Set<OpenRequest>();
     const ends: Record<RequestEnd, number> = { complete: 0, refused: 0, failed: 0, cut: 0, left: 0 };
     return {
-        addRequest: (request, response) => {
-            const open: OpenRequest = { request, response, phase: RequestPhase.Waiting, end: undefined };
+        addRequest: (request, response, head) => {
+            const open: OpenRequest = { request, response, head, phase: RequestPhase.Waiting, end: undefined };
             requests.add(open);
             response.once("close", () => {
                 requests.delete(open);
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -6,7 +6,7 @@
 import type { CallerCounts, GatewayListener } from "./createGatewayListener";
 import type { GatewayComponents } from "./gatewayComponents";
 
-const DRAIN_CHECK_PERIOD_MS = 100;
+const DRAIN_CHECK_PERIOD_MS = 20;
 /** Time between two log lines that show how far the drain has got. */
 const LOG_PERIOD_MS = 1_000;
 
@@ -40,6 +40,9 @@
             nextLogMs += LOG_PERIOD_MS;
             log.info("gateway drains", { drainMs: Math.round(computeDrainingMs()), ...describeProgress() });
         }
+        if (computeDrainingMs() >= times.endsRequestsMs) {
+            listener.endRequests();
+        }
         if (computeDrainingMs() > times.acceptsMs) {
             listener.closeIdle();
             if (listener.countOpen() === 0) {
