Handle the requests of a connection one after the other

Callers saw: of two requests sent at once on a connection the second was passed on to an endpoint, and the first answer closed the connection, so that the second ran and was never answered. In a stop it also kept the node until the grace time was over.

Cause: Node reports a pipelined request as soon as its head is parsed, and each was forwarded at once; if the answer before it closes the connection, the later response gets no close event, so that neither its attempt nor its count ended.

Change: a request waits for the end of the answer before it on its connection, and is not handled at all if that answer closed it (counted as dropped). Open requests are also removed when their connection closes.

--- a/src/gateway/createCallerConnections.ts
+++ b/src/gateway/createCallerConnections.ts
@@ -17,8 +17,11 @@
 
 /** The connections of callers to a server. */
 export interface CallerConnections {
-    /** Records that a request's head has arrived. */
-    recordRequest(request: IncomingMessage, response: ServerResponse): void;
+    /**
+     * Records that a request's head has arrived, and waits for the end of the answer before it on its connection. Gives
+     * false if that answer closed the connection: then the request must not be handled.
+     */
+    waitForTurn(request: IncomingMessage, response: ServerResponse): Promise<boolean>;
     countConnections(): ConnectionCounts;
 }
 
@@ -26,6 +29,8 @@
     openRequests: number;
     /** Bytes received up to the end of the last request that has arrived whole. */
     bytesOfRequests: number;
+    /** Settles once the last request has ended. */
+    whenFree: Promise<void>;
 }
 
 /**
@@ -40,23 +45,34 @@
     const states = new Map<Socket, ConnectionState>();
     let closedUnfinished = 0;
     server.on("connection", (socket: Socket) => {
-        const state: ConnectionState = { openRequests: 0, bytesOfRequests: 0 };
+        const state: ConnectionState = { openRequests: 0, bytesOfRequests: 0, whenFree: Promise.resolve() };
         states.set(socket, state);
+        socket.setMaxListeners(0);
         socket.once("close", () => {
             states.delete(socket);
             closedUnfinished += isUnfinished(socket, state) ? 1 : 0;
         });
     });
     return {
-        recordRequest: (request, response) => {
+        waitForTurn: async (request, response) => {
             const { socket } = request;
             const state = states.get(socket);
             if (state === undefined) {
-                return;
+                return false;
             }
+            const { whenFree } = state;
             state.openRequests++;
+            state.whenFree = new Promise(resolve => {
+                socket.once("close", resolve);
+                response.once("close", () => {
+                    socket.off("close", resolve);
+                    state.openRequests--;
+                    resolve();
+                });
+            });
             request.once("end", () => (state.bytesOfRequests = socket.bytesRead));
-            response.once("close", () => state.openRequests--);
+            await whenFree;
+            return socket.writable;
         },
         countConnections: () => {
             const entries = [...states];
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -246,11 +246,21 @@
         sendFailureAnswer(open, end.failure);
     };
 
+    /** Handles one request of a connection at a time: the answer before it may close the connection. */
+    const handleInTurn = async (open: OpenRequest, receivedAtMs: number) => {
+        if (await connections.waitForTurn(open.request, open.response)) {
+            open.phase = RequestPhase.Waiting;
+            await forward(open, receivedAtMs);
+            return;
+        }
+        open.end = RequestEnd.Dropped;
+        open.request.resume();
+    };
+
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
         const head = codec.readCallerHead(request.headers);
         const open = openRequests.addRequest(request, response, head);
-        connections.recordRequest(request, response);
         if (stop !== undefined) {
             response.setHeader("connection", "close");
         }
@@ -259,7 +269,7 @@
                 request.socket.destroySoon();
             }
         });
-        forward(open, receivedAtMs).catch((error: unknown) => {
+        handleInTurn(open, receivedAtMs).catch((error: unknown) => {
             log.error("request failed inside the node", {
                 requestId: head.requestId,
                 reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
@@ -298,7 +308,7 @@
         endRequests: () =>
             openRequests
                 .list()
-                .filter(({ response, end }) => !response.headersSent && end === undefined)
+                .filter(({ response, phase }) => !response.headersSent && phase !== RequestPhase.Queued)
                 .forEach(open => (open.abort ?? (() => sendFailureAnswer(open, SHUTTING_DOWN_FAILURE)))()),
         closeIdle: () => {
             server.close();
--- a/src/gateway/createOpenRequests.ts
+++ b/src/gateway/createOpenRequests.ts
@@ -6,7 +6,9 @@
 
 /** How far a request without a final answer has got. The values appear in log lines and metrics. */
 export enum RequestPhase {
-    /** Waits until the node has loaded its data after a start, or for the answer before it on its connection. */
+    /** Waits for the end of the answer before it on its connection. */
+    Queued = "queued",
+    /** Waits until the node has loaded its data after a start. */
     Waiting = "waiting",
     /** Its body is being received. */
     Body = "body",
@@ -26,6 +28,8 @@
     Failed = "failed",
     /** The node broke the answer off. */
     Cut = "cut",
+    /** Not handled, since the answer before it closed the connection. */
+    Dropped = "dropped",
     /** The caller closed the connection, or it broke. */
     Left = "left",
 }
@@ -45,7 +49,7 @@
 
 /** The requests without a final answer. */
 export interface OpenRequests {
-    /** Adds a request; it is removed, and its end counted, when its response is closed. */
+    /** Adds a request; it is removed, and its end counted, when its response or its connection is closed. */
     addRequest(request: IncomingMessage, response: ServerResponse, head: CallerRequestHead): OpenRequest;
     list(): readonly OpenRequest[];
     /** Counts the open requests by phase. */
@@ -64,20 +68,24 @@
  */
 export function createOpenRequests(): OpenRequests {
     const requests = new Set<OpenRequest>();
-    const ends: Record<RequestEnd, number> = { complete: 0, refused: 0, failed: 0, cut: 0, left: 0 };
+    const ends: Record<RequestEnd, number> = { complete: 0, refused: 0, failed: 0, cut: 0, dropped: 0, left: 0 };
     return {
         addRequest: (request, response, head) => {
-            const open: OpenRequest = { request, response, head, phase: RequestPhase.Waiting, end: undefined };
+            const open: OpenRequest = { request, response, head, phase: RequestPhase.Queued, end: undefined };
             requests.add(open);
-            response.once("close", () => {
+            const handleClose = () => {
+                response.off("close", handleClose);
+                request.socket.off("close", handleClose);
                 requests.delete(open);
                 ends[decideEnd(open)]++;
-            });
+            };
+            response.on("close", handleClose);
+            request.socket.on("close", handleClose);
             return open;
         },
         list: () => [...requests],
         countPhases: () => {
-            const counts: Record<RequestPhase, number> = { waiting: 0, body: 0, forwarded: 0, answering: 0 };
+            const counts: Record<RequestPhase, number> = { queued: 0, waiting: 0, body: 0, forwarded: 0, answering: 0 };
             requests.forEach(({ response, phase }) => counts[response.headersSent ? RequestPhase.Answering : phase]++);
             return counts;
         },
@@ -89,5 +97,5 @@
     if (response.writableFinished) {
         return end ?? RequestEnd.Complete;
     }
-    return end === RequestEnd.Cut ? RequestEnd.Cut : RequestEnd.Left;
+    return end === RequestEnd.Cut || end === RequestEnd.Dropped ? end : RequestEnd.Left;
 }
