Close a stopping node's connections once they are idle, and without a reset

Callers saw: a kept connection was reset under a request, or closed while the node still worked on others; a request whose head was arriving got no answer, since the process ended.

Cause: from 3.5 s on closeIdleConnections destroyed each connection without a parsed head every 100 ms, whatever bytes it held, so that the kernel sent a reset; and the end of the process counted parsed heads only.

Change: a connection is idle if it has no open request, no byte beyond the last one, and none came for 200 ms. Idle connections stay open while anything is open, a head under way included, so that a request on one gets an answer, and are then closed half first and read for at most 300 ms more; a request that crosses the close is not handled. Heads that have not arrived whole at 0.92 of the grace time get 503 not run. The process ends when all connections are closed or the grace time is over. A late request is refused before its body has arrived. Weighed and left: closing idle connections at 3.5 s beside open requests saves a refusal, but leaves a crossing request without any answer.

The test of the head under way sends its first part 1.5 s after the signal now: over 4 s it ran into the time limit of heads, 408. It fails on the code before this commit with either times.

--- a/src/gateway/createCallerConnections.ts
+++ b/src/gateway/createCallerConnections.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock } from "../base/clock";
 
 /** Numbers of connections. */
 export interface ConnectionCounts {
@@ -11,7 +12,7 @@
     readonly idle: number;
     /** Without an open request, but with bytes of the next one's head. */
     readonly unfinished: number;
-    /** Connections closed so far with bytes of a head that had not arrived whole. */
+    /** Connections that callers closed so far with bytes of a head that had not arrived whole. */
     readonly closedUnfinished: number;
 }
 
@@ -22,38 +23,80 @@
      * false if that answer closed the connection: then the request must not be handled.
      */
     waitForTurn(request: IncomingMessage, response: ServerResponse): Promise<boolean>;
+    /** Closes the idle connections. */
+    closeIdle(): void;
+    /** Writes an answer to each connection that has received a part of a head, and closes it. */
+    answerUnfinished(answer: string): void;
     countConnections(): ConnectionCounts;
 }
 
+/** After its last answer a connection is read for at most this long, until the caller closes it too. */
+const LINGER_MS = 300;
+/** A connection without a request for a shorter time may have one on the way, and is not closed as idle. */
+const QUIET_MS = 200;
+
 interface ConnectionState {
     openRequests: number;
     /** Bytes received up to the end of the last request that has arrived whole. */
     bytesOfRequests: number;
+    /** Monotonic time at which the connection was opened, or its last request ended. */
+    quietSinceMs: number;
+    /** True once the last answer was sent: what arrives later is dropped. */
+    isClosing: boolean;
     /** Settles once the last request has ended. */
     whenFree: Promise<void>;
 }
 
 /**
- * Tracks the connections of a server.
+ * Tracks the connections of a server. `destroySoon`, by which Node closes a connection after its last answer, is
+ * replaced: a connection that is closed with unread bytes is reset, and the caller may lose the answer.
  *
  * @param server - The server; it does not listen yet
+ * @param clock - Measures idle time
  * @returns Its connections
  * @example
- * const connections = createCallerConnections(server);
+ * const connections = createCallerConnections(server, clock);
  */
-export function createCallerConnections(server: Server): CallerConnections {
+export function createCallerConnections(server: Server, clock: Clock): CallerConnections {
     const states = new Map<Socket, ConnectionState>();
     let closedUnfinished = 0;
+    const closeGently = (socket: Socket, state: ConnectionState, lastAnswer?: string) => {
+        if (state.isClosing) {
+            return;
+        }
+        state.isClosing = true;
+        socket.end(lastAnswer ?? "", () => {
+            const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+            socket.once("close", () => clearTimeout(timer));
+        });
+    };
     server.on("connection", (socket: Socket) => {
-        const state: ConnectionState = { openRequests: 0, bytesOfRequests: 0, whenFree: Promise.resolve() };
+        const state: ConnectionState = {
+            openRequests: 0,
+            bytesOfRequests: 0,
+            quietSinceMs: clock.readMonotonicMs(),
+            isClosing: false,
+            whenFree: Promise.resolve(),
+        };
         states.set(socket, state);
         socket.setMaxListeners(0);
+        socket.destroySoon = () => closeGently(socket, state);
         socket.once("close", () => {
             states.delete(socket);
             closedUnfinished += isUnfinished(socket, state) ? 1 : 0;
         });
     });
     return {
+        closeIdle: () => {
+            const nowMs = clock.readMonotonicMs();
+            [...states]
+                .filter(([socket, state]) => isIdle(socket, state) && nowMs - state.quietSinceMs >= QUIET_MS)
+                .forEach(([socket, state]) => closeGently(socket, state));
+        },
+        answerUnfinished: answer =>
+            [...states]
+                .filter(([socket, state]) => isUnfinished(socket, state))
+                .forEach(([socket, state]) => closeGently(socket, state, answer)),
         waitForTurn: async (request, response) => {
             const { socket } = request;
             const state = states.get(socket);
@@ -67,12 +110,13 @@
                 response.once("close", () => {
                     socket.off("close", resolve);
                     state.openRequests--;
+                    state.quietSinceMs = clock.readMonotonicMs();
                     resolve();
                 });
             });
             request.once("end", () => (state.bytesOfRequests = socket.bytesRead));
             await whenFree;
-            return socket.writable;
+            return socket.writable && !state.isClosing;
         },
         countConnections: () => {
             const entries = [...states];
@@ -86,8 +130,8 @@
     };
 }
 
-function isUnfinished({ bytesRead }: Socket, { openRequests, bytesOfRequests }: ConnectionState): boolean {
-    return openRequests === 0 && bytesRead > bytesOfRequests;
+function isUnfinished({ bytesRead }: Socket, { openRequests, bytesOfRequests, isClosing }: ConnectionState): boolean {
+    return openRequests === 0 && !isClosing && bytesRead > bytesOfRequests;
 }
 
 function isIdle({ bytesRead }: Socket, { openRequests, bytesOfRequests }: ConnectionState): boolean {
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -2,6 +2,7 @@
  * @module The HTTP listener for callers: admits requests, and sends failures as answers.
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
+import net from "node:net";
 import { createFailure } from "../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
@@ -9,6 +10,7 @@
 import type { StopTimes } from "../decisions/gateway/computeStopTimes";
 import { isServableBeforeStop } from "../decisions/gateway/isServableBeforeStop";
 import { findRoute } from "../decisions/gateway/routeTable";
+import { formatRawFailure } from "../http/formatRawFailure";
 import { installConnectionLimit } from "../http/installConnectionLimit";
 import { readBody } from "../http/readBody";
 import { sendFailure } from "../http/sendFailure";
@@ -42,6 +44,7 @@
 const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
     retryAfterMs: RETRY_AFTER_MS,
 });
+const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
 /** Numbers of the callers' connections and of the open requests by phase, and of the requests that have ended. */
 export interface CallerCounts extends ConnectionCounts {
@@ -52,14 +55,14 @@
 /** The HTTP listener for callers. */
 export interface GatewayListener {
     readonly server: http.Server;
-    /** Counts the requests without a final answer. */
+    /** Counts the requests without a final answer, those included whose head has not arrived whole. */
     countOpen(): number;
     countCallers(): CallerCounts;
     /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
     /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
     endRequests(): void;
-    /** Stops accepting connections, and closes the idle ones. */
+    /** Stops accepting connections, and closes those that are idle; `countCallers` tells when all are closed. */
     closeIdle(): void;
 }
 
@@ -177,6 +180,10 @@
             sendFailureAnswer(open, admitted);
             return;
         }
+        if (!isTaken(computeTimeoutAtMs(admitted.route, head, receivedAtMs))) {
+            sendFailureAnswer(open, SHUTTING_DOWN_FAILURE);
+            return;
+        }
         open.phase = RequestPhase.Body;
         const { limits } = admitted.view.configuration;
         const body = await readBody(request, { bodyBytes: limits.bodyBytesMax, idleMs: limits.idleTimeoutMs });
@@ -193,8 +200,7 @@
             sendFailureAnswer(open, current);
             return;
         }
-        const timeoutAtMs = computeTimeoutAtMs(current.route, head, receivedAtMs);
-        if (!isTaken(timeoutAtMs)) {
+        if (!isTaken(computeTimeoutAtMs(current.route, head, receivedAtMs))) {
             sendFailureAnswer(open, SHUTTING_DOWN_FAILURE);
             return;
         }
@@ -283,7 +289,7 @@
         { keepAlive: true, noDelay: true, connectionsCheckingInterval: 1_000 },
         handleRequest,
     );
-    const connections: CallerConnections = createCallerConnections(server);
+    const connections: CallerConnections = createCallerConnections(server, clock);
     installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS));
     configuration.watchConfiguration(({ configuration: { limits } }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -292,7 +298,7 @@
     });
     return {
         server,
-        countOpen: () => openRequests.list().length,
+        countOpen: () => openRequests.list().length + connections.countConnections().unfinished,
         countCallers: () => ({
             ...connections.countConnections(),
             phases: openRequests.countPhases(),
@@ -305,14 +311,17 @@
                 .filter(({ response }) => !response.headersSent)
                 .forEach(({ response }) => response.setHeader("connection", "close"));
         },
-        endRequests: () =>
+        endRequests: () => {
             openRequests
                 .list()
                 .filter(({ response, phase }) => !response.headersSent && phase !== RequestPhase.Queued)
-                .forEach(open => (open.abort ?? (() => sendFailureAnswer(open, SHUTTING_DOWN_FAILURE)))()),
+                .forEach(open => (open.abort ?? (() => sendFailureAnswer(open, SHUTTING_DOWN_FAILURE)))());
+            connections.answerUnfinished(SHUTTING_DOWN_ANSWER);
+        },
         closeIdle: () => {
-            server.close();
-            server.closeIdleConnections();
+            // The method of http.Server would also destroy idle connections, with the bytes of a request on the way.
+            net.Server.prototype.close.call(server);
+            connections.closeIdle();
         },
     };
 }
--- a/src/gateway/drainGateway.test.ts
+++ b/src/gateway/drainGateway.test.ts
@@ -126,14 +126,27 @@
         assertComplete(received.slice(earlier), NOT_RUN);
     });
 
+    // Guards against: an idle connection is reset while a request is on its way.
+    it("closes an idle connection without a reset under a request that crosses the close", async () => {
+        const { call, listener, countForwarded } = await start(ONCE, answerAfter(0), 600);
+        const caller = call(formatRequest("first"));
+        await waitUntil(() => caller.readReceived() !== "");
+        await pause(300);
+        caller.write(formatRequest("crosses"));
+        listener.closeIdle();
+        const { received, isReset } = await caller.whenClosed;
+        assertComplete(received, /^HTTP\/1\.1 200 /);
+        assert.deepEqual([countForwarded(), isReset], [1, false]);
+    });
+
     // Guards against: the process ends while a request's head is being received.
     it("waits for the rest of a head that was being received when nothing else was open", async () => {
         const { call, stop } = await start(ONCE, answerAfter(0), 8_000);
         const request = formatRequest("half");
-        const caller = call(request.slice(0, 40));
-        await pause(50);
         const whenStopped = stop();
-        await pause(4_000);
+        await pause(1_500);
+        const caller = call(request.slice(0, 40));
+        await pause(2_400);
         caller.write(request.slice(40));
         await whenStopped;
         assertComplete((await caller.whenClosed).received, NOT_RUN);
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -11,7 +11,8 @@
 const LOG_PERIOD_MS = 1_000;
 
 /**
- * Waits until the open requests are finished or the grace time is over.
+ * Waits until the open requests are finished and all connections are closed, or the grace time is over. Idle
+ * connections stay open until no request is open, so that a request on one of them gets an answer.
  *
  * @param components - The clock, the settings, and a log without a limit of lines
  * @param listener - The listener for callers
@@ -43,9 +44,9 @@
         if (computeDrainingMs() >= times.endsRequestsMs) {
             listener.endRequests();
         }
-        if (computeDrainingMs() > times.acceptsMs) {
+        if (computeDrainingMs() > times.acceptsMs && listener.countOpen() === 0) {
             listener.closeIdle();
-            if (listener.countOpen() === 0) {
+            if (listener.countCallers().connections === 0) {
                 break;
             }
         }
--- a/src/http/installConnectionLimit.ts
+++ b/src/http/installConnectionLimit.ts
@@ -7,7 +7,7 @@
 import type { Duplex } from "node:stream";
 import { createFailure } from "../base/createFailure";
 import { type Failure, FailureKind } from "../base/failure";
-import { buildFailureBody } from "./buildFailureBody";
+import { formatRawFailure } from "./formatRawFailure";
 
 /** Counts the open connections of a server. */
 export interface ConnectionCounter {
@@ -75,12 +75,5 @@
 }
 
 function sendRawFailure(socket: Duplex, response: RawFailureResponse): void {
-    const body = JSON.stringify(buildFailureBody(response.failure));
-    const headers = [
-        `HTTP/1.1 ${response.statusLine}`,
-        "content-type: application/json; charset=utf-8",
-        `content-length: ${Buffer.byteLength(body)}`,
-        "connection: close",
-    ];
-    socket.end(`${headers.join("\r\n")}\r\n\r\n${body}`, () => socket.destroy());
+    socket.end(formatRawFailure(response.statusLine, response.failure), () => socket.destroy());
 }
