Break answers off visibly for callers without chunks

Callers saw: a stream that was broken off looked whole to a caller of HTTP/1.0, whose answer has neither length nor chunks and ends with its connection.

Cause: the connection was closed regularly, by the end of the process and by the listener wherever a begun answer fails.

Change: abandonAnswer resets the connection of a begun answer without chunks; the listener uses it, and at the end of a stop for each answer that is still open.

--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -20,6 +20,7 @@
 import { type CallerConnections, type ConnectionCounts, createCallerConnections } from "./createCallerConnections";
 import type { ConfigurationView } from "./createConfigurationHolder";
 import type { Forwarder } from "./createForwarder";
+import { abandonAnswer } from "./abandonAnswer";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
@@ -62,6 +63,8 @@
     beginDrain(times: StopTimes): void;
     /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
     endRequests(): void;
+    /** Breaks off the answers that are not whole, so that their callers see it. */
+    abandonRequests(): void;
     /** Stops accepting connections, and closes those that are idle; `countCallers` tells when all are closed. */
     closeIdle(): void;
 }
@@ -243,7 +246,7 @@
         if (end.failure === undefined) {
             metrics.countRequest(service, "closed");
             open.end = ended.signal.reason === AttemptOutcome.CallerGone ? RequestEnd.Left : RequestEnd.Cut;
-            response.destroy();
+            abandonAnswer(response);
             return;
         }
         if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
@@ -281,7 +284,7 @@
                 reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
             });
             open.end = RequestEnd.Cut;
-            response.destroy();
+            abandonAnswer(response);
         });
     };
 
@@ -318,6 +321,11 @@
                 .forEach(open => (open.abort ?? (() => sendFailureAnswer(open, SHUTTING_DOWN_FAILURE)))());
             connections.answerUnfinished(SHUTTING_DOWN_ANSWER);
         },
+        abandonRequests: () =>
+            openRequests.list().forEach(open => {
+                open.end = RequestEnd.Cut;
+                abandonAnswer(open.response);
+            }),
         closeIdle: () => {
             // The method of http.Server would also destroy idle connections, with the bytes of a request on the way.
             net.Server.prototype.close.call(server);
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -51,12 +51,16 @@
             }
         }
     }
+    const cut = listener.countOpen();
+    listener.abandonRequests();
+    // Sockets close in the next turns of the event loop.
+    await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_PERIOD_MS));
     log.info("gateway ended", {
-        cut: listener.countOpen(),
+        cut,
         drainMs: Math.round(computeDrainingMs()),
         ...describeProgress(),
     });
-    return listener.countOpen() === 0 ? 0 : 1;
+    return cut === 0 ? 0 : 1;
 }
 
 /** Gives the numbers as fields of a log line; the ended requests are those since the signal. */
