--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -2,6 +2,7 @@
  * @module The HTTP listener for callers: admits requests, and sends failures as answers.
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
+import net from "node:net";
 import { createFailure } from "../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
@@ -9,6 +10,7 @@
 import type { StopTimes } from "../decisions/gateway/computeStopTimes";
 import { isServableBeforeStop } from "../decisions/gateway/isServableBeforeStop";
 import { findRoute } from "../decisions/gateway/routeTable";
+import { formatRawFailure } from "../http/formatRawFailure";
 import { installConnectionLimit } from "../http/installConnectionLimit";
 import { readBody } from "../http/readBody";
 import { sendFailure } from "../http/sendFailure";
@@ -18,6 +20,7 @@
 import { type CallerConnections, type ConnectionCounts, createCallerConnections } from "./createCallerConnections";
 import type { ConfigurationView } from "./createConfigurationHolder";
 import type { Forwarder } from "./createForwarder";
+import { abandonAnswer } from "./abandonAnswer";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
@@ -42,6 +45,7 @@
 const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
     retryAfterMs: RETRY_AFTER_MS,
 });
+const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
 /** Numbers of the callers' connections and of the open requests by phase, and of the requests that have ended. */
 export interface CallerCounts extends ConnectionCounts {
@@ -52,12 +56,16 @@
 /** The HTTP listener for callers. */
 export interface GatewayListener {
     readonly server: http.Server;
-    /** Counts the requests without a final answer. */
+    /** Counts the requests without a final answer, those included whose head has not arrived whole. */
     countOpen(): number;
     countCallers(): CallerCounts;
     /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
-    /** Stops accepting connections, and closes the idle ones. */
+    /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
+    endRequests(): void;
+    /** Breaks off the answers that are not whole, so that their callers see it. */
+    abandonRequests(): void;
+    /** Stops accepting connections, and closes those that are idle; `countCallers` tells when all are closed. */
     closeIdle(): void;
 }
 
@@ -142,8 +150,8 @@
               });
     };
 
-    const sendFailureAnswer = (open: OpenRequest, failure: Failure, head: CallerRequestHead) => {
-        const { request, response } = open;
+    const sendFailureAnswer = (open: OpenRequest, failure: Failure) => {
+        const { request, response, head } = open;
         open.end = failure.execution === Execution.NotRun ? RequestEnd.Refused : RequestEnd.Failed;
         metrics.countRequest("", failure.kind);
         log.warn("request refused", {
@@ -164,35 +172,44 @@
         sendFailure(response, failure, head.requestId, { hasFractionalRetryAfter: true });
     };
 
-    const forward = async (open: OpenRequest, head: CallerRequestHead, receivedAtMs: number) => {
-        const { request, response } = open;
+    const forward = async (open: OpenRequest, receivedAtMs: number) => {
+        const { request, response, head } = open;
         await waitUntilLoaded(components, STARTUP_WAIT_MAX_MS);
+        if (open.end !== undefined) {
+            return;
+        }
         const admitted = admitHead(request, head);
         if ("kind" in admitted) {
-            sendFailureAnswer(open, admitted, head);
+            sendFailureAnswer(open, admitted);
+            return;
+        }
+        if (!isTaken(computeTimeoutAtMs(admitted.route, head, receivedAtMs))) {
+            sendFailureAnswer(open, SHUTTING_DOWN_FAILURE);
             return;
         }
         open.phase = RequestPhase.Body;
         const { limits } = admitted.view.configuration;
         const body = await readBody(request, { bodyBytes: limits.bodyBytesMax, idleMs: limits.idleTimeoutMs });
+        if (open.end !== undefined) {
+            return;
+        }
         if (body.isErr()) {
-            sendFailureAnswer(open, body.error, head);
+            sendFailureAnswer(open, body.error);
             return;
         }
         // While the body arrived, the configuration may have changed or its confirmation may have become too old.
         const current = admitHead(request, head);
         if ("kind" in current) {
-            sendFailureAnswer(open, current, head);
+            sendFailureAnswer(open, current);
             return;
         }
-        const timeoutAtMs = computeTimeoutAtMs(current.route, head, receivedAtMs);
-        if (!isTaken(timeoutAtMs)) {
-            sendFailureAnswer(open, SHUTTING_DOWN_FAILURE, head);
+        if (!isTaken(computeTimeoutAtMs(current.route, head, receivedAtMs))) {
+            sendFailureAnswer(open, SHUTTING_DOWN_FAILURE);
             return;
         }
         const charged = chargeQuota(current, head);
         if ("kind" in charged) {
-            sendFailureAnswer(open, charged, head);
+            sendFailureAnswer(open, charged);
             return;
         }
         open.phase = RequestPhase.Forwarded;
@@ -210,6 +227,7 @@
             () => ended.abort(AttemptOutcome.TimedOut),
             Math.max(0, exchange.timeoutAtMs - clock.readMonotonicMs()),
         );
+        open.abort = () => ended.abort(AttemptOutcome.TimedOut);
         const handleClose = () => ended.abort(AttemptOutcome.CallerGone);
         response.once("close", handleClose);
         demand.recordInFlight(service, 1);
@@ -228,20 +246,30 @@
         if (end.failure === undefined) {
             metrics.countRequest(service, "closed");
             open.end = ended.signal.reason === AttemptOutcome.CallerGone ? RequestEnd.Left : RequestEnd.Cut;
-            response.destroy();
+            abandonAnswer(response);
             return;
         }
         if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
             quotas.refund(exchange.account, amount, clock.readMonotonicMs());
         }
-        sendFailureAnswer(open, end.failure, exchange.head);
+        sendFailureAnswer(open, end.failure);
+    };
+
+    /** Handles one request of a connection at a time: the answer before it may close the connection. */
+    const handleInTurn = async (open: OpenRequest, receivedAtMs: number) => {
+        if (await connections.waitForTurn(open.request, open.response)) {
+            open.phase = RequestPhase.Waiting;
+            await forward(open, receivedAtMs);
+            return;
+        }
+        open.end = RequestEnd.Dropped;
+        open.request.resume();
     };
 
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
         const head = codec.readCallerHead(request.headers);
-        const open = openRequests.addRequest(request, response);
-        connections.recordRequest(request, response);
+        const open = openRequests.addRequest(request, response, head);
         if (stop !== undefined) {
             response.setHeader("connection", "close");
         }
@@ -250,13 +278,13 @@
                 request.socket.destroySoon();
             }
         });
-        forward(open, head, receivedAtMs).catch((error: unknown) => {
+        handleInTurn(open, receivedAtMs).catch((error: unknown) => {
             log.error("request failed inside the node", {
                 requestId: head.requestId,
                 reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
             });
             open.end = RequestEnd.Cut;
-            response.destroy();
+            abandonAnswer(response);
         });
     };
 
@@ -264,7 +292,7 @@
         { keepAlive: true, noDelay: true, connectionsCheckingInterval: 1_000 },
         handleRequest,
     );
-    const connections: CallerConnections = createCallerConnections(server);
+    const connections: CallerConnections = createCallerConnections(server, clock);
     installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS));
     configuration.watchConfiguration(({ configuration: { limits } }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -273,7 +301,7 @@
     });
     return {
         server,
-        countOpen: () => openRequests.list().length,
+        countOpen: () => openRequests.list().length + connections.countConnections().unfinished,
         countCallers: () => ({
             ...connections.countConnections(),
             phases: openRequests.countPhases(),
@@ -286,9 +314,22 @@
                 .filter(({ response }) => !response.headersSent)
                 .forEach(({ response }) => response.setHeader("connection", "close"));
         },
+        endRequests: () => {
+            openRequests
+                .list()
+                .filter(({ response, phase }) => !response.headersSent && phase !== RequestPhase.Queued)
+                .forEach(open => (open.abort ?? (() => sendFailureAnswer(open, SHUTTING_DOWN_FAILURE)))());
+            connections.answerUnfinished(SHUTTING_DOWN_ANSWER);
+        },
+        abandonRequests: () =>
+            openRequests.list().forEach(open => {
+                open.end = RequestEnd.Cut;
+                abandonAnswer(open.response);
+            }),
         closeIdle: () => {
-            server.close();
-            server.closeIdleConnections();
+            // The method of http.Server would also destroy idle connections, with the bytes of a request on the way.
+            net.Server.prototype.close.call(server);
+            connections.closeIdle();
         },
     };
 }
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -6,12 +6,13 @@
 import type { CallerCounts, GatewayListener } from "./createGatewayListener";
 import type { GatewayComponents } from "./gatewayComponents";
 
-const DRAIN_CHECK_PERIOD_MS = 100;
+const DRAIN_CHECK_PERIOD_MS = 20;
 /** Time between two log lines that show how far the drain has got. */
 const LOG_PERIOD_MS = 1_000;
 
 /**
- * Waits until the open requests are finished or the grace time is over.
+ * Waits until the open requests are finished and all connections are closed, or the grace time is over. Idle
+ * connections stay open until no request is open, so that a request on one of them gets an answer.
  *
  * @param components - The clock, the settings, and a log without a limit of lines
  * @param listener - The listener for callers
@@ -40,19 +41,26 @@
             nextLogMs += LOG_PERIOD_MS;
             log.info("gateway drains", { drainMs: Math.round(computeDrainingMs()), ...describeProgress() });
         }
-        if (computeDrainingMs() > times.acceptsMs) {
+        if (computeDrainingMs() >= times.endsRequestsMs) {
+            listener.endRequests();
+        }
+        if (computeDrainingMs() > times.acceptsMs && listener.countOpen() === 0) {
             listener.closeIdle();
-            if (listener.countOpen() === 0) {
+            if (listener.countCallers().connections === 0) {
                 break;
             }
         }
     }
+    const cut = listener.countOpen();
+    listener.abandonRequests();
+    // Sockets close in the next turns of the event loop.
+    await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_PERIOD_MS));
     log.info("gateway ended", {
-        cut: listener.countOpen(),
+        cut,
         drainMs: Math.round(computeDrainingMs()),
         ...describeProgress(),
     });
-    return listener.countOpen() === 0 ? 0 : 1;
+    return cut === 0 ? 0 : 1;
 }
 
 /** Gives the numbers as fields of a log line; the ended requests are those since the signal. */
