Blame the prompt part with the most crashes for each answer

Cause: each part of a request that was in progress at a crash was judged apart. Change: a crash counts against a part only if no other part at that crash is far more to blame (crashes for each answer). Of more than five crashes the closest in time leaves, not the oldest, so that crashes close together do not hide the number of separate ones. A simulation of fleets on simulated time.

--- a/src/decisions/gateway/createPartEvidence.ts
+++ b/src/decisions/gateway/createPartEvidence.ts
@@ -26,11 +26,13 @@
     listParts(): readonly string[];
 }
 
+/** A crash counts against a part unless another one is this share more to blame. */
+const BLAME_MARGIN = 0.75;
 /** Limits on what is kept and reported. */
 const PARTS_MAX = 64;
 const REPORTED_PARTS_MAX = 16;
 const CRASHES_MAX = 5;
-const REFUTED_KEYS_MAX = 16;
+const KEYS_MAX = 32;
 /** Time after its last crash for which a suspected, and for which a quarantined part is remembered. */
 const SUSPICION_MEMORY_MS = 120_000;
 const QUARANTINE_MEMORY_MS = 1_800_000;
@@ -55,6 +57,8 @@
     readonly crashes: Map<string, number>;
     /** Crashes until this time are refuted by answers. */
     refutedUntilMs: number;
+    /** Keys of all crashes, those that left the list included. */
+    readonly seenKeys: Set<string>;
     /** Keys of refuted crashes: reported times differ. */
     readonly refutedKeys: Set<string>;
     /** The first refuted crash that other nodes still report. */
@@ -90,9 +94,10 @@
             return;
         }
         entry.crashes.set(key, earliestMs);
+        entry.seenKeys.add(key);
+        trimSet(entry.seenKeys);
         if (entry.crashes.size > CRASHES_MAX) {
-            const [[first] = [""]] = [...entry.crashes].sort(([, left], [, right]) => left - right);
-            entry.crashes.delete(first);
+            entry.crashes.delete(findClosestCrash(entry.crashes));
         }
     };
     const refuteUntil = (entry: Entry, untilMs: number) => {
@@ -104,15 +109,21 @@
                 entry.foreignFirstMs = Math.min(atMs, entry.foreignFirstMs ?? atMs);
             }
         }
-        while (entry.refutedKeys.size > REFUTED_KEYS_MAX) {
-            entry.refutedKeys.delete(entry.refutedKeys.keys().next().value ?? "");
+        trimSet(entry.refutedKeys);
+        if (entry.crashes.size === 0) {
+            entry.seenKeys.clear();
         }
     };
-    /** Gives the times of the crashes that are neither released nor explained by a part with more of them. */
-    const listCrashTimes = (entry: Entry, nowMs: number): readonly number[] => {
+    /** Computes how much speaks against a part: its crashes for each answer. */
+    const computeBlame = (part: string, { crashes, seenKeys, fleet }: Entry) =>
+        Math.max(crashes.size, seenKeys.size) /
+        (1 + Math.max(memory.countAll(part), fleet.clearances + fleet.earlierClearances));
+    /** Gives the times of the crashes that are not released and for which no other part is far more to blame. */
+    const listCrashTimes = (part: string, entry: Entry, nowMs: number): readonly number[] => {
+        const blame = computeBlame(part, entry);
         const explained = new Set<string>();
-        for (const other of entries.values()) {
-            if (other.isQuarantined && other !== entry && other.crashes.size > entry.crashes.size) {
+        for (const [otherPart, other] of entries) {
+            if (computeBlame(otherPart, other) * BLAME_MARGIN > blame) {
                 [...other.crashes.keys()].forEach(key => explained.add(key));
             }
         }
@@ -125,7 +136,7 @@
         memory.countSince(part, nowMs - FAMILIAR_PERIOD_MS) >= FAMILIAR_RECENT_MIN ||
         (entries.get(part)?.fleet.earlierClearances ?? 0) >= FAMILIAR_EARLIER_MIN;
     const buildFacts = (part: string, entry: Entry, nowMs: number): PartFacts => {
-        const crashTimes = listCrashTimes(entry, nowMs);
+        const crashTimes = listCrashTimes(part, entry, nowMs);
         const firstMs = crashTimes[0] ?? nowMs;
         const own = memory.countSince(part, firstMs);
         return {
@@ -140,7 +151,7 @@
     };
     /** Applies the fleet's clearances, then the rule of conviction. */
     const refreshEntry = (part: string, entry: Entry, nowMs: number) => {
-        const times = listCrashTimes(entry, nowMs);
+        const times = listCrashTimes(part, entry, nowMs);
         const [firstMs, lastMs] = [times[0], times.at(-1)];
         if (firstMs === undefined || lastMs === undefined) {
             entry.isQuarantined = false;
@@ -252,6 +263,7 @@
 function createEntry(lastClearedMs: number | undefined): Entry {
     return {
         crashes: new Map(),
+        seenKeys: new Set(),
         refutedKeys: new Set(),
         refutedUntilMs: (lastClearedMs ?? Number.NEGATIVE_INFINITY) - CLOCK_DIFFERENCE_MS,
         foreignFirstMs: undefined,
@@ -262,6 +274,19 @@
     };
 }
 
+/** Finds the crash with the least time to the one before it, so that those that are left show the longest time. */
+function findClosestCrash(crashes: ReadonlyMap<string, number>): string {
+    const sorted = [...crashes].sort(([, left], [, right]) => left - right);
+    const gaps = sorted.map(([key, atMs], index) => ({ key, ms: atMs - (sorted[index - 1]?.[1] ?? -Infinity) }));
+    return gaps.reduce((least, gap) => (gap.ms < least.ms ? gap : least)).key;
+}
+
+function trimSet(keys: Set<string>): void {
+    if (keys.size > KEYS_MAX) {
+        keys.delete(keys.keys().next().value ?? "");
+    }
+}
+
 /** Tells whether a reported crash is recent, or released recently. */
 function isKeptAge(ageMs: number): boolean {
     return ageMs <= QUARANTINE_MEMORY_MS || isReleasedAge(ageMs);
@@ -292,7 +317,7 @@
     }
     for (const entry of entries.values()) {
         if (entry === own || entry.isQuarantined) {
-            [...entry.crashes.keys()].forEach(key => others.delete(key));
+            entry.seenKeys.forEach(key => others.delete(key));
         }
     }
     return others.size;
--- /dev/null
+++ b/src/gateway/_testing/simulateQuarantine.ts
@@ -0,0 +1,290 @@
+/**
+ * @module Simulates the quarantines of a small fleet on simulated time: endpoints that crash on a prompt part, other
+ * crashes and resets beside, and news between the nodes that is late, lost and repeated.
+ */
+import { createManualClock } from "../../base/createManualClock";
+import { createRandom } from "../../base/createRandom";
+import { createLog } from "../../base/log/createLog";
+import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import type { PartEvidence } from "../../decisions/relays/news";
+import { createPartQuarantine, type FollowedAttempt, type PartQuarantine } from "../createPartQuarantine";
+import { createEndpointRecord, type EndpointRecord } from "../endpointRecord";
+import { ConnectionEnd } from "../sendAttempt";
+import { makeEndpoint } from "./makeEndpoint";
+
+/** What is simulated. */
+export interface QuarantineSimulation {
+    readonly seed: number;
+    readonly nodes: number;
+    readonly endpoints: number;
+    readonly requestsPerSecond: number;
+    readonly durationMs: number;
+    /** Share of requests with the deadly part from `deadlyFromMs` on; before it, the part is harmless. */
+    readonly deadlyShare: number;
+    readonly deadlyFromMs: number;
+    /** Share of requests with that part before. */
+    readonly harmlessShare: number;
+    /** Crashes of other causes, and resets of connections, per second. */
+    readonly crashesPerSecond: number;
+    readonly resetsPerSecond: number;
+    /** Share of messages that are lost. */
+    readonly lossShare: number;
+    /** Nodes that lose their state, per second. */
+    readonly restartsPerSecond: number;
+    /** Gets the log lines of the nodes; default: none are kept. */
+    readonly write?: (line: string) => void;
+}
+
+/** What was seen. */
+export interface QuarantineResult {
+    /** Crashes by the deadly part. */
+    readonly deadlyCrashes: number;
+    /** Requests with it that reached endpoints later than `CONTACT_MS` after the fifth crash. */
+    readonly lateDeadly: number;
+    readonly sound: number;
+    /** Requests without the part that were refused, and those of them with none but popular parts. */
+    readonly refusedSound: number;
+    readonly refusedPopular: number;
+    /** Requests with the part that were refused or answered in the last quarter. */
+    readonly refusedAtEnd: number;
+    readonly answeredAtEnd: number;
+}
+
+const CONTACT_MS = 4_000;
+const STEP_MS = 10;
+const DOWN_MS = 3_000;
+const NEWS_EVERY_MS = 250;
+const POPULAR_TOPICS = 6;
+const RARE_TOPICS = 200;
+
+interface Attempt {
+    readonly node: Node;
+    readonly endpoint: Endpoint;
+    readonly parts: readonly string[];
+    readonly sends: number;
+    readonly followed: FollowedAttempt;
+    readonly beginsAtMs: number;
+    readonly endsAtMs: number;
+    hasBegun: boolean;
+}
+interface Endpoint {
+    readonly id: string;
+    startedAtMs: number;
+    downUntilMs: number;
+}
+interface Node {
+    quarantine: PartQuarantine;
+    readonly records: Map<string, EndpointRecord>;
+}
+type Evidence = Readonly<Record<string, PartEvidence>>;
+
+/**
+ * Runs a simulation.
+ *
+ * @param options - What is simulated
+ * @returns What was seen
+ * @example
+ * (await simulateQuarantine({ ...CALM, seed: 1 })).lateDeadly;
+ */
+export async function simulateQuarantine(options: QuarantineSimulation): Promise<QuarantineResult> {
+    const clock = createManualClock();
+    const random = createRandom(options.seed);
+    const log = createLog({ write: options.write ?? (() => undefined) });
+    const seen = {
+        deadlyCrashes: 0,
+        lateDeadly: 0,
+        sound: 0,
+        refusedSound: 0,
+        refusedPopular: 0,
+        refusedAtEnd: 0,
+        answeredAtEnd: 0,
+    };
+    const beganAtMs = clock.readMonotonicMs();
+    const readMs = () => clock.readMonotonicMs() - beganAtMs;
+    let fifthCrashMs = Number.POSITIVE_INFINITY;
+    const endpoints: Endpoint[] = Array.from({ length: options.endpoints }, (_, index) => ({
+        id: `i-${index}`,
+        startedAtMs: 1,
+        downUntilMs: 0,
+    }));
+    const attempts = new Set<Attempt>();
+    const messages: { readonly atMs: number; readonly deliver: () => void }[] = [];
+    const reports = new Map<number, Evidence>();
+    const drawChance = (perSecond: number) => random.drawFraction() < (perSecond * STEP_MS) / 1_000;
+    const pick = <T>(items: readonly T[]): T => items[random.drawInteger(0, items.length - 1)] as T;
+    const createNode = (index: number, records: Map<string, EndpointRecord>): PartQuarantine =>
+        createPartQuarantine({
+            nodeName: `node-${index}`,
+            directory: { findEndpoint: id => records.get(id) },
+            readNodeCount: () => options.nodes,
+            clock,
+            metrics: { countPromptRefusal: () => undefined, setPromptParts: () => undefined },
+            log: log.withFields({ node: index }),
+            isRefusing: ({ port }) => Promise.resolve((endpoints[port]?.downUntilMs ?? 0) > readMs()),
+        });
+    const updateRecord = (records: Map<string, EndpointRecord>, { id, startedAtMs }: Endpoint, port: number) => {
+        const endpoint = makeEndpoint(id, { startedAtMs, target: { address: "127.0.0.1", port } });
+        records.set(id, createEndpointRecord(endpoint, { roundTripMs: 0, penaltyMs: 0 }, clock));
+    };
+    const nodes: Node[] = Array.from({ length: options.nodes }, (_, index) => {
+        const records = new Map<string, EndpointRecord>();
+        endpoints.forEach((endpoint, port) => updateRecord(records, endpoint, port));
+        return { records, quarantine: createNode(index, records) };
+    });
+
+    const send = (node: Node, parts: readonly string[], sends: number) => {
+        const isDeadly = parts.includes("deadly");
+        const admission = node.quarantine.admitAttempt(parts);
+        const isAtEnd = readMs() > options.durationMs * 0.75;
+        if (admission.retryAfterMs !== undefined || (sends > 1 && admission.verdict !== "free")) {
+            seen.refusedAtEnd += isDeadly && isAtEnd ? 1 : 0;
+            seen.refusedSound += isDeadly ? 0 : 1;
+            seen.refusedPopular += isDeadly || parts.some(part => part.startsWith("rare")) ? 0 : 1;
+            return;
+        }
+        const up = endpoints.filter(({ downUntilMs }) => downUntilMs <= readMs());
+        if (up.length === 0) {
+            return;
+        }
+        const endpoint = pick(up);
+        const record = node.records.get(endpoint.id);
+        if (record === undefined) {
+            return;
+        }
+        seen.lateDeadly += isDeadly && readMs() > fifthCrashMs + CONTACT_MS ? 1 : 0;
+        const beginsAtMs = readMs() + random.drawInteger(50, 600);
+        attempts.add({
+            node,
+            endpoint,
+            parts,
+            sends,
+            followed: node.quarantine.beginAttempt(record, parts),
+            beginsAtMs,
+            endsAtMs: beginsAtMs + random.drawInteger(100, 2_000),
+            hasBegun: false,
+        });
+    };
+    const breakAttempts = (isBroken: (attempt: Attempt) => boolean) => {
+        for (const attempt of [...attempts].filter(isBroken)) {
+            attempts.delete(attempt);
+            const end = attempt.hasBegun ? AttemptOutcome.Broken : AttemptOutcome.Lost;
+            const result = { end, reason: "reset", connection: ConnectionEnd.Broken };
+            void attempt.followed.finish(result).then(mayHaveCrashed => {
+                if (!mayHaveCrashed && attempt.sends < 2) {
+                    send(attempt.node, attempt.parts, attempt.sends + 1);
+                }
+            });
+        }
+    };
+    const crash = (endpoint: Endpoint) => {
+        endpoint.downUntilMs = readMs() + DOWN_MS;
+        breakAttempts(attempt => attempt.endpoint === endpoint);
+    };
+    const advanceAttempts = () => {
+        for (const attempt of attempts) {
+            if (!attempts.has(attempt)) {
+                continue;
+            }
+            if (!attempt.hasBegun && attempt.beginsAtMs <= readMs()) {
+                if (attempt.parts.includes("deadly") && readMs() >= options.deadlyFromMs) {
+                    seen.deadlyCrashes++;
+                    fifthCrashMs = seen.deadlyCrashes === 5 ? readMs() : fifthCrashMs;
+                    crash(attempt.endpoint);
+                    continue;
+                }
+                attempt.hasBegun = true;
+                attempt.followed.recordFirstPart();
+                const isAtEnd = readMs() > options.durationMs * 0.75;
+                seen.answeredAtEnd += attempt.parts.includes("deadly") && isAtEnd ? 1 : 0;
+            }
+            if (attempt.hasBegun && attempt.endsAtMs <= readMs()) {
+                attempts.delete(attempt);
+                void attempt.followed.finish({ end: AttemptOutcome.Relayed, reason: "complete" });
+            }
+        }
+    };
+    const exchangeNews = () => {
+        nodes.forEach((node, index) => {
+            const report = node.quarantine.readEvidence();
+            sendMessage(() => reports.set(index, report));
+            sendMessage(() => node.quarantine.mergeEvidence(sumEvidence([...reports.values()])));
+        });
+    };
+    const sendMessage = (deliver: () => void) => {
+        for (let copy = 0; copy < 2; copy++) {
+            if (random.drawFraction() >= options.lossShare && (copy === 0 || random.drawFraction() < 0.1)) {
+                messages.push({ atMs: readMs() + random.drawInteger(20, 400), deliver });
+            }
+        }
+    };
+    const makeParts = (): readonly string[] => {
+        const share = readMs() >= options.deadlyFromMs ? options.deadlyShare : options.harmlessShare;
+        const isRare = random.drawFraction() < 0.15;
+        const topic = isRare
+            ? `rare-${random.drawInteger(1, RARE_TOPICS)}`
+            : `topic-${random.drawInteger(1, POPULAR_TOPICS)}`;
+        return random.drawFraction() < share ? ["base", topic, "deadly"] : ["base", topic];
+    };
+
+    while (readMs() < options.durationMs) {
+        clock.advanceMs(STEP_MS);
+        await new Promise(resolve => setImmediate(resolve));
+        endpoints.forEach((endpoint, port) => {
+            if (endpoint.downUntilMs > 0 && endpoint.downUntilMs <= readMs()) {
+                endpoint.downUntilMs = 0;
+                endpoint.startedAtMs = readMs();
+                nodes.forEach(node => updateRecord(node.records, endpoint, port));
+            }
+        });
+        for (const message of messages.filter(({ atMs }) => atMs <= readMs())) {
+            messages.splice(messages.indexOf(message), 1);
+            message.deliver();
+        }
+        if (readMs() % NEWS_EVERY_MS === 0) {
+            exchangeNews();
+        }
+        advanceAttempts();
+        if (drawChance(options.crashesPerSecond)) {
+            crash(pick(endpoints));
+        }
+        if (drawChance(options.resetsPerSecond)) {
+            const [node, endpoint] = [pick(nodes), pick(endpoints)];
+            breakAttempts(attempt => attempt.node === node && attempt.endpoint === endpoint);
+        }
+        if (drawChance(options.restartsPerSecond)) {
+            const index = random.drawInteger(0, nodes.length - 1);
+            const node = nodes[index];
+            if (node !== undefined) {
+                [...attempts].filter(attempt => attempt.node === node).forEach(attempt => attempts.delete(attempt));
+                node.quarantine = createNode(index, node.records);
+                node.quarantine.mergeEvidence(sumEvidence([...reports.values()]));
+            }
+        }
+        if (drawChance(options.requestsPerSecond)) {
+            const parts = makeParts();
+            seen.sound += parts.includes("deadly") ? 0 : 1;
+            send(pick(nodes), parts, 1);
+        }
+    }
+    return seen;
+}
+
+/** Sums reports as relays do: crashes are united with the greater age, and the other values are added. */
+export function sumEvidence(reports: readonly Evidence[]): Evidence {
+    const sums: Record<string, PartEvidence> = {};
+    for (const report of reports) {
+        for (const [part, evidence] of Object.entries(report)) {
+            const sum = sums[part] ?? { crashes: {}, clearances: 0, earlierClearances: 0 };
+            const crashes: Record<string, number> = { ...sum.crashes };
+            for (const [key, ageMs] of Object.entries(evidence.crashes)) {
+                crashes[key] = Math.max(ageMs, crashes[key] ?? 0);
+            }
+            sums[part] = {
+                crashes,
+                clearances: sum.clearances + evidence.clearances,
+                earlierClearances: sum.earlierClearances + evidence.earlierClearances,
+            };
+        }
+    }
+    return sums;
+}
