--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -23,6 +23,7 @@
 import { createForwarder } from "../createForwarder";
 import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
 import { createGatewayMetrics } from "../createGatewayMetrics";
+import { createPartQuarantine } from "../createPartQuarantine";
 import { createServiceSpeeds } from "../createServiceSpeeds";
 import { drainGateway } from "../drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
@@ -134,12 +135,13 @@
     const directory = createEndpointDirectory(settings, clock, log);
     const endpoints = await Promise.all(scripts.map(startScriptedEndpoint));
     const countedAccounts: string[] = [];
+    const metrics = createGatewayMetrics();
     const components = {
         settings,
         clock,
         random: createRandom(1),
         log,
-        metrics: createGatewayMetrics(),
+        metrics,
         codec: PLATFORM_CODEC,
         configuration,
         directory,
@@ -150,6 +152,14 @@
         },
         demand: createDemandMeter(clock),
         news: makeNews(),
+        quarantine: createPartQuarantine({
+            nodeName: SETTINGS.nodeName,
+            directory,
+            readNodeCount: () => 1,
+            clock,
+            metrics,
+            log,
+        }),
     };
     const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
     const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
