Let a relay that has just started load the others' news before its first request

What callers saw: none reported. A restarted node that is a relay, or whose relay has just started, took its own empty view for that of the fleet, so its first requests would go where the other nodes know that a prompt part crashes. Cause: the first view of a relay was that of its own report; it had heard no other relay yet. The answer to a node's first report was such a view as well. Change: a relay without a view gives none, to itself or others, until it has heard all relays in the store's rows or one that runs for longer, for three periods at most. A relay answers the first summary of an unknown one with its own at once, so that this takes one trip. Views hold what the relay itself knows of prompt parts, for relays that take over. Evidence: createNewsFleet runs createFleetNews itself on simulated time and network (20% lost, as many sent twice, all reordered). evidenceNews.test.ts 'is at a restarted node before its first request' failed before (node-8-9 loaded without the evidence) and passes.

--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -30,6 +30,8 @@
 const COUNTS_EVERY_PERIODS = 4;
 /** Relays of the whole fleet that read the store: one, and one that is ready to take over. */
 const READER_COUNT = 2;
+/** A relay that has just started waits for the news of another one for so many periods at most. */
+const LOADING_PERIODS_MAX = 3;
 /** A node assumes that it is no longer counted this long before it is not. */
 const COUNTED_MARGIN_MS = 1_500;
 
@@ -118,7 +120,9 @@
     let sequence = 0;
     let askedAtMs = Number.NEGATIVE_INFINITY;
     let countedAtMs = Number.NEGATIVE_INFINITY;
+    let lastSummary: { readonly bytes: Buffer; readonly atMs: number } | undefined;
     let hasMembers = false;
+    let hasHeardLoaded = false;
     let wasRelay = false;
 
     const isFresh = (atMs: number, withinMs: number) => clock.readMonotonicMs() - atMs < withinMs;
@@ -127,6 +131,19 @@
         isFresh(askedAtMs, RELAY_UNUSED_MS) || roster.listRelays().some(({ node }) => node === self.node);
     const isInTouch = () => view !== undefined && isFresh(view.atMs, UNREACHABLE_AFTER_MS);
 
+    const listFreshRelays = () => merger.listRelays(clock.readMonotonicMs()).filter(({ node }) => node !== self.node);
+    const listStoredRelays = () =>
+        [...storedRelays.values()]
+            .filter(({ listedAtMs }) => isFresh(listedAtMs, MEMBER_TIMEOUT_MS))
+            .map(({ identity }) => identity)
+            .filter(({ node }) => node !== self.node);
+    /** True if this node has just started and other relays may know what it must know before its first request. */
+    const isLoading = () => {
+        const heard = new Set(listFreshRelays().map(({ node }) => node));
+        const hasHeardAll = listStoredRelays().every(({ node }) => heard.has(node));
+        return view === undefined && sequence <= LOADING_PERIODS_MAX && !hasHeardLoaded && !hasHeardAll;
+    };
+
     const applyView = (content: FleetView) => {
         // Before this node counts as loaded: its first request must not go where the others know that it must not.
         options.evidence.mergeEvidence(content.suspects);
@@ -158,12 +175,20 @@
             }
             if (isNew) {
                 send(encodeMembers(), report);
-                send(encodeView(merger.mergeView(nowMs)), report);
+                if (!isLoading()) {
+                    send(encodeView(mergeView(nowMs)), report);
+                }
             }
         },
         [NewsKind.Summary]: ({ summary }) => {
-            if (summary.relay.node !== self.node) {
-                merger.recordSummary(summary, clock.readMonotonicMs());
+            if (summary.relay.node === self.node) {
+                return;
+            }
+            const isNew = !listFreshRelays().some(({ life }) => life === summary.relay.life);
+            merger.recordSummary(summary, clock.readMonotonicMs());
+            hasHeardLoaded ||= summary.sequence > LOADING_PERIODS_MAX;
+            if (isNew && lastSummary !== undefined && isFresh(lastSummary.atMs, UNREACHABLE_AFTER_MS)) {
+                send(lastSummary.bytes, summary.relay);
             }
         },
         [NewsKind.View]: ({ relay, view: content }) => {
@@ -195,6 +220,11 @@
         sequence: ++sequence,
         counted: sequence % COUNTS_EVERY_PERIODS === 1 ? options.readCounts() : undefined,
     });
+    /** Merges all news, with what this node itself knows of prompt parts: it may be the last one that knows it. */
+    const mergeView = (nowMs: number): FleetView => {
+        const merged = merger.mergeView(nowMs);
+        return { ...merged, suspects: mergeSuspects([merged.suspects, readOwnSuspects()], Math.max) };
+    };
     const encodeView = (content: FleetView) => {
         const near = Object.entries(content.endpoints).filter(([id]) => options.isNearEndpoint(id));
         return encodeNews({
@@ -221,12 +251,7 @@
     };
     /** Lists the relays that get this relay's sums: those that it hears, those in the store, and its own choices. */
     const listSummaryTargets = () => {
-        const stored = [...storedRelays.values()].filter(({ listedAtMs }) => isFresh(listedAtMs, MEMBER_TIMEOUT_MS));
-        const targets = [
-            ...roster.listRelays(),
-            ...stored.map(({ identity }) => identity),
-            ...merger.listRelays(clock.readMonotonicMs()),
-        ];
+        const targets = [...roster.listRelays(), ...listStoredRelays(), ...listFreshRelays()];
         return [...new Map(targets.map(target => [target.node, target])).values()].filter(
             ({ node }) => node !== self.node,
         );
@@ -237,8 +262,12 @@
         const summary = { ...collector.summarize(nowMs), relay: self, sequence, lostUsage };
         merger.recordSummary(summary, nowMs);
         const bytes = encodeNews({ kind: NewsKind.Summary, summary });
+        lastSummary = { bytes, atMs: nowMs };
         listSummaryTargets().forEach(target => send(bytes, target));
-        const merged = merger.mergeView(nowMs);
+        if (isLoading()) {
+            return;
+        }
+        const merged = mergeView(nowMs);
         applyView(merged);
         const receivers = collector.listReachable(nowMs).filter(({ node }) => node !== self.node);
         const viewBytes = encodeView(merged);
@@ -274,7 +303,6 @@
             relayNews();
         }
     };
-    const listFreshRelays = () => merger.listRelays(clock.readMonotonicMs()).filter(({ node }) => node !== self.node);
     const readRowSources = (): RowSources => {
         if (!isRelay()) {
             return { role: RowRole.Node, nodes: roster.listRelays() };
--- a/src/gateway/createRelayRoster.ts
+++ b/src/gateway/createRelayRoster.ts
@@ -8,7 +8,7 @@
 import type { NodeIdentity } from "../decisions/relays/news";
 
 /** A relay from which no view came for this long, while this node reported to it, is replaced for a while. */
-const RELAY_SILENT_MS = 800;
+export const RELAY_SILENT_MS = 800;
 const RELAY_SUSPECT_MS = 10_000;
 
 /** The members of the failure domain, as one of them knows them. */
