Exchange the evidence of each node's quarantine through the relays

Cause: the quarantine of a node and the news between nodes were built apart. Change: the quarantine is the news' source and receiver of evidence.

--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -110,7 +110,7 @@
                 ? { atMs: Math.round(clusterTime.readClusterMs()), windows: usage.readWindows(REPORTED_WINDOWS) }
                 : undefined,
         isNearEndpoint: createNearEndpointCheck(settings, directory),
-        evidence: { readEvidence: () => ({}), mergeEvidence: () => undefined },
+        evidence: quarantine,
         handleActivity: directory.recordOthers,
         clock,
         log,
