Count comments of a stream as no event

What callers saw: a stalled stream until the timeout of its route, where an endpoint went on sending comments (': keep-alive') and another endpoint could have continued it; a stream of comments alone counted as begun.

Cause: an empty line ended a batch of events, whatever it held.

Change: a batch of comments is relayed, but ends no wait and counts as no first event.

Evidence: node scripts/runTests.mjs src/gateway/waitingAttempts.test.ts: before 8 passed, 2 failed (one event, or none, after 2,517 ms); now 10 passed. Events that arrive byte by byte were given up before, too.

--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/createEventSplitter.ts
@@ -6,10 +6,13 @@
 const CR = 0x0d;
 /** Largest event. */
 const EVENT_BYTES_MAX = 1_048_576;
+const EVENT_FIELD = /^(?:data|id)(?::|\r?$)/m;
 
 /** Whole events, byte for byte as they were received. */
 export interface EventBatch {
     readonly bytes: Buffer;
+    /** False if there are only comments, which some servers send while they have no event. */
+    readonly hasEvent: boolean;
     /** Id of the last event in the batch that has one. */
     readonly lastEventId: string | undefined;
     /** Id of the first event in the batch that has one. */
@@ -73,5 +76,5 @@
 function describeEvents(bytes: Buffer): EventBatch {
     const text = bytes.toString("latin1");
     const ids = [...text.matchAll(/^id: ?(.*?)\r?$/gm)].map(match => match[1] ?? "");
-    return { bytes, firstEventId: ids[0], lastEventId: ids.at(-1) };
+    return { bytes, hasEvent: EVENT_FIELD.test(text), firstEventId: ids[0], lastEventId: ids.at(-1) };
 }
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -233,11 +233,13 @@
         if (batch === undefined || options.ended.aborted) {
             return;
         }
-        if (!hasFirstEvent) {
-            hasFirstEvent = true;
-            options.handleFirstPart();
+        if (batch.hasEvent) {
+            if (!hasFirstEvent) {
+                hasFirstEvent = true;
+                options.handleFirstPart();
+            }
+            beginWait(options.eventTimeoutMs, "further event");
         }
-        beginWait(options.eventTimeoutMs, "further event");
         if (!options.relay.relayEvents(head, batch)) {
             settle({ end: AttemptOutcome.Broken, reason: "the events do not continue those relayed before" });
         } else if (options.relay.waitForDrain(() => response.resume())) {
--- a/src/gateway/waitingAttempts.test.ts
+++ b/src/gateway/waitingAttempts.test.ts
@@ -30,6 +30,19 @@
         socket.write(STREAM_HEAD + formatEvent(1));
         setTimeout(() => socket.write(`${formatEvent(2)}0\r\n\r\n`), pauseMs);
     };
+/** Sends this text first, and then another one again and again. */
+const repeatForever =
+    (first: string, repeated: string): EndpointScript =>
+    (_request, socket) => {
+        socket.write(STREAM_HEAD + first);
+        const timer = setInterval(() => socket.write(repeated), 50);
+        socket.on("close", () => clearInterval(timer));
+    };
+/** Sends both events, or those after the last one that the caller has. */
+const streamRest: EndpointScript = (request, socket) => {
+    const events = /Last-Event-Id: 1\r\n/i.test(request) ? formatEvent(2) : formatEvent(1) + formatEvent(2);
+    socket.write(`${STREAM_HEAD}${events}0\r\n\r\n`);
+};
 
 let harness: GatewayHarness;
 afterEach(() => harness.dispose());
@@ -96,3 +109,26 @@
         assert.ok(!answer.isComplete);
     });
 });
+
+// Guards against stalled streams that seem alive by bytes that are no event.
+describe("a stream without further events is continued elsewhere", () => {
+    for (const [name, first, repeated] of [
+        ["if only comments arrive", formatEvent(1), formatChunk(": keep-alive\n\n")],
+        ["if only comments arrive before its first event", "", formatChunk(": keep-alive\n\n")],
+        ["if an event arrives byte by byte", formatEvent(1) + formatChunk("data: "), formatChunk("x")],
+    ] as const) {
+        it(name, async () => {
+            const route = { ...RESUMABLE, objectiveMs: 500 };
+            let isFirst = true;
+            const script: EndpointScript = (...request) => {
+                (isFirst ? repeatForever(first, repeated) : streamRest)(...request);
+                isFirst = false;
+            };
+            const { send } = await start(route, script, script);
+            const answer = await send();
+            assert.equal(answer.body.replaceAll(": keep-alive\n\n", ""), "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+            assert.ok(answer.isComplete);
+            assert.equal(countRequests(), 2);
+        });
+    }
+});
