Blame no endpoint while the caller of its stream doesn't read

What callers saw: a resumable stream that is broken off, or executed a second time, because its caller read nothing for a second; the first endpoint's failure share rose for it.

Cause: the longest pause between events ran on while the answer was held back for a slow caller.

Change: the wait ends when the answer is paused for the caller, and begins anew when it goes on.

Evidence: node scripts/runTests.mjs src/gateway/waitingAttempts.test.ts: before 10 passed, 1 failed (2 executions, not complete, against 1 and complete); now 11 passed.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -223,7 +223,15 @@
 ): void {
     const splitter = createEventSplitter();
     let hasFirstEvent = false;
-    beginWait(options.answerTimeoutMs, "event");
+    const beginEventWait = () =>
+        hasFirstEvent
+            ? beginWait(options.eventTimeoutMs, "further event")
+            : beginWait(options.answerTimeoutMs, "event");
+    const resume = () => {
+        beginEventWait();
+        response.resume();
+    };
+    beginEventWait();
     response.on("data", (chunk: Buffer) => {
         const batch = splitter.push(chunk);
         if (splitter.isOverfull()) {
@@ -238,11 +246,13 @@
                 hasFirstEvent = true;
                 options.handleFirstPart();
             }
-            beginWait(options.eventTimeoutMs, "further event");
+            beginEventWait();
         }
         if (!options.relay.relayEvents(head, batch)) {
             settle({ end: AttemptOutcome.Broken, reason: "the events do not continue those relayed before" });
-        } else if (options.relay.waitForDrain(() => response.resume())) {
+        } else if (options.relay.waitForDrain(resume)) {
+            // The endpoint isn't to blame while the caller doesn't read.
+            beginWait(undefined, "further event");
             response.pause();
         }
     });
--- a/src/gateway/waitingAttempts.test.ts
+++ b/src/gateway/waitingAttempts.test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import http from "node:http";
+import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
 import { type GatewayRoute, RouteKind } from "../model/gateway";
@@ -132,3 +134,29 @@
         });
     }
 });
+
+// Guards against sound streams that are broken off, or executed twice, because their caller reads slowly.
+describe("a stream whose caller reads slowly", () => {
+    it("is not given up for another endpoint", async () => {
+        const event = `id: 1\ndata: ${"x".repeat(200_000)}\n\n`;
+        const script: EndpointScript = (_request, socket) => {
+            socket.write(STREAM_HEAD);
+            for (let id = 1; id <= 80; id++) {
+                socket.write(formatChunk(event.replace("1", String(id))));
+            }
+            socket.write("0\r\n\r\n");
+        };
+        const { listener } = await start({ ...RESUMABLE, timeoutMs: 10_000 }, script, script);
+        const { port } = listener.server.address() as AddressInfo;
+        const headers = { host: "news.example", authorization: "Bearer key-1", "redwinglift-attempt-id": "attempt-1" };
+        const isComplete = await new Promise<boolean>((resolve, reject) => {
+            const request = http.get({ host: "127.0.0.1", port, path: "/a/b", agent: false, headers }, response => {
+                setTimeout(() => response.resume(), 1_600);
+                response.on("error", () => undefined);
+                response.on("close", () => resolve(response.complete));
+            });
+            request.on("error", reject);
+        });
+        assert.deepEqual([countRequests(), isComplete], [1, true]);
+    });
+});
