Take no answer as complete whose connection was reset at its end

What callers saw: a part of an application runner's answer with its status 200, as if it were the whole one, where the answer has neither a length nor chunks and its connection was reset together with the last bytes.

Cause: the product's clients took the end event as the end of the answer; Node gives it after such a reset, too. The gateway had the check already.

Change: the check moves to the adapters' library, and every client that reads answers whole uses it.

Evidence: node scripts/runTests.mjs src/adapters/framings.test.ts: before, "with its connection's end, reset midway" of an application runner failed (taken as complete), now 19 passed; streams of model runners that are cut, reset or end inside an event never looked complete. src/adapters: 167 passed.

--- a/src/adapters/_lib/readWholeAnswer.ts
+++ b/src/adapters/_lib/readWholeAnswer.ts
@@ -3,6 +3,7 @@
  */
 import type http from "node:http";
 import { LARGEST_ANSWER_BYTES } from "../constants";
+import { createCompletionCheck } from "./createCompletionCheck";
 
 /** What reading an answer can come to. */
 export interface AnswerHandlers {
@@ -34,5 +35,12 @@
         }
     });
     response.on("error", handlers.handleError);
-    response.on("end", () => handlers.handleWhole(Buffer.concat(chunks)));
+    const isComplete = createCompletionCheck(response);
+    response.on("end", () => {
+        void isComplete().then(complete =>
+            complete
+                ? handlers.handleWhole(Buffer.concat(chunks))
+                : handlers.handleError(new Error("The answer was cut off.")),
+        );
+    });
 }
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -2,6 +2,7 @@
  * @module One attempt to have a request executed by an endpoint.
  */
 import http from "node:http";
+import { createCompletionCheck } from "../adapters/_lib/createCompletionCheck";
 import { createWaitBound } from "../adapters/_lib/createWaitBound";
 import { describeError } from "../adapters/_lib/describeError";
 import { HttpStatus } from "../adapters/_lib/httpStatus";
@@ -12,7 +13,6 @@
 import { createEventSplitter } from "./createEventSplitter";
 import type { RelayedHead, StreamRelay } from "./createStreamRelay";
 import type { EndpointRecord } from "./endpointRecord";
-import { isConnectionReset } from "./isConnectionReset";
 
 /** The request, its endpoint and time limits, and the handlers of its progress. */
 export interface AttemptOptions {
@@ -298,19 +298,6 @@
     });
 }
 
-/**
- * Creates the check whether an answer was received whole. An answer without a length or chunks ends with its
- * connection, and is complete unless the connection was reset.
- */
-function createCompletionCheck(response: http.IncomingMessage): () => Promise<boolean> {
-    const { headers, socket } = response;
-    if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
-        return () => Promise.resolve(response.complete);
-    }
-    const whenReset = isConnectionReset(socket);
-    return async () => response.complete && !(await whenReset);
-}
-
 /**
  * Builds the result of an attempt without a usable answer: `Lost` if nothing was relayed to the caller, else `Broken`.
  */
