Keep whole answers that other bytes follow on the product's path

What callers saw: a failure of unknown outcome for a call or generation whose answer had been received whole by its length or chunks, where bytes of no protocol followed in the same packet; the same for calls to the store and the cloud.

Cause: as in the gateway, the parser's error about those bytes ended the call before the answer's own end was handled.

Change: an error of the connection after a whole answer ends neither a call nor a generation.

Evidence: node scripts/runTests.mjs src/adapters/framings.test.ts: before 19 passed, 4 failed, now 23 passed; src/adapters: 171 passed.

--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -105,8 +105,15 @@
         const beginSilence = () => bound.beginWait(silenceMs ?? SILENCE_TIMEOUT_MS, "more of the answer");
 
         bound.beginWait(connectMs ?? CONNECT_TIMEOUT_MS, "connection");
-        request.on("error", failBroken);
+        let answer: http.IncomingMessage | undefined;
+        request.on("error", error => {
+            // Bytes after a whole answer belong to no call; the answer stands, and the connection is closed.
+            if (answer?.complete !== true) {
+                failBroken(error);
+            }
+        });
         request.on("response", response => {
+            answer = response;
             beginSilence();
             wholeBound.beginWait(call.timeouts?.wholeMs ?? WHOLE_ANSWER_TIMEOUT_MS, "end of the answer");
             readWholeAnswer(response, {
--- a/src/adapters/framings.test.ts
+++ b/src/adapters/framings.test.ts
@@ -12,6 +12,7 @@
 const TIMEOUTS = { connectMs: 500, firstByteMs: 500, silenceMs: 500, wholeMs: 1_000 };
 const TOKEN = 'data: {"choices":[{"delta":{"content":"a"}}]}\n\n';
 const LAST = 'data: {"choices":[{"delta":{"content":"b"},"finish_reason":"stop"}]}\n\ndata: [DONE]\n\n';
+const GARBAGE = "\u0000 nothing of the protocol\r\n\r\n";
 
 const toChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const writeAndReset = (socket: Socket, text: string) => void socket.write(text, () => socket.resetAndDestroy());
@@ -57,6 +58,12 @@
     },
     { name: "cut midway", write: (socket, { part }) => void socket.end(part), isComplete: false, isOnlyFramed: true },
     { name: "reset midway", write: (socket, { part }) => writeAndReset(socket, part), isComplete: false },
+    {
+        name: "followed by other bytes",
+        write: (socket, { whole }) => void socket.write(whole + GARBAGE),
+        isComplete: true,
+        isOnlyFramed: true,
+    },
 ];
 
 /** Starts an endpoint that answers every request in this way. */
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -121,7 +121,12 @@
         stream.on("error", failBroken);
     };
     bound.beginWait(connectMs ?? CONNECT_TIMEOUT_MS, "connection");
-    call.on("error", failBroken);
+    call.on("error", error => {
+        // Bytes after a whole answer belong to no request; the stream's own end follows.
+        if (response?.complete !== true) {
+            failBroken(error);
+        }
+    });
     call.on("response", stream => {
         response = stream;
         const echoed = stream.headers["x-request-id"];
