--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -2,6 +2,7 @@
  * @module One attempt to have a request executed by an endpoint.
  */
 import http from "node:http";
+import { createCompletionCheck } from "../adapters/_lib/createCompletionCheck";
 import { createWaitBound } from "../adapters/_lib/createWaitBound";
 import { describeError } from "../adapters/_lib/describeError";
 import { HttpStatus } from "../adapters/_lib/httpStatus";
@@ -12,7 +13,6 @@
 import { createEventSplitter } from "./createEventSplitter";
 import type { RelayedHead, StreamRelay } from "./createStreamRelay";
 import type { EndpointRecord } from "./endpointRecord";
-import { isConnectionReset } from "./isConnectionReset";
 
 /** The request, its endpoint and time limits, and the handlers of its progress. */
 export interface AttemptOptions {
@@ -237,7 +237,15 @@
 ): void {
     const splitter = createEventSplitter();
     let hasFirstEvent = false;
-    beginWait(options.answerTimeoutMs, "event");
+    const beginEventWait = () =>
+        hasFirstEvent
+            ? beginWait(options.eventTimeoutMs, "further event")
+            : beginWait(options.answerTimeoutMs, "event");
+    const resume = () => {
+        beginEventWait();
+        response.resume();
+    };
+    beginEventWait();
     response.on("data", (chunk: Buffer) => {
         const batch = splitter.push(chunk);
         if (splitter.isOverfull()) {
@@ -247,14 +255,18 @@
         if (batch === undefined || options.ended.aborted) {
             return;
         }
-        if (!hasFirstEvent) {
-            hasFirstEvent = true;
-            options.handleFirstPart();
+        if (batch.hasEvent) {
+            if (!hasFirstEvent) {
+                hasFirstEvent = true;
+                options.handleFirstPart();
+            }
+            beginEventWait();
         }
-        beginWait(options.eventTimeoutMs, "further event");
         if (!options.relay.relayEvents(head, batch)) {
             settle({ end: AttemptOutcome.Broken, reason: "the events do not continue those relayed before" });
-        } else if (options.relay.waitForDrain(() => response.resume())) {
+        } else if (options.relay.waitForDrain(resume)) {
+            // The endpoint isn't to blame while the caller doesn't read.
+            beginWait(undefined, "further event");
             response.pause();
         }
     });
@@ -300,19 +312,6 @@
     });
 }
 
-/**
- * Creates the check whether an answer was received whole. An answer without a length or chunks ends with its
- * connection, and is complete unless the connection was reset.
- */
-function createCompletionCheck(response: http.IncomingMessage): () => Promise<boolean> {
-    const { headers, socket } = response;
-    if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
-        return () => Promise.resolve(response.complete);
-    }
-    const whenReset = isConnectionReset(socket);
-    return async () => response.complete && !(await whenReset);
-}
-
 /**
  * Builds the result of an attempt without a usable answer: `Lost` if nothing was relayed to the caller, else `Broken`.
  */
