Answer all pipelined requests of a connection before a leaving node closes it

Callers: of requests pipelined to a leaving node only the first was answered; the others were executed, also those that may not be executed twice, and their callers, told of the close, sent them again elsewhere. Cause: each answer of a leaving node announced the close, and Node closes the connection after the first such answer. Change: only the last request that has arrived on a connection announces it; a request behind an answer that has announced the close is not executed.

--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -9,6 +9,7 @@
 import { startTask } from "../base/csp";
 import { createFailure } from "../base/createFailure";
 import { type Failure, FailureKind } from "../base/failure";
+import { createLastAnswers } from "../http/createLastAnswers";
 import { createOpenRequests } from "../http/createOpenRequests";
 import { installConnectionLimit } from "../http/installConnectionLimit";
 import { sendJson } from "../http/sendJson";
@@ -59,6 +60,7 @@
     options: CallerListenerOptions,
 ): Promise<CallerListener> {
     const openRequests = createOpenRequests();
+    const lastAnswers = createLastAnswers();
     const limits = { ...options.limits, stopped: openRequests.stopped };
     const routes = buildCallerRoutes({ ...dependencies, limits });
     let isLeaving = false;
@@ -71,8 +73,9 @@
             url: parseTarget(request.url),
         };
         response.setHeader("redwinglift-request-id", arrival.requestId);
-        if (isLeaving) {
-            response.setHeader("connection", "close");
+        if (isLeaving && !lastAnswers.setLast(response)) {
+            request.resume();
+            return;
         }
         if (sendHealth(arrival.url.pathname, response, () => options.isReady() && !isLeaving)) {
             return;
--- a/src/faces/leavingConnections.test.ts
+++ b/src/faces/leavingConnections.test.ts
@@ -13,7 +13,7 @@
 // Guards against requests that end without an answer because their connection is closed first.
 describe("connections of a listener that leaves", () => {
     it("carry the answers to all pipelined requests before they close", async () => {
-        face = await createFaceFixture({ play: started => void answerLater(started) });
+        face = await createFaceFixture({ play: started => void sendLater(started) });
         face.listener.announceLeaving();
         const received = await sendText(formatChat({}) + formatChat({}) + formatChat({}));
         assert.equal(received.match(/HTTP\/1\.1 200 OK/g)?.length, 3);
@@ -21,7 +21,7 @@
     });
 
     it("take no request behind an answer that has announced the close", async () => {
-        face = await createFaceFixture({ play: started => void answerLater(started) });
+        face = await createFaceFixture({ play: started => void sendLater(started) });
         face.listener.announceLeaving();
         const socket = net.connect(face.listener.port, "127.0.0.1");
         const received = readAll(socket);
@@ -56,7 +56,7 @@
     });
 });
 
-async function answerLater(started: StartedChat): Promise<void> {
+async function sendLater(started: StartedChat): Promise<void> {
     const batch = { offset: 0, texts: ["Yes."] };
     await sendMessage(started.answers, { kind: AnswerEventKind.Tokens, batch });
     await new Promise(resolve => setTimeout(resolve, 50));
