Close connections of a leaving node without a reset

Callers: a request that the node's kernel had received as its connections were closed got a reset in place of an answer; so did an operator's. Cause: connections were destroyed with unread bytes as soon as no request was open.

--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -9,6 +9,7 @@
 import { startTask } from "../base/csp";
 import { createFailure } from "../base/createFailure";
 import { type Failure, FailureKind } from "../base/failure";
+import { closeConnections } from "../http/closeConnections";
 import { createLastAnswers } from "../http/createLastAnswers";
 import { createOpenRequests } from "../http/createOpenRequests";
 import { installConnectionLimit } from "../http/installConnectionLimit";
@@ -127,7 +128,11 @@
             isRefusing = true;
         },
         waitUntilIdle: timeoutMs => openRequests.waitUntilNone(timeoutMs),
-        finish: timeoutMs => openRequests.finish(timeoutMs),
+        finish: async timeoutMs => {
+            const cut = await openRequests.finish(timeoutMs);
+            await closeConnections(server, connections.sockets);
+            return cut;
+        },
         countOpenRequests: () => openRequests.count(),
         replaceIdentity: identity => {
             if (server instanceof https.Server) {
--- a/src/http/installConnectionLimit.ts
+++ b/src/http/installConnectionLimit.ts
@@ -9,8 +9,9 @@
 import { type Failure, FailureKind } from "../base/failure";
 import { buildFailureBody } from "./buildFailureBody";
 
-/** Counts the open connections of a server. */
+/** The open connections of a server. */
 export interface ConnectionCounter {
+    readonly sockets: ReadonlySet<Socket>;
     count(): number;
 }
 
@@ -54,11 +55,11 @@
  * const connections = installConnectionLimit(server, 10_000);
  */
 export function installConnectionLimit(server: Server, limit: number): ConnectionCounter {
-    let open = 0;
+    const sockets = new Set<Socket>();
     const countConnection = (socket: Socket) => {
-        open++;
-        socket.once("close", () => open--);
-        if (open > limit) {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+        if (sockets.size > limit) {
             socket.on("error", () => undefined);
             sendRawFailure(socket, TOO_MANY_CONNECTIONS_RESPONSE);
         }
@@ -71,7 +72,7 @@
         }
         sendRawFailure(socket, RESPONSES_BY_ERROR_CODE[error.code ?? ""] ?? MALFORMED_REQUEST_RESPONSE);
     });
-    return { count: () => open };
+    return { sockets, count: () => sockets.size };
 }
 
 function sendRawFailure(socket: Duplex, response: RawFailureResponse): void {
--- a/src/operator/createOperatorListener.ts
+++ b/src/operator/createOperatorListener.ts
@@ -14,6 +14,7 @@
 import { Metric } from "../base/metrics/metric";
 import type { Metrics } from "../base/metrics/metrics";
 import { buildCommandRoutes } from "../commands/buildCommandRoutes";
+import { closeConnections } from "../http/closeConnections";
 import { createOpenRequests } from "../http/createOpenRequests";
 import { installConnectionLimit } from "../http/installConnectionLimit";
 import { parseJson } from "../http/parseJson";
@@ -119,7 +120,11 @@
                 server.setSecureContext({ key: identity.key, cert: identity.certificate });
             }
         },
-        finish: timeoutMs => openRequests.finish(timeoutMs),
+        finish: async timeoutMs => {
+            const cut = await openRequests.finish(timeoutMs);
+            await closeConnections(server, connections.sockets);
+            return cut;
+        },
         dumpState: () => ({ connections: connections.count(), requestsServed: served }),
         dispose: () => {
             server.close();
