Ask the next peer for the configuration after a malformed answer

Callers: a node that started while the store was away and got one malformed answer of a peer was never ready, and never polled the store again; on a running node such an answer was an unhandled rejection. Cause: the answer was parsed unguarded inside the loop that polls. Change: a schema, and a failure that is reported; the next peer is asked. Evidence: node scripts/runTests.mjs src/tasks/configuration/_lib: 5 failed before (SyntaxError, TypeError, 0 !== 2), 5 passed now.

--- a/src/tasks/configuration/_lib/createPeerSync.ts
+++ b/src/tasks/configuration/_lib/createPeerSync.ts
@@ -11,7 +11,7 @@
 import { ExchangeTopic, type NodeExchange } from "../../../nodes/nodeExchange";
 import type { RevisionExchange } from "../../../nodes/revisionExchange";
 import { MINIMUM_BOOTSTRAP_DOMAINS, MAXIMUM_CHANGES_PER_RESPONSE, MAXIMUM_PUSHED_CHANGE_BYTES } from "./constants";
-import { decodeChange } from "./rows";
+import { type ChangesResponse, decodeChange, decodeChanges } from "./rows";
 
 /** Recent changes kept in memory to answer requests of other nodes. */
 const MAXIMUM_CACHED_CHANGES = 200;
@@ -38,12 +38,6 @@
     loadFromPeers(): Promise<boolean>;
 }
 
-/** The response to a node that requested changes: single changes, or the whole configuration as one change. */
-interface ChangesResponse {
-    readonly changes: readonly AcceptedChange[];
-    readonly isWhole: boolean;
-}
-
 /** Creates the peer synchronization; without an exchange it neither sends nor receives anything. */
 export function createPeerSync(options: PeerSyncOptions): PeerSync {
     const { exchange } = options;
@@ -135,12 +129,17 @@
     if (payload.length === 0) {
         return;
     }
-    const response = JSON.parse(Buffer.from(payload).toString("utf8")) as ChangesResponse;
-    const [first] = response.changes;
-    if (response.isWhole && first !== undefined) {
+    const response = decodeChanges(Buffer.from(payload).toString("utf8"));
+    if (response.isErr()) {
+        options.report(response.error);
+        return;
+    }
+    const { changes, isWhole } = response.value;
+    const [first] = changes;
+    if (isWhole && first !== undefined) {
         await options.applyLoadedConfiguration(applyChange(createEmptyConfiguration(), first));
         return;
     }
-    cacheChanges(response.changes);
-    await options.applyChanges(response.changes);
+    cacheChanges(changes);
+    await options.applyChanges(changes);
 }
--- a/src/tasks/configuration/_lib/rows.ts
+++ b/src/tasks/configuration/_lib/rows.ts
@@ -35,6 +35,14 @@
     items: z.array(ITEM_SCHEMA),
 });
 
+const CHANGES_SCHEMA = z.object({ changes: z.array(CHANGE_SCHEMA), isWhole: z.boolean() });
+
+/** The response to a node that requested changes: single changes, or the whole configuration as one change. */
+export interface ChangesResponse {
+    readonly changes: readonly AcceptedChange[];
+    readonly isWhole: boolean;
+}
+
 /** Returns the key of a revision's change row. Keys sort by revision because the number is padded with zeros. */
 export function toChangeKey(revision: number): string {
     return CHANGE_PREFIX + String(revision).padStart(REVISION_DIGITS, "0");
@@ -50,6 +58,11 @@
     return decodeJson(text, CHANGE_SCHEMA) as Result<StoredChange, Failure>;
 }
 
+/** Decodes the response of another node that was asked for changes. */
+export function decodeChanges(text: string): Result<ChangesResponse, Failure> {
+    return decodeJson(text, CHANGES_SCHEMA) as Result<ChangesResponse, Failure>;
+}
+
 /** Decodes an item row. */
 export function decodeItem(text: string): Result<ItemChange, Failure> {
     return decodeJson(text, ITEM_SCHEMA) as Result<ItemChange, Failure>;
