Go on applying configuration changes after a part has thrown at one

Callers: if one part of a node threw at a change, the node's other parts did not hear of it, and the node never polled the store or committed a change again. Cause: the sender of the change was told of its end only where nothing threw, and the poll waits for that. Evidence: node scripts/runTests.mjs src/tasks/configuration: the new test heard [] in place of [1, 2] before; 23 passed now.

--- a/src/tasks/configuration/configurationTask.test.ts
+++ b/src/tasks/configuration/configurationTask.test.ts
@@ -54,6 +54,21 @@
         assert.equal(table.rows.size, 0);
     });
 
+    // Guards against a node that polls and commits no more because one part threw at a change.
+    it("goes on being applied and committed after a part has thrown at a change", async () => {
+        const { clock, left, right, commit } = createPair();
+        right.task.subscribeApplied(() => {
+            throw new Error("a part failed");
+        });
+        const heard: number[] = [];
+        right.task.subscribeApplied(configuration => heard.push(configuration.revision));
+        assert.equal((await commit(left.task, "v1")).isOk(), true);
+        await runClock(clock, 12_000);
+        assert.equal((await commit(left.task, "v2")).isOk(), true);
+        await runClock(clock, 12_000);
+        assert.deepEqual(heard, [1, 2]);
+    });
+
     it("accepts exactly one of two concurrent changes and shows the current items to the other author", async () => {
         const { clock, left, right } = createPair();
         left.client.setDelay(30);
--- a/src/tasks/configuration/createConfigurationTask.ts
+++ b/src/tasks/configuration/createConfigurationTask.ts
@@ -101,7 +101,7 @@
         state = nextRevision >= currentRevision ? next : state;
         if (nextRevision > currentRevision) {
             exchange?.publishRevision(nextRevision);
-            [...listeners].forEach(listener => listener(state.current));
+            reportToAll(listeners, state.current);
         }
     };
     const handlers: { readonly [Kind in MessageKind]: (message: Extract<Message, { kind: Kind }>) => void } = {
@@ -109,8 +109,11 @@
         [MessageKind.Loaded]: message => setState(replaceConfiguration(state, message.configuration)),
     };
     const handleMessage = (message: Message) => {
-        (handlers[message.kind] as (message: Message) => void)(message);
-        message.done();
+        try {
+            (handlers[message.kind] as (message: Message) => void)(message);
+        } finally {
+            message.done();
+        }
     };
     const sendToInbox = (build: (done: () => void) => Message) =>
         new Promise<void>(resolve => {
@@ -264,3 +267,18 @@
         },
     };
 }
+
+/** Calls every listener, also after one has thrown; then throws the first error. */
+function reportToAll(listeners: ReadonlySet<(configuration: Configuration) => void>, current: Configuration): void {
+    const errors: unknown[] = [];
+    for (const listener of [...listeners]) {
+        try {
+            listener(current);
+        } catch (error) {
+            errors.push(error);
+        }
+    }
+    if (errors.length > 0) {
+        throw errors[0];
+    }
+}
