Read stored rows and answers of jobs with a schema

Callers: each submission under an idempotency key whose row was malformed ended untyped and left its place among the pending submissions taken, so that after enough of them the node refused every job; reading a job whose stored answer was not whole ended untyped too. Cause: stored JSON was parsed unguarded, and the count of pending submissions was lowered only after a regular end. Change: schemas; a key row that can't be read leaves the outcome of the submission unknown, an answer that can't be read is told as such (ran, outcome unknown); the count is lowered in any case. A test shows that no connection is used again on which an answer arrived unasked; nothing had to change for it.

--- a/src/adapters/_lib/connections.test.ts
+++ b/src/adapters/_lib/connections.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import net from "node:net";
 import { describe, it, type TestContext } from "node:test";
 import { createApplicationRunnerStandin } from "../../standins/createApplicationRunnerStandin";
 import { createPlatformStandin } from "../../standins/createPlatformStandin";
@@ -25,6 +26,29 @@
         assert.equal(runner.countConnections(), 1);
     });
 
+    // Guards against the late second copy of an answer being given to the next call on its connection.
+    it("uses no connection again on which something arrived unasked", async context => {
+        let answers = 0;
+        const server = net.createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.on("data", () => {
+                const body = `answer ${++answers}`;
+                const text = `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+                socket.write(text);
+                setTimeout(() => socket.write(text), 20);
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const target = { address: "127.0.0.1", port: (server.address() as net.AddressInfo).port };
+        const pool = createConnectionPool();
+        context.after(() => [pool.dispose(), server.close()]);
+        for (const expected of ["answer 1", "answer 2", "answer 3"]) {
+            const outcome = await sendHttpCall(target, CALL, pool);
+            assert.equal(outcome.isAnswered && outcome.body.toString(), expected);
+            await new Promise(resolve => setTimeout(resolve, 60));
+        }
+    });
+
     it("closes idle connections before servers do", async context => {
         const { runner, pool } = await createParts(context, { idleMs: 50 });
         await sendHttpCall(runner, CALL, pool);
--- a/src/decisions/outcomes/jobs/jobRows.ts
+++ b/src/decisions/outcomes/jobs/jobRows.ts
@@ -5,7 +5,7 @@
 import { Execution, FailureKind } from "../../../base/failure";
 import { FinishReason } from "../../../model/request";
 import { JobState } from "../../../tasks/jobs/jobClient";
-import type { JobRecord, OpenJob } from "./jobRecord";
+import type { JobAnswer, JobRecord, OpenJob } from "./jobRecord";
 
 /** Key prefix of the open rows, one for each job that has not ended. */
 export const OPEN_JOB_PREFIX = "jobs/open/";
@@ -22,6 +22,8 @@
     details: z.record(z.string(), z.unknown()).optional(),
 });
 const USAGE = z.object({ promptTokens: z.number(), outputTokens: z.number(), cachedTokens: z.number() });
+const ANSWER = z.object({ text: z.string(), reason: z.enum(FinishReason), usage: USAGE });
+const KEY = z.object({ jobId: z.string(), bodyHash: z.string() });
 const RECORD = z.object({
     jobId: z.string(),
     accountName: z.string(),
@@ -34,7 +36,7 @@
     body: z.object({ objectKey: z.string(), start: z.number(), end: z.number() }),
     keyRow: z.string().optional(),
     endedAtWallMs: z.number().optional(),
-    answer: z.object({ text: z.string(), reason: z.enum(FinishReason), usage: USAGE }).optional(),
+    answer: ANSWER.optional(),
     answerObject: z.string().optional(),
     failure: FAILURE.optional(),
 });
@@ -70,6 +72,30 @@
     return parseJson(OPEN, text);
 }
 
+/**
+ * Decodes the row that binds an idempotency key to a job.
+ *
+ * @param text - The row's value
+ * @returns The job and the hash of its request, or `undefined` if the text is not a valid key row
+ * @example
+ * const bound = decodeJobKey(row.value);
+ */
+export function decodeJobKey(text: string): z.infer<typeof KEY> | undefined {
+    return parseJson(KEY, text);
+}
+
+/**
+ * Decodes a job's answer that is kept as an object.
+ *
+ * @param text - The object's content
+ * @returns The answer, or `undefined` if the text is not a whole answer
+ * @example
+ * const answer = decodeJobAnswer(bytes.toString("utf8"));
+ */
+export function decodeJobAnswer(text: string): JobAnswer | undefined {
+    return parseJson(ANSWER, text);
+}
+
 function parseJson<T>(schema: z.ZodType<T>, text: string): T | undefined {
     try {
         return schema.parse(JSON.parse(text));
--- a/src/tasks/jobs/_lib/submitJob.ts
+++ b/src/tasks/jobs/_lib/submitJob.ts
@@ -9,6 +9,7 @@
 import { buildJobKey } from "../../../decisions/outcomes/jobs/buildJobKey";
 import { buildOpenJobKey } from "../../../decisions/outcomes/jobs/buildOpenJobKey";
 import { MAXIMUM_JOB_MS } from "../../../decisions/outcomes/jobs/constants";
+import { decodeJobKey } from "../../../decisions/outcomes/jobs/jobRows";
 import type { JobCommitEntry, JobRecord, OpenJob } from "../../../decisions/outcomes/jobs/jobRecord";
 import { buildJobId } from "../../../decisions/outcomes/jobs/buildJobId";
 import type { ChatRequest, RequestContext } from "../../../model/request";
@@ -54,9 +55,11 @@
     }
     const state = shared;
     state.pendingSubmissions++;
-    const accepted = await storeJob(shared, context, chat);
-    state.pendingSubmissions--;
-    return accepted;
+    try {
+        return await storeJob(shared, context, chat);
+    } finally {
+        state.pendingSubmissions--;
+    }
 }
 
 async function storeJob(
@@ -176,9 +179,11 @@
     if (row.isErr() || row.value === undefined) {
         return undefined;
     }
-    const bound = JSON.parse(row.value.value) as { readonly jobId: string; readonly bodyHash: string };
-    const asked = JSON.parse(keyValue) as { readonly bodyHash: string };
-    if (bound.bodyHash !== asked.bodyHash) {
+    const bound = decodeJobKey(row.value.value);
+    if (bound === undefined) {
+        return undefined;
+    }
+    if (bound.bodyHash !== decodeJobKey(keyValue)?.bodyHash) {
         return err(createFailure(FailureKind.IdempotencyKeyReused, "The key was used for another job."));
     }
     const rows = await readJobRows(shared.options, record.accountName, bound.jobId);
--- a/src/tasks/jobs/createJobTask.ts
+++ b/src/tasks/jobs/createJobTask.ts
@@ -7,12 +7,12 @@
 import { createFailure } from "../../base/createFailure";
 import type { Disposable } from "../../base/disposableStore";
 import type { DumpSource } from "../../base/dump";
-import { type Failure, FailureKind } from "../../base/failure";
+import { Execution, type Failure, FailureKind } from "../../base/failure";
 import { buildJobEnding } from "../../decisions/outcomes/jobs/buildJobEnding";
 import { buildJobHandover } from "../../decisions/outcomes/jobs/buildJobHandover";
 import { DEADLINE_MARGIN_MS } from "../../decisions/outcomes/jobs/constants";
 import type { JobAnswer, JobRecord } from "../../decisions/outcomes/jobs/jobRecord";
-import { decodeJob } from "../../decisions/outcomes/jobs/jobRows";
+import { decodeJob, decodeJobAnswer } from "../../decisions/outcomes/jobs/jobRows";
 import { buildAccountPrefix } from "../../decisions/outcomes/jobs/buildAccountPrefix";
 import { waitForStore } from "../../ports/waitForStore";
 import { writeCheckpoint } from "./_lib/writeCheckpoint";
@@ -169,9 +169,14 @@
         return ok(buildJobView(shared, record, record.answer));
     }
     const body = await waitForStore(shared.options.clock, shared.options.objects.readObject(record.answerObject));
-    return body
-        .map(bytes => buildJobView(shared, record, JSON.parse(bytes.toString("utf8")) as JobAnswer))
-        .mapErr(failure => ({ ...failure, kind: FailureKind.StoreUnavailable }));
+    if (body.isErr()) {
+        return err({ ...body.error, kind: FailureKind.StoreUnavailable });
+    }
+    const answer = decodeJobAnswer(body.value.toString("utf8"));
+    const message = "The stored answer of the job can't be read.";
+    return answer === undefined
+        ? err(createFailure(FailureKind.OutcomeUnknown, message, { execution: Execution.Ran }))
+        : ok(buildJobView(shared, record, answer));
 }
 
 function buildJobView(shared: SharedJobState, record: JobRecord, answer: JobAnswer | undefined): JobView {
--- a/src/tasks/jobs/jobs.test.ts
+++ b/src/tasks/jobs/jobs.test.ts
@@ -8,6 +8,7 @@
 import { StreamFault } from "../execution/_testing/faults";
 import { runVirtualTime } from "../execution/_testing/runVirtualTime";
 import { buildJobContext, createJobCluster, type JobCluster } from "./_testing/createJobCluster";
+import { MAXIMUM_PENDING_SUBMISSIONS } from "./constants";
 import { JobState, type JobView } from "./jobClient";
 
 const ENDED: ReadonlySet<JobState> = new Set([JobState.Succeeded, JobState.Failed, JobState.Cancelled]);
@@ -72,6 +73,39 @@
         }
     }
 
+    // Guards against a stored answer that broke off halfway being shown, or failing the read without a type.
+    it("does not show a stored answer that is not whole", async () => {
+        const cluster = createJobCluster(1);
+        const { jobId } = (await submit(cluster, "large", {}, 2_000))._unsafeUnwrap();
+        await waitForEnd(cluster, 0, jobId);
+        const objectKey = cluster.store.objectKeys().find(key => key.startsWith("jobs/answers/")) ?? "";
+        const { objects } = cluster.store;
+        const whole = (await runVirtualTime(cluster.clock, objects.readObject(objectKey)))._unsafeUnwrap();
+        await runVirtualTime(cluster.clock, objects.writeObject(objectKey, whole.subarray(0, whole.length / 2)));
+        const read = await runVirtualTime(cluster.clock, cluster.nodes[0]!.jobs.readJob("depot", jobId));
+        assert.equal(read._unsafeUnwrapErr().kind, FailureKind.OutcomeUnknown);
+    });
+
+    // Guards against a stored row that can't be read ending submissions for good.
+    it("names an idempotency key whose row is malformed, and goes on accepting jobs", async () => {
+        const cluster = createJobCluster(1);
+        await submit(cluster, "first", { idempotencyKey: "key" });
+        const [keyRow = ""] = [...cluster.store.rows.keys()].filter(key => key.startsWith("jobs/key/"));
+        await runVirtualTime(
+            cluster.clock,
+            cluster.store.table.commitTransaction({
+                token: "t",
+                conditions: [],
+                writes: [{ key: keyRow, value: "{" }],
+            }),
+        );
+        for (let tries = 0; tries <= MAXIMUM_PENDING_SUBMISSIONS; tries++) {
+            const failure = (await submit(cluster, `again-${tries}`, { idempotencyKey: "key" }))._unsafeUnwrapErr();
+            assert.equal(failure.kind, FailureKind.StoreOutcomeUnknown);
+        }
+        assert.equal((await submit(cluster, "other")).isOk(), true);
+    });
+
     it("is refused while the store is unavailable", async () => {
         const cluster = createJobCluster(1, {}, { drawFault: () => StoreFault.Unavailable });
         const failure = (await submit(cluster, "job"))._unsafeUnwrapErr();
