--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -1,8 +1,6 @@
 /**
  * @module Forwards an admitted request until its final answer, by attempts at one endpoint after the other.
  */
-import { createFailure } from "../base/createFailure";
-import { Execution, type Failure, FailureKind } from "../base/failure";
 import {
     chooseEndpoint,
     type EndpointView,
@@ -23,9 +21,8 @@
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../decisions/gateway/serviceRetryBudget";
 import { RouteKind } from "../model/gateway";
 import { applyAnswerHead, applyOutcome } from "./applyAttemptOutcome";
-import { NON_REPEATABLE_IDLE_MAX_MS, RETRY_AFTER_MS } from "./constants";
+import { NON_REPEATABLE_IDLE_MAX_MS } from "./constants";
 import { createStreamRelay, type StreamRelay } from "./createStreamRelay";
-import type { AttemptAdmission } from "./createPartQuarantine";
 import {
     buildEndpointView,
     type EndpointRecord,
@@ -34,6 +31,13 @@
     recordConnectionBreak,
 } from "./endpointRecord";
 import type { GatewayExchange } from "./exchange";
+import {
+    describeFailure,
+    describeQuarantined,
+    describeWithoutEndpoint,
+    type ForwardingOutcome,
+    NO_ENDPOINT_FAILURE,
+} from "./forwardingOutcome";
 import type { GatewayComponents } from "./gatewayComponents";
 import { type AttemptResult, ConnectionEnd, sendAttempt, type WholeAnswer } from "./sendAttempt";
 
@@ -44,14 +48,6 @@
 /** Longest pause between two events of a resumable stream, as a multiple of the route's target. */
 const EVENT_TIMEOUT_FACTOR = 3;
 
-/** How a request ended. */
-export type ForwardingOutcome =
-    | { readonly isRelayed: true }
-    /** The failure must be sent to the caller. */
-    | { readonly isRelayed: false; readonly failure: Failure }
-    /** The connection must be closed: the caller has left, or has received a part of the answer. */
-    | { readonly isRelayed: false; readonly failure: undefined };
-
 /** Forwards requests. */
 export interface Forwarder {
     /**
@@ -336,47 +332,6 @@
     return { isRelayed: false, failure: step === NextAction.Refuse ? NO_ENDPOINT_FAILURE : describeFailure(result) };
 }
 
-const NO_ENDPOINT_FAILURE = createFailure(FailureKind.NoEndpoint, "No endpoint took the request.", {
-    retryAfterMs: RETRY_AFTER_MS,
-});
-
-function describeFailure(result: AttemptResult): Failure {
-    const kind = result.end === AttemptOutcome.TimedOut ? FailureKind.EndpointSilent : FailureKind.OutcomeUnknown;
-    return createFailure(kind, `The attempt ended without an answer: ${result.reason}.`, {
-        execution: Execution.Unknown,
-    });
-}
-
-/**
- * Describes the end if no endpoint is left to try: the request was not executed unless an earlier attempt may have
- * been.
- */
-function describeWithoutEndpoint(state: ForwardingState): ForwardingOutcome {
-    if (state.relay.hasBegun()) {
-        return { isRelayed: false, failure: undefined };
-    }
-    const failure =
-        state.executions === 0
-            ? NO_ENDPOINT_FAILURE
-            : createFailure(FailureKind.OutcomeUnknown, "No other endpoint is left to try.", {
-                  execution: Execution.Unknown,
-              });
-    return { isRelayed: false, failure };
-}
-
-/** Describes the end if no attempt may be made because of a part of the prompt. */
-function describeQuarantined(state: ForwardingState, admission: AttemptAdmission): ForwardingOutcome {
-    if (state.relay.hasBegun()) {
-        return { isRelayed: false, failure: undefined };
-    }
-    const kind = state.executions === 0 ? FailureKind.PromptQuarantined : FailureKind.OutcomeUnknown;
-    const failure = createFailure(kind, "Requests with the same prompt part crashed endpoints.", {
-        execution: state.executions === 0 ? Execution.NotRun : Execution.Unknown,
-        retryAfterMs: state.executions === 0 ? (admission.retryAfterMs ?? RETRY_AFTER_MS) : undefined,
-    });
-    return { isRelayed: false, failure };
-}
-
 function sendWholeAnswer({ response }: GatewayExchange, answer: WholeAnswer): void {
     response.writeHead(answer.status, [...answer.headers.flat(), "Content-Length", String(answer.body.length)]);
     response.end(answer.body);
--- /dev/null
+++ b/src/gateway/forwardingOutcome.ts
@@ -0,0 +1,68 @@
+/**
+ * @module How a forwarded request ends, and the failures of those that end without an answer.
+ */
+import { createFailure } from "../base/createFailure";
+import { Execution, type Failure, FailureKind } from "../base/failure";
+import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
+import { RETRY_AFTER_MS } from "./constants";
+import type { AttemptAdmission } from "./createPartQuarantine";
+import type { StreamRelay } from "./createStreamRelay";
+import type { AttemptResult } from "./sendAttempt";
+
+/** How a request ended. */
+export type ForwardingOutcome =
+    | { readonly isRelayed: true }
+    /** The failure must be sent to the caller. */
+    | { readonly isRelayed: false; readonly failure: Failure }
+    /** The connection must be closed: the caller has left, or has received a part of the answer. */
+    | { readonly isRelayed: false; readonly failure: undefined };
+
+/** What a request without an answer has come to. */
+interface UnansweredState {
+    readonly relay: StreamRelay;
+    /** Attempts that may have been executed. */
+    readonly executions: number;
+}
+
+/** The failure of a request that no endpoint took. */
+export const NO_ENDPOINT_FAILURE = createFailure(FailureKind.NoEndpoint, "No endpoint took the request.", {
+    retryAfterMs: RETRY_AFTER_MS,
+});
+
+/** Describes the failure of a request that may have been executed, by its last attempt. */
+export function describeFailure(result: AttemptResult): Failure {
+    const kind = result.end === AttemptOutcome.TimedOut ? FailureKind.EndpointSilent : FailureKind.OutcomeUnknown;
+    return createFailure(kind, `The attempt ended without an answer: ${result.reason}.`, {
+        execution: Execution.Unknown,
+    });
+}
+
+/**
+ * Describes the end if no endpoint is left to try: the request was not executed unless an earlier attempt may have
+ * been.
+ */
+export function describeWithoutEndpoint(state: UnansweredState): ForwardingOutcome {
+    if (state.relay.hasBegun()) {
+        return { isRelayed: false, failure: undefined };
+    }
+    const failure =
+        state.executions === 0
+            ? NO_ENDPOINT_FAILURE
+            : createFailure(FailureKind.OutcomeUnknown, "No other endpoint is left to try.", {
+                  execution: Execution.Unknown,
+              });
+    return { isRelayed: false, failure };
+}
+
+/** Describes the end if no attempt may be made because of a part of the prompt. */
+export function describeQuarantined(state: UnansweredState, admission: AttemptAdmission): ForwardingOutcome {
+    if (state.relay.hasBegun()) {
+        return { isRelayed: false, failure: undefined };
+    }
+    const kind = state.executions === 0 ? FailureKind.PromptQuarantined : FailureKind.OutcomeUnknown;
+    const failure = createFailure(kind, "Requests with the same prompt part crashed endpoints.", {
+        execution: state.executions === 0 ? Execution.NotRun : Execution.Unknown,
+        retryAfterMs: state.executions === 0 ? (admission.retryAfterMs ?? RETRY_AFTER_MS) : undefined,
+    });
+    return { isRelayed: false, failure };
+}
