Let no rare part explain crashes that a common part has more of

Cause: rare parts without any answer, caught in its crashes, took the blame for each of them. Change: a part explains the crashes of another only with at least as many crashes; two clearances by other nodes, reported for 2.5 s, end a quarantine.

--- a/src/decisions/gateway/createPartEvidence.ts
+++ b/src/decisions/gateway/createPartEvidence.ts
@@ -26,7 +26,7 @@
     listParts(): readonly string[];
 }
 
-/** A crash counts against a part unless another one is this share more to blame. */
+/** A part explains the crashes of another one if the blame of that one is below this share of its own. */
 const BLAME_MARGIN = 0.75;
 /** Limits on what is kept and reported. */
 const PARTS_MAX = 64;
@@ -42,9 +42,9 @@
 const CLOCK_DIFFERENCE_MS = 100;
 /** A fleet's clearances remove one crash in this time, until the other nodes have done so as well. */
 const REMOVAL_PERIOD_MS = 2_000;
-/** Clearances for each crash, and the time for which they are seen, that end a quarantine. */
-const REFUTING_CLEARANCES = 3;
-const REFUTING_MS = 3_000;
+/** Clearances by other nodes, and the time for which they are reported, that end a quarantine. */
+const REFUTING_CLEARANCES = 2;
+const REFUTING_MS = 2_500;
 /** Answers within this time, or in all, by which a part is familiar. */
 const FAMILIAR_PERIOD_MS = 10_000;
 const FAMILIAR_RECENT_MIN = 3;
@@ -115,15 +115,18 @@
         }
     };
     /** Computes how much speaks against a part: its crashes for each answer. */
-    const computeBlame = (part: string, { crashes, seenKeys, fleet }: Entry) =>
-        Math.max(crashes.size, seenKeys.size) /
-        (1 + Math.max(memory.countAll(part), fleet.clearances + fleet.earlierClearances));
-    /** Gives the times of the crashes that are not released and for which no other part is far more to blame. */
+    const computeBlame = (part: string, { seenKeys, fleet }: Entry) =>
+        seenKeys.size / (1 + Math.max(memory.countAll(part), fleet.clearances + fleet.earlierClearances));
+    /**
+     * Gives the times of the crashes that are not released and that no other part explains. A part explains its crashes
+     * if it has at least as many and is far more to blame.
+     */
     const listCrashTimes = (part: string, entry: Entry, nowMs: number): readonly number[] => {
         const blame = computeBlame(part, entry);
         const explained = new Set<string>();
         for (const [otherPart, other] of entries) {
-            if (computeBlame(otherPart, other) * BLAME_MARGIN > blame) {
+            const hasAsMany = other.seenKeys.size >= entry.seenKeys.size;
+            if (hasAsMany && computeBlame(otherPart, other) * BLAME_MARGIN > blame) {
                 [...other.crashes.keys()].forEach(key => explained.add(key));
             }
         }
@@ -157,7 +160,7 @@
             entry.isQuarantined = false;
             return;
         }
-        const isRefuted = entry.fleet.clearances >= REFUTING_CLEARANCES * times.length;
+        const isRefuted = entry.fleet.clearances >= REFUTING_CLEARANCES;
         entry.refutedSinceMs = isRefuted ? (entry.refutedSinceMs ?? nowMs) : undefined;
         if (entry.isQuarantined) {
             const isTried = nowMs - lastMs >= computeHoldMs(times) && entry.fleet.clearances > 0;
