--- a/src/decisions/relays/sumNews.ts
+++ b/src/decisions/relays/sumNews.ts
@@ -3,6 +3,9 @@
  */
 import type { EndpointActivity, NewsSums, ServiceLoad, UsageSums } from "./news";
 
+/** Sums of news that is only valid while its nodes are reachable; evidence on prompt parts outlasts them. */
+export type ReachableSums = Omit<NewsSums, "suspects">;
+
 /**
  * Sums news by account, service and endpoint.
  *
@@ -11,7 +14,7 @@
  * @example
  * sumNews([...reports.values()]).usage["county"]?.used;
  */
-export function sumNews(parts: readonly NewsSums[]): NewsSums {
+export function sumNews(parts: readonly ReachableSums[]): ReachableSums {
     return {
         countsForMs: Math.max(0, ...parts.map(part => part.countsForMs)),
         usage: sumRecords(
@@ -52,6 +55,18 @@
     return sums;
 }
 
+/**
+ * Sums amounts by key.
+ *
+ * @param records - The amounts
+ * @returns The sum of all amounts of each key
+ * @example
+ * sumAmounts([{ county: 2 }, { county: 3 }]); //=> { county: 5 }
+ */
+export function sumAmounts(records: readonly Readonly<Record<string, number>>[]): Readonly<Record<string, number>> {
+    return sumRecords(records, (left, right) => left + right);
+}
+
 function addUsage(left: UsageSums, right: UsageSums): UsageSums {
     return { used: left.used + right.used, recent: left.recent + right.recent, asked: left.asked + right.asked };
 }
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -10,7 +10,13 @@
 import { readInstant } from "../../base/instant";
 import { createLog } from "../../base/log/createLog";
 import { createAccountQuotas } from "../../decisions/gateway/accountQuotas";
-import type { GatewayAccount, GatewayConfiguration, GatewayRoute, GatewaySettings } from "../../model/gateway";
+import type {
+    GatewayAccount,
+    GatewayBounds,
+    GatewayConfiguration,
+    GatewayRoute,
+    GatewaySettings,
+} from "../../model/gateway";
 import { createConfigurationHolder, type ConfigurationHolder } from "../createConfigurationHolder";
 import { createDemandMeter } from "../createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "../createEndpointDirectory";
@@ -19,6 +25,7 @@
 import { createGatewayMetrics } from "../createGatewayMetrics";
 import { createPartQuarantine } from "../createPartQuarantine";
 import { createServiceSpeeds } from "../createServiceSpeeds";
+import { drainGateway } from "../drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
 import { makeEndpoint } from "./makeEndpoint";
 import { makeNews } from "./makeNews";
@@ -41,6 +48,10 @@
     readonly configuration: ConfigurationHolder;
     readonly directory: EndpointDirectory;
     readonly endpoints: readonly ScriptedEndpoint[];
+    /** Port of the listener for callers. */
+    readonly port: number;
+    /** Stops the node as a signal does; its connections are closed when the process would end. */
+    stop(): Promise<number>;
     /** Account of each request that was counted in the usage. */
     readonly countedAccounts: readonly string[];
     /** Records that the store confirmed the configuration this many milliseconds ago; default: now. */
@@ -103,7 +114,7 @@
  * @param route - The route; its service is `chat`
  * @param scripts - The behaviour of each endpoint
  * @param options - `isWithoutConfiguration`: no configuration is in force and none was confirmed; `confirmedAgoMs`: how
- * long ago the store confirmed it (default 0)
+ * long ago the store confirmed it (default 0); `bounds`: bounds to override
  * @returns The harness; otherwise the configuration is in force and has just been confirmed
  * @example
  * const harness = await createGatewayHarness(makeRoute(), [answer]);
@@ -111,17 +122,22 @@
 export async function createGatewayHarness(
     route: GatewayRoute,
     scripts: readonly EndpointScript[],
-    options: { readonly isWithoutConfiguration?: boolean; readonly confirmedAgoMs?: number } = {},
+    options: {
+        readonly isWithoutConfiguration?: boolean;
+        readonly confirmedAgoMs?: number;
+        readonly bounds?: Partial<GatewayBounds>;
+    } = {},
 ): Promise<GatewayHarness> {
+    const settings: GatewaySettings = { ...SETTINGS, bounds: { ...SETTINGS.bounds, ...options.bounds } };
     const clock = createSystemClock();
     const log = createLog({ write: () => undefined });
     const configuration = createConfigurationHolder(clock, log);
-    const directory = createEndpointDirectory(SETTINGS, clock, log);
+    const directory = createEndpointDirectory(settings, clock, log);
     const endpoints = await Promise.all(scripts.map(startScriptedEndpoint));
     const countedAccounts: string[] = [];
     const metrics = createGatewayMetrics();
     const components = {
-        settings: SETTINGS,
+        settings,
         clock,
         random: createRandom(1),
         log,
@@ -145,7 +161,7 @@
             log,
         }),
     };
-    const quotas = createAccountQuotas(SETTINGS.bounds, undefined, createRandom(1));
+    const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
     const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
     let current: GatewayConfiguration = {
         version: 1,
@@ -181,6 +197,12 @@
         configuration,
         directory,
         endpoints,
+        port,
+        stop: async () => {
+            const exitCode = await drainGateway(components, listener, "SIGTERM");
+            listener.server.closeAllConnections();
+            return exitCode;
+        },
         countedAccounts,
         apply,
         confirm,
--- a/src/gateway/applyAttemptOutcome.ts
+++ b/src/gateway/applyAttemptOutcome.ts
@@ -62,3 +62,16 @@
         record.connections.closeIdle();
     },
 };
+
+/**
+ * Tells whether an attempt was successful; only other attempts are logged one by one.
+ *
+ * @param result - How the attempt ended
+ * @returns True if an answer below status 500 was received whole
+ * @example
+ * isSuccessful(result);
+ */
+export function isSuccessful(result: AttemptResult): boolean {
+    const isSuccess = result.end === AttemptOutcome.Answered && !isFailedStatus(result.answer?.status);
+    return result.end === AttemptOutcome.Relayed || isSuccess;
+}
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -9,22 +9,17 @@
     estimateResponseMs,
     type PlacementRequest,
 } from "../decisions/gateway/chooseEndpoint";
-import {
-    AttemptOutcome,
-    NextAction,
-    decideNextAction,
-    isFailedStatus,
-    isRepeatable,
-} from "../decisions/gateway/decideNextAction";
+import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../decisions/gateway/decideNextAction";
+import { decideGiveUp } from "../decisions/gateway/decideGiveUp";
 import { filterServable } from "../decisions/gateway/filterServable";
 import { PartVerdict } from "../decisions/gateway/evaluatePart";
 import { listSharedParts } from "../decisions/gateway/listSharedParts";
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../decisions/gateway/serviceRetryBudget";
 import { RouteKind } from "../model/gateway";
-import { applyAnswerHead, applyOutcome } from "./applyAttemptOutcome";
+import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS, RETRY_AFTER_MS } from "./constants";
 import { createStreamRelay, type StreamRelay } from "./createStreamRelay";
-import type { AttemptAdmission } from "./createPartQuarantine";
+import { describePartRefusal } from "./describePartRefusal";
 import {
     buildEndpointView,
     type EndpointRecord,
@@ -34,11 +29,12 @@
 } from "./endpointRecord";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
-import { type AttemptResult, ConnectionEnd, sendAttempt, type WholeAnswer } from "./sendAttempt";
+import { type AttemptResult, ConnectionEnd, sendAttempt } from "./sendAttempt";
+import { sendWholeAnswer } from "./sendWholeAnswer";
 
 /** Time that must be left before the timeout for another attempt. */
 const ATTEMPT_TIME_MIN_MS = 60;
-/** Share of the route's objective after which a repeatable request without an answer is sent to another endpoint. */
+/** Share of the route's objective after which a repeatable request without an answer may go to another endpoint. */
 const ANSWER_TIMEOUT_SHARE = 0.9;
 /** Longest pause between two events of a resumable stream, as a multiple of the route's target. */
 const EVENT_TIMEOUT_FACTOR = 3;
@@ -93,6 +89,8 @@
     executions: number;
     /** All attempts. */
     sends: number;
+    /** True if the next attempt was charged to the retry budget when the one before it was given up. */
+    isRetryCharged: boolean;
     /** True once the request was counted in the usage of its account. */
     isUsageRecorded: boolean;
 }
@@ -115,14 +113,42 @@
         return allowance;
     };
 
+    const listUntried = ({ exchange, triedEndpoints }: ForwardingState, nowMs: number) => {
+        const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
+        const untried = usable.filter(record => !triedEndpoints.has(record.endpoint.id));
+        return { untried, reachable: untried.filter(record => record.suspectUntilMs <= nowMs) };
+    };
+
+    const chargeRetry = ({ exchange }: ForwardingState, nowMs: number): boolean =>
+        readAllowance(exchange.service).chargeRetry(components.news.readUsage().nodes, nowMs);
+
+    /** Decides whether the present attempt is given up; the retry is charged then. */
+    const canGiveUp = (state: ForwardingState): boolean => {
+        const { exchange, request } = state;
+        const nowMs = clock.readMonotonicMs();
+        const speed = speeds.readSpeed(exchange.service);
+        const isGivenUp = decideGiveUp(exchange.route, {
+            executions: state.executions,
+            sends: state.sends,
+            remainingMs: exchange.timeoutAtMs - nowMs - ATTEMPT_TIME_MIN_MS,
+            estimateElsewhereMs: () => {
+                const { reachable } = listUntried(state, nowMs);
+                const estimatesMs = reachable.map(record =>
+                    estimateResponseMs(buildEndpointView(record, request.promptParts, nowMs), request, speed, false),
+                );
+                return estimatesMs.length === 0 ? undefined : Math.min(...estimatesMs);
+            },
+            chargeRetry: () => chargeRetry(state, nowMs),
+        });
+        state.isRetryCharged ||= isGivenUp;
+        return isGivenUp;
+    };
+
     const pickCandidate = (state: ForwardingState, isCareful: boolean): Candidate | undefined => {
-        const { request } = state;
-        const { service } = state.exchange;
+        const { request, exchange } = state;
         const nowMs = clock.readMonotonicMs();
-        const usable = filterServable(directory.listUsable(service), state.exchange.head.model);
-        const untried = usable.filter(record => !state.triedEndpoints.has(record.endpoint.id));
-        const reachable = untried.filter(record => record.suspectUntilMs <= nowMs);
-        const speed = speeds.readSpeed(service);
+        const { untried, reachable } = listUntried(state, nowMs);
+        const speed = speeds.readSpeed(exchange.service);
         const all = (reachable.length > 0 ? reachable : untried).map(record => ({
             record,
             view: buildEndpointView(record, request.promptParts, nowMs),
@@ -164,7 +190,7 @@
         record.pendingTokens += pendingTokens;
         recordCachedParts(record, request.promptParts, sentAtMs);
         const followed = components.quarantine.beginAttempt(record, state.sharedParts);
-        const canSendElsewhere = isRepeatable(route) && state.executions + 1 < route.attemptsMax;
+        const isBounded = isRepeatable(route) && state.executions + 1 < route.attemptsMax;
         const result = await sendAttempt({
             record,
             method: exchange.request.method ?? "GET",
@@ -183,10 +209,11 @@
             codec: components.codec,
             relay: state.relay,
             maxIdleMs: isRepeatable(route) ? undefined : NON_REPEATABLE_IDLE_MAX_MS,
-            answerTimeoutMs: canSendElsewhere
+            answerTimeoutMs: isBounded
                 ? Math.max(route.objectiveMs * ANSWER_TIMEOUT_SHARE, estimatedMs * 2)
                 : undefined,
-            eventTimeoutMs: canSendElsewhere ? Math.max(1_000, route.gapTargetMs * EVENT_TIMEOUT_FACTOR) : undefined,
+            eventTimeoutMs: isBounded ? Math.max(1_000, route.gapTargetMs * EVENT_TIMEOUT_FACTOR) : undefined,
+            canGiveUp: () => canGiveUp(state),
             ended: state.ended,
             handleAnswerHead: answer => applyAnswerHead(record, answer, clock.readMonotonicMs()),
             handleFirstPart,
@@ -216,9 +243,9 @@
     };
 
     const decideNext = (state: ForwardingState, { result, mayHaveCrashed }: EndedAttempt): NextAction => {
-        const { exchange } = state;
-        const allowance = readAllowance(exchange.service);
+        const { exchange, isRetryCharged } = state;
         const nowMs = clock.readMonotonicMs();
+        state.isRetryCharged = false;
         return decideNextAction(exchange.route, {
             end: result.end,
             status: result.answer?.status,
@@ -226,7 +253,7 @@
             sends: state.sends,
             mayHaveCrashed,
             hasTime: exchange.timeoutAtMs - nowMs > ATTEMPT_TIME_MIN_MS,
-            chargeRetry: () => allowance.chargeRetry(components.news.readUsage().nodes, nowMs),
+            chargeRetry: () => isRetryCharged || chargeRetry(state, nowMs),
         });
     };
 
@@ -243,6 +270,7 @@
             triedEndpoints: new Set(),
             executions: 0,
             sends: 0,
+            isRetryCharged: false,
             isUsageRecorded: false,
         };
         readAllowance(exchange.service).recordRequest(clock.readMonotonicMs());
@@ -250,7 +278,9 @@
             const admission = components.quarantine.admitAttempt(state.sharedParts);
             const isRepeat = state.sends > 0;
             if (admission.retryAfterMs !== undefined || (isRepeat && admission.verdict !== PartVerdict.Free)) {
-                return describeQuarantined(state, admission);
+                return state.relay.hasBegun()
+                    ? { isRelayed: false, failure: undefined }
+                    : { isRelayed: false, failure: describePartRefusal(state.executions, admission.retryAfterMs) };
             }
             const candidate = pickCandidate(state, admission.verdict !== PartVerdict.Free);
             if (candidate === undefined) {
@@ -331,30 +361,6 @@
     return { isRelayed: false, failure };
 }
 
-/** Describes the end if no attempt may be made because of a part of the prompt. */
-function describeQuarantined(state: ForwardingState, admission: AttemptAdmission): ForwardingOutcome {
-    if (state.relay.hasBegun()) {
-        return { isRelayed: false, failure: undefined };
-    }
-    const kind = state.executions === 0 ? FailureKind.PromptQuarantined : FailureKind.OutcomeUnknown;
-    const failure = createFailure(kind, "Requests with the same prompt part crashed endpoints.", {
-        execution: state.executions === 0 ? Execution.NotRun : Execution.Unknown,
-        retryAfterMs: state.executions === 0 ? (admission.retryAfterMs ?? RETRY_AFTER_MS) : undefined,
-    });
-    return { isRelayed: false, failure };
-}
-
-function sendWholeAnswer({ response }: GatewayExchange, answer: WholeAnswer): void {
-    response.writeHead(answer.status, [...answer.headers.flat(), "Content-Length", String(answer.body.length)]);
-    response.end(answer.body);
-}
-
-/** Tells whether an attempt was successful; only other attempts are logged one by one. */
-function isSuccessful(result: AttemptResult): boolean {
-    const isSuccess = result.end === AttemptOutcome.Answered && !isFailedStatus(result.answer?.status);
-    return result.end === AttemptOutcome.Relayed || isSuccess;
-}
-
 function hasBodyHeader({ request }: GatewayExchange): boolean {
     return request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
 }
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -6,6 +6,7 @@
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
+import type { StopTimes } from "../decisions/gateway/computeStopTimes";
 import { isServableBeforeStop } from "../decisions/gateway/isServableBeforeStop";
 import { findRoute } from "../decisions/gateway/routeTable";
 import { installConnectionLimit } from "../http/installConnectionLimit";
@@ -14,8 +15,10 @@
 import { type GatewayAccount, type GatewayRoute } from "../model/gateway";
 import type { CallerRequestHead } from "../ports/forwardingCodec";
 import { QUOTA_RETRY_AFTER_MS, RETRY_AFTER_MS } from "./constants";
+import { type CallerConnections, type ConnectionCounts, createCallerConnections } from "./createCallerConnections";
 import type { ConfigurationView } from "./createConfigurationHolder";
 import type { Forwarder } from "./createForwarder";
+import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
 import { waitUntilLoaded } from "./waitUntilLoaded";
@@ -40,13 +43,20 @@
     retryAfterMs: RETRY_AFTER_MS,
 });
 
+/** Numbers of the callers' connections and of the open requests by phase, and of the requests that have ended. */
+export interface CallerCounts extends ConnectionCounts {
+    readonly phases: Readonly<Record<RequestPhase, number>>;
+    readonly ends: Readonly<Record<RequestEnd, number>>;
+}
+
 /** The HTTP listener for callers. */
 export interface GatewayListener {
     readonly server: http.Server;
     /** Counts the requests without a final answer. */
     countOpen(): number;
-    /** Starts to close each connection after its next answer; the node stops after `stopAfterMs`. */
-    beginDrain(stopAfterMs?: number): void;
+    countCallers(): CallerCounts;
+    /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
+    beginDrain(times: StopTimes): void;
     /** Stops accepting connections, and closes the idle ones. */
     closeIdle(): void;
 }
@@ -76,9 +86,9 @@
 export function createGatewayListener(options: GatewayListenerOptions): GatewayListener {
     const { components, forwarder, quotas } = options;
     const { clock, demand, configuration, codec, log, metrics, settings } = components;
-    /** Monotonic time at which this node stops; absent while it does not drain. */
-    let stopsAtMs: number | undefined;
-    const openResponses = new Set<ServerResponse>();
+    /** The times of the stop, and the monotonic time of its signal; absent while the node does not drain. */
+    let stop: { readonly times: StopTimes; readonly signalledAtMs: number } | undefined;
+    const openRequests = createOpenRequests();
     let successes = 0;
 
     /** Refuses a request if the store last confirmed the keys too long ago: one of them may have been revoked since. */
@@ -113,6 +123,11 @@
             : { route, account, view };
     };
 
+    const isTaken = (timeoutAtMs: number): boolean => {
+        const nowMs = clock.readMonotonicMs();
+        return stop === undefined || isServableBeforeStop(stop.times, nowMs - stop.signalledAtMs, timeoutAtMs - nowMs);
+    };
+
     const chargeQuota = (admitted: AdmittedRequest, head: CallerRequestHead): { amount: number } | Failure => {
         const { account } = admitted;
         if (account === undefined) {
@@ -127,12 +142,9 @@
               });
     };
 
-    const sendFailureAnswer = (
-        request: IncomingMessage,
-        response: ServerResponse,
-        failure: Failure,
-        head: CallerRequestHead,
-    ) => {
+    const sendFailureAnswer = (open: OpenRequest, failure: Failure, head: CallerRequestHead) => {
+        const { request, response } = open;
+        open.end = failure.execution === Execution.NotRun ? RequestEnd.Refused : RequestEnd.Failed;
         metrics.countRequest("", failure.kind);
         log.warn("request refused", {
             requestId: head.requestId,
@@ -143,7 +155,7 @@
             configurationVersion: configuration.readCurrent()?.configuration.version,
             confirmedAgeMs: Math.round(configuration.computeAgeMs()),
         });
-        if (stopsAtMs !== undefined || CLOSING_FAILURES.has(failure.kind)) {
+        if (stop !== undefined || CLOSING_FAILURES.has(failure.kind)) {
             response.setHeader("connection", "close");
         }
         if (!request.complete) {
@@ -152,47 +164,46 @@
         sendFailure(response, failure, head.requestId, { hasFractionalRetryAfter: true });
     };
 
-    const forward = async (
-        request: IncomingMessage,
-        response: ServerResponse,
-        head: CallerRequestHead,
-        receivedAtMs: number,
-    ) => {
+    const forward = async (open: OpenRequest, head: CallerRequestHead, receivedAtMs: number) => {
+        const { request, response } = open;
         await waitUntilLoaded(components, STARTUP_WAIT_MAX_MS);
         const admitted = admitHead(request, head);
         if ("kind" in admitted) {
-            sendFailureAnswer(request, response, admitted, head);
+            sendFailureAnswer(open, admitted, head);
             return;
         }
+        open.phase = RequestPhase.Body;
         const { limits } = admitted.view.configuration;
         const body = await readBody(request, { bodyBytes: limits.bodyBytesMax, idleMs: limits.idleTimeoutMs });
         if (body.isErr()) {
-            sendFailureAnswer(request, response, body.error, head);
+            sendFailureAnswer(open, body.error, head);
             return;
         }
         // While the body arrived, the configuration may have changed or its confirmation may have become too old.
         const current = admitHead(request, head);
         if ("kind" in current) {
-            sendFailureAnswer(request, response, current, head);
+            sendFailureAnswer(open, current, head);
             return;
         }
-        const remainingMs = (stopsAtMs ?? Number.POSITIVE_INFINITY) - clock.readMonotonicMs();
-        if (!isServableBeforeStop(current.route, remainingMs)) {
-            sendFailureAnswer(request, response, SHUTTING_DOWN_FAILURE, head);
+        const timeoutAtMs = computeTimeoutAtMs(current.route, head, receivedAtMs);
+        if (!isTaken(timeoutAtMs)) {
+            sendFailureAnswer(open, SHUTTING_DOWN_FAILURE, head);
             return;
         }
         const charged = chargeQuota(current, head);
         if ("kind" in charged) {
-            sendFailureAnswer(request, response, charged, head);
+            sendFailureAnswer(open, charged, head);
             return;
         }
+        open.phase = RequestPhase.Forwarded;
         await forwardAdmitted(
+            open,
             buildExchange(components, { request, response, head, receivedAtMs, body: body.value, ...current }),
             charged.amount,
         );
     };
 
-    const forwardAdmitted = async (exchange: GatewayExchange, amount: number) => {
+    const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, amount: number) => {
         const { response, service } = exchange;
         const ended = new AbortController();
         const timer = setTimeout(
@@ -216,33 +227,35 @@
         }
         if (end.failure === undefined) {
             metrics.countRequest(service, "closed");
+            open.end = ended.signal.reason === AttemptOutcome.CallerGone ? RequestEnd.Left : RequestEnd.Cut;
             response.destroy();
             return;
         }
         if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
             quotas.refund(exchange.account, amount, clock.readMonotonicMs());
         }
-        sendFailureAnswer(exchange.request, response, end.failure, exchange.head);
+        sendFailureAnswer(open, end.failure, exchange.head);
     };
 
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
         const head = codec.readCallerHead(request.headers);
-        openResponses.add(response);
-        if (stopsAtMs !== undefined) {
+        const open = openRequests.addRequest(request, response);
+        connections.recordRequest(request, response);
+        if (stop !== undefined) {
             response.setHeader("connection", "close");
         }
         response.once("close", () => {
-            openResponses.delete(response);
-            if (stopsAtMs !== undefined) {
+            if (stop !== undefined) {
                 request.socket.destroySoon();
             }
         });
-        forward(request, response, head, receivedAtMs).catch((error: unknown) => {
+        forward(open, head, receivedAtMs).catch((error: unknown) => {
             log.error("request failed inside the node", {
                 requestId: head.requestId,
                 reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
             });
+            open.end = RequestEnd.Cut;
             response.destroy();
         });
     };
@@ -251,6 +264,7 @@
         { keepAlive: true, noDelay: true, connectionsCheckingInterval: 1_000 },
         handleRequest,
     );
+    const connections: CallerConnections = createCallerConnections(server);
     installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS));
     configuration.watchConfiguration(({ configuration: { limits } }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -259,12 +273,18 @@
     });
     return {
         server,
-        countOpen: () => openResponses.size,
-        beginDrain: (stopAfterMs = Number.POSITIVE_INFINITY) => {
-            stopsAtMs = clock.readMonotonicMs() + stopAfterMs;
-            [...openResponses]
-                .filter(response => !response.headersSent)
-                .forEach(response => response.setHeader("connection", "close"));
+        countOpen: () => openRequests.list().length,
+        countCallers: () => ({
+            ...connections.countConnections(),
+            phases: openRequests.countPhases(),
+            ends: openRequests.countEnds(),
+        }),
+        beginDrain: times => {
+            stop = { times, signalledAtMs: clock.readMonotonicMs() };
+            openRequests
+                .list()
+                .filter(({ response }) => !response.headersSent)
+                .forEach(({ response }) => response.setHeader("connection", "close"));
         },
         closeIdle: () => {
             server.close();
@@ -278,7 +298,6 @@
     admitted: AdmittedRequest & Pick<GatewayExchange, "request" | "response" | "head" | "receivedAtMs" | "body">,
 ): GatewayExchange {
     const { route, account, view, head, receivedAtMs } = admitted;
-    const deadlineAtMs = receivedAtMs + Math.min(head.deadlineMs ?? route.timeoutMs, DEADLINE_MAX_MS);
     return {
         request: admitted.request,
         response: admitted.response,
@@ -289,12 +308,20 @@
         priority: account?.priority ?? route.priority,
         body: admitted.body,
         receivedAtMs,
-        deadlineAtMs,
-        timeoutAtMs: Math.min(deadlineAtMs, receivedAtMs + route.timeoutMs),
+        deadlineAtMs: computeDeadlineAtMs(route, head, receivedAtMs),
+        timeoutAtMs: computeTimeoutAtMs(route, head, receivedAtMs),
         configurationVersion: view.configuration.version,
     };
 }
 
+function computeDeadlineAtMs(route: GatewayRoute, head: CallerRequestHead, receivedAtMs: number): number {
+    return receivedAtMs + Math.min(head.deadlineMs ?? route.timeoutMs, DEADLINE_MAX_MS);
+}
+
+function computeTimeoutAtMs(route: GatewayRoute, head: CallerRequestHead, receivedAtMs: number): number {
+    return Math.min(computeDeadlineAtMs(route, head, receivedAtMs), receivedAtMs + route.timeoutMs);
+}
+
 /** Chooses one of the route's services by weight. `fraction` is a random number from 0 to 1. */
 function chooseService(route: GatewayRoute, fraction: number): string {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -28,9 +28,14 @@
     readonly relay: StreamRelay;
     /** Longest idle time of a connection that may be used; default: the idle timeout of the endpoint. */
     readonly maxIdleMs: number | undefined;
-    /** Longest wait for the answer or its first event, and between two events; absent: no limit but `ended`. */
+    /**
+     * Time without the answer or its first event, and between two events, after which `canGiveUp` is asked, at first and
+     * again from time to time; absent: there is no limit but `ended`.
+     */
     readonly answerTimeoutMs: number | undefined;
     readonly eventTimeoutMs: number | undefined;
+    /** Decides, when one of the two times is over, whether the attempt is given up. */
+    readonly canGiveUp: () => boolean;
     /** Aborts the attempt when the caller leaves or the request times out; its reason is the `AttemptOutcome`. */
     readonly ended: AbortSignal;
     readonly handleAnswerHead: (head: ResponseHead) => void;
@@ -64,6 +69,8 @@
 
 /** Largest answer that is read whole before it is relayed. */
 const WHOLE_ANSWER_BYTES_MAX = 8 * 1_048_576;
+/** Time after which it is asked again whether an attempt is given up. */
+const GIVE_UP_INTERVAL_MS = 250;
 /** Most informational answers (status 1xx) before the final one. */
 const INFORMATIONAL_ANSWERS_MAX = 8;
 const EVENT_STREAM = /^text\/event-stream\b/i;
@@ -93,8 +100,17 @@
             agent: record.connections.prepareAgent(options.maxIdleMs),
         });
         let isSettled = false;
-        const waitBound = createWaitBound(message => settleUnanswered(message));
+        let overdue: string | undefined;
+        const waitBound = createWaitBound(message => {
+            overdue ??= message;
+            if (!sentBytes.hasSentBytes() || options.canGiveUp()) {
+                settleUnanswered(overdue);
+            } else {
+                waitBound.beginWait(GIVE_UP_INTERVAL_MS, "answer");
+            }
+        });
         const beginWait: BeginWait = (delayMs, awaited) => {
+            overdue = undefined;
             if (delayMs === undefined || isSettled) {
                 waitBound.endWait();
             } else {
@@ -128,16 +144,28 @@
         };
         beginWait(CONNECT_TIMEOUT_MS, "connection");
         const sentBytes = trackSentBytes(request, () => beginWait(options.answerTimeoutMs, "answer"));
-        request.on("error", error => settleUnanswered(describeError(error), error));
+        let answer: http.IncomingMessage | undefined;
+        request.on("error", error => {
+            // Bytes after a whole answer belong to no request; the answer stands, and the connection is closed.
+            if (answer?.complete !== true) {
+                settleUnanswered(describeError(error), error);
+            }
+        });
         let informationalAnswers = 0;
         request.on("information", () => {
             if (++informationalAnswers > INFORMATIONAL_ANSWERS_MAX) {
                 settleUnanswered("too many informational answers");
             }
         });
+        request.on("upgrade", (_response, socket) => {
+            socket.destroy();
+            settleUnanswered("the endpoint switched protocols");
+        });
         request.on("response", response => {
+            answer = response;
             waitBound.endWait();
-            handleResponse(options, response, settle, beginWait);
+            const isFirst = !request.reusedSocket;
+            handleResponse(options, response, isFirst, settle, beginWait);
         });
         if (ended.aborted) {
             abandon();
@@ -156,14 +184,18 @@
 function handleResponse(
     options: AttemptOptions,
     response: http.IncomingMessage,
-    settle: Settle,
+    isFirst: boolean,
+    settleAttempt: Settle,
     beginWait: BeginWait,
 ): void {
     const status = response.statusCode ?? 0;
     const head = options.codec.readResponseHead(status, response.headers);
+    const hasOwnId = head.requestId === options.requestId;
+    // Without an id, only the first answer on a connection is sure to be no copy of an earlier one.
+    const settle: Settle = (result, keepsConnection = false) => settleAttempt(result, keepsConnection && hasOwnId);
     response.on("error", error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)));
     response.on("aborted", () => settle(buildLossResult(options, "the answer was cut off", ConnectionEnd.Broken)));
-    if (head.requestId !== undefined && head.requestId !== options.requestId) {
+    if (!hasOwnId && (head.requestId !== undefined || !isFirst)) {
         settle(buildLossResult(options, "the answer belongs to another request"));
         return;
     }
@@ -175,9 +207,7 @@
     }
     const isComplete = createCompletionCheck(response);
     const relayed = { status, headers: options.codec.buildCallerHeaders(response.rawHeaders) };
-    const isUsable =
-        status < HttpStatus.FirstRedirect ? head.isSealed && !head.isBodyAltered : !REFUSAL_STATUSES.has(status);
-    if (!isUsable) {
+    if (!isUsable(status, head)) {
         settle(buildLossResult(options, `unusable answer, status ${status}`));
         return;
     }
@@ -189,6 +219,14 @@
     }
 }
 
+/** Tells whether an answer may be relayed. */
+function isUsable(status: number, head: ResponseHead): boolean {
+    if (status < HttpStatus.FirstRedirect) {
+        return status >= HttpStatus.Ok && head.isSealed && !head.isBodyAltered;
+    }
+    return !REFUSAL_STATUSES.has(status);
+}
+
 function streamAnswer(
     options: AttemptOptions,
     response: http.IncomingMessage,
