--- a/src/decisions/gateway/createPartEvidence.ts
+++ b/src/decisions/gateway/createPartEvidence.ts
@@ -3,12 +3,12 @@
  */
 import type { PartEvidence } from "../relays/news";
 import { createClearanceMemory } from "./createClearanceMemory";
-import { computeHoldMs, isConvicted, type PartFacts } from "./evaluatePart";
+import { isConvicted, type PartFacts } from "./evaluatePart";
 
 /** What a node knows. It reads no clock; all times are monotonic times of this node. */
 export interface PartEvidenceBook {
     /** Records an answer that began, at an endpoint that lived on. */
-    recordClearance(parts: readonly string[], beganAtMs: number): void;
+    recordClearance(parts: readonly string[], beganAtMs: number, nowMs: number): void;
     /** Records the parts of a request that was in progress at a crash; repeated calls add up. */
     recordCrash(key: string, parts: readonly string[], atMs: number): void;
     /** Merges the evidence of the fleet: crashes are united, and the clearances replace those of the last call. */
@@ -26,25 +26,20 @@
     listParts(): readonly string[];
 }
 
-/** A crash counts against a part unless another one is this share more to blame. */
+/** A part explains the crashes of another one if the blame of that one is below this share of its own. */
 const BLAME_MARGIN = 0.75;
-/** Limits on what is kept and reported. */
+/** Limits on what is kept. */
 const PARTS_MAX = 64;
-const REPORTED_PARTS_MAX = 16;
 const CRASHES_MAX = 5;
 const KEYS_MAX = 32;
 /** Time after its last crash for which a suspected, and for which a quarantined part is remembered. */
 const SUSPICION_MEMORY_MS = 120_000;
-const QUARANTINE_MEMORY_MS = 1_800_000;
-/** A crash of this age was released by an operator; it is kept for a time, so that no node brings it back. */
-const RELEASED_AGE_MS = 86_400_000;
-/** An answer clears a part of the crashes until shortly before its begin, since the nodes' times differ. */
-const CLOCK_DIFFERENCE_MS = 100;
-/** A fleet's clearances remove one crash in this time, until the other nodes have done so as well. */
-const REMOVAL_PERIOD_MS = 2_000;
-/** Clearances for each crash, and the time for which they are seen, that end a quarantine. */
-const REFUTING_CLEARANCES = 3;
-const REFUTING_MS = 3_000;
+const QUARANTINE_MEMORY_MS = 580_000;
+/** A crash that an answer refutes is reported under its key with this suffix, for this long after the answer. */
+const REFUTED_SUFFIX = "!";
+const REFUTED_MEMORY_MS = 60_000;
+/** An answer refutes crashes until shortly before its begin, since the nodes' times differ. */
+const CLOCK_DIFFERENCE_MS = 200;
 /** Answers within this time, or in all, by which a part is familiar. */
 const FAMILIAR_PERIOD_MS = 10_000;
 const FAMILIAR_RECENT_MIN = 3;
@@ -55,17 +50,14 @@
 interface Entry {
     /** Time of each crash, by its key. */
     readonly crashes: Map<string, number>;
-    /** Crashes until this time are refuted by answers. */
-    refutedUntilMs: number;
-    /** Keys of all crashes, those that left the list included. */
+    /** Keys of all crashes since the last answer, those that left the list included. */
     readonly seenKeys: Set<string>;
-    /** Keys of refuted crashes: reported times differ. */
-    readonly refutedKeys: Set<string>;
-    /** The first refuted crash that other nodes still report. */
-    foreignFirstMs: number | undefined;
-    fleet: { readonly clearances: number; readonly earlierClearances: number };
-    removedAtMs: number;
-    refutedSinceMs: number | undefined;
+    /** Time at which each crash was refuted, by its key. */
+    readonly refuted: Map<string, number>;
+    /** Crashes until this time are refuted by answers of this node. */
+    refutedUntilMs: number;
+    /** Answers with this part at all nodes, as last reported. */
+    fleetAnswers: number;
     isQuarantined: boolean;
 }
 
@@ -85,108 +77,82 @@
         entries.set(part, entry);
         return entry;
     };
-    const addCrash = (part: string, key: string, atMs: number) => {
+    const refuteCrash = (entry: Entry, key: string, atMs: number) => {
+        entry.refuted.set(key, Math.max(atMs, entry.refuted.get(key) ?? atMs));
+        trimOldest(entry.refuted);
+        entry.crashes.delete(key);
+        if (entry.crashes.size === 0) {
+            entry.seenKeys.clear();
+            entry.isQuarantined = false;
+        }
+    };
+    const refuteUntil = (entry: Entry, untilMs: number, nowMs: number) => {
+        entry.refutedUntilMs = Math.max(entry.refutedUntilMs, untilMs);
+        [...entry.crashes].filter(([, atMs]) => atMs <= untilMs).forEach(([key]) => refuteCrash(entry, key, nowMs));
+    };
+    const addCrash = (part: string, key: string, atMs: number, nowMs: number) => {
         const entry = ensureEntry(part);
         const earliestMs = Math.min(atMs, entry.crashes.get(key) ?? atMs);
-        if (entry.refutedKeys.has(key) || earliestMs <= entry.refutedUntilMs) {
-            entry.foreignFirstMs = Math.min(earliestMs, entry.foreignFirstMs ?? earliestMs);
-            entry.crashes.delete(key);
+        if (entry.refuted.has(key)) {
+            return;
+        }
+        if (earliestMs <= entry.refutedUntilMs) {
+            refuteCrash(entry, key, nowMs);
             return;
         }
         entry.crashes.set(key, earliestMs);
         entry.seenKeys.add(key);
-        trimSet(entry.seenKeys);
+        trimOldest(entry.seenKeys);
         if (entry.crashes.size > CRASHES_MAX) {
             entry.crashes.delete(findClosestCrash(entry.crashes));
         }
     };
-    const refuteUntil = (entry: Entry, untilMs: number) => {
-        entry.refutedUntilMs = Math.max(entry.refutedUntilMs, untilMs);
-        for (const [key, atMs] of entry.crashes) {
-            if (atMs <= untilMs) {
-                entry.crashes.delete(key);
-                entry.refutedKeys.add(key);
-                entry.foreignFirstMs = Math.min(atMs, entry.foreignFirstMs ?? atMs);
-            }
-        }
-        trimSet(entry.refutedKeys);
-        if (entry.crashes.size === 0) {
-            entry.seenKeys.clear();
-        }
-    };
     /** Computes how much speaks against a part: its crashes for each answer. */
-    const computeBlame = (part: string, { crashes, seenKeys, fleet }: Entry) =>
-        Math.max(crashes.size, seenKeys.size) /
-        (1 + Math.max(memory.countAll(part), fleet.clearances + fleet.earlierClearances));
-    /** Gives the times of the crashes that are not released and for which no other part is far more to blame. */
-    const listCrashTimes = (part: string, entry: Entry, nowMs: number): readonly number[] => {
+    const computeBlame = (part: string, { seenKeys, fleetAnswers }: Entry) =>
+        seenKeys.size / (1 + Math.max(memory.countAll(part), fleetAnswers));
+    /**
+     * Gives the times of the crashes that no other part explains. A part explains its crashes
+     * if it has at least as many and is far more to blame.
+     */
+    const listCrashTimes = (part: string, entry: Entry): readonly number[] => {
         const blame = computeBlame(part, entry);
         const explained = new Set<string>();
         for (const [otherPart, other] of entries) {
-            if (computeBlame(otherPart, other) * BLAME_MARGIN > blame) {
+            const hasAsMany = other.seenKeys.size >= entry.seenKeys.size;
+            if (hasAsMany && computeBlame(otherPart, other) * BLAME_MARGIN > blame) {
                 [...other.crashes.keys()].forEach(key => explained.add(key));
             }
         }
         return [...entry.crashes]
-            .filter(([key, atMs]) => nowMs - atMs < RELEASED_AGE_MS && !explained.has(key))
+            .filter(([key]) => !explained.has(key))
             .map(([, atMs]) => atMs)
             .sort((left, right) => left - right);
     };
     const isFamiliar = (part: string, nowMs: number) =>
         memory.countSince(part, nowMs - FAMILIAR_PERIOD_MS) >= FAMILIAR_RECENT_MIN ||
-        (entries.get(part)?.fleet.earlierClearances ?? 0) >= FAMILIAR_EARLIER_MIN;
+        (entries.get(part)?.fleetAnswers ?? 0) >= FAMILIAR_EARLIER_MIN;
     const buildFacts = (part: string, entry: Entry, nowMs: number): PartFacts => {
-        const crashTimes = listCrashTimes(part, entry, nowMs);
-        const firstMs = crashTimes[0] ?? nowMs;
-        const own = memory.countSince(part, firstMs);
+        const crashTimes = listCrashTimes(part, entry);
         return {
             crashTimes,
-            clearances: Math.max(own, entry.fleet.clearances),
-            earlierClearances: Math.max(memory.countAll(part) - own, entry.fleet.earlierClearances),
+            answers: Math.max(memory.countAll(part), entry.fleetAnswers),
             isFamiliar: isFamiliar(part, nowMs),
             otherCrashes: countOtherCrashes(entries, entry, nowMs),
-            controls: memory.countOthersSince(part, firstMs),
+            controls: memory.countOthersSince(part, crashTimes[0] ?? nowMs),
             isQuarantined: entry.isQuarantined,
         };
     };
-    /** Applies the fleet's clearances, then the rule of conviction. */
     const refreshEntry = (part: string, entry: Entry, nowMs: number) => {
-        const times = listCrashTimes(part, entry, nowMs);
-        const [firstMs, lastMs] = [times[0], times.at(-1)];
-        if (firstMs === undefined || lastMs === undefined) {
-            entry.isQuarantined = false;
-            return;
-        }
-        const isRefuted = entry.fleet.clearances >= REFUTING_CLEARANCES * times.length;
-        entry.refutedSinceMs = isRefuted ? (entry.refutedSinceMs ?? nowMs) : undefined;
-        if (entry.isQuarantined) {
-            const isTried = nowMs - lastMs >= computeHoldMs(times) && entry.fleet.clearances > 0;
-            if (isTried || nowMs - (entry.refutedSinceMs ?? nowMs) >= REFUTING_MS) {
-                refuteUntil(entry, lastMs);
-                entry.isQuarantined = false;
-            }
-        } else if (isConvicted(buildFacts(part, entry, nowMs), nowMs)) {
-            entry.isQuarantined = true;
-        } else if (entry.fleet.clearances > 0 && nowMs - entry.removedAtMs >= REMOVAL_PERIOD_MS) {
-            entry.removedAtMs = nowMs;
-            refuteUntil(entry, firstMs);
-        }
+        const facts = buildFacts(part, entry, nowMs);
+        entry.isQuarantined = facts.crashTimes.length > 0 && (entry.isQuarantined || isConvicted(facts, nowMs));
     };
     const removeExcess = (nowMs: number) => {
-        const ranked = sortEntries(entries);
-        ranked.slice(PARTS_MAX).forEach(([part]) => entries.delete(part));
-        for (const [part, entry] of ranked) {
+        const sorted = sortEntries(entries);
+        sorted.slice(PARTS_MAX).forEach(([part]) => entries.delete(part));
+        for (const [part, entry] of sorted) {
             const memoryMs = entry.isQuarantined ? QUARANTINE_MEMORY_MS : SUSPICION_MEMORY_MS;
-            for (const [key, atMs] of entry.crashes) {
-                if (nowMs - atMs > RELEASED_AGE_MS + QUARANTINE_MEMORY_MS) {
-                    entry.crashes.delete(key);
-                }
-            }
-            const newestMs = Math.max(entry.foreignFirstMs ?? Number.NEGATIVE_INFINITY, ...entry.crashes.values());
-            const ageMs = nowMs - newestMs;
-            if (ageMs > memoryMs && ageMs < RELEASED_AGE_MS - QUARANTINE_MEMORY_MS) {
-                entries.delete(part);
-            } else if (entry.crashes.size === 0 && entry.foreignFirstMs === undefined) {
+            const isOver = [...entry.crashes.values()].every(atMs => nowMs - atMs > memoryMs);
+            if (isOver && [...entry.refuted.values()].every(atMs => nowMs - atMs > REFUTED_MEMORY_MS)) {
                 entries.delete(part);
             }
         }
@@ -196,52 +162,48 @@
         removeExcess(nowMs);
     };
     return {
-        recordClearance: (parts, beganAtMs) => {
+        recordClearance: (parts, beganAtMs, nowMs) => {
             memory.recordClearance(parts, beganAtMs);
             for (const part of parts) {
                 const entry = entries.get(part);
                 if (entry !== undefined) {
-                    refuteUntil(entry, beganAtMs - CLOCK_DIFFERENCE_MS);
+                    refuteUntil(entry, beganAtMs - CLOCK_DIFFERENCE_MS, nowMs);
                 }
             }
         },
         recordCrash: (key, parts, atMs) => {
-            parts.forEach(part => addCrash(part, key, atMs));
+            parts.forEach(part => addCrash(part, key, atMs, atMs));
             removeExcess(atMs);
         },
         merge: (evidence, nowMs) => {
-            for (const entry of entries.values()) {
-                entry.foreignFirstMs = undefined;
-                entry.fleet = NO_CLEARANCES;
-            }
             for (const [part, { crashes, clearances, earlierClearances }] of Object.entries(evidence)) {
-                const known = Object.entries(crashes).filter(([, ageMs]) => isKeptAge(ageMs));
-                if (known.length > 0) {
-                    known.forEach(([key, ageMs]) => addCrash(part, key, nowMs - ageMs));
-                    ensureEntry(part).fleet = { clearances, earlierClearances };
+                for (const [key, ageMs] of Object.entries(crashes)) {
+                    if (key.endsWith(REFUTED_SUFFIX)) {
+                        refuteCrash(ensureEntry(part), key.slice(0, -REFUTED_SUFFIX.length), nowMs - ageMs);
+                    } else {
+                        addCrash(part, key, nowMs - ageMs, nowMs);
+                    }
                 }
+                ensureEntry(part).fleetAnswers = clearances + earlierClearances;
             }
             refreshAll(nowMs);
         },
         readEvidence: nowMs => {
             refreshAll(nowMs);
             return Object.fromEntries(
-                sortEntries(entries)
-                    .slice(0, REPORTED_PARTS_MAX)
-                    .map(([part, entry]) => {
-                        const firstMs = Math.min(entry.foreignFirstMs ?? nowMs, ...entry.crashes.values());
-                        const clearances = memory.countSince(part, firstMs);
-                        const crashes = Object.fromEntries(
-                            [...entry.crashes].map(([key, atMs]) => [key, Math.max(0, Math.round(nowMs - atMs))]),
-                        );
-                        return [part, { crashes, clearances, earlierClearances: memory.countAll(part) - clearances }];
-                    }),
+                sortEntries(entries).map(([part, entry]) => {
+                    const crashes = listReportedCrashes(entry, nowMs);
+                    const firstMs = Math.min(nowMs, ...entry.crashes.values());
+                    const clearances = memory.countSince(part, firstMs);
+                    return [part, { crashes, clearances, earlierClearances: memory.countAll(part) - clearances }];
+                }),
             );
         },
         release: (part, nowMs) => {
             const entry = entries.get(part);
-            entry?.crashes.forEach((_atMs, key) => entry.crashes.set(key, nowMs - RELEASED_AGE_MS));
-            refreshAll(nowMs);
+            if (entry !== undefined) {
+                refuteUntil(entry, nowMs, nowMs);
+            }
         },
         findFacts: (part, nowMs) => {
             const entry = entries.get(part);
@@ -258,22 +220,26 @@
     };
 }
 
-const NO_CLEARANCES = { clearances: 0, earlierClearances: 0 };
-
 function createEntry(lastClearedMs: number | undefined): Entry {
     return {
         crashes: new Map(),
         seenKeys: new Set(),
-        refutedKeys: new Set(),
+        refuted: new Map(),
         refutedUntilMs: (lastClearedMs ?? Number.NEGATIVE_INFINITY) - CLOCK_DIFFERENCE_MS,
-        foreignFirstMs: undefined,
-        fleet: NO_CLEARANCES,
-        removedAtMs: Number.NEGATIVE_INFINITY,
-        refutedSinceMs: undefined,
+        fleetAnswers: 0,
         isQuarantined: false,
     };
 }
 
+/** Lists the ages of an entry's crashes, and those of the recent refutations under their own keys. */
+function listReportedCrashes({ crashes, refuted }: Entry, nowMs: number): Readonly<Record<string, number>> {
+    const recent = [...refuted].filter(([, atMs]) => nowMs - atMs <= REFUTED_MEMORY_MS);
+    const renamed = recent.map(([key, atMs]): [string, number] => [key + REFUTED_SUFFIX, atMs]);
+    return Object.fromEntries(
+        [...crashes, ...renamed.slice(-CRASHES_MAX)].map(([key, atMs]) => [key, Math.max(0, nowMs - atMs)]),
+    );
+}
+
 /** Finds the crash with the least time to the one before it, so that those that are left show the longest time. */
 function findClosestCrash(crashes: ReadonlyMap<string, number>): string {
     const sorted = [...crashes].sort(([, left], [, right]) => left - right);
@@ -281,21 +247,12 @@
     return gaps.reduce((least, gap) => (gap.ms < least.ms ? gap : least)).key;
 }
 
-function trimSet(keys: Set<string>): void {
+function trimOldest(keys: Set<string> | Map<string, number>): void {
     if (keys.size > KEYS_MAX) {
         keys.delete(keys.keys().next().value ?? "");
     }
 }
 
-/** Tells whether a reported crash is recent, or released recently. */
-function isKeptAge(ageMs: number): boolean {
-    return ageMs <= QUARANTINE_MEMORY_MS || isReleasedAge(ageMs);
-}
-
-function isReleasedAge(ageMs: number): boolean {
-    return ageMs >= RELEASED_AGE_MS && ageMs <= RELEASED_AGE_MS + QUARANTINE_MEMORY_MS;
-}
-
 /** Sorts parts by the weight of their evidence: quarantined ones, then those with most crashes, then the newest. */
 function sortEntries(entries: ReadonlyMap<string, Entry>): readonly (readonly [string, Entry])[] {
     const weigh = (entry: Entry) => (entry.isQuarantined ? CRASHES_MAX + 1 : 0) + entry.crashes.size;
--- a/src/decisions/gateway/evaluatePart.ts
+++ b/src/decisions/gateway/evaluatePart.ts
@@ -6,10 +6,8 @@
 export interface PartFacts {
     /** Monotonic times of the crashes that nothing else explains and no answer refutes, the first one first. */
     readonly crashTimes: readonly number[];
-    /** Answers with this part that began after the first of them, at an endpoint that lived on. */
-    readonly clearances: number;
-    /** Answers with this part that began before it. */
-    readonly earlierClearances: number;
+    /** Answers with this part that began, at this node or at all nodes, at endpoints that lived on. */
+    readonly answers: number;
     /** True if answers with this part began at this node recently, or often at any node. */
     readonly isFamiliar: boolean;
     /** Recent crashes of endpoints without a request that has this part. */
@@ -48,16 +46,14 @@
 const CRASHES_MAX = 4;
 /** One more crash is needed for each of this many that occurred without the part. */
 const OTHER_CRASHES_STEP = 4;
-/** Earlier answers above which one more crash is needed. */
-const EARLIER_CLEARANCES_MAX = 20;
+/** Answers before the crashes above which one more crash is needed. */
+const ANSWERS_MAX = 20;
 /** Answers without the part that show that endpoints can answer at all; needed only against familiar parts. */
 const CONTROLS_MIN = 3;
-/** Crashes for each clearance above which the clearance counts as an exception. */
-const CRASHES_PER_CLEARANCE = 4;
 
 /** Duration of a quarantine after a crash; it doubles with each failed try. */
 const HOLD_INITIAL_MS = 60_000;
-const HOLD_MAX_MS = 960_000;
+const HOLD_MAX_MS = 480_000;
 /** A crash this long after the former one was caused by a try. */
 const TRY_GAP_MS = HOLD_INITIAL_MS / 2;
 
@@ -80,13 +76,10 @@
 export function isConvicted(facts: PartFacts, nowMs: number): boolean {
     const crashes = countSeparateCrashes(facts.crashTimes);
     const needed =
-        CRASHES_MIN +
-        (facts.earlierClearances > EARLIER_CLEARANCES_MAX ? 1 : 0) +
-        Math.floor(facts.otherCrashes / OTHER_CRASHES_STEP);
+        CRASHES_MIN + (facts.answers > ANSWERS_MAX ? 1 : 0) + Math.floor(facts.otherCrashes / OTHER_CRASHES_STEP);
     const isSettled = nowMs - (facts.crashTimes[0] ?? nowMs) >= EVIDENCE_SETTLE_MS;
-    const isRefuted = facts.clearances * CRASHES_PER_CLEARANCE > crashes;
     const hasControls = !facts.isFamiliar || facts.controls >= CONTROLS_MIN;
-    return crashes >= Math.min(CRASHES_MAX, needed) && isSettled && !isRefuted && hasControls;
+    return crashes >= Math.min(CRASHES_MAX, needed) && isSettled && hasControls;
 }
 
 /**
--- a/src/gateway/_testing/simulateQuarantine.ts
+++ b/src/gateway/_testing/simulateQuarantine.ts
@@ -6,7 +6,8 @@
 import { createRandom } from "../../base/createRandom";
 import { createLog } from "../../base/log/createLog";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
-import type { PartEvidence } from "../../decisions/relays/news";
+import { mergeSuspects, sumClearances } from "../../decisions/relays/mergeSuspects";
+import type { SuspectParts } from "../../decisions/relays/news";
 import { createPartQuarantine, type FollowedAttempt, type PartQuarantine } from "../createPartQuarantine";
 import { createEndpointRecord, type EndpointRecord } from "../endpointRecord";
 import { ConnectionEnd } from "../sendAttempt";
@@ -76,7 +77,6 @@
     quarantine: PartQuarantine;
     readonly records: Map<string, EndpointRecord>;
 }
-type Evidence = Readonly<Record<string, PartEvidence>>;
 
 /**
  * Runs a simulation.
@@ -109,7 +109,7 @@
     }));
     const attempts = new Set<Attempt>();
     const messages: { readonly atMs: number; readonly deliver: () => void }[] = [];
-    const reports = new Map<number, Evidence>();
+    const reports = new Map<number, SuspectParts>();
     const drawChance = (perSecond: number) => random.drawFraction() < (perSecond * STEP_MS) / 1_000;
     const pick = <T>(items: readonly T[]): T => items[random.drawInteger(0, items.length - 1)] as T;
     const createNode = (index: number, records: Map<string, EndpointRecord>): PartQuarantine =>
@@ -205,9 +205,9 @@
     };
     const exchangeNews = () => {
         nodes.forEach((node, index) => {
-            const report = node.quarantine.readEvidence();
+            const report = mergeSuspects([node.quarantine.readEvidence()], sumClearances);
             sendMessage(() => reports.set(index, report));
-            sendMessage(() => node.quarantine.mergeEvidence(sumEvidence([...reports.values()])));
+            sendMessage(() => node.quarantine.mergeEvidence(mergeSuspects([...reports.values()], sumClearances)));
         });
     };
     const sendMessage = (deliver: () => void) => {
@@ -257,7 +257,7 @@
             if (node !== undefined) {
                 [...attempts].filter(attempt => attempt.node === node).forEach(attempt => attempts.delete(attempt));
                 node.quarantine = createNode(index, node.records);
-                node.quarantine.mergeEvidence(sumEvidence([...reports.values()]));
+                node.quarantine.mergeEvidence(mergeSuspects([...reports.values()], sumClearances));
             }
         }
         if (drawChance(options.requestsPerSecond)) {
@@ -268,23 +268,3 @@
     }
     return seen;
 }
-
-/** Sums reports as relays do: crashes are united with the greater age, and the other values are added. */
-export function sumEvidence(reports: readonly Evidence[]): Evidence {
-    const sums: Record<string, PartEvidence> = {};
-    for (const report of reports) {
-        for (const [part, evidence] of Object.entries(report)) {
-            const sum = sums[part] ?? { crashes: {}, clearances: 0, earlierClearances: 0 };
-            const crashes: Record<string, number> = { ...sum.crashes };
-            for (const [key, ageMs] of Object.entries(evidence.crashes)) {
-                crashes[key] = Math.max(ageMs, crashes[key] ?? 0);
-            }
-            sums[part] = {
-                crashes,
-                clearances: sum.clearances + evidence.clearances,
-                earlierClearances: sum.earlierClearances + evidence.earlierClearances,
-            };
-        }
-    }
-    return sums;
-}
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -7,22 +7,17 @@
     estimateResponseMs,
     type PlacementRequest,
 } from "../decisions/gateway/chooseEndpoint";
-import {
-    AttemptOutcome,
-    NextAction,
-    decideNextAction,
-    isFailedStatus,
-    isRepeatable,
-} from "../decisions/gateway/decideNextAction";
+import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../decisions/gateway/decideNextAction";
 import { decideGiveUp } from "../decisions/gateway/decideGiveUp";
 import { filterServable } from "../decisions/gateway/filterServable";
 import { PartVerdict } from "../decisions/gateway/evaluatePart";
 import { listSharedParts } from "../decisions/gateway/listSharedParts";
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../decisions/gateway/serviceRetryBudget";
 import { RouteKind } from "../model/gateway";
-import { applyAnswerHead, applyOutcome } from "./applyAttemptOutcome";
+import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS } from "./constants";
 import { createStreamRelay, type StreamRelay } from "./createStreamRelay";
+import { describePartRefusal } from "./describePartRefusal";
 import {
     buildEndpointView,
     type EndpointRecord,
@@ -33,13 +28,13 @@
 import type { GatewayExchange } from "./exchange";
 import {
     describeFailure,
-    describeQuarantined,
     describeWithoutEndpoint,
     type ForwardingOutcome,
     NO_ENDPOINT_FAILURE,
 } from "./forwardingOutcome";
 import type { GatewayComponents } from "./gatewayComponents";
-import { type AttemptResult, ConnectionEnd, sendAttempt, type WholeAnswer } from "./sendAttempt";
+import { type AttemptResult, ConnectionEnd, sendAttempt } from "./sendAttempt";
+import { sendWholeAnswer } from "./sendWholeAnswer";
 
 /** Time that must be left before the timeout for another attempt. */
 const ATTEMPT_TIME_MIN_MS = 60;
@@ -279,7 +274,9 @@
             const admission = components.quarantine.admitAttempt(state.sharedParts);
             const isRepeat = state.sends > 0;
             if (admission.retryAfterMs !== undefined || (isRepeat && admission.verdict !== PartVerdict.Free)) {
-                return describeQuarantined(state, admission);
+                return state.relay.hasBegun()
+                    ? { isRelayed: false, failure: undefined }
+                    : { isRelayed: false, failure: describePartRefusal(state.executions, admission.retryAfterMs) };
             }
             const candidate = pickCandidate(state, admission.verdict !== PartVerdict.Free);
             if (candidate === undefined) {
@@ -332,17 +329,6 @@
     return { isRelayed: false, failure: step === NextAction.Refuse ? NO_ENDPOINT_FAILURE : describeFailure(result) };
 }
 
-function sendWholeAnswer({ response }: GatewayExchange, answer: WholeAnswer): void {
-    response.writeHead(answer.status, [...answer.headers.flat(), "Content-Length", String(answer.body.length)]);
-    response.end(answer.body);
-}
-
-/** Tells whether an attempt was successful; only other attempts are logged one by one. */
-function isSuccessful(result: AttemptResult): boolean {
-    const isSuccess = result.end === AttemptOutcome.Answered && !isFailedStatus(result.answer?.status);
-    return result.end === AttemptOutcome.Relayed || isSuccess;
-}
-
 function hasBodyHeader({ request }: GatewayExchange): boolean {
     return request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
 }
--- a/src/gateway/createPartQuarantine.ts
+++ b/src/gateway/createPartQuarantine.ts
@@ -90,7 +90,7 @@
 
     const clearAttempt = (attempt: OpenAttempt, beganAtMs: number) => {
         attempt.isCleared = true;
-        evidence.recordClearance(attempt.parts, beganAtMs);
+        evidence.recordClearance(attempt.parts, beganAtMs, clock.readMonotonicMs());
         releaseCareful(attempt);
     };
     const releaseCareful = (attempt: OpenAttempt) => {
@@ -240,8 +240,7 @@
                 log.warn(`prompt part ${state}`, {
                     part,
                     crashes: facts?.crashTimes.length ?? 0,
-                    clearances: facts?.clearances ?? 0,
-                    earlierClearances: facts?.earlierClearances ?? 0,
+                    answers: facts?.answers ?? 0,
                     otherCrashes: facts?.otherCrashes ?? 0,
                 });
             }
--- a/src/gateway/forwardingOutcome.ts
+++ b/src/gateway/forwardingOutcome.ts
@@ -5,7 +5,6 @@
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
 import { RETRY_AFTER_MS } from "./constants";
-import type { AttemptAdmission } from "./createPartQuarantine";
 import type { StreamRelay } from "./createStreamRelay";
 import type { AttemptResult } from "./sendAttempt";
 
@@ -53,16 +52,3 @@
               });
     return { isRelayed: false, failure };
 }
-
-/** Describes the end if no attempt may be made because of a part of the prompt. */
-export function describeQuarantined(state: UnansweredState, admission: AttemptAdmission): ForwardingOutcome {
-    if (state.relay.hasBegun()) {
-        return { isRelayed: false, failure: undefined };
-    }
-    const kind = state.executions === 0 ? FailureKind.PromptQuarantined : FailureKind.OutcomeUnknown;
-    const failure = createFailure(kind, "Requests with the same prompt part crashed endpoints.", {
-        execution: state.executions === 0 ? Execution.NotRun : Execution.Unknown,
-        retryAfterMs: state.executions === 0 ? (admission.retryAfterMs ?? RETRY_AFTER_MS) : undefined,
-    });
-    return { isRelayed: false, failure };
-}
