Close idle connections before a stop ends, also beside open streams

Callers saw: nothing yet as a loss.

Cause: idle connections were closed only once no request was open.

--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -324,6 +324,7 @@
         abandonRequests: () =>
             openRequests.list().forEach(open => {
                 open.end = RequestEnd.Cut;
+                open.abort?.();
                 abandonAnswer(open.response);
             }),
         closeIdle: () => {
--- a/src/gateway/drainGateway.test.ts
+++ b/src/gateway/drainGateway.test.ts
@@ -101,6 +101,19 @@
         assert.match((await caller.whenClosed).received, /data: x\n\n\r\n$/);
     });
 
+    // Guards against: idle connections are destroyed at the end of the process if a stream is open until then.
+    it("closes idle connections before it ends although a stream is still open", async () => {
+        const { call, stop } = await start(STREAM, beginStream, 2_000);
+        const caller = call(formatRequest("stream"));
+        const kept = call(formatRequest("refused").replace("key-1", "none"));
+        await waitUntil(() => kept.readReceived() !== "" && caller.readReceived().includes("data: x"));
+        const order: string[] = [];
+        const whenClosed = kept.whenClosed.then(({ isReset }) => order.push(`idle closed ${isReset}`));
+        await stop().then(() => order.push("stopped"));
+        await whenClosed;
+        assert.deepEqual(order, ["idle closed false", "stopped"]);
+    });
+
     // Guards against: the second of two requests on one connection is passed on, and the first answer closes it.
     it("does not pass a request on that was sent behind one whose answer closes the connection", async () => {
         const { call, stop, countForwarded, waitForForwarded } = await start(ONCE, answerAfter(200), 600);
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -44,7 +44,8 @@
         if (computeDrainingMs() >= times.endsRequestsMs) {
             listener.endRequests();
         }
-        if (computeDrainingMs() > times.acceptsMs && listener.countOpen() === 0) {
+        const areRequestsEnded = listener.countOpen() === 0 || computeDrainingMs() >= times.endsRequestsMs;
+        if (computeDrainingMs() > times.acceptsMs && areRequestsEnded) {
             listener.closeIdle();
             if (listener.countCallers().connections === 0) {
                 break;
