Let callers of a stopping node come back at once

Callers saw: a request refused by a stopping node was to be sent again after 300 ms.

Cause: the delay for a node without endpoints or store was used; there time helps, here another node does.

Change: Retry-After of these refusals is 20 ms.

--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -42,8 +42,10 @@
 
 /** Failures after which the caller should come back by another connection, which may lead to another node. */
 const CLOSING_FAILURES: ReadonlySet<FailureKind> = new Set([FailureKind.StoreUnavailable, FailureKind.ShuttingDown]);
+/** Short: by the time that a node refuses requests since it stops, new connections lead to other nodes. */
+const SHUTTING_DOWN_RETRY_MS = 20;
 const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
-    retryAfterMs: RETRY_AFTER_MS,
+    retryAfterMs: SHUTTING_DOWN_RETRY_MS,
 });
 const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
