--- a/src/gateway/drainGateway.test.ts
+++ b/src/gateway/drainGateway.test.ts
@@ -52,8 +52,9 @@
 /** Asserts that the text is one answer with all bytes of its body. */
 function assertComplete(received: string, status: RegExp) {
     assert.match(received, status);
-    const [head = "", body] = received.split("\r\n\r\n");
-    assert.equal(body?.length, Number(/content-length: (\d+)/i.exec(head)?.[1]));
+    const bodyAt = received.indexOf("\r\n\r\n") + 4;
+    const head = received.slice(0, bodyAt);
+    assert.equal(received.length - bodyAt, Number(/content-length: (\d+)/i.exec(head)?.[1]));
 }
 
 describe("a node that stops", { concurrency: true }, () => {
@@ -101,6 +102,19 @@
         assert.match((await caller.whenClosed).received, /data: x\n\n\r\n$/);
     });
 
+    // Guards against: idle connections are destroyed at the end of the process if a stream is open until then.
+    it("closes idle connections before it ends although a stream is still open", async () => {
+        const { call, stop } = await start(STREAM, beginStream, 2_000);
+        const caller = call(formatRequest("stream"));
+        const kept = call(formatRequest("refused").replace("key-1", "none"));
+        await waitUntil(() => kept.readReceived() !== "" && caller.readReceived().includes("data: x"));
+        const order: string[] = [];
+        const whenClosed = kept.whenClosed.then(({ isReset }) => order.push(`idle closed ${isReset}`));
+        await stop().then(() => order.push("stopped"));
+        await whenClosed;
+        assert.deepEqual(order, ["idle closed false", "stopped"]);
+    });
+
     // Guards against: the second of two requests on one connection is passed on, and the first answer closes it.
     it("does not pass a request on that was sent behind one whose answer closes the connection", async () => {
         const { call, stop, countForwarded, waitForForwarded } = await start(ONCE, answerAfter(200), 600);
@@ -169,6 +183,15 @@
         });
     }
 
+    // Guards against: the rest of a refused request's body is taken for the head of another one.
+    it("sends no second answer to a request that was refused before the signal while its body was arriving", async () => {
+        const { call, stop } = await start(ONCE, answerAfter(0), 600);
+        const caller = call(formatRequest("body", { body: "pay", bodyBytes: 500 }).replace("key-1", "none"));
+        await waitUntil(() => caller.readReceived() !== "");
+        await stop();
+        assertComplete((await caller.whenClosed).received, /^HTTP\/1\.1 401 /);
+    });
+
     it("sends a large answer whole to a caller that reads late", async () => {
         const { call, stop } = await start(ONCE, answerAfter(0, "x".repeat(7_000_000)), 2_000);
         const caller = call(formatRequest("large"));
