Keep evidence on crashing prompt parts in the rows of relays

What callers saw: after a loss of all nodes at once a part that had crashed endpoints would be served again. Cause: the evidence lived in the memory of nodes only. Change: a relay's row holds the evidence of the fleet, bounded as in news, in the rows and periods that were written before. Every list of these rows is merged, at a start before the members are known and so before the first view. Ages advance by cluster time, less 0.5 s by which nodes may differ on it. Rows without the field, or with a malformed one, decode as before. A relay with a second one beside it writes each 6.5 s or at the end of a usage window: crashes since then are lost with all nodes. Evidence: new test in createMembership.test.ts (evidence of a row 60 s old arrives, older by that time, before the members); src/gateway passes.

--- a/src/gateway/_testing/makeNews.ts
+++ b/src/gateway/_testing/makeNews.ts
@@ -30,6 +30,8 @@
         listCounts: () => [],
         addMembers: () => undefined,
         addStoredRelays: () => undefined,
+        readSuspects: () => ({}),
+        addStoredSuspects: () => undefined,
         recordStored: () => undefined,
         dispose: () => undefined,
         ...changes,
--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -7,20 +7,25 @@
  * nothing that must last, and the next choice takes over when it falls silent.
  */
 import dgram from "node:dgram";
-import type { Clock } from "../base/clock";
 import type { Disposable } from "../base/disposableStore";
 import type { DumpSource } from "../base/dump";
-import type { Log } from "../base/log/log";
 import type { FleetUsage } from "../decisions/gateway/accountQuotas";
 import { chooseRelays } from "../decisions/relays/chooseRelays";
 import { RowRole } from "../decisions/relays/chooseRowSource";
 import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "../decisions/relays/constants";
 import { createReportCollector, type ReportedCounts } from "../decisions/relays/createReportCollector";
 import { createSummaryMerger } from "../decisions/relays/createSummaryMerger";
-import { mergeSuspects, sumClearances } from "../decisions/relays/mergeSuspects";
-import type { EndpointActivity, FleetView, NodeIdentity, NodeReport, ServiceLoad } from "../decisions/relays/news";
+import { advanceSuspects, mergeSuspects, sumClearances } from "../decisions/relays/mergeSuspects";
+import type {
+    EndpointActivity,
+    FleetView,
+    NodeIdentity,
+    NodeReport,
+    ServiceLoad,
+    SuspectParts,
+} from "../decisions/relays/news";
 import { createRelayRoster } from "./createRelayRoster";
-import type { PartEvidenceSource } from "./partEvidence";
+import type { FleetNewsOptions } from "./fleetNewsOptions";
 import { decodeNews, encodeNews, NewsKind, type NewsMessage } from "./newsCodec";
 
 /** A node stops acting as a relay when nobody has reported to it for this long. */
@@ -35,26 +40,6 @@
 /** A node assumes that it is no longer counted this long before it is not. */
 const COUNTED_MARGIN_MS = 1_500;
 
-/** What a node reports, and the handlers of what it learns. */
-export interface FleetNewsOptions {
-    readonly self: NodeIdentity;
-    /** Names of all failure domains. */
-    readonly failureDomains: readonly string[];
-    readonly quotaWindowMs: number;
-    /** Gives what this node reports of itself. */
-    readonly readOwnNews: () => Pick<NodeReport, "countsForMs" | "usage" | "loads" | "endpoints">;
-    /** Gives this node's usage counts with the cluster time; `undefined` while that time is not agreed. */
-    readonly readCounts: () => NodeReport["counted"];
-    /** True for endpoints whose activity is sent to the nodes of this failure domain. */
-    readonly isNearEndpoint: (endpointId: string) => boolean;
-    /** What this node knows of prompt parts that crash endpoints. */
-    readonly evidence: PartEvidenceSource;
-    /** Called with what the other nodes do at endpoints. */
-    readonly handleActivity: (activity: ReadonlyMap<string, EndpointActivity>) => void;
-    readonly clock: Clock;
-    readonly log: Log;
-}
-
 /** Where a node reads rows of the store. */
 export interface RowSources {
     readonly role: RowRole;
@@ -90,6 +75,10 @@
     addMembers(members: readonly NodeIdentity[]): void;
     /** Takes relays of any failure domain from the store, with the number of nodes that each counts. */
     addStoredRelays(relays: readonly { readonly identity: NodeIdentity; readonly nodes: number }[]): void;
+    /** Gives what all nodes know of prompt parts that crash endpoints. */
+    readSuspects(): SuspectParts;
+    /** Takes what nodes knew of them from the store. */
+    addStoredSuspects(suspects: SuspectParts): void;
     /** Records that the store shows this node as a live relay. */
     recordStored(): void;
 }
@@ -323,6 +312,10 @@
         const hasMajority = known.reachable * 2 > known.nodes;
         return { ...known, isCounted: isListed || hasMajority };
     };
+    const readSuspects = () => {
+        const ofFleet = advanceSuspects(view?.content.suspects ?? {}, clock.readMonotonicMs() - (view?.atMs ?? 0));
+        return mergeSuspects([ofFleet, readOwnSuspects()], Math.max);
+    };
     socket.on("message", handleDatagram);
     socket.on("error", error => log.warn("datagram socket failed", { reason: error.message }));
     socket.bind(self.port, self.address);
@@ -368,6 +361,9 @@
                 merger.recordStoredCount(identity.failureDomain, nodes, listedAtMs);
             }
         },
+        readSuspects,
+        addStoredSuspects: suspects =>
+            options.evidence.mergeEvidence(mergeSuspects([suspects, readSuspects()], Math.max)),
         recordStored: () => {
             countedAtMs = clock.readMonotonicMs();
         },
--- a/src/gateway/createMembership.test.ts
+++ b/src/gateway/createMembership.test.ts
@@ -24,9 +24,7 @@
         capacity: 1,
     };
 
-    function startNode(news: Partial<FleetNews>) {
-        const clock = createManualClock();
-        const fake = createFakeTable();
+    function startNode(news: Partial<FleetNews>, clock = createManualClock(), fake = createFakeTable()) {
         const table = fake.createClient(clock);
         const calls: string[] = [];
         const clusterTime = createClusterTime(clock);
@@ -93,4 +91,31 @@
         );
         membership.dispose();
     });
+
+    // Guards against a part whose crashes nobody knows any more after all nodes were killed at once.
+    it("of relays that are gone give a starting node the evidence on crashing parts before the first view", async () => {
+        const suspects = { p: { crashes: { "c-1": 2_000 }, clearances: 3, earlierClearances: 0 } };
+        const clock = createManualClock();
+        const fake = createFakeTable();
+        const before = startNode({ readSuspects: () => suspects }, clock, fake);
+        await runClock(clock, 12_000);
+        before.membership.dispose();
+        const [row] = (await before.table.listRows("relay/"))._unsafeUnwrap();
+        assert.ok(row !== undefined);
+        await runClock(clock, 60_000);
+        const learned: string[] = [];
+        const news: Partial<FleetNews> = {
+            addStoredSuspects: ({ p }) => learned.push(`evidence of ${p?.crashes["c-1"]} ms, ${p?.clearances}`),
+            addMembers: () => learned.push("members"),
+        };
+        const after = startNode(news, clock, fake);
+        await runClock(clock, 3_000);
+        after.membership.dispose();
+        const ageMs = Number(learned[0]?.split(" ")[2]);
+        assert.match(learned.join(), /^evidence of \d+ ms, 3,members/u);
+        assert.ok(ageMs > 61_000 && ageMs <= 2_000 + 72_000, `${ageMs} ms`);
+        const { suspects: unknown, ...old } = { ...JSON.parse(row.value), suspects: "?" };
+        assert.deepEqual(decodeRelay(JSON.stringify(old))?.suspects, {});
+        assert.deepEqual(decodeRelay(JSON.stringify({ ...old, suspects: unknown }))?.suspects, {});
+    });
 });
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -11,6 +11,7 @@
 import type { Random } from "../base/random";
 import { MEMBER_TIMEOUT_MS } from "../decisions/relays/constants";
 import type { ReportedCounts } from "../decisions/relays/createReportCollector";
+import { advanceSuspects, mergeSuspects } from "../decisions/relays/mergeSuspects";
 import type { NodeIdentity } from "../decisions/relays/news";
 import type { RowWrite, TablePort } from "../ports/table";
 import type { ClusterTime } from "./createClusterTime";
@@ -21,6 +22,7 @@
     buildRelayKey,
     decodeMember,
     decodeRelay,
+    encodeRelay,
     MEMBER_PREFIX,
     type MemberRecord,
     RELAY_PREFIX,
@@ -46,6 +48,8 @@
 /** Reads of the members after which a node takes itself for a relay in the store. */
 const RELAY_AFTER_LISTS = 2;
 const CHECK_PERIOD_MS = 125;
+/** Times in rows are taken for so much later, as two nodes may differ on the cluster time: no crash becomes too old. */
+const STORED_AGE_MARGIN_MS = 500;
 
 /** Identity of this node, and the dependencies of the membership. */
 export interface MembershipOptions {
@@ -113,8 +117,9 @@
         if (!isStoredRelay()) {
             return [memberRow];
         }
-        const relayRecord = { atMs, identity: self, nodes: record.members.length };
-        return [memberRow, { key: buildRelayKey(self), value: JSON.stringify(relayRecord) }];
+        const suspects = news.readSuspects();
+        const relayRow = encodeRelay({ atMs, identity: self, nodes: record.members.length, suspects });
+        return [memberRow, { key: buildRelayKey(self), value: relayRow }];
     };
     const isWriteDue = (): boolean => {
         const sinceMs = clock.readMonotonicMs() - lastWrittenAtMs;
@@ -160,10 +165,13 @@
         if (rows.isErr()) {
             return;
         }
-        const liveAfterMs = clusterTime.readClusterMs() - MEMBER_TIMEOUT_MS;
-        news.addStoredRelays(
-            rows.value.flatMap(row => decodeRelay(row.value) ?? []).filter(({ atMs }) => atMs > liveAfterMs),
+        const nowMs = clusterTime.readClusterMs();
+        const relays = rows.value.flatMap(row => decodeRelay(row.value) ?? []);
+        const suspects = relays.map(relay =>
+            advanceSuspects(relay.suspects, nowMs - relay.atMs - STORED_AGE_MARGIN_MS),
         );
+        news.addStoredSuspects(mergeSuspects(suspects, Math.max));
+        news.addStoredRelays(relays.filter(({ atMs }) => atMs > nowMs - MEMBER_TIMEOUT_MS));
     };
     const isMemberListDue = () =>
         clock.readMonotonicMs() >= nextMemberListMs && (listCount < INITIAL_LIST_COUNT || !hasRelay());
--- /dev/null
+++ b/src/gateway/fleetNewsOptions.ts
@@ -0,0 +1,27 @@
+/**
+ * @module What the exchange of news between nodes is started with.
+ */
+import type { Clock } from "../base/clock";
+import type { Log } from "../base/log/log";
+import type { EndpointActivity, NodeIdentity, NodeReport } from "../decisions/relays/news";
+import type { PartEvidenceSource } from "./partEvidence";
+
+/** What a node reports, and the handlers of what it learns. */
+export interface FleetNewsOptions {
+    readonly self: NodeIdentity;
+    /** Names of all failure domains. */
+    readonly failureDomains: readonly string[];
+    readonly quotaWindowMs: number;
+    /** Gives what this node reports of itself. */
+    readonly readOwnNews: () => Pick<NodeReport, "countsForMs" | "usage" | "loads" | "endpoints">;
+    /** Gives this node's usage counts with the cluster time; `undefined` while that time is not agreed. */
+    readonly readCounts: () => NodeReport["counted"];
+    /** True for endpoints whose activity is sent to the nodes of this failure domain. */
+    readonly isNearEndpoint: (endpointId: string) => boolean;
+    /** What this node knows of prompt parts that crash endpoints. */
+    readonly evidence: PartEvidenceSource;
+    /** Called with what the other nodes do at endpoints. */
+    readonly handleActivity: (activity: ReadonlyMap<string, EndpointActivity>) => void;
+    readonly clock: Clock;
+    readonly log: Log;
+}
--- a/src/gateway/memberRecord.ts
+++ b/src/gateway/memberRecord.ts
@@ -7,8 +7,9 @@
 import { z } from "zod";
 import { parseAnswer } from "../adapters/_lib/parseAnswer";
 import type { ReportedCounts } from "../decisions/relays/createReportCollector";
-import type { NodeIdentity } from "../decisions/relays/news";
+import type { NodeIdentity, SuspectParts } from "../decisions/relays/news";
 import { USAGE_COUNTS_SCHEMA } from "./createUsageMeter";
+import { decodeSuspects, encodeSuspects } from "./suspectsCodec";
 
 /** Key prefixes of the rows. */
 export const MEMBER_PREFIX = "member/";
@@ -28,6 +29,8 @@
     readonly atMs: number;
     readonly identity: NodeIdentity;
     readonly nodes: number;
+    /** What all nodes knew of prompt parts that crash endpoints; it outlasts a loss of all nodes at once. */
+    readonly suspects: SuspectParts;
 }
 
 const IDENTITY_SCHEMA = z.object({
@@ -50,7 +53,12 @@
         }),
     ),
 });
-const RELAY_SCHEMA = z.object({ atMs: z.number(), identity: IDENTITY_SCHEMA, nodes: z.number() });
+const RELAY_SCHEMA = z.object({
+    atMs: z.number(),
+    identity: IDENTITY_SCHEMA,
+    nodes: z.number(),
+    suspects: z.unknown().optional().transform(decodeSuspects),
+});
 
 /** Builds the key of the row about members that a node writes. Each life has its own, so that no counts are lost. */
 export function buildMemberKey({ failureDomain, node, life }: NodeIdentity): string {
@@ -67,6 +75,11 @@
     return parseAnswer(value, MEMBER_SCHEMA);
 }
 
+/** Encodes the value of a relay's row. */
+export function encodeRelay(record: RelayRecord): string {
+    return JSON.stringify({ ...record, suspects: encodeSuspects(record.suspects) });
+}
+
 /** Decodes the value of a relay's row; `undefined` if it is invalid. */
 export function decodeRelay(value: string): RelayRecord | undefined {
     return parseAnswer(value, RELAY_SCHEMA);
