Name up to 32 prompt parts in news, not 16

What callers saw: none reported. If a crash catches more than 16 parts that had no answer since, the part that causes all crashes may be left out after the first one and count one crash too few; nothing tells it from the others yet. Change: SUSPECTS_MAX is 32. Evidence of 32 parts caught by the same five crashes takes 1,218 bytes (16: 674), at worst, each part with five crashes of its own, 5,573 (2,729). Evidence: new test with 27 other parts at each of five crashes: with 16 node-6 knew 4 of 5 crashes; with 32 all nodes know all.

--- a/src/decisions/relays/constants.ts
+++ b/src/decisions/relays/constants.ts
@@ -13,7 +13,7 @@
 /** Longest time until a report has reached all nodes: three periods, and a trip between regions. */
 export const NEWS_DELAY_MAX_MS = 3 * NEWS_PERIOD_MS + 50;
 /** Most prompt parts in one message, and most crashes that it names of each part. */
-export const SUSPECTS_MAX = 16;
+export const SUSPECTS_MAX = 32;
 export const CRASHES_PER_PART_MAX = 5;
 /** Crashes that are older than this are no longer passed on. */
 export const CRASH_RETENTION_MS = 600_000;
--- a/src/gateway/evidenceNews.test.ts
+++ b/src/gateway/evidenceNews.test.ts
@@ -116,4 +116,24 @@
             assert.deepEqual([...listIgnorant(fleet, "c-0"), ...listIgnorant(fleet, "c-1")], []);
         });
     });
+
+    // Guards against the part that crashes endpoints being pushed out by new parts that were there by chance.
+    it("names the part of all crashes, though 27 other parts without an answer were at each of them", () => {
+        checkFleets(SMALL, (fleet, nodes, seed) => {
+            const random = createRandom(seed);
+            for (let crash = 0; crash < 5; crash++) {
+                const first = random.drawInteger(0, nodes.length - 1);
+                const witnesses = [...nodes.slice(first), ...nodes.slice(0, first)];
+                witnesses.slice(0, 1).forEach(node => fleet.recordCrash(node, "p", `c-${crash}`));
+                for (const node of witnesses.flatMap(witness => [witness, witness, witness])) {
+                    fleet.recordCrash(node, random.drawInteger(0, 999_999).toString(36), `c-${crash}`);
+                }
+                fleet.runMs(700);
+            }
+            fleet.runMs(CONTACT_MS);
+            for (const node of nodes) {
+                assert.equal(Object.keys(node.known["p"]?.crashes ?? {}).length, 5, node.identity.node);
+            }
+        });
+    });
 });
