Delete the rows of relays that are gone for good

What callers saw: nothing; the relay/ rows of nodes that never came back stayed in the store and were read each time. Cause: only member/ rows were deleted. Change: the node that reads the store for all others deletes relays' rows that nobody has written for eleven minutes, in one transaction with the version of each row as a condition, so that a relay that comes back meanwhile keeps its row. Rows that can't be decoded stay. Evidence: the new test failed before (the row stayed at the reader) and passes.

--- a/src/gateway/createMembership.test.ts
+++ b/src/gateway/createMembership.test.ts
@@ -3,6 +3,7 @@
 import { createManualClock } from "../base/createManualClock";
 import { createRandom } from "../base/createRandom";
 import { createLog } from "../base/log/createLog";
+import { RowRole } from "../decisions/relays/chooseRowSource";
 import { createFakeTable } from "../nodes/_testing/createFakeTable";
 import { runClock } from "../nodes/_testing/runClock";
 import { makeNews } from "./_testing/makeNews";
@@ -10,7 +11,7 @@
 import type { FleetNews } from "./createFleetNews";
 import { createMembership } from "./createMembership";
 import { createUsageMeter } from "./createUsageMeter";
-import { decodeMember, decodeRelay } from "./memberRecord";
+import { decodeMember, decodeRelay, encodeRelay } from "./memberRecord";
 
 const SILENT_LOG = createLog({ write: () => undefined });
 
@@ -118,4 +119,24 @@
         assert.deepEqual(decodeRelay(JSON.stringify(old))?.suspects, {});
         assert.deepEqual(decodeRelay(JSON.stringify({ ...old, suspects: unknown }))?.suspects, {});
     });
+
+    // Guards against rows of relays that are gone for good and stay in the store for ever.
+    it("are deleted by the reader when no relay has written them for longer than evidence counts", async () => {
+        for (const role of [RowRole.Reader, RowRole.Relay]) {
+            const clock = createManualClock();
+            const fake = createFakeTable();
+            const identity = { ...SELF, node: "west-9" };
+            fake.writeRow("relay/west/west-9", encodeRelay({ atMs: 1_000_000, identity, nodes: 1, suspects: {} }));
+            fake.writeRow("relay/west/unknown", "{}");
+            const { calls, membership } = startNode({ readRowSources: () => ({ role, nodes: [] }) }, clock, fake);
+            await runClock(clock, 600_000, 125);
+            assert.ok(fake.rows.has("relay/west/west-9"));
+            await runClock(clock, 90_000, 125);
+            membership.dispose();
+            assert.equal(fake.rows.has("relay/west/west-9"), role !== RowRole.Reader);
+            assert.ok(fake.rows.has("relay/west/west-1") && fake.rows.has("relay/west/unknown"));
+            const deletions = calls.filter(call => call === "write relay/west/west-9");
+            assert.equal(deletions.length, role === RowRole.Reader ? 1 : 0);
+        }
+    });
 });
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -9,11 +9,12 @@
 import type { Log } from "../base/log/log";
 import { createTaskFailureLogger } from "../base/log/createTaskFailureLogger";
 import type { Random } from "../base/random";
-import { MEMBER_TIMEOUT_MS } from "../decisions/relays/constants";
+import { RowRole } from "../decisions/relays/chooseRowSource";
+import { CRASH_RETENTION_MS, MEMBER_TIMEOUT_MS } from "../decisions/relays/constants";
 import type { ReportedCounts } from "../decisions/relays/createReportCollector";
 import { advanceSuspects, mergeSuspects } from "../decisions/relays/mergeSuspects";
 import type { NodeIdentity } from "../decisions/relays/news";
-import type { RowWrite, TablePort } from "../ports/table";
+import type { RowWrite, TablePort, TableRow } from "../ports/table";
 import type { ClusterTime } from "./createClusterTime";
 import type { FleetNews } from "./createFleetNews";
 import type { UsageMeter } from "./createUsageMeter";
@@ -48,6 +49,10 @@
 /** Reads of the members after which a node takes itself for a relay in the store. */
 const RELAY_AFTER_LISTS = 2;
 const CHECK_PERIOD_MS = 125;
+/** Rows of relays are deleted after this time without a write, when the evidence in them is of no use any more. */
+const RELAY_RETENTION_MS = CRASH_RETENTION_MS + 60_000;
+/** Most rows that are deleted in one transaction. */
+const ROWS_DELETED_MAX = 80;
 /** Times in rows are taken for so much later, as two nodes may differ on the cluster time: no crash becomes too old. */
 const STORED_AGE_MARGIN_MS = 500;
 
@@ -158,6 +163,23 @@
         const records = rows.value.flatMap(row => decodeMember(row.value) ?? []);
         news.addMembers(records.filter(({ atMs }) => atMs > liveAfterMs).flatMap(({ members }) => members));
     };
+    /** Deletes rows that no relay writes any more, unless one is written meanwhile. One node of the fleet does this. */
+    const removeDeadRelays = async (rows: readonly TableRow[], nowMs: number) => {
+        const isDead = (atMs = nowMs) => nowMs - atMs > RELAY_RETENTION_MS;
+        const dead = rows.filter(({ value }) => isDead(decodeRelay(value)?.atMs)).slice(0, ROWS_DELETED_MAX);
+        if (dead.length === 0 || listCount === 0 || news.readRowSources().role !== RowRole.Reader) {
+            return;
+        }
+        const removed = await table.commitTransaction({
+            token: ulid(),
+            conditions: dead.map(({ key, version }) => ({ key, version })),
+            writes: dead.map(({ key }) => ({ key, value: undefined })),
+        });
+        log.info("rows of dead relays removed", {
+            count: dead.length,
+            failure: removed.isErr() ? removed.error.message : undefined,
+        });
+    };
     const listRelays = async () => {
         const rows = await table.listRows(RELAY_PREFIX);
         relaysListedAtMs = clock.readMonotonicMs();
@@ -166,6 +188,7 @@
             return;
         }
         const nowMs = clusterTime.readClusterMs();
+        await removeDeadRelays(rows.value, nowMs);
         const relays = rows.value.flatMap(row => decodeRelay(row.value) ?? []);
         const suspects = relays.map(relay =>
             advanceSuspects(relay.suspects, nowMs - relay.atMs - STORED_AGE_MARGIN_MS),
