--- a/src/decisions/gateway/_testing/simulateQuotas.ts
+++ b/src/decisions/gateway/_testing/simulateQuotas.ts
@@ -7,6 +7,7 @@
 import { createReportCollector, type ReportCollector } from "../../relays/createReportCollector";
 import { createSummaryMerger, type SummaryMerger } from "../../relays/createSummaryMerger";
 import type { FleetView, NodeIdentity } from "../../relays/news";
+import { makeFleetUsage } from "./makeFleetUsage";
 import { type AccountQuotas, createAccountQuotas, type QuotaPolicy } from "../accountQuotas";
 
 const STEP_MS = 20;
@@ -139,15 +140,7 @@
         const { view } = node;
         return view !== undefined && nowMs - view.atMs < UNREACHABLE_AFTER_MS
             ? { ...view, isCounted: true }
-            : {
-                  nodes: nodeCount,
-                  reachable: 1,
-                  countsForMs: 0,
-                  usage: {},
-                  silentUsage: {},
-                  lostUsage: {},
-                  isCounted: view !== undefined,
-              };
+            : makeFleetUsage({ nodes: nodeCount, isCounted: view !== undefined });
     };
 
     const limit = (account.quotaPerSecond * policy.quotaWindowMs) / 1_000 + account.quotaBurst;
--- a/src/decisions/gateway/budgets.test.ts
+++ b/src/decisions/gateway/budgets.test.ts
@@ -4,8 +4,9 @@
 import { createRandom } from "../../base/createRandom";
 import type { GatewayAccount } from "../../model/gateway";
 import type { FleetView } from "../relays/news";
+import { makeFleetUsage } from "./_testing/makeFleetUsage";
 import { simulateQuotas } from "./_testing/simulateQuotas";
-import { createAccountQuotas, type FleetUsage, type QuotaPolicy } from "./accountQuotas";
+import { createAccountQuotas, type QuotaPolicy } from "./accountQuotas";
 import { createServiceRetryBudget } from "./serviceRetryBudget";
 import { createSlidingWindowCounter } from "./slidingWindowCounter";
 
@@ -20,15 +21,7 @@
 };
 const POLICY = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 0 };
 const ALL_NODES = [0, 1, 2, 3, 4, 5, 6];
-const SINGLE_NODE: FleetUsage = {
-    nodes: 1,
-    reachable: 1,
-    isCounted: true,
-    countsForMs: 0,
-    usage: {},
-    silentUsage: {},
-    lostUsage: {},
-};
+const SINGLE_NODE = makeFleetUsage();
 
 function createQuotas(startedAtMs?: number, policy: QuotaPolicy = POLICY) {
     return createAccountQuotas(policy, startedAtMs, createRandom(1));
--- a/src/gateway/_testing/makeNews.ts
+++ b/src/gateway/_testing/makeNews.ts
@@ -1,6 +1,7 @@
 /**
  * @module Makes the news of a node without other nodes, for tests.
  */
+import { makeFleetUsage } from "../../decisions/gateway/_testing/makeFleetUsage";
 import { RowRole } from "../../decisions/relays/chooseRowSource";
 import type { FleetNews } from "../createFleetNews";
 
@@ -13,15 +14,7 @@
         isRelay: () => true,
         isOnlyRelay: () => true,
         isInTouch: () => true,
-        readUsage: () => ({
-            nodes: 1,
-            reachable: 1,
-            isCounted: true,
-            countsForMs: 0,
-            usage: {},
-            silentUsage: {},
-            lostUsage: {},
-        }),
+        readUsage: () => makeFleetUsage(),
         readLoad: () => ({ tokensPerSecond: 0, inFlight: 0 }),
         readRowSources: () => ({ role: RowRole.Reader, nodes: [] }),
         hasUnreachableDomain: () => false,
