--- a/src/gateway/createMembership.test.ts
+++ b/src/gateway/createMembership.test.ts
@@ -3,6 +3,7 @@
 import { createManualClock } from "../base/createManualClock";
 import { createRandom } from "../base/createRandom";
 import { createLog } from "../base/log/createLog";
+import { RowRole } from "../decisions/relays/chooseRowSource";
 import { createFakeTable } from "../nodes/_testing/createFakeTable";
 import { runClock } from "../nodes/_testing/runClock";
 import { makeNews } from "./_testing/makeNews";
@@ -10,7 +11,7 @@
 import type { FleetNews } from "./createFleetNews";
 import { createMembership } from "./createMembership";
 import { createUsageMeter } from "./createUsageMeter";
-import { decodeMember, decodeRelay } from "./memberRecord";
+import { decodeMember, decodeRelay, encodeRelay } from "./memberRecord";
 
 const SILENT_LOG = createLog({ write: () => undefined });
 
@@ -24,9 +25,7 @@
         capacity: 1,
     };
 
-    function startNode(news: Partial<FleetNews>) {
-        const clock = createManualClock();
-        const fake = createFakeTable();
+    function startNode(news: Partial<FleetNews>, clock = createManualClock(), fake = createFakeTable()) {
         const table = fake.createClient(clock);
         const calls: string[] = [];
         const clusterTime = createClusterTime(clock);
@@ -93,4 +92,51 @@
         );
         membership.dispose();
     });
+
+    // Guards against a part whose crashes nobody knows any more after all nodes were killed at once.
+    it("of relays that are gone give a starting node the evidence on crashing parts before the first view", async () => {
+        const suspects = { p: { crashes: { "c-1": 2_000 }, clearances: 3, earlierClearances: 0 } };
+        const clock = createManualClock();
+        const fake = createFakeTable();
+        const before = startNode({ readSuspects: () => suspects }, clock, fake);
+        await runClock(clock, 12_000);
+        before.membership.dispose();
+        const [row] = (await before.table.listRows("relay/"))._unsafeUnwrap();
+        assert.ok(row !== undefined);
+        await runClock(clock, 60_000);
+        const learned: string[] = [];
+        const news: Partial<FleetNews> = {
+            addStoredSuspects: ({ p }) => learned.push(`evidence of ${p?.crashes["c-1"]} ms, ${p?.clearances}`),
+            addMembers: () => learned.push("members"),
+        };
+        const after = startNode(news, clock, fake);
+        await runClock(clock, 3_000);
+        after.membership.dispose();
+        const ageMs = Number(learned[0]?.split(" ")[2]);
+        assert.match(learned.join(), /^evidence of \d+ ms, 3,members/u);
+        assert.ok(ageMs > 61_000 && ageMs <= 2_000 + 72_000, `${ageMs} ms`);
+        const { suspects: unknown, ...old } = { ...JSON.parse(row.value), suspects: "?" };
+        assert.deepEqual(decodeRelay(JSON.stringify(old))?.suspects, {});
+        assert.deepEqual(decodeRelay(JSON.stringify({ ...old, suspects: unknown }))?.suspects, {});
+    });
+
+    // Guards against rows of relays that are gone for good and stay in the store for ever.
+    it("are deleted by the reader when no relay has written them for longer than evidence counts", async () => {
+        for (const role of [RowRole.Reader, RowRole.Relay]) {
+            const clock = createManualClock();
+            const fake = createFakeTable();
+            const identity = { ...SELF, node: "west-9" };
+            fake.writeRow("relay/west/west-9", encodeRelay({ atMs: 1_000_000, identity, nodes: 1, suspects: {} }));
+            fake.writeRow("relay/west/unknown", "{}");
+            const { calls, membership } = startNode({ readRowSources: () => ({ role, nodes: [] }) }, clock, fake);
+            await runClock(clock, 600_000, 125);
+            assert.ok(fake.rows.has("relay/west/west-9"));
+            await runClock(clock, 90_000, 125);
+            membership.dispose();
+            assert.equal(fake.rows.has("relay/west/west-9"), role !== RowRole.Reader);
+            assert.ok(fake.rows.has("relay/west/west-1") && fake.rows.has("relay/west/unknown"));
+            const deletions = calls.filter(call => call === "write relay/west/west-9");
+            assert.equal(deletions.length, role === RowRole.Reader ? 1 : 0);
+        }
+    });
 });
