End a generation whose engine sends comments and no events

What callers saw: a generation that never ends, where an engine goes on sending comments, or bytes of an event that never becomes whole, within the longest silence.

Cause: any text of the stream began the silence anew.

Change: only a whole event does. The table of bad servers gets these, and lines of a head, chunk extensions and bytes of no protocol without end, a switch of protocols, and informational answers without end.

Evidence: node scripts/runTests.mjs src/adapters/badServers.test.ts: before, "sends only comments without end" ran until the runner's limit of 120 s; now it ends as silent. The other new rows passed before; 30 tests pass.

--- a/src/adapters/badServers.test.ts
+++ b/src/adapters/badServers.test.ts
@@ -31,6 +31,17 @@
     { name: "answers with something else than JSON", parts: [`${HEAD}content-length: 5\r\n\r\nhello`] },
     { name: "answers with other JSON", parts: [`${HEAD}content-length: 14\r\n\r\n{"row":"none"}`] },
     { name: "has an endless head", parts: [HEAD, "x: y\r\n"], repeats: true },
+    { name: "has a line of a head without end", parts: [`${HEAD}x: `, "y".repeat(1_000)], repeats: true },
+    {
+        name: "has a chunk extension without end",
+        parts: [`${HEAD}transfer-encoding: chunked\r\n\r\n1;`, "x".repeat(1_000)],
+        repeats: true,
+    },
+    { name: "sends bytes that are no answer without end", parts: ["\u0000 nothing of the protocol"], repeats: true },
+    {
+        name: "switches protocols",
+        parts: ["HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n"],
+    },
     { name: "has an endless body", parts: [`${HEAD}\r\n`, "x".repeat(1_000)], repeats: true },
     {
         name: "has an endless body in chunks",
@@ -70,6 +81,34 @@
         tokens: 0,
         kind: FailureKind.EndpointFailed,
     },
+    {
+        name: "has informational answers without end",
+        parts: ["HTTP/1.1 102 Processing\r\n\r\n"],
+        repeats: true,
+        tokens: 0,
+        kind: FailureKind.EndpointSilent,
+    },
+    {
+        name: "sends a chunk extension without end",
+        parts: [`${HEAD}transfer-encoding: chunked\r\n\r\n1;`, "x".repeat(1_000)],
+        repeats: true,
+        tokens: 0,
+        kind: FailureKind.EndpointFailed,
+    },
+    {
+        name: "sends only comments without end",
+        parts: [STREAM_HEAD, TOKEN, ": keep-alive\n\n"],
+        pauseMs: 50,
+        tokens: 1,
+        kind: FailureKind.EndpointSilent,
+    },
+    {
+        name: "sends an event byte by byte without end",
+        parts: [STREAM_HEAD, `${TOKEN}data: `, "x"],
+        pauseMs: 50,
+        tokens: 1,
+        kind: FailureKind.EndpointSilent,
+    },
     {
         name: "sends an endless event",
         parts: [STREAM_HEAD, "data: ", "x".repeat(10_000)],
--- a/src/adapters/httpModelRunner/createChunkReader.ts
+++ b/src/adapters/httpModelRunner/createChunkReader.ts
@@ -14,6 +14,8 @@
 
 /** What reading can come to. */
 export interface ChunkHandlers {
+    /** Called for each event that was received whole; comments are none. */
+    readonly handleEvent: () => void;
     readonly handleTokens: (id: AttemptId, batch: TokenBatch) => void;
     /** Called at the end of the stream, with how the answer ended if it said so under the request's own identity. */
     readonly handleEnd: (end: AnswerEnd | undefined) => void;
@@ -59,10 +61,14 @@
     };
     const parser = createParser({
         maxBufferSize: LARGEST_STREAM_EVENT_BYTES,
-        onEvent: event =>
-            event.data === END_OF_STREAM
-                ? handlers.handleEnd(reason === undefined ? undefined : { reason, usage })
-                : readChunk(event.data),
+        onEvent: event => {
+            handlers.handleEvent();
+            if (event.data === END_OF_STREAM) {
+                handlers.handleEnd(reason === undefined ? undefined : { reason, usage });
+            } else {
+                readChunk(event.data);
+            }
+        },
         onError: error => {
             if (error.type === "max-buffer-size-exceeded") {
                 handlers.handleUnreadable("The engine sent an event that is too large.");
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -98,6 +98,11 @@
         response?.resume();
     };
     const feedText = createChunkReader(id, request.resumedTexts.length, {
+        handleEvent: () => {
+            if (!isReaderSlow && !pipe.isEnded) {
+                beginSilence();
+            }
+        },
         handleTokens: (chunkId, batch) => pipe.pushEvent({ kind: GenerationEventKind.Tokens, id: chunkId, batch }),
         handleEnd: endRegularly,
         handleUnreadable: message => failWith(FailureKind.EndpointFailed, message),
@@ -106,13 +111,9 @@
         beginSilence();
         stream.setEncoding("utf8");
         stream.on("data", (text: string) => {
-            if (pipe.isEnded) {
-                return;
-            }
-            if (!isReaderSlow) {
-                beginSilence();
+            if (!pipe.isEnded) {
+                feedText(text);
             }
-            feedText(text);
         });
         stream.on("end", () => {
             bound.endWait();
