Take no status below 200 for an answer on the product's path

What callers saw: "store unavailable", which says that nothing took effect, for a commit that was answered with a status such as 042, and "endpoint refused" for such a generation, though the outcome is unknown.

Cause: the parser takes any three digits for a status; below 500 counted as an answer, and not 200 as a refusal.

Change: such an answer is unusable.

Evidence: node scripts/runTests.mjs src/adapters/badServers.test.ts: before 30 passed, 2 failed (store_unavailable against store_outcome_unknown, endpoint_refused against endpoint_failed); src/adapters now 181 passed.

--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -8,6 +8,7 @@
 import type { ConnectionPool } from "./createConnectionPool";
 import { createWaitBound } from "./createWaitBound";
 import { describeError } from "./describeError";
+import { HttpStatus } from "./httpStatus";
 import type { HttpTarget } from "./httpTarget";
 import { readWholeAnswer } from "./readWholeAnswer";
 import { trackSentBytes } from "./trackSentBytes";
@@ -114,6 +115,10 @@
         });
         request.on("response", response => {
             answer = response;
+            if ((response.statusCode ?? 0) < HttpStatus.Ok) {
+                endCall(LossReason.Unusable, "The answer has a status that isn't final.");
+                return;
+            }
             beginSilence();
             wholeBound.beginWait(call.timeouts?.wholeMs ?? WHOLE_ANSWER_TIMEOUT_MS, "end of the answer");
             readWholeAnswer(response, {
--- a/src/adapters/badServers.test.ts
+++ b/src/adapters/badServers.test.ts
@@ -42,6 +42,7 @@
         name: "switches protocols",
         parts: ["HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n"],
     },
+    { name: "has a status below 100", parts: ["HTTP/1.1 042 Low\r\ncontent-length: 2\r\n\r\n{}"] },
     { name: "has an endless body", parts: [`${HEAD}\r\n`, "x".repeat(1_000)], repeats: true },
     {
         name: "has an endless body in chunks",
@@ -95,6 +96,12 @@
         tokens: 0,
         kind: FailureKind.EndpointFailed,
     },
+    {
+        name: "has a status below 100",
+        parts: ["HTTP/1.1 042 Low\r\ncontent-length: 2\r\n\r\n{}"],
+        tokens: 0,
+        kind: FailureKind.EndpointFailed,
+    },
     {
         name: "sends only comments without end",
         parts: [STREAM_HEAD, TOKEN, ": keep-alive\n\n"],
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -136,6 +136,8 @@
             pool.dropIdleConnections(endpoint);
         } else if (stream.statusCode === HttpStatus.Ok) {
             readStream(stream);
+        } else if ((stream.statusCode ?? 0) < HttpStatus.Ok) {
+            failWith(FailureKind.EndpointFailed, "The answer has a status that isn't final.");
         } else {
             beginSilence();
             void readRefusal(stream, callId).then(endWith);
