Take an engine's comments for a sign of life again

Change: events and comments received whole begin the silence anew; bytes of an event that never becomes whole don't. An engine that sends comments for ever is bounded by what bounds the request.

--- a/src/adapters/httpModelRunner/createChunkReader.ts
+++ b/src/adapters/httpModelRunner/createChunkReader.ts
@@ -14,8 +14,8 @@
 
 /** What reading can come to. */
 export interface ChunkHandlers {
-    /** Called for each event that was received whole; comments are none. */
-    readonly handleEvent: () => void;
+    /** Called for each event that was received whole, and for each comment, which engines send while they have none. */
+    readonly handleSignOfLife: () => void;
     readonly handleTokens: (id: AttemptId, batch: TokenBatch) => void;
     /** Called at the end of the stream, with how the answer ended if it said so under the request's own identity. */
     readonly handleEnd: (end: AnswerEnd | undefined) => void;
@@ -62,13 +62,14 @@
     const parser = createParser({
         maxBufferSize: LARGEST_STREAM_EVENT_BYTES,
         onEvent: event => {
-            handlers.handleEvent();
+            handlers.handleSignOfLife();
             if (event.data === END_OF_STREAM) {
                 handlers.handleEnd(reason === undefined ? undefined : { reason, usage });
             } else {
                 readChunk(event.data);
             }
         },
+        onComment: handlers.handleSignOfLife,
         onError: error => {
             if (error.type === "max-buffer-size-exceeded") {
                 handlers.handleUnreadable("The engine sent an event that is too large.");
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -98,7 +98,7 @@
         response?.resume();
     };
     const feedText = createChunkReader(id, request.resumedTexts.length, {
-        handleEvent: () => {
+        handleSignOfLife: () => {
             if (!isReaderSlow && !pipe.isEnded) {
                 beginSilence();
             }
