Let the model runner stand-in crash on a prompt

Change: the fault crash with promptText: as the answer to a prompt that contains the text begins, all connections of the runner are reset and its listener closes; after delayMs it is back with an empty KV cache. The fault down resets open connections, as its description says, where it closed them.

Evidence: node scripts/runTests.mjs src/standins: 21 passed, among them a crash that breaks another generation, a refused connection while the runner is away, and an answer after it is back; src/adapters: 181 passed.

--- a/src/standins/_lib/createFaultGate.ts
+++ b/src/standins/_lib/createFaultGate.ts
@@ -66,6 +66,7 @@
     return (
         (rule.route === undefined || (facts.route ?? "").startsWith(rule.route)) &&
         (rule.version === undefined || rule.version === facts.version) &&
+        (rule.promptText === undefined || (facts.promptText ?? "").includes(rule.promptText)) &&
         (rule.failureDomain === undefined || rule.failureDomain === facts.failureDomain) &&
         (rule.minimumRunning === undefined || (facts.running ?? 0) >= rule.minimumRunning)
     );
--- a/src/standins/_lib/parseFaults.ts
+++ b/src/standins/_lib/parseFaults.ts
@@ -13,6 +13,7 @@
     route: z.string().optional(),
     version: z.string().optional(),
     failureDomain: z.string().optional(),
+    promptText: z.string().min(1).optional(),
     share: z.number().min(0).max(1).optional(),
     times: count,
     afterMs: z.number().nonnegative().optional(),
--- a/src/standins/_lib/startStandinServer.ts
+++ b/src/standins/_lib/startStandinServer.ts
@@ -35,6 +35,8 @@
     readonly gate: FaultGate;
     /** Open connections to the stand-in. */
     countConnections(): number;
+    /** Resets all connections and closes the listener for so long. */
+    crash(downMs: number): void;
 }
 
 /** How a stand-in builds its server. */
@@ -91,7 +93,7 @@
     function applyListening(isDown: boolean): void {
         if (isDown && main.listening) {
             main.close();
-            sockets.forEach(socket => socket.destroy());
+            sockets.forEach(socket => socket.resetAndDestroy());
         } else if (!isDown && !main.listening && !isDisposed) {
             main.listen(port, LOOPBACK_ADDRESS);
         }
@@ -104,6 +106,11 @@
         gate,
         countConnections: () => sockets.size,
         setFaults,
+        crash: downMs => {
+            applyListening(true);
+            const hasDownRule = () => gate.readRules().some(rule => rule.kind === FaultKind.Down);
+            void clock.waitMs(downMs).then(() => applyListening(hasDownRule()));
+        },
         dispose: () => {
             isDisposed = true;
             main.close();
--- a/src/standins/createModelRunnerStandin.ts
+++ b/src/standins/createModelRunnerStandin.ts
@@ -101,6 +101,10 @@
         readGate,
         readFacts,
         findImported: cacheId => exchange.findImported(cacheId),
+        crash: downMs => {
+            task.engine.prefixes.clear();
+            server.crash(downMs);
+        },
     });
     const exchange = createCacheExchange({
         clock,
--- a/src/standins/fault.ts
+++ b/src/standins/fault.ts
@@ -50,6 +50,11 @@
     StreamCut = "stream_cut",
     /** Nothing more is sent after `afterTokens` tokens of a stream; the connection stays open. */
     StreamSilent = "stream_silent",
+    /**
+     * As the answer begins, all connections are reset and the listener is closed; the runner is back after `delayMs`,
+     * with an empty KV cache.
+     */
+    Crash = "crash",
 }
 
 /** One fault and when it strikes. Conditions that are absent always hold. */
@@ -61,6 +66,8 @@
     readonly version?: string;
     /** Strikes VMs of this failure domain. */
     readonly failureDomain?: string;
+    /** Strikes prompts that contain this text. */
+    readonly promptText?: string;
     /** Share of the calls it strikes, 0 to 1, drawn from the stand-in's seed. */
     readonly share?: number;
     /** Strikes so many calls, then no more. */
@@ -80,6 +87,7 @@
     readonly version?: string;
     readonly failureDomain?: string;
     readonly running?: number;
+    readonly promptText?: string;
 }
 
 /** Fault switches that every stand-in has. */
--- a/src/standins/modelRunner/createGenerationHandler.ts
+++ b/src/standins/modelRunner/createGenerationHandler.ts
@@ -41,6 +41,8 @@
     readonly readGate: () => FaultGate;
     readonly readFacts: () => FaultFacts;
     readonly findImported: (cacheId: string) => ExportedCache | undefined;
+    /** Ends the runner for so long, with all its connections. */
+    readonly crash: (downMs: number) => void;
 }
 
 interface Active {
@@ -50,6 +52,8 @@
     readonly answerTokens: number;
     readonly writer: StreamWriter;
     nextToken: number;
+    /** The runner crashes before the next token is sent. */
+    readonly crashMs: number | undefined;
 }
 
 const NOT_RUN_HEADERS = { "redwinglift-execution": "not_run" };
@@ -142,8 +146,19 @@
                   otherIdentity: lastIdentity,
               })
             : createWholeWriter(call, generation, completionId, options.clock);
+        const promptText = messages.map(({ content }) => content).join("\n");
+        const crash = options.readGate().strike(FaultKind.Crash, { ...facts, promptText });
+        const crashMs = crash && (crash.delayMs ?? 0);
         lastIdentity = { request_id: requestId, attempt: extension?.attempt ?? 1 };
-        active.set(key, { generation, promptHash, promptTokens, answerTokens, writer, nextToken: resumeOffset });
+        active.set(key, {
+            generation,
+            promptHash,
+            promptTokens,
+            answerTokens,
+            writer,
+            nextToken: resumeOffset,
+            crashMs,
+        });
         call.response.on("close", () => {
             if (!call.response.writableFinished && !call.isSilent() && !faults.isAnswerLost) {
                 endGeneration(key);
@@ -156,7 +171,10 @@
         handleOutput: output => {
             if (output.kind === EngineOutputKind.Token) {
                 const entry = active.get(output.key);
-                if (entry !== undefined) {
+                if (entry?.crashMs !== undefined) {
+                    active.delete(output.key);
+                    options.crash(entry.crashMs);
+                } else if (entry !== undefined) {
                     entry.nextToken = output.index + 1;
                     entry.writer.writeToken(output.index, generateToken(entry.promptHash, output.index));
                 }
