--- a/src/adapters/badServers.test.ts
+++ b/src/adapters/badServers.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Execution, FailureKind } from "../base/failure";
+import { startScriptedEndpoint } from "../gateway/_testing/startScriptedEndpoint";
 import { VmRole } from "../model/endpoint";
 import { createChat, readEvents } from "./contracts/_lib/generations";
 import { startRawServer } from "./contracts/_lib/startRawServer";
@@ -31,6 +32,18 @@
     { name: "answers with something else than JSON", parts: [`${HEAD}content-length: 5\r\n\r\nhello`] },
     { name: "answers with other JSON", parts: [`${HEAD}content-length: 14\r\n\r\n{"row":"none"}`] },
     { name: "has an endless head", parts: [HEAD, "x: y\r\n"], repeats: true },
+    { name: "has a line of a head without end", parts: [`${HEAD}x: `, "y".repeat(1_000)], repeats: true },
+    {
+        name: "has a chunk extension without end",
+        parts: [`${HEAD}transfer-encoding: chunked\r\n\r\n1;`, "x".repeat(1_000)],
+        repeats: true,
+    },
+    { name: "sends bytes that are no answer without end", parts: ["\u0000 nothing of the protocol"], repeats: true },
+    {
+        name: "switches protocols",
+        parts: ["HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n"],
+    },
+    { name: "has a status below 100", parts: ["HTTP/1.1 042 Low\r\ncontent-length: 2\r\n\r\n{}"] },
     { name: "has an endless body", parts: [`${HEAD}\r\n`, "x".repeat(1_000)], repeats: true },
     {
         name: "has an endless body in chunks",
@@ -70,6 +83,33 @@
         tokens: 0,
         kind: FailureKind.EndpointFailed,
     },
+    {
+        name: "has informational answers without end",
+        parts: ["HTTP/1.1 102 Processing\r\n\r\n"],
+        repeats: true,
+        tokens: 0,
+        kind: FailureKind.EndpointSilent,
+    },
+    {
+        name: "sends a chunk extension without end",
+        parts: [`${HEAD}transfer-encoding: chunked\r\n\r\n1;`, "x".repeat(1_000)],
+        repeats: true,
+        tokens: 0,
+        kind: FailureKind.EndpointFailed,
+    },
+    {
+        name: "has a status below 100",
+        parts: ["HTTP/1.1 042 Low\r\ncontent-length: 2\r\n\r\n{}"],
+        tokens: 0,
+        kind: FailureKind.EndpointFailed,
+    },
+    {
+        name: "sends an event byte by byte without end",
+        parts: [STREAM_HEAD, `${TOKEN}data: `, "x"],
+        pauseMs: 50,
+        tokens: 1,
+        kind: FailureKind.EndpointSilent,
+    },
     {
         name: "sends an endless event",
         parts: [STREAM_HEAD, "data: ", "x".repeat(10_000)],
@@ -139,3 +179,29 @@
         assert.ok(read.ids.every(id => id.requestId === "r" && id.attempt === 2));
     });
 });
+
+// Guards against generations that are given up while their engine says that they wait in its queue.
+describe("An engine that sends comments while a generation waits", () => {
+    it("isn't silent", async () => {
+        const endpoint = await startScriptedEndpoint((_request, socket) => {
+            socket.write(STREAM_HEAD);
+            const timer = setInterval(() => socket.write(": waiting\n\n"), 50);
+            setTimeout(() => {
+                clearInterval(timer);
+                socket.write(`${TOKEN}data: {"choices":[{"delta":{},"finish_reason":"stop"}]}\n\ndata: [DONE]\n\n`);
+            }, 3 * TIMEOUTS.silenceMs);
+        });
+        const runners = createHttpModelRunner({ timeouts: TIMEOUTS });
+        const read = await readEvents(
+            runners.openGeneration(createEndpoint(VmRole.ModelRunner, endpoint), {
+                id: { requestId: "r", attempt: 1 },
+                chat: createChat(5),
+                priority: 0,
+                resumedTexts: [],
+            }),
+        );
+        runners.dispose();
+        endpoint.dispose();
+        assert.ok(read.isFinished);
+    });
+});
--- a/src/adapters/httpModelRunner/openHttpGeneration.ts
+++ b/src/adapters/httpModelRunner/openHttpGeneration.ts
@@ -98,6 +98,11 @@
         response?.resume();
     };
     const feedText = createChunkReader(id, request.resumedTexts.length, {
+        handleSignOfLife: () => {
+            if (!isReaderSlow && !pipe.isEnded) {
+                beginSilence();
+            }
+        },
         handleTokens: (chunkId, batch) => pipe.pushEvent({ kind: GenerationEventKind.Tokens, id: chunkId, batch }),
         handleEnd: endRegularly,
         handleUnreadable: message => failWith(FailureKind.EndpointFailed, message),
@@ -106,13 +111,9 @@
         beginSilence();
         stream.setEncoding("utf8");
         stream.on("data", (text: string) => {
-            if (pipe.isEnded) {
-                return;
-            }
-            if (!isReaderSlow) {
-                beginSilence();
+            if (!pipe.isEnded) {
+                feedText(text);
             }
-            feedText(text);
         });
         stream.on("end", () => {
             bound.endWait();
@@ -135,6 +136,8 @@
             pool.dropIdleConnections(endpoint);
         } else if (stream.statusCode === HttpStatus.Ok) {
             readStream(stream);
+        } else if ((stream.statusCode ?? 0) < HttpStatus.Ok) {
+            failWith(FailureKind.EndpointFailed, "The answer has a status that isn't final.");
         } else {
             beginSilence();
             void readRefusal(stream, callId).then(endWith);
