Close the connection of a caller that reads nothing of its answer

Callers: a caller that stopped reading a whole answer held its request open for ever, up to the limit of open requests, and a planned stop waited for it. Cause: the wait for readers was bounded for streams only.

--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -60,7 +60,7 @@
     dependencies: Omit<CallerDependencies, "limits">,
     options: CallerListenerOptions,
 ): Promise<CallerListener> {
-    const openRequests = createOpenRequests();
+    const openRequests = createOpenRequests(options.limits.idleMs);
     const lastAnswers = createLastAnswers();
     const limits = { ...options.limits, stopped: openRequests.stopped };
     const routes = buildCallerRoutes({ ...dependencies, limits });
--- a/src/http/createOpenRequests.ts
+++ b/src/http/createOpenRequests.ts
@@ -25,11 +25,12 @@
 /**
  * Creates the counter. A request is open until its handler has ended and its response is sent or its connection closed.
  *
+ * @param idleMs - Longest time in which a caller takes nothing of an answer that is ready; its connection is closed then
  * @returns The counter
  * @example
  * const release = openRequests.begin(response, requestId);
  */
-export function createOpenRequests(): OpenRequests {
+export function createOpenRequests(idleMs: number): OpenRequests {
     const open = new Map<ServerResponse, string>();
     const waiters = new Set<() => void>();
     const stopped = new AbortController();
@@ -39,11 +40,25 @@
             waiters.forEach(wake => wake());
         }
     };
+    const installReadingLimit = (response: ServerResponse) => {
+        const { socket } = response;
+        if ((socket?.writableLength ?? 0) === 0) {
+            return;
+        }
+        response.setTimeout(idleMs, () => response.destroy());
+        // The limit must not go over to the next answer of the connection.
+        response.once("finish", () => {
+            if ([...open.keys()].some(other => other !== response && other.req.socket === socket)) {
+                socket?.setTimeout(0);
+            }
+        });
+    };
     const removeOnceSent = (response: ServerResponse) => {
         if (response.writableFinished || response.destroyed) {
             remove(response);
         } else {
             response.once("close", () => remove(response));
+            installReadingLimit(response);
         }
     };
     const waitUntilNone = (timeoutMs: number): Promise<number> =>
--- a/src/operator/createOperatorListener.ts
+++ b/src/operator/createOperatorListener.ts
@@ -100,7 +100,7 @@
 ): Promise<OperatorListener> {
     const limits = { ...DEFAULT_LIMITS, ...options.limits };
     const routes = [...buildQueryRoutes(dependencies), ...buildCommandRoutes(dependencies)];
-    const openRequests = createOpenRequests();
+    const openRequests = createOpenRequests(limits.headerMs);
     let served = 0;
     const handleRequest: http.RequestListener = (request, response) => {
         served++;
