--- a/src/tasks/membership/membershipTask.test.ts
+++ b/src/tasks/membership/membershipTask.test.ts
@@ -4,6 +4,8 @@
 import { MemberCondition } from "../../decisions/membership/member";
 import { createSimulation, type Simulation, type SimulationOptions } from "../../nodes/_testing/createSimulation";
 import { ExchangeTopic } from "../../nodes/nodeExchange";
+import { encodeExchange, type EntryTopic } from "../../nodes/nodeMessages";
+import { NodeCall } from "../../nodes/nodeTransport";
 
 let simulation: Simulation | undefined;
 const start = (options: SimulationOptions): Simulation => {
@@ -218,3 +220,58 @@
         assert.ok(Math.max(...perSecond) <= 5_000, `maximum ${Math.round(Math.max(...perSecond))} bytes per second`);
     });
 });
+
+// Guards against one malformed message of a node ending or confusing the tasks of another.
+describe("malformed messages between nodes", () => {
+    it("leave membership complete, and are answered", async () => {
+        const simulated = start({ nodeCount: 4 });
+        await simulated.runFor(10_000);
+        const random = createRandom(7);
+        const [target, sender] = [simulated.nodes[0]!, simulated.nodes[1]!];
+        const drawBytes = (count: number) =>
+            Uint8Array.from({ length: count }, () => (random.drawFraction() < 0.3 ? 0xff : random.drawInteger(0, 255)));
+        const topics = ["member", ...Object.values(ExchangeTopic)] as EntryTopic[];
+        const buildBody = (): Uint8Array => {
+            const entry = {
+                topic: topics[random.drawInteger(0, topics.length - 1)]!,
+                origin: ["node-0", "node-1", "node-2", "", "nobody"][random.drawInteger(0, 4)]!,
+                key: ["", "1", "__proto__"][random.drawInteger(0, 2)]!,
+                stamp: random.drawInteger(0, 9) === 0 ? Number.MAX_SAFE_INTEGER : random.drawInteger(0, 1_000_000),
+                payload: drawBytes(random.drawInteger(0, 40)),
+            };
+            const body = encodeExchange({
+                fromNodeId: random.drawInteger(0, 3) === 0 ? "nobody" : "node-1",
+                revision: random.drawInteger(0, 3),
+                digest: Array.from(drawBytes(random.drawInteger(0, 80))),
+                detail: { group: random.drawInteger(0, 500), sums: Array.from(drawBytes(random.drawInteger(0, 40))) },
+                rosterHash: random.drawInteger(0, 99),
+                applied: drawBytes(random.drawInteger(0, 9)),
+                entries: [entry],
+            });
+            const isBroken = random.drawFraction() < 0.5;
+            return isBroken
+                ? body.map(byte => (random.drawFraction() < 0.02 ? random.drawInteger(0, 255) : byte))
+                : body;
+        };
+        let answered = 0;
+        for (let index = 0; index < 400; index++) {
+            for (const call of Object.values(NodeCall)) {
+                void sender.host.transport
+                    .callNode(target.host.address, call, buildBody(), { timeoutMs: 1_000 })
+                    .then(() => answered++);
+            }
+            await simulated.runFor(10);
+        }
+        await simulated.runFor(30_000);
+        assert.equal(answered, 400 * Object.values(NodeCall).length);
+        assert.deepEqual(simulated.failures, []);
+        const names = ["node-0", "node-1", "node-2", "node-3"];
+        for (const node of simulated.nodes) {
+            const live = node.membership.listLiveNodeIds();
+            assert.ok(
+                names.every(name => live.includes(name)),
+                `${node.nodeId} knows ${live.join(" ")}`,
+            );
+        }
+    });
+});
