Measure the open jobs of a node also when they end

Callers: none; operators saw the gauge jobs.open keep its last value after all jobs had ended. Evidence: node scripts/runTests.mjs src/tasks/jobs/jobs.test.ts: jobs.open 1 before, 0 now; src/tasks/jobs 39 passed.

--- a/src/tasks/jobs/_lib/startRun.ts
+++ b/src/tasks/jobs/_lib/startRun.ts
@@ -33,6 +33,7 @@
         }
         if (shared.runs.get(jobId) === run) {
             shared.runs.delete(jobId);
+            shared.options.metrics?.setGauge(Metric.JobsOpen, shared.runs.size);
         }
         startNext(shared);
     });
--- a/src/tasks/jobs/_testing/createJobCluster.ts
+++ b/src/tasks/jobs/_testing/createJobCluster.ts
@@ -13,6 +13,7 @@
 import { createFakeStore, type FakeStore, type FakeStoreOptions } from "../../execution/_testing/createFakeStore";
 import { createExecutionTask, type ExecutionTask } from "../../execution/createExecutionTask";
 import { createLeaseTask } from "../../leases/createLeaseTask";
+import { createMetricsRecorder, type MetricsRecorder } from "../../metrics/_testing/createMetricsRecorder";
 import { createJobTask, type JobTask } from "../createJobTask";
 
 /** A node of the test cluster. */
@@ -34,6 +35,8 @@
     readonly nodes: readonly JobNode[];
     /** Names of the events that the nodes have reported. */
     readonly events: string[];
+    /** What the nodes have measured. */
+    readonly metrics: MetricsRecorder;
 }
 
 /**
@@ -58,12 +61,13 @@
     const fleet = createFakeFleet({ clock, endpoints: 4, ...fleetOptions });
     const live = new Set<string>();
     const events: string[] = [];
+    const metrics = createMetricsRecorder();
     const nodes = Array.from({ length: nodeCount }, (_unused, index) => {
         const nodeId = `node-${index}`;
         live.add(nodeId);
-        return createNode({ clock, store, fleet, events, live }, nodeId, seed * 100 + index);
+        return createNode({ clock, store, fleet, events, metrics, live }, nodeId, seed * 100 + index);
     });
-    return { clock, store, fleet, nodes, events };
+    return { clock, store, fleet, nodes, events, metrics };
 }
 
 interface NodeParts {
@@ -71,6 +75,7 @@
     readonly store: FakeStore;
     readonly fleet: FakeFleet;
     readonly events: string[];
+    readonly metrics: MetricsRecorder;
     readonly live: Set<string>;
 }
 
@@ -115,6 +120,7 @@
         random: createRandom(seed),
         listLiveNodeIds: () => [...live],
         reportEvent,
+        metrics: parts.metrics,
     });
     return {
         nodeId,
--- a/src/tasks/jobs/jobs.test.ts
+++ b/src/tasks/jobs/jobs.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { Metric } from "../../base/metrics/metric";
 import { Execution, FailureKind } from "../../base/failure";
 import { JOB_RETENTION_MS, MAXIMUM_JOB_MS } from "../../decisions/outcomes/jobs/constants";
 import type { RequestContext } from "../../model/request";
@@ -73,6 +74,18 @@
         }
     }
 
+    // Guards against a gauge that shows jobs as open after they have ended.
+    it("measures no open job once all have ended", async () => {
+        const cluster = createJobCluster(1);
+        const { jobId } = (await submit(cluster, "measured"))._unsafeUnwrap();
+        await waitForEnd(cluster, 0, jobId);
+        await waitMs(cluster, 100);
+        assert.equal(
+            cluster.metrics.reports.filter(report => report.startsWith(Metric.JobsOpen)).at(-1),
+            "jobs.open 0",
+        );
+    });
+
     // Guards against a stored answer that broke off halfway being shown, or failing the read without a type.
     it("does not show a stored answer that is not whole", async () => {
         const cluster = createJobCluster(1);
