--- a/src/base/assertInvariant.ts
+++ b/src/base/assertInvariant.ts
@@ -76,7 +76,7 @@
  *
  * @param report - Receives the invariant and the observed state
  * @example
- * setInvariantViolationListener((invariant, detail) => log.error("invariant broken", { invariant, detail }));
+ * setInvariantViolationListener((invariant, detail) => log.error("an invariant does not hold", { invariant, detail }));
  */
 export function setInvariantViolationListener(report: (invariant: Invariant, detail: string) => void): void {
     violationListener = report;
