Tell callers that the node stopped, not that they had cancelled

Callers: a request that waited for admission, or a service call that may be repeated, got 409 cancelled ("The caller cancelled.") when a planned stop ended it. Cause: a stop ends both by the way of a caller's cancellation. Change: a cancellation that the caller did not ask for is named shutting_down (503); what is known about execution stays. Evidence: node scripts/runTests.mjs src/tasks/execution: 'cancelled' in place of 'shutting_down' in both new tests before; 61 passed now.

--- a/src/tasks/execution/chatFaults.test.ts
+++ b/src/tasks/execution/chatFaults.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { err } from "neverthrow";
 import { createRandom } from "../../base/createRandom";
+import { createFailure } from "../../base/createFailure";
 import { Execution, FailureKind } from "../../base/failure";
 import {
     assertAnswerInvariants,
@@ -173,6 +175,26 @@
         assert.deepEqual(await runVirtualTime(harness.clock, drained), { cut: 0 });
     });
 
+    // Guards against a planned stop that tells callers that they had cancelled.
+    it("ends requests that wait for admission as shutting down and not run", async () => {
+        const harness = createExecutionHarness();
+        let refuse: (() => void) | undefined;
+        Object.assign(harness.fleet.admission, {
+            requestAdmission: () =>
+                new Promise(resolve => {
+                    const failure = createFailure(FailureKind.Cancelled, "The request was cancelled.");
+                    refuse = () => resolve(err(failure));
+                }),
+            cancelAdmission: () => refuse?.(),
+        });
+        const chat = collectAnswer(harness.execution.startChat(buildContext(harness, "waits"), buildChatRequest()));
+        await runVirtualTime(harness.clock, harness.clock.waitMs(50));
+        assert.deepEqual(await runVirtualTime(harness.clock, harness.execution.drain(1_000)), { cut: 1 });
+        const { failure } = await runVirtualTime(harness.clock, chat);
+        assert.equal(failure?.kind, FailureKind.ShuttingDown);
+        assert.equal(failure?.execution, Execution.NotRun);
+    });
+
     it("ends requests that still run at its timeout with a failure", async () => {
         const harness = createExecutionHarness({ drawStreamFault: () => StreamFault.SilentBefore });
         const chat = collectAnswer(harness.execution.startChat(buildContext(harness, "stuck"), buildChatRequest()));
--- a/src/tasks/execution/createExecutionTask.ts
+++ b/src/tasks/execution/createExecutionTask.ts
@@ -10,6 +10,7 @@
 import type { RequestContext, ServiceCall } from "../../model/request";
 import type { ServiceResponse } from "../../ports/applicationRunner";
 import { type ChatRun, ControlKind } from "./_lib/chatRun";
+import { convertStopped } from "./_lib/convertStopped";
 import { createChatRun } from "./_lib/createChatRun";
 import { createReclaimPlanner } from "./_lib/createReclaimPlanner";
 import type { ExecutionCounts, ExecutionShared } from "./_lib/executionShared";
@@ -77,9 +78,9 @@
                 return Promise.resolve(err(createShutdownFailure()));
             }
             const stopped = AbortSignal.any([cancelled, trackCall(shared, openRequests, context)]);
-            return startServiceCall(shared, context, call, stopped).finally(() =>
-                openRequests.delete(context.requestId),
-            );
+            return startServiceCall(shared, context, call, stopped)
+                .then(answer => answer.mapErr(failure => convertStopped(failure, cancelled.aborted)))
+                .finally(() => openRequests.delete(context.requestId));
         },
         drain: async timeoutMs => {
             const { clock } = dependencies;
--- a/src/tasks/execution/runChat.ts
+++ b/src/tasks/execution/runChat.ts
@@ -13,6 +13,7 @@
 import { recordFirstAttempt } from "./_lib/recordFirstAttempt";
 import { AttemptPurpose, type ChatResult, type ChatRun, type ControlMessage } from "./_lib/chatRun";
 import { claimExecution, type ClaimCheck, ClaimCheckKind, findRecordedOutcome } from "./_lib/claimExecution";
+import { convertStopped } from "./_lib/convertStopped";
 import { dropMessage } from "./_lib/dropMessage";
 import { failRun } from "./_lib/failRun";
 import { handleControl } from "./_lib/handleControl";
@@ -69,7 +70,7 @@
     const pending = shared.dependencies.admission.requestAdmission({ context, serviceName: chat.model, ...size });
     const admitted = yield* waitFor(pending);
     if (admitted.isErr()) {
-        return { ...admitted.error, execution: Execution.NotRun };
+        return { ...convertStopped(admitted.error, run.cancelled.aborted), execution: Execution.NotRun };
     }
     recordFirstAttempt(shared, context.className, chat.model);
     return undefined;
--- a/src/tasks/execution/serviceFaults.test.ts
+++ b/src/tasks/execution/serviceFaults.test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { err } from "neverthrow";
+import { createFailure } from "../../base/createFailure";
 import { Execution, FailureKind } from "../../base/failure";
 import type { ServiceCall } from "../../model/request";
+import type { ApplicationRunnerPort } from "../../ports/applicationRunner";
 import {
     assertNothingPending,
     buildContext,
@@ -202,6 +205,24 @@
 });
 
 describe("calls that may be repeated", () => {
+    // Guards against a planned stop that tells callers that they had cancelled.
+    it("end as shutting down, and not as cancelled, when the drain time is over", async () => {
+        const harness = createExecutionHarness();
+        const failure = createFailure(FailureKind.Cancelled, "The call was cancelled.", {
+            execution: Execution.Unknown,
+        });
+        const callService: ApplicationRunnerPort["callService"] = (_endpoint, _id, _call, { cancelled }) =>
+            new Promise(resolve => cancelled.addEventListener("abort", () => resolve(err(failure))));
+        Object.assign(harness.fleet.applications, { callService });
+        const context = buildContext(harness, "first", { deadlineAtMs: harness.clock.readMonotonicMs() + 10_000 });
+        const answer = harness.execution.callService(context, CALL, new AbortController().signal);
+        await runVirtualTime(harness.clock, harness.clock.waitMs(50));
+        assert.deepEqual(await runVirtualTime(harness.clock, harness.execution.drain(1_000)), { cut: 1 });
+        const shown = (await runVirtualTime(harness.clock, answer))._unsafeUnwrapErr();
+        assert.equal(shown.kind, FailureKind.ShuttingDown);
+        assert.equal(shown.execution, Execution.Unknown);
+    });
+
     it("go to another endpoint after every fault, within the retry budget", async () => {
         for (const fault of [CallFault.Refused, CallFault.LostBefore, CallFault.LostAfter]) {
             const harness = createExecutionHarness({
