Reset the connection of a caller without chunks if its stream is cut

What callers saw: a stream that was cut at the endpoint ended with a regular end of the connection for a caller of HTTP/1.0, whose answers have no chunks, so that it looked complete.

Cause: closing the response ends the connection regularly; only the missing last chunk told the cut.

Change: where the answer has begun without chunks, the caller's connection is reset.

Evidence: node scripts/runTests.mjs src/gateway/framings.test.ts: before 38 passed, 1 failed ('end' against 'reset'); src/gateway now 205 passed.

--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -138,14 +138,13 @@
         const { request, exchange } = state;
         const nowMs = clock.readMonotonicMs();
         const { untried, reachable } = listUntried(state, nowMs);
-        const speed = speeds.readSpeed(exchange.service);
         const candidates = (reachable.length > 0 ? reachable : untried).map(record => ({
             record,
             view: buildEndpointView(record, request.promptParts, nowMs),
         }));
-        const views = candidates.map(candidate => candidate.view);
-        const id = chooseEndpoint(views, request, speed, components.random);
-        return candidates.find(candidate => candidate.view.id === id);
+        const views = candidates.map(({ view }) => view);
+        const id = chooseEndpoint(views, request, speeds.readSpeed(exchange.service), components.random);
+        return candidates.find(({ view }) => view.id === id);
     };
 
     const runAttempt = async (state: ForwardingState, { record, view }: Candidate): Promise<AttemptResult> => {
@@ -291,6 +290,7 @@
         return { isRelayed: true };
     }
     if (step === NextAction.Finish || step === NextAction.BreakOff || state.relay.hasBegun()) {
+        state.relay.abandonRelay();
         return { isRelayed: false, failure: undefined };
     }
     return { isRelayed: false, failure: step === NextAction.Refuse ? NO_ENDPOINT_FAILURE : describeFailure(result) };
@@ -313,6 +313,7 @@
  */
 function describeWithoutEndpoint(state: ForwardingState): ForwardingOutcome {
     if (state.relay.hasBegun()) {
+        state.relay.abandonRelay();
         return { isRelayed: false, failure: undefined };
     }
     const failure =
--- a/src/gateway/createStreamRelay.ts
+++ b/src/gateway/createStreamRelay.ts
@@ -23,6 +23,8 @@
     relayEvents(head: RelayedHead, batch: EventBatch): boolean;
     /** Ends the answer regularly, so that the caller sees it as complete. */
     endRelay(head: RelayedHead): void;
+    /** Closes the caller's connection, so that the answer doesn't look complete. */
+    abandonRelay(): void;
     /** If the write buffer is full, gives true and calls `resume` once it has drained; otherwise gives false. */
     waitForDrain(resume: () => void): boolean;
 }
@@ -58,6 +60,13 @@
             beginRelay(head);
             response.end();
         },
+        abandonRelay: () => {
+            // Without chunks, a regular end of the connection would be the end of the answer.
+            if (response.headersSent && !response.chunkedEncoding) {
+                response.socket?.resetAndDestroy();
+            }
+            response.destroy();
+        },
         waitForDrain: resume => {
             if (!response.writableNeedDrain) {
                 return false;
--- a/src/gateway/framings.test.ts
+++ b/src/gateway/framings.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import type { Socket } from "node:net";
+import net, { type AddressInfo, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
 import { RouteKind } from "../model/gateway";
@@ -143,3 +143,28 @@
 
 const hasFraming = (headers: Readonly<Record<string, unknown>>) =>
     headers["content-length"] !== undefined || headers["transfer-encoding"] === "chunked";
+
+// Guards against a stream that was cut and looks complete to a caller without chunks.
+describe("a stream to a caller of an older protocol version", () => {
+    for (const [ending, expected] of [
+        [Ending.Complete, "end"],
+        [Ending.Cut, "reset"],
+    ] as const) {
+        it(`that is ${ending} finishes with the connection's ${expected}`, async () => {
+            await sendAnswer(Framing.Length, ending, true);
+            const { port } = harness.listener.server.address() as AddressInfo;
+            const observed = await new Promise<string>(resolve => {
+                const head = ["GET /a/b HTTP/1.0", "Host: news.example", "Authorization: Bearer key-1"];
+                const socket = net.connect(port, "127.0.0.1", () =>
+                    socket.write([...head, "Redwinglift-Attempt-Id: attempt-1", "", ""].join("\r\n")),
+                );
+                let text = "";
+                socket.on("data", data => (text += String(data)));
+                socket.on("close", () => assert.match(text, /^HTTP\/1\.1 200 /));
+                socket.on("end", () => resolve("end"));
+                socket.on("error", () => resolve("reset"));
+            });
+            assert.equal(observed, expected);
+        });
+    }
+});
