Neither give up nor repeat the try of a suspected prompt part

Callers would have seen: 502 for a try that would have been answered, or the part sent to two endpoints. Cause: a slow try could be given up for another endpoint, which it may not be sent to. Change: a try is never given up. An endpoint whose new entry drains is not taken for a crash.

--- a/src/gateway/createCrashWatch.ts
+++ b/src/gateway/createCrashWatch.ts
@@ -63,7 +63,7 @@
         for (const pauseMs of CHECK_PAUSES_MS) {
             await clock.waitMs(pauseMs);
             const current = directory.findEndpoint(record.endpoint.id);
-            if (isPlanned(record)) {
+            if (isPlanned(record) || current?.endpoint.isDraining === true) {
                 return false;
             }
             if (current !== record || (await isRefusing(record.endpoint.target))) {
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -27,7 +27,7 @@
     recordCachedParts,
     recordConnectionBreak,
 } from "./endpointRecord";
-import type { GatewayExchange } from "./exchange";
+import { type GatewayExchange, hasBodyHeader } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
 import { type AttemptResult, ConnectionEnd, sendAttempt } from "./sendAttempt";
 import { sendWholeAnswer } from "./sendWholeAnswer";
@@ -89,6 +89,8 @@
     executions: number;
     /** All attempts. */
     sends: number;
+    /** True while the attempt is a try of a suspected prompt part, which is neither given up nor repeated. */
+    isCareful: boolean;
     /** True if the next attempt was charged to the retry budget when the one before it was given up. */
     isRetryCharged: boolean;
     /** True once the request was counted in the usage of its account. */
@@ -127,24 +129,31 @@
         const { exchange, request } = state;
         const nowMs = clock.readMonotonicMs();
         const speed = speeds.readSpeed(exchange.service);
-        const isGivenUp = decideGiveUp(exchange.route, {
-            executions: state.executions,
-            sends: state.sends,
-            remainingMs: exchange.timeoutAtMs - nowMs - ATTEMPT_TIME_MIN_MS,
-            estimateElsewhereMs: () => {
-                const { reachable } = listUntried(state, nowMs);
-                const estimatesMs = reachable.map(record =>
-                    estimateResponseMs(buildEndpointView(record, request.promptParts, nowMs), request, speed, false),
-                );
-                return estimatesMs.length === 0 ? undefined : Math.min(...estimatesMs);
-            },
-            chargeRetry: () => chargeRetry(state, nowMs),
-        });
+        const isGivenUp =
+            !state.isCareful &&
+            decideGiveUp(exchange.route, {
+                executions: state.executions,
+                sends: state.sends,
+                remainingMs: exchange.timeoutAtMs - nowMs - ATTEMPT_TIME_MIN_MS,
+                estimateElsewhereMs: () => {
+                    const { reachable } = listUntried(state, nowMs);
+                    const estimatesMs = reachable.map(record =>
+                        estimateResponseMs(
+                            buildEndpointView(record, request.promptParts, nowMs),
+                            request,
+                            speed,
+                            false,
+                        ),
+                    );
+                    return estimatesMs.length === 0 ? undefined : Math.min(...estimatesMs);
+                },
+                chargeRetry: () => chargeRetry(state, nowMs),
+            });
         state.isRetryCharged ||= isGivenUp;
         return isGivenUp;
     };
 
-    const pickCandidate = (state: ForwardingState, isCareful: boolean): Candidate | undefined => {
+    const pickCandidate = (state: ForwardingState): Candidate | undefined => {
         const { request, exchange } = state;
         const nowMs = clock.readMonotonicMs();
         const { untried, reachable } = listUntried(state, nowMs);
@@ -154,7 +163,7 @@
             view: buildEndpointView(record, request.promptParts, nowMs),
         }));
         const leastOccupancy = Math.min(...all.map(({ view }) => view.occupancy));
-        const candidates = isCareful ? all.filter(({ view }) => view.occupancy <= leastOccupancy) : all;
+        const candidates = state.isCareful ? all.filter(({ view }) => view.occupancy <= leastOccupancy) : all;
         const views = candidates.map(candidate => candidate.view);
         const id = chooseEndpoint(views, request, speed, components.random);
         return candidates.find(candidate => candidate.view.id === id);
@@ -270,6 +279,7 @@
             triedEndpoints: new Set(),
             executions: 0,
             sends: 0,
+            isCareful: false,
             isRetryCharged: false,
             isUsageRecorded: false,
         };
@@ -282,7 +292,8 @@
                     ? { isRelayed: false, failure: undefined }
                     : { isRelayed: false, failure: describePartRefusal(state.executions, admission.retryAfterMs) };
             }
-            const candidate = pickCandidate(state, admission.verdict !== PartVerdict.Free);
+            state.isCareful = admission.verdict !== PartVerdict.Free;
+            const candidate = pickCandidate(state);
             if (candidate === undefined) {
                 return describeWithoutEndpoint(state);
             }
@@ -361,10 +372,6 @@
     return { isRelayed: false, failure };
 }
 
-function hasBodyHeader({ request }: GatewayExchange): boolean {
-    return request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
-}
-
 function logAttempt(
     { log }: GatewayComponents,
     state: ForwardingState,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -28,3 +28,8 @@
     /** Version of the configuration by which the request was admitted. */
     readonly configurationVersion: number;
 }
+
+/** Tells whether the headers of the request announce a body. */
+export function hasBodyHeader({ request }: GatewayExchange): boolean {
+    return request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
+}
