Let operators release a prompt part

Cause: releasePart had no caller outside tests, so an operator could not free a part. Change: POST /quarantine/release?part=ID at the metrics port of any node; the listener has a module of its own. Measured: createMetricsListener.test.ts, 3 passed.

--- /dev/null
+++ b/src/gateway/createMetricsListener.ts
@@ -0,0 +1,53 @@
+/**
+ * @module The listener inside the system that serves metrics and takes orders of operators.
+ */
+import http, { type ServerResponse } from "node:http";
+import { HttpStatus } from "../adapters/_lib/httpStatus";
+import type { PartQuarantine } from "./createPartQuarantine";
+
+/** What the listener serves. */
+export interface MetricsListenerOptions {
+    /** Gives the metrics as text. */
+    readonly formatMetrics: () => Promise<string>;
+    readonly quarantine: Pick<PartQuarantine, "releasePart" | "hasEvidence">;
+}
+
+/** The name of the query parameter with the id of a prompt part. */
+const PART_PARAMETER = "part";
+
+/**
+ * Creates the server; it does not listen yet. `POST /quarantine/release?part=ID` frees a prompt part at all nodes; any
+ * other request gets the metrics.
+ *
+ * @param options - What it serves
+ * @returns The server
+ * @example
+ * await startListening(createMetricsListener({ formatMetrics, quarantine }), { address, port });
+ */
+export function createMetricsListener({ formatMetrics, quarantine }: MetricsListenerOptions): http.Server {
+    const releasePart = (part: string, response: ServerResponse) => {
+        if (!quarantine.hasEvidence(part)) {
+            endWithStatus(response, HttpStatus.NotFound);
+            return;
+        }
+        quarantine.releasePart(part);
+        endWithStatus(response, HttpStatus.Ok);
+    };
+    return http.createServer((request, response) => {
+        request.resume();
+        const [path = "", query] = (request.url ?? "/").split("?");
+        if (path === "/quarantine/release" && request.method === "POST") {
+            releasePart(new URLSearchParams(query).get(PART_PARAMETER) ?? "", response);
+            return;
+        }
+        formatMetrics().then(
+            text => response.end(text),
+            () => endWithStatus(response, HttpStatus.InternalServerError),
+        );
+    });
+}
+
+function endWithStatus(response: ServerResponse, status: number): void {
+    response.writeHead(status, { "content-length": 0 });
+    response.end();
+}
--- a/src/gateway/createPartQuarantine.ts
+++ b/src/gateway/createPartQuarantine.ts
@@ -39,6 +39,8 @@
     readEvidence(): Readonly<Record<string, PartEvidence>>;
     /** Takes the sums of the fleet's evidence. */
     mergeEvidence(evidence: Readonly<Record<string, PartEvidence>>): void;
+    /** Tells whether anything speaks against a part. */
+    hasEvidence(part: string): boolean;
     /** Frees a part at an operator's order, at all nodes. */
     releasePart(part: string): void;
 }
@@ -196,6 +198,7 @@
             evidence.merge(fleet, nowMs);
             reportChanges(nowMs);
         },
+        hasEvidence: part => evidence.hasEvidence(part),
         releasePart: part => {
             const nowMs = clock.readMonotonicMs();
             log.warn("prompt part released by an operator", { part });
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -1,7 +1,6 @@
 /**
  * @module Runs a gateway as a process, and connects its components.
  */
-import http from "node:http";
 import { ulid } from "ulid";
 import { createEntropySeededRandom } from "../base/createEntropySeededRandom";
 import { createSystemClock } from "../base/createSystemClock";
@@ -22,6 +21,7 @@
 import { createGatewayMetrics } from "./createGatewayMetrics";
 import { createPartQuarantine } from "./createPartQuarantine";
 import { createMembership } from "./createMembership";
+import { createMetricsListener } from "./createMetricsListener";
 import { createRateLimitedLog } from "./createRateLimitedLog";
 import { createReadinessListener } from "./createReadinessListener";
 import { createServiceSpeeds } from "./createServiceSpeeds";
@@ -159,12 +159,14 @@
         directory.isLoaded() &&
         configuration.computeAgeMs() < settings.bounds.revokeMs * READY_SHARE;
     const readiness = createReadinessListener(isReady);
-    const metricsListener = http.createServer((request, response) => {
-        request.resume();
-        const { nodes, reachable } = news.readUsage();
-        metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
-        metrics.setCallers(listener.countCallers());
-        void metrics.formatMetrics().then(text => response.end(text));
+    const metricsListener = createMetricsListener({
+        formatMetrics: () => {
+            const { nodes, reachable } = news.readUsage();
+            metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
+            metrics.setCallers(listener.countCallers());
+            return metrics.formatMetrics();
+        },
+        quarantine,
     });
     await Promise.all([
         startListening(listener.server, settings.callers),
