--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -35,6 +35,7 @@
 import type { GatewayComponents } from "./gatewayComponents";
 import { type AttemptResult, ConnectionEnd, sendAttempt } from "./sendAttempt";
 import { sendWholeAnswer } from "./sendWholeAnswer";
+import { waitUnlessAborted } from "./waitUnlessAborted";
 
 /** Time that must be left before the timeout for another attempt. */
 const ATTEMPT_TIME_MIN_MS = 60;
@@ -230,7 +231,7 @@
         if (result.connection !== undefined) {
             components.metrics.countConnectionEnd(service, result.connection, firstPartAtMs !== undefined);
         }
-        const mayHaveCrashed = await followed.finish(result);
+        const mayHaveCrashed = await waitUnlessAborted(followed.finish(result), state.ended, true);
         return {
             result,
             mayHaveCrashed,
