Let no failed answer free a prompt part

Cause: any whole answer counted as an answer to the prompt. Change: only a success counts. Measured: 'frees no part because an endpoint answers with a failure' failed before, passes now.

--- a/src/gateway/createPartQuarantine.ts
+++ b/src/gateway/createPartQuarantine.ts
@@ -64,7 +64,7 @@
 
 const ADMITTED: AttemptAdmission = { verdict: PartVerdict.Free };
 const NOT_FOLLOWED: FollowedAttempt = { recordFirstPart: () => undefined, finish: () => Promise.resolve(false) };
-const COMPLETE_ENDS: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Relayed, AttemptOutcome.Answered]);
+const FIRST_FAILURE_STATUS = 400;
 
 interface OpenAttempt {
     readonly parts: readonly string[];
@@ -167,7 +167,7 @@
                     attempt.hasEnded = true;
                     const hasSurvived = firstPartAtMs !== undefined && nowMs - firstPartAtMs >= SURVIVAL_MS;
                     if (firstPartAtMs !== undefined && !attempt.isCleared) {
-                        if (COMPLETE_ENDS.has(result.end) || hasSurvived) {
+                        if (isWholeAnswer(result) || hasSurvived) {
                             clearAttempt(attempt, firstPartAtMs);
                         }
                     }
@@ -214,6 +214,13 @@
     };
 }
 
+/** Tells whether the endpoint has answered the prompt; a failure may be sent without any work on it. */
+function isWholeAnswer({ end, answer }: AttemptResult): boolean {
+    const isSuccess =
+        end === AttemptOutcome.Answered && (answer?.status ?? FIRST_FAILURE_STATUS) < FIRST_FAILURE_STATUS;
+    return end === AttemptOutcome.Relayed || isSuccess;
+}
+
 /** What the log and the metrics say of a part. */
 enum PartState {
     Suspected = "suspected",
