Remember a quarantine until each node's turn to try the part has come

Callers: at 200 nodes evidence was forgotten at 580 s after the last crash, before the turn of some nodes (659 s), so that all nodes would have sent the part at once. Cause: turns were spread by a second a node without limit. Change: they are spread over 90 s at most, so that hold and turn end before the evidence does. Measured: 'is remembered until the turn of every node to try the part, at any size of the fleet' failed before, passes now.

--- a/src/decisions/gateway/createPartEvidence.test.ts
+++ b/src/decisions/gateway/createPartEvidence.test.ts
@@ -4,6 +4,7 @@
 import { mergeSuspects, sumClearances } from "../relays/mergeSuspects";
 import type { SuspectParts } from "../relays/news";
 import { createPartEvidence, type PartEvidenceBook } from "./createPartEvidence";
+import { evaluatePart } from "./evaluatePart";
 
 const isQuarantined = (book: PartEvidenceBook, part: string, nowMs: number) =>
     book.findFacts(part, nowMs)?.isQuarantined ?? false;
@@ -144,3 +145,25 @@
         );
     });
 });
+
+describe("a long quarantine", () => {
+    // Guards against evidence that is forgotten before a node may try the part, so that all nodes send it at once.
+    it("is remembered until the turn of every node to try the part, at any size of the fleet", () => {
+        for (const nodes of [9, 200, 400]) {
+            for (const share of [0, 0.5, 0.99]) {
+                const book = createPartEvidence();
+                const crashes = [1_000, 2_000, 70_000, 200_000, 450_000];
+                crashes.forEach((atMs, index) => book.recordCrash(`c${index}`, ["deadly"], atMs));
+                book.readEvidence(451_000);
+                const { waitMs } = evaluatePart(book.findFacts("deadly", 451_000), { share, nodes }, 451_000);
+                assert.ok(waitMs > 0);
+                book.readEvidence(451_000 + waitMs);
+                assert.notEqual(
+                    book.findFacts("deadly", 451_000 + waitMs),
+                    undefined,
+                    `${nodes} nodes, share ${share}`,
+                );
+            }
+        }
+    });
+});
--- a/src/decisions/gateway/evaluatePart.ts
+++ b/src/decisions/gateway/evaluatePart.ts
@@ -61,6 +61,7 @@
 const SUSPECT_SLOT_MS = 400;
 const SUSPECT_SLOTS_MAX_MS = 6_000;
 const QUARANTINE_SLOT_MS = 1_000;
+const QUARANTINE_SLOTS_MAX_MS = 90_000;
 
 const FREE: PartDecision = { verdict: PartVerdict.Free, waitMs: 0 };
 
@@ -102,7 +103,8 @@
         return FREE;
     }
     if (facts.isQuarantined) {
-        const waitMs = computeHoldMs(facts.crashTimes) + slot.share * slot.nodes * QUARANTINE_SLOT_MS;
+        const spreadMs = Math.min(QUARANTINE_SLOTS_MAX_MS, slot.nodes * QUARANTINE_SLOT_MS);
+        const waitMs = computeHoldMs(facts.crashTimes) + slot.share * spreadMs;
         return decideWait(PartVerdict.Quarantined, lastCrashMs + waitMs - nowMs);
     }
     if (facts.isFamiliar) {
