Send a failure for a broken head after the open answers

Callers saw a 408 with execution not_run for a request that was running: if a part of the next request's head had come with it, the failure for that head took the place of the answer after headerTimeoutMs. A malformed next head gave a 400 in the same way, also in the middle of a stream.

Cause: the handler of clientError wrote its failure without regard to open responses on the connection.

Change: on all listeners with installConnectionLimit, such a connection is not read further while a response to a request that arrived whole, or one that has begun, is open. The failure follows the last of these, and the connection is closed. What arrived later was not run. A caller that closes its side is noticed as before, and a malformed body of a request without an open answer before it fails at once as before.

--- a/src/http/installConnectionLimit.ts
+++ b/src/http/installConnectionLimit.ts
@@ -1,7 +1,7 @@
 /**
  * @module Limits the connections of a server, and answers requests that are not valid HTTP with a failure body.
  */
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import https from "node:https";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
@@ -21,6 +21,17 @@
     readonly failure: Failure;
 }
 
+/** A connection with the responses that are still open on it. */
+interface AnsweredConnection {
+    readonly socket: Socket;
+    readonly responses: Set<ServerResponse>;
+    /** Set once the connection is no longer read; it is sent after the open responses. */
+    lastResponse: RawFailureResponse | undefined;
+}
+
+/** Code of Node's `clientError` event when the caller closes its side in the middle of a request. */
+const CLOSED_BY_CALLER = "HPE_INVALID_EOF_STATE";
+
 /** Responses by error code of Node's `clientError` event. */
 const RESPONSES_BY_ERROR_CODE: Readonly<Record<string, RawFailureResponse>> = {
     HPE_HEADER_OVERFLOW: {
@@ -65,14 +76,55 @@
         }
     };
     server.on(server instanceof https.Server ? "secureConnection" : "connection", countConnection);
+    installErrorResponses(server);
+    return { sockets, count: () => sockets.size };
+}
+
+/** Answers what is not valid HTTP or arrives too slowly, after the responses that are open on its connection. */
+function installErrorResponses(server: Server): void {
+    const connections = new WeakMap<Duplex, AnsweredConnection>();
+    server.on("request", ({ socket }: IncomingMessage, response: ServerResponse) => {
+        const connection = connections.get(socket) ?? { socket, responses: new Set(), lastResponse: undefined };
+        connections.set(socket, connection);
+        connection.responses.add(response);
+        response.once("close", () => {
+            connection.responses.delete(response);
+            if (connection.lastResponse !== undefined && !isAnswering(connection) && socket.writable) {
+                const { statusLine, failure } = connection.lastResponse;
+                socket.write(formatRawFailure(statusLine, failure));
+                socket.destroySoon();
+            }
+        });
+    });
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
         if (error.code === "ECONNRESET" || !socket.writable) {
             socket.destroy();
             return;
         }
-        sendRawFailure(socket, RESPONSES_BY_ERROR_CODE[error.code ?? ""] ?? MALFORMED_REQUEST_RESPONSE);
+        const response = RESPONSES_BY_ERROR_CODE[error.code ?? ""] ?? MALFORMED_REQUEST_RESPONSE;
+        const connection = connections.get(socket);
+        if (connection === undefined || !isAnswering(connection)) {
+            sendRawFailure(socket, response);
+        } else if (error.code === CLOSED_BY_CALLER) {
+            // As Node does for a caller that closes its side between two requests.
+            socket.end();
+        } else if (connection.lastResponse === undefined) {
+            connection.lastResponse = response;
+            dropFurtherBytes(connection.socket);
+        }
     });
-    return { sockets, count: () => sockets.size };
+}
+
+/** Tells whether a response is open to a request that arrived whole, or has begun. */
+function isAnswering({ responses }: AnsweredConnection): boolean {
+    return [...responses].some(response => response.req.complete || response.headersSent);
+}
+
+/** Takes the connection from the parser, so that no further request is read; its end is still noticed. */
+function dropFurtherBytes(socket: Socket): void {
+    socket.removeAllListeners("data");
+    socket.on("data", () => undefined);
+    socket.resume();
 }
 
 function sendRawFailure(socket: Duplex, response: RawFailureResponse): void {
