Wait in the signal tests for the node's start itself

"keeps its requests at SIGHUP" failed on busy machines before its first signal: startNodeProcess waited at most 100 times 50 ms for "node ready".

So the wait was too short; the node has no fault there.

Change: the tests wait for the log line, and fail at once if the process ends before it; 60 s limit each of the two tests. Every assertion on signals, answers and exit codes is as before.

--- a/src/serve/runServe.test.ts
+++ b/src/serve/runServe.test.ts
@@ -38,7 +38,7 @@
 
 // Guards against answers lost because a signal ends the process before they are complete.
 describe("signals to a node", () => {
-    it("keeps its requests at SIGHUP", async () => {
+    it("keeps its requests at SIGHUP", { timeout: 60_000 }, async () => {
         const node = await startNodeProcess();
         const caller = openStream(node.callerPort);
         await caller.begun;
@@ -53,7 +53,7 @@
         assert.equal(await node.exitCode, 1);
     });
 
-    it("ends a stream with an error event at a second SIGTERM", async () => {
+    it("ends a stream with an error event at a second SIGTERM", { timeout: 60_000 }, async () => {
         const node = await startNodeProcess();
         const caller = openStream(node.callerPort);
         await caller.begun;
@@ -107,7 +107,10 @@
     const exitCode = new Promise<number | NodeJS.Signals>(resolve =>
         child.once("exit", (code, signal) => resolve(code ?? signal ?? -1)),
     );
-    await waitUntil(() => logged.includes("node ready"));
+    await new Promise<void>((resolve, reject) => {
+        child.stderr.on("data", () => logged.includes("node ready") && resolve());
+        child.once("exit", () => reject(new Error(`The node ended before it was ready: ${logged}`)));
+    });
     return { child, callerPort: Number(/"callerPort":"?(\d+)/.exec(logged)?.[1]), exitCode };
 }
 
