--- a/src/decisions/gateway/listSharedParts.ts
+++ b/src/decisions/gateway/listSharedParts.ts
@@ -16,10 +16,10 @@
  * listSharedParts([{ id: "a", tokens: 9 }, { id: "b", tokens: 4 }]); //=> ["a"]
  */
 export function listSharedParts(parts: readonly PromptPart[]): readonly string[] {
-    return parts.length < 2 ? [] : [...new Set(parts.slice(0, -1).map(part => shortenId(part.id)))];
+    return parts.length < 2 ? [] : [...new Set(parts.slice(0, -1).map(part => trimId(part.id)))];
 }
 
 /** Shortens a long id to its begin and a hash of the rest, since nodes exchange ids in datagrams. */
-function shortenId(id: string): string {
+function trimId(id: string): string {
     return id.length <= ID_LENGTH_MAX ? id : `${id.slice(0, ID_LENGTH_MAX)}~${hashText(id).toString(36)}`;
 }
