Evaluate the facts on a prompt part once for each question

Change: refreshEntry gives the facts it built; HttpStatus.BadRequest in place of the constant. Behaviour unchanged. Measured: 21 tests of the quarantine and its evidence passed, 0 failed; linter and types clean on both files.

--- a/src/decisions/gateway/createPartEvidence.ts
+++ b/src/decisions/gateway/createPartEvidence.ts
@@ -142,9 +142,10 @@
             isQuarantined: entry.isQuarantined,
         };
     };
-    const refreshEntry = (part: string, entry: Entry, nowMs: number) => {
+    const refreshEntry = (part: string, entry: Entry, nowMs: number): PartFacts => {
         const facts = buildFacts(part, entry, nowMs);
         entry.isQuarantined = facts.crashTimes.length > 0 && (entry.isQuarantined || isConvicted(facts, nowMs));
+        return { ...facts, isQuarantined: entry.isQuarantined };
     };
     const removeExcess = (nowMs: number) => {
         const sorted = sortEntries(entries);
@@ -210,8 +211,7 @@
             if (entry === undefined) {
                 return undefined;
             }
-            refreshEntry(part, entry, nowMs);
-            const facts = buildFacts(part, entry, nowMs);
+            const facts = refreshEntry(part, entry, nowMs);
             return facts.crashTimes.length === 0 ? undefined : facts;
         },
         hasEvidence: part => entries.has(part),
--- a/src/gateway/createPartQuarantine.ts
+++ b/src/gateway/createPartQuarantine.ts
@@ -1,6 +1,7 @@
 /**
  * @module The quarantine of prompt parts that crash endpoints: asked before each attempt, and told how each one ends.
  */
+import { HttpStatus } from "../adapters/_lib/httpStatus";
 import type { Clock } from "../base/clock";
 import type { DumpSource } from "../base/dump";
 import { hashText } from "../base/hashText";
@@ -64,7 +65,6 @@
 
 const ADMITTED: AttemptAdmission = { verdict: PartVerdict.Free };
 const NOT_FOLLOWED: FollowedAttempt = { recordFirstPart: () => undefined, finish: () => Promise.resolve(false) };
-const FIRST_FAILURE_STATUS = 400;
 
 interface OpenAttempt {
     readonly parts: readonly string[];
@@ -216,9 +216,8 @@
 
 /** Tells whether the endpoint has answered the prompt; a failure may be sent without any work on it. */
 function isWholeAnswer({ end, answer }: AttemptResult): boolean {
-    const isSuccess =
-        end === AttemptOutcome.Answered && (answer?.status ?? FIRST_FAILURE_STATUS) < FIRST_FAILURE_STATUS;
-    return end === AttemptOutcome.Relayed || isSuccess;
+    const isSuccess = answer !== undefined && answer.status < HttpStatus.BadRequest;
+    return end === AttemptOutcome.Relayed || (end === AttemptOutcome.Answered && isSuccess);
 }
 
 /** What the log and the metrics say of a part. */
