Hold versions on trial to a bounded share, and end ordered moves in time

Callers saw most requests go to a bad version. Cause: orders of roll-outs weren't read, and no endpoint was chosen by its version. Change: each node sends to the target a share of what it has itself sent since the order, so that the sum holds without messages; attempts at both versions are summed by the news and compared with the tests of src/decisions/versions; the first alarm ends the trial at all nodes; the holder of the duties stores the state, and completes a move that has shown enough just before its deadline.

--- a/src/decisions/gateway/_testing/simulateQuotas.ts
+++ b/src/decisions/gateway/_testing/simulateQuotas.ts
@@ -110,6 +110,7 @@
             loads: {},
             endpoints: {},
             suspects: {},
+            rollouts: {},
             counted: undefined,
         };
         for (const relay of [...relays, ...(simulation.lostRelays === true ? spareRelays : [])]) {
--- a/src/decisions/gateway/chooseEndpoint.ts
+++ b/src/decisions/gateway/chooseEndpoint.ts
@@ -104,26 +104,40 @@
 ): number {
     const shared = sumSharedTokens(request.promptParts);
     const cached = Math.max(view.cachedTokens, isPreferred ? PREFERRED_CACHED_SHARE * shared : 0);
-    const uncached = Math.max(0, request.promptTokens - cached);
-    const prefillMs = (uncached + view.pendingTokens) / speed.tokensPerMs;
     const repeatedPrefillMs = (REPEATED_PREFILL_WEIGHT * Math.max(0, shared - cached)) / speed.tokensPerMs;
-    const utilization = (view.occupancy + 1) / Math.max(1, view.slots);
-    const slowdownMs = speed.serviceMs * Math.max(0, utilization - SLOWDOWN_THRESHOLD);
-    const queueMs = speed.serviceMs * 2 * Math.max(0, utilization - 1);
     return (
-        view.roundTripMs +
+        estimateFirstPartMs({ ...view, cachedTokens: cached }, request, speed) +
         view.distancePenaltyMs +
-        speed.serviceMs +
-        prefillMs +
         repeatedPrefillMs +
-        slowdownMs +
-        queueMs +
         view.biasMs +
         Math.min(COLD_DELAY_MAX_MS, view.coldMs) +
         view.failureRate * FAILURE_COST_MS
     );
 }
 
+/**
+ * Estimates the time until an endpoint's response begins if it works as usual, without any penalty.
+ *
+ * @param view - The endpoint
+ * @param request - The request
+ * @param speed - The measured speed of the service
+ * @returns Milliseconds
+ * @example
+ * estimateFirstPartMs(view, request, speed);
+ */
+export function estimateFirstPartMs(
+    view: Pick<EndpointView, "roundTripMs" | "slots" | "occupancy" | "pendingTokens" | "cachedTokens">,
+    request: PlacementRequest,
+    speed: ServiceSpeed,
+): number {
+    const uncached = Math.max(0, request.promptTokens - view.cachedTokens);
+    const prefillMs = (uncached + view.pendingTokens) / speed.tokensPerMs;
+    const utilization = (view.occupancy + 1) / Math.max(1, view.slots);
+    const slowdownMs = speed.serviceMs * Math.max(0, utilization - SLOWDOWN_THRESHOLD);
+    const queueMs = speed.serviceMs * 2 * Math.max(0, utilization - 1);
+    return view.roundTripMs + speed.serviceMs + prefillMs + slowdownMs + queueMs;
+}
+
 /**
  * Finds the endpoint that every node prefers for prompts with the same shared parts, by rendezvous hashing over the
  * last shared part.
--- a/src/decisions/relays/_testing/makeReport.ts
+++ b/src/decisions/relays/_testing/makeReport.ts
@@ -25,6 +25,7 @@
         loads: { chat: { tokensPerSecond: 10, inFlight: 1 } },
         endpoints: { "i-1": { inFlight: 1, pendingTokens: 100 } },
         suspects: {},
+        rollouts: {},
         counted: undefined,
         ...changes,
     };
--- a/src/decisions/relays/createSummaryMerger.ts
+++ b/src/decisions/relays/createSummaryMerger.ts
@@ -9,9 +9,10 @@
     UNREACHABLE_AFTER_MS,
 } from "./constants";
 import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
-import type { DomainSummary, FleetView, NodeIdentity, SuspectParts, UsageSums } from "./news";
+import type { DomainSummary, FleetView, NodeIdentity, RolloutReports, SuspectParts, UsageSums } from "./news";
 import { createLostUsage, type UsageByAccount } from "./createLostUsage";
 import { advanceSuspects, mergeSuspects, sumClearances } from "./mergeSuspects";
+import { maximizeCells, mergeRollouts, sumCells } from "./mergeRollouts";
 import { sumAmounts, sumNews, sumRecords } from "./sumNews";
 
 /** Merges summaries. */
@@ -84,19 +85,27 @@
         const summaries = splitByDomain(listWithin(withinMs, nowMs)).get(failureDomain);
         return summaries === undefined ? {} : pickAllUsed(mergeDomain(summaries), unreportedMs);
     };
-    /** Merges the evidence of all failure domains, of those as well that can't be reached. */
-    const mergeAllSuspects = (nowMs: number): SuspectParts => {
-        const byDomain = new Map<string, SuspectParts[]>();
+    /** Lists what the relays of each failure domain know as evidence, of those as well that can't be reached. */
+    const listEvidence = <T>(pick: (summary: DomainSummary, elapsedMs: number) => T, nowMs: number) => {
+        const byDomain = new Map<string, T[]>();
         for (const { summary, heardAtMs } of listWithin(SILENT_EVIDENCE_MS, nowMs)) {
             const { failureDomain } = summary.relay;
-            const suspects = advanceSuspects(summary.suspects, nowMs - heardAtMs);
-            byDomain.set(failureDomain, [...(byDomain.get(failureDomain) ?? []), suspects]);
+            byDomain.set(failureDomain, [...(byDomain.get(failureDomain) ?? []), pick(summary, nowMs - heardAtMs)]);
         }
-        return mergeSuspects(
-            [...byDomain.values()].map(list => mergeSuspects(list, Math.max)),
+        return [...byDomain.values()];
+    };
+    const mergeAllSuspects = (nowMs: number): SuspectParts =>
+        mergeSuspects(
+            listEvidence(({ suspects }, elapsedMs) => advanceSuspects(suspects, elapsedMs), nowMs).map(list =>
+                mergeSuspects(list, Math.max),
+            ),
             sumClearances,
         );
-    };
+    const mergeAllRollouts = (nowMs: number): RolloutReports =>
+        mergeRollouts(
+            listEvidence(({ rollouts }) => rollouts, nowMs).map(list => mergeRollouts(list, maximizeCells)),
+            sumCells,
+        );
     /** Records what the former relays of a failure domain said, if a new relay sums it and none of them is left. */
     const recordTakeover = ({ node, failureDomain }: NodeIdentity, nowMs: number) => {
         const former = [...heard.values()].filter(({ summary }) => summary.relay.failureDomain === failureDomain);
@@ -157,6 +166,7 @@
                 reachable: merged.reduce((sum, domain) => sum + domain.reachable, 0),
                 silentUsage,
                 suspects: mergeAllSuspects(nowMs),
+                rollouts: mergeAllRollouts(nowMs),
                 lostUsage: sumRecords([ownLost, ...othersLost], Math.max),
             };
         },
--- a/src/decisions/relays/news.ts
+++ b/src/decisions/relays/news.ts
@@ -4,6 +4,8 @@
  * All of it is state and not change: each message replaces the former one of its sender. A lost, repeated or late
  * message, or a change of relay, therefore neither counts anything twice nor loses it.
  */
+import type { RolloutPhase } from "../../model/gateway";
+import type { CellCounts } from "../versions/versionEvidence";
 
 /** Load that some nodes put on a service. */
 export interface ServiceLoad {
@@ -47,6 +49,18 @@
 /** Evidence by prompt part; only parts with a crash are in it. */
 export type SuspectParts = Readonly<Record<string, PartEvidence>>;
 
+/** What nodes know of an ordered move of a service to another version. */
+export interface RolloutReport {
+    /** Revision of the order. */
+    readonly order: number;
+    readonly phase: RolloutPhase;
+    /** Attempts at both versions since the order; empty once the move has ended. */
+    readonly cells: readonly CellCounts[];
+}
+
+/** Reports on moves, by service. */
+export type RolloutReports = Readonly<Record<string, RolloutReport>>;
+
 /** Values that are summed over nodes. */
 export interface NewsSums {
     /** Longest time for which one of the nodes has counted usage, in milliseconds; at most one quota window. */
@@ -56,6 +70,7 @@
     readonly endpoints: Readonly<Record<string, EndpointActivity>>;
     /** Prompt parts that may crash endpoints. */
     readonly suspects: SuspectParts;
+    readonly rollouts: RolloutReports;
 }
 
 /** Identity of a node and its address for news. */
--- a/src/decisions/relays/sumNews.ts
+++ b/src/decisions/relays/sumNews.ts
@@ -3,8 +3,8 @@
  */
 import type { EndpointActivity, NewsSums, ServiceLoad, UsageSums } from "./news";
 
-/** Sums of news that is only valid while its nodes are reachable; evidence on prompt parts outlasts them. */
-export type ReachableSums = Omit<NewsSums, "suspects">;
+/** Sums of news that is only valid while its nodes are reachable; evidence outlasts them. */
+export type ReachableSums = Omit<NewsSums, "suspects" | "rollouts">;
 
 /**
  * Sums news by account, service and endpoint.
--- a/src/decisions/versions/createMoveEvidence.ts
+++ b/src/decisions/versions/createMoveEvidence.ts
@@ -12,7 +12,7 @@
  * @example
  * const evidence = createMoveEvidence(move);
  */
-export function createMoveEvidence(move: VersionMove): MoveEvidence {
+export function createMoveEvidence(move: Pick<VersionMove, "name" | "fromVersion" | "toVersion">): MoveEvidence {
     return {
         moveName: move.name,
         oldVersion: move.fromVersion,
--- /dev/null
+++ b/src/decisions/versions/decideRolloutPhase.ts
@@ -0,0 +1,51 @@
+/**
+ * @module Decides the next phase of an ordered move of a service to another version.
+ */
+import { RolloutPhase } from "../../model/gateway";
+import { planRollout } from "./planRollout";
+
+/** What is known of a move. */
+export interface RolloutFacts {
+    readonly phase: RolloutPhase;
+    readonly durationMs: number;
+    /** Time since the order, in milliseconds. */
+    readonly elapsedMs: number;
+    /** What is missing before the target counts as good. */
+    readonly missing: readonly string[];
+    /** True if endpoints of the target, and of other versions, can serve requests. */
+    readonly hasTargets: boolean;
+    readonly hasOthers: boolean;
+}
+
+/** A phase, and why it begins. */
+export interface RolloutStep {
+    readonly phase: RolloutPhase;
+    /** A sentence for operators; absent while the phase stays the same. */
+    readonly reason?: string;
+}
+
+/**
+ * Decides the phase. A move that is undecided at its end is rolled back, unless there is nothing to go back to.
+ *
+ * @param facts - What is known of the move
+ * @returns The phase, the present one included
+ * @example
+ * decideRolloutPhase({ phase: RolloutPhase.Trial, elapsedMs: 0, durationMs: 15_000, ... }).phase;
+ */
+export function decideRolloutPhase(facts: RolloutFacts): RolloutStep {
+    const { phase, elapsedMs, missing, hasTargets, hasOthers } = facts;
+    const { shiftMs, endMs } = planRollout(facts.durationMs);
+    if (phase >= RolloutPhase.RolledBack || elapsedMs < shiftMs) {
+        return { phase };
+    }
+    const canShift = hasTargets && (missing.length === 0 || !hasOthers);
+    if (elapsedMs < endMs) {
+        const reason = hasOthers ? "No fault was shown." : "No endpoint of another version is left.";
+        return phase === RolloutPhase.Trial && canShift ? { phase: RolloutPhase.Shifting, reason } : { phase };
+    }
+    if (phase === RolloutPhase.Shifting || (hasTargets && !hasOthers)) {
+        return { phase: RolloutPhase.Completed, reason: "No fault was shown by the deadline." };
+    }
+    const undecided = hasTargets ? missing.join("; ") : "no endpoint of the new version";
+    return { phase: RolloutPhase.RolledBack, reason: `Undecided at the deadline: ${undecided}.` };
+}
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -24,6 +24,7 @@
 import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
 import { createGatewayMetrics } from "../createGatewayMetrics";
 import { createPartQuarantine } from "../createPartQuarantine";
+import { createRollouts } from "../createRollouts";
 import { createServiceSpeeds } from "../createServiceSpeeds";
 import { drainGateway } from "../drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
@@ -99,6 +100,8 @@
         quotaWindowMs: 8_000,
         quotaOverrun: 0,
         quotaSlack: 0,
+        exposureShare: 0.1,
+        exposureSlack: 50,
         leaseMs: 3_000,
         usageWindowMs: 5_000,
         usageDueMs: 10_000,
@@ -136,6 +139,15 @@
     const endpoints = await Promise.all(scripts.map(startScriptedEndpoint));
     const countedAccounts: string[] = [];
     const metrics = createGatewayMetrics();
+    const rollouts = createRollouts({
+        nodeName: settings.nodeName,
+        bounds: settings.bounds,
+        directory,
+        isInTouch: () => true,
+        readNodeCount: () => 1,
+        clock,
+        log,
+    });
     const components = {
         settings,
         clock,
@@ -160,6 +172,7 @@
             metrics,
             log,
         }),
+        rollouts,
     };
     const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
     const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
@@ -178,13 +191,15 @@
         const now = readInstant(clock);
         configuration.recordConfirmation({ monotonicMs: now.monotonicMs - agoMs, wallMs: now.wallMs - agoMs });
     };
-    directory.replaceAll(
-        endpoints.map((endpoint, index) => ({
-            id: `i-${index}`,
-            endpoint: makeEndpoint(`i-${index}`, { target: { address: endpoint.address, port: endpoint.port } }),
-        })),
-        false,
+    const entries = endpoints.map((endpoint, index) => ({
+        id: `i-${index}`,
+        endpoint: makeEndpoint(`i-${index}`, { target: { address: endpoint.address, port: endpoint.port } }),
+    }));
+    rollouts.recordVersions(
+        entries.map(entry => entry.endpoint),
+        true,
     );
+    directory.replaceAll(entries, false);
     await new Promise<void>(resolve => listener.server.listen(0, "127.0.0.1", resolve));
     const port = (listener.server.address() as AddressInfo).port;
     if (options.isWithoutConfiguration !== true) {
--- a/src/gateway/_testing/createNewsFleet.ts
+++ b/src/gateway/_testing/createNewsFleet.ts
@@ -145,6 +145,7 @@
                         node.knownAtMs = nowMs;
                     },
                 },
+                rollouts: { readReports: () => ({}), mergeReports: () => undefined },
                 clock: { readMonotonicMs: () => nowMs, readWallMs: () => nowMs, waitMs: () => Promise.resolve() },
                 log: createLog({ write: () => undefined }),
             }),
--- a/src/gateway/createEndpointDirectory.ts
+++ b/src/gateway/createEndpointDirectory.ts
@@ -92,6 +92,7 @@
         log.info("endpoint found", {
             endpointId: endpoint.id,
             service: endpoint.service,
+            version: endpoint.version,
             failureDomain: endpoint.failureDomain,
             isReclaimable: endpoint.isReclaimable,
         });
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -10,6 +10,7 @@
 import type { ConfigurationHolder } from "./createConfigurationHolder";
 import type { EndpointDirectory } from "./createEndpointDirectory";
 import type { FleetNews } from "./createFleetNews";
+import type { Rollouts } from "./createRollouts";
 import type { ServiceSpeeds } from "./createServiceSpeeds";
 import type { CheckHolder, Duty } from "./startDutyHolder";
 
@@ -44,6 +45,8 @@
     readonly configuration: ConfigurationHolder;
     readonly directory: EndpointDirectory;
     readonly news: FleetNews;
+    /** Endpoints with a version that is on trial or was rolled back are no capacity. */
+    readonly rollouts: Pick<Rollouts, "isServing">;
     readonly speeds: ServiceSpeeds;
     readonly failureDomains: readonly string[];
     /** True if the whole system starts for the first time. */
@@ -61,7 +64,7 @@
  * createFleetDuty({ cloud, configuration, directory, news, speeds, failureDomains, isFirstStart, clock, log });
  */
 export function createFleetDuty(options: FleetDutyOptions): Duty {
-    const { cloud, configuration, directory, news, speeds, clock, log } = options;
+    const { cloud, configuration, directory, rollouts, news, speeds, clock, log } = options;
     const orders = new Map<string, OrderState>();
     const needs = new Map<string, NeedState>();
     const loggedNeeds = new Map<string, number>();
@@ -76,6 +79,7 @@
     const listEndpoints = (service: string, failureDomain: string, isReclaimable: boolean) =>
         directory
             .listAll(service)
+            .filter(({ endpoint }) => rollouts.isServing(endpoint))
             .filter(
                 ({ endpoint }) => endpoint.failureDomain === failureDomain && endpoint.isReclaimable === isReclaimable,
             );
@@ -110,7 +114,7 @@
         }));
     /** Counts the usable endpoints, without the reserve for the loss of a failure domain. */
     const countWithoutReserve = (service: string): number => {
-        const present = directory.listUsable(service);
+        const present = directory.listUsable(service).filter(({ endpoint }) => rollouts.isServing(endpoint));
         const reclaimable = present.filter(record => record.endpoint.isReclaimable).length;
         const domains = Math.max(2, options.failureDomains.length);
         return present.length - reclaimable / domains;
--- a/src/gateway/createFleetNews.test.ts
+++ b/src/gateway/createFleetNews.test.ts
@@ -44,6 +44,7 @@
                 readCounts: () => ({ atMs: 1, windows: { 3: { county: 4 } } }),
                 isNearEndpoint: () => true,
                 evidence: { readEvidence: () => ({}), mergeEvidence: () => undefined },
+                rollouts: { readReports: () => ({}), mergeReports: () => undefined },
                 handleActivity: activity => (node.activity = activity),
                 clock: createSystemClock(),
                 log: createLog({ write: () => undefined }),
--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -136,6 +136,7 @@
     const applyView = (content: FleetView) => {
         // Before this node counts as loaded: its first request must not go where the others know that it must not.
         options.evidence.mergeEvidence(content.suspects);
+        options.rollouts.mergeReports(content.rollouts);
         view = { content, atMs: clock.readMonotonicMs() };
         const activity = new Map<string, EndpointActivity>();
         for (const [id, { inFlight, pendingTokens }] of Object.entries(content.endpoints)) {
@@ -205,6 +206,7 @@
     const buildReport = (): NodeReport => ({
         ...options.readOwnNews(),
         suspects: readOwnSuspects(),
+        rollouts: options.rollouts.readReports(),
         ...self,
         sequence: ++sequence,
         counted: sequence % COUNTS_EVERY_PERIODS === 1 ? options.readCounts() : undefined,
@@ -384,4 +386,5 @@
     loads: {},
     endpoints: {},
     suspects: {},
+    rollouts: {},
 };
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -4,6 +4,7 @@
 import {
     chooseEndpoint,
     type EndpointView,
+    estimateFirstPartMs,
     estimateResponseMs,
     type PlacementRequest,
 } from "../decisions/gateway/chooseEndpoint";
@@ -112,9 +113,12 @@
         return allowance;
     };
 
-    const listUntried = ({ exchange, triedEndpoints }: ForwardingState, nowMs: number) => {
+    const listUntried = (state: ForwardingState, nowMs: number) => {
+        const { exchange, triedEndpoints } = state;
         const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
-        const untried = usable.filter(record => !triedEndpoints.has(record.endpoint.id));
+        const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
+        const { records } = components.rollouts.filterEligible(exchange.service, usable, isFirst);
+        const untried = records.filter(record => !triedEndpoints.has(record.endpoint.id));
         return { untried, reachable: untried.filter(record => record.suspectUntilMs <= nowMs) };
     };
 
@@ -173,6 +177,7 @@
         const uncachedTokens = Math.max(0, request.promptTokens - view.cachedTokens);
         const estimatedMs =
             estimateResponseMs(view, request, speeds.readSpeed(service), false) - view.distancePenaltyMs;
+        const expectedMs = estimateFirstPartMs(view, request, speeds.readSpeed(service));
         let pendingTokens = uncachedTokens;
         let firstPartAtMs: number | undefined;
         const releasePending = () => {
@@ -185,7 +190,10 @@
             followed.recordFirstPart();
             releasePending();
             recordAnswerTime(record, nowMs - sentAtMs, estimatedMs, nowMs);
-            speeds.recordAnswer(service, { uncachedTokens, firstPartMs: nowMs - sentAtMs - record.roundTripMs });
+            compared.recordFirstPart((nowMs - sentAtMs) / expectedMs);
+            if (components.rollouts.isServing(record.endpoint)) {
+                speeds.recordAnswer(service, { uncachedTokens, firstPartMs: nowMs - sentAtMs - record.roundTripMs });
+            }
             components.metrics.recordFirstPart(service, nowMs - exchange.receivedAtMs);
             recordUsage(state);
         };
@@ -196,6 +204,7 @@
         record.pendingTokens += pendingTokens;
         recordCachedParts(record, request.promptParts, sentAtMs);
         const followed = components.quarantine.beginAttempt(record, state.sharedParts);
+        const compared = components.rollouts.beginAttempt(record, route.name, state.sends === 1);
         const isBounded = isRepeatable(route) && state.executions + 1 < route.attemptsMax;
         const result = await sendAttempt({
             record,
@@ -228,6 +237,7 @@
         releasePending();
         const nowMs = clock.readMonotonicMs();
         applyOutcome(record, result, nowMs);
+        compared.finish(result);
         if (result.connection !== undefined) {
             components.metrics.countConnectionEnd(service, result.connection, firstPartAtMs !== undefined);
         }
@@ -352,6 +362,7 @@
         requestId: state.exchange.head.requestId,
         route: state.exchange.route.name,
         endpointId: record.endpoint.id,
+        version: record.endpoint.version,
         endpointStartedAtMs: record.endpoint.startedAtMs,
         connection: result.connection,
         answerAgeMs: attempt.answerAgeMs,
--- a/src/gateway/fleetNewsOptions.ts
+++ b/src/gateway/fleetNewsOptions.ts
@@ -3,9 +3,17 @@
  */
 import type { Clock } from "../base/clock";
 import type { Log } from "../base/log/log";
-import type { EndpointActivity, NodeIdentity, NodeReport } from "../decisions/relays/news";
+import type { EndpointActivity, NodeIdentity, NodeReport, RolloutReports } from "../decisions/relays/news";
 import type { PartEvidenceSource } from "./partEvidence";
 
+/** What a node knows of moves of services to other versions. */
+export interface RolloutSource {
+    /** Gives this node's own counts, and the phase that it knows of each move. */
+    readReports(): RolloutReports;
+    /** Takes what the whole fleet knows, this node included. */
+    mergeReports(reports: RolloutReports): void;
+}
+
 /** What a node reports, and the handlers of what it learns. */
 export interface FleetNewsOptions {
     readonly self: NodeIdentity;
@@ -20,6 +28,8 @@
     readonly isNearEndpoint: (endpointId: string) => boolean;
     /** What this node knows of prompt parts that crash endpoints. */
     readonly evidence: PartEvidenceSource;
+    /** What this node knows of moves of services to other versions. */
+    readonly rollouts: RolloutSource;
     /** Called with what the other nodes do at endpoints. */
     readonly handleActivity: (activity: ReadonlyMap<string, EndpointActivity>) => void;
     readonly clock: Clock;
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -11,6 +11,7 @@
 import type { EndpointDirectory } from "./createEndpointDirectory";
 import type { GatewayMetrics } from "./createGatewayMetrics";
 import type { PartQuarantine } from "./createPartQuarantine";
+import type { Rollouts } from "./createRollouts";
 import type { ServiceSpeeds } from "./createServiceSpeeds";
 import type { UsageMeter } from "./createUsageMeter";
 import type { FleetNews } from "./createFleetNews";
@@ -30,4 +31,5 @@
     readonly demand: DemandMeter;
     readonly news: FleetNews;
     readonly quarantine: PartQuarantine;
+    readonly rollouts: Rollouts;
 }
--- a/src/gateway/gatewayPlatform.ts
+++ b/src/gateway/gatewayPlatform.ts
@@ -6,8 +6,10 @@
 import type { GatewayConfiguration, GatewayEndpoint, GatewaySettings } from "../model/gateway";
 import type { DutyPort } from "../ports/duties";
 import type { ForwardingCodec } from "../ports/forwardingCodec";
+import type { RolloutRecordsPort } from "../ports/rolloutRecords";
 import type { TablePort } from "../ports/table";
 import type { WatchedRow, WatchedTablePort } from "../ports/watchedTable";
+import type { OrderChange } from "./createRollouts";
 
 /** The adapters and table names that `platform/` provides. */
 export interface GatewayPlatform {
@@ -16,9 +18,12 @@
     readonly tables: TablePort & WatchedTablePort;
     /** Absent where this node has no duties. */
     readonly cloud: DutyPort | undefined;
+    readonly rolloutRecords: RolloutRecordsPort;
     readonly codec: ForwardingCodec;
     readonly configurationTable: string;
     readonly endpointTable: string;
     readonly decodeConfigurationRow: (row: WatchedRow) => GatewayConfiguration | undefined;
+    /** Gives the order for a service, or its removal; `undefined` for any other row, and for a malformed one. */
+    readonly decodeRolloutRow: (row: WatchedRow) => OrderChange | undefined;
     readonly decodeEndpointRow: (row: WatchedRow) => GatewayEndpoint | undefined;
 }
--- a/src/gateway/newsCodec.ts
+++ b/src/gateway/newsCodec.ts
@@ -12,6 +12,7 @@
     NodeIdentity,
     NodeReport,
 } from "../decisions/relays/news";
+import { decodeRollouts, encodeRollouts } from "./rolloutsCodec";
 import { decodeSuspects, encodeSuspects } from "./suspectsCodec";
 
 /** Kinds of datagrams. */
@@ -69,14 +70,15 @@
         z.record(z.string(), z.tuple([COUNT, COUNT])),
         z.record(z.string(), z.tuple([COUNT, COUNT])),
     ])
-    // Evidence on prompt parts, if there is any. It is decoded leniently: a fault in it must not cost the rest.
+    // Evidence on prompt parts and on versions, if any. It is decoded leniently: a fault in it must not cost the rest.
     .rest(z.unknown())
-    .transform(([countsForMs, usage, loads, endpoints, suspects]): NewsSums => ({
+    .transform(([countsForMs, usage, loads, endpoints, suspects, rollouts]): NewsSums => ({
         countsForMs,
         usage: convertRecord(usage, ([used, recent, asked]) => ({ used, recent, asked })),
         loads: convertRecord(loads, ([tokensPerSecond, inFlight]) => ({ tokensPerSecond, inFlight })),
         endpoints: convertRecord(endpoints, ([inFlight, pendingTokens]) => ({ inFlight, pendingTokens })),
         suspects: decodeSuspects(suspects),
+        rollouts: decodeRollouts(rollouts),
     }));
 const SENDER = z.tuple([z.string(), z.string(), z.string(), z.number().positive()]);
 const COUNTED = z.tuple([z.number(), z.record(z.string(), NUMBERS)]);
@@ -210,13 +212,16 @@
     return { node, life, failureDomain, capacity, address: address.address, port: address.port };
 }
 
-function listSums({ countsForMs, usage, loads, endpoints, suspects }: NewsSums): z.input<typeof SUMS> {
+function listSums(sums: NewsSums): z.input<typeof SUMS> {
+    const { countsForMs, usage, loads, endpoints, suspects, rollouts } = sums;
+    const hasRollouts = Object.keys(rollouts).length > 0;
     return [
         Math.round(countsForMs),
         convertRecord(usage, ({ used, recent, asked }): [number, number, number] => [used, recent, asked]),
         convertRecord(loads, ({ tokensPerSecond, inFlight }): [number, number] => [tokensPerSecond, inFlight]),
         convertRecord(endpoints, listActivity),
-        ...(Object.keys(suspects).length === 0 ? [] : [encodeSuspects(suspects)]),
+        ...(Object.keys(suspects).length === 0 && !hasRollouts ? [] : [encodeSuspects(suspects)]),
+        ...(hasRollouts ? [encodeRollouts(rollouts)] : []),
     ];
 }
 
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -24,6 +24,7 @@
 import { createMetricsListener } from "./createMetricsListener";
 import { createRateLimitedLog } from "./createRateLimitedLog";
 import { createReadinessListener } from "./createReadinessListener";
+import { createRollouts } from "./createRollouts";
 import { createServiceSpeeds } from "./createServiceSpeeds";
 import { createUsageMeter } from "./createUsageMeter";
 import { drainGateway } from "./drainGateway";
@@ -96,6 +97,15 @@
         metrics,
         log,
     });
+    const rollouts = createRollouts({
+        nodeName: settings.nodeName,
+        bounds: settings.bounds,
+        directory,
+        isInTouch: () => news.isInTouch(),
+        readNodeCount: () => news.readUsage().nodes,
+        clock,
+        log,
+    });
     const news = createFleetNews({
         self,
         failureDomains: Object.keys(settings.regions),
@@ -111,6 +121,7 @@
                 : undefined,
         isNearEndpoint: createNearEndpointCheck(settings, directory),
         evidence: quarantine,
+        rollouts,
         handleActivity: directory.recordOthers,
         clock,
         log,
@@ -140,6 +151,7 @@
         demand,
         news,
         quarantine,
+        rollouts,
     };
     dumpOnSignal(components);
     const rowServer = startWatches(components, platform, clusterTime);
@@ -150,6 +162,7 @@
         table: platform.tables,
         membership,
         clusterTime,
+        rolloutRecords: platform.rolloutRecords,
     });
     const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
     let isLeaving = false;
@@ -178,7 +191,7 @@
 
     const signal = await whenSignalled;
     isLeaving = true;
-    duties?.leave();
+    duties.leave();
     return drainGateway({ clock, settings, log: lifeLog }, listener, signal);
 }
 
--- a/src/gateway/startDuties.ts
+++ b/src/gateway/startDuties.ts
@@ -3,10 +3,12 @@
  */
 import { DutyKind } from "../model/gateway";
 import type { DutyPort } from "../ports/duties";
+import type { RolloutRecordsPort } from "../ports/rolloutRecords";
 import type { TablePort } from "../ports/table";
 import type { ClusterTime } from "./createClusterTime";
 import { createFleetDuty } from "./createFleetDuty";
 import type { Membership } from "./createMembership";
+import { createRolloutDuty } from "./createRolloutDuty";
 import { createUsageDuty } from "./createUsageDuty";
 import { createUsageLedger } from "./createUsageLedger";
 import type { GatewayComponents } from "./gatewayComponents";
@@ -19,13 +21,14 @@
     readonly table: TablePort;
     readonly membership: Membership;
     readonly clusterTime: ClusterTime;
+    readonly rolloutRecords: RolloutRecordsPort;
 }
 
 /**
  * Starts the participation in the duties.
  *
  * @param dependencies - The components and ports that the duties need
- * @returns The handle that ends it; `undefined` where the platform has no duties for this node
+ * @returns The handle that ends it
  * @example
  * const duties = startDuties({ components, cloud, table, membership, clusterTime });
  */
@@ -35,25 +38,34 @@
     table,
     membership,
     clusterTime,
-}: DutyDependencies): DutyHandle | undefined {
+    rolloutRecords: records,
+}: DutyDependencies): DutyHandle {
     const { settings, news, clock, log } = components;
-    if (cloud === undefined) {
-        return undefined;
-    }
     const { usageWindowMs: windowMs, usageDueMs: dueMs, leaseMs } = settings.bounds;
     const { isFirstStart } = settings;
     const ledger = createUsageLedger();
     const creators = {
-        [DutyKind.Usage]: () =>
-            createUsageDuty({ windowMs, dueMs, cloud, table, membership, ledger, clusterTime, isFirstStart, log }),
-        [DutyKind.Fleet]: () =>
+        [DutyKind.Usage]: (port: DutyPort) =>
+            createUsageDuty({
+                windowMs,
+                dueMs,
+                cloud: port,
+                table,
+                membership,
+                ledger,
+                clusterTime,
+                isFirstStart,
+                log,
+            }),
+        [DutyKind.Fleet]: (port: DutyPort) =>
             createFleetDuty({
                 ...components,
-                cloud,
+                cloud: port,
                 failureDomains: Object.keys(settings.regions),
                 isFirstStart,
             }),
     };
-    const duties = settings.duties.map(kind => creators[kind]());
+    const cloudDuties = cloud === undefined ? [] : settings.duties.map(kind => creators[kind](cloud));
+    const duties = [createRolloutDuty({ ...components, records, clusterTime }), ...cloudDuties];
     return startDutyHolder({ node: settings.nodeName, leaseMs, table, news, duties, clock, log });
 }
--- a/src/gateway/startWatches.ts
+++ b/src/gateway/startWatches.ts
@@ -29,7 +29,7 @@
     platform: GatewayPlatform,
     clusterTime: ClusterTime,
 ): http.Server {
-    const { configuration, directory, news, clock, random, log } = components;
+    const { configuration, directory, rollouts, news, clock, random, log } = components;
     const { configurationTable, endpointTable } = platform;
     const port = createRelayedTables({ store: platform.tables, news, clock, random, log });
     const snapshots = {
@@ -43,10 +43,16 @@
         random,
         log,
         waitMs: CONFIGURATION_WAIT_MS,
-        handleRows: rows =>
-            rows.flatMap(row => platform.decodeConfigurationRow(row) ?? []).forEach(configuration.applyConfiguration),
+        handleRows: (rows, isWholeTable) => {
+            rows.flatMap(row => platform.decodeConfigurationRow(row) ?? []).forEach(configuration.applyConfiguration);
+            rollouts.applyOrders(
+                rows.flatMap(row => platform.decodeRolloutRow(row) ?? []),
+                isWholeTable,
+            );
+        },
         handleConfirmation: (askedAt, answer) => {
             configuration.recordConfirmation(askedAt);
+            rollouts.recordConfirmation(askedAt);
             clusterTime.recordStoreClock(answer.storeNowMs);
         },
         snapshot: snapshots[configurationTable],
@@ -60,6 +66,10 @@
         waitMs: ENDPOINTS_WAIT_MS,
         handleRows: (rows, isWholeTable, isStoreRecovering) => {
             const entries = rows.map(row => ({ id: row.key, endpoint: platform.decodeEndpointRow(row) }));
+            rollouts.recordVersions(
+                entries.flatMap(({ endpoint }) => endpoint ?? []),
+                !directory.isLoaded(),
+            );
             if (isWholeTable) {
                 directory.replaceAll(entries, isStoreRecovering);
             } else {
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -131,6 +131,27 @@
     readonly startedAtMs: number | undefined;
 }
 
+/** An operator's order to move the requests of a service to the endpoints of another version. */
+export interface RolloutOrder {
+    readonly service: string;
+    /** The version to move to. */
+    readonly target: string;
+    /** Time within which the move must be completed or rolled back, in milliseconds. */
+    readonly durationMs: number;
+    /** Distinguishes the orders for a service; a later one has a greater revision. */
+    readonly revision: number;
+}
+
+/** How far an ordered move is. Phases only advance; `Completed` is entered only once it is in the store. */
+export enum RolloutPhase {
+    /** The target gets a small share of the requests. */
+    Trial = 0,
+    /** All requests go to the target, shortly before the move is completed. */
+    Shifting = 1,
+    RolledBack = 2,
+    Completed = 3,
+}
+
 /** Time limits and tolerances that the platform guarantees or requires. */
 export interface GatewayBounds {
     /** Time after the removal of a key from which no request with that key may execute, in milliseconds. */
@@ -145,6 +166,9 @@
     /** By how much all nodes together may exceed a quota per window: `quotaOverrun` of it plus `quotaSlack`. */
     readonly quotaOverrun: number;
     readonly quotaSlack: number;
+    /** Requests that a version on trial may get: `exposureShare` of those to its service plus `exposureSlack`. */
+    readonly exposureShare: number;
+    readonly exposureSlack: number;
     /** Duration of the lease for a duty, in milliseconds. */
     readonly leaseMs: number;
     /** Length of the window that a usage report covers, in milliseconds. */
