--- /dev/null
+++ b/src/decisions/versions/decideRolloutPhase.test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { RolloutPhase } from "../../model/gateway";
+import { decideRolloutPhase, type RolloutFacts } from "./decideRolloutPhase";
+import { planRollout } from "./planRollout";
+
+const DURATION_MS = 15_000;
+const { shiftMs, endMs } = planRollout(DURATION_MS);
+const FACTS: RolloutFacts = {
+    phase: RolloutPhase.Trial,
+    durationMs: DURATION_MS,
+    elapsedMs: 0,
+    missing: [],
+    hasTargets: true,
+    hasOthers: true,
+};
+const { Trial, Shifting, RolledBack, Completed } = RolloutPhase;
+
+describe("the phase of an ordered move", () => {
+    for (const [name, facts, expected] of [
+        ["stays on trial before its end, however good it looks", { elapsedMs: shiftMs - 1 }, Trial],
+        ["shifts a good version shortly before the end", { elapsedMs: shiftMs }, Shifting],
+        ["does not shift an unproved version", { elapsedMs: shiftMs, missing: ["x"] }, Trial],
+        ["does not shift without endpoints of the target", { elapsedMs: shiftMs, hasTargets: false }, Trial],
+        [
+            "shifts at the end if nothing else is left",
+            { elapsedMs: shiftMs, missing: ["x"], hasOthers: false },
+            Shifting,
+        ],
+        ["completes a shifted move", { elapsedMs: endMs, phase: Shifting }, Completed],
+        ["rolls an undecided move back", { elapsedMs: endMs, missing: ["x"] }, RolledBack],
+        ["rolls back a move whose endpoints never came", { elapsedMs: endMs, hasTargets: false }, RolledBack],
+        ["rolls back a move that was not shifted in time", { elapsedMs: endMs }, RolledBack],
+        [
+            "completes if there is nothing to go back to",
+            { elapsedMs: endMs, missing: ["x"], hasOthers: false },
+            Completed,
+        ],
+        ["keeps a rollback", { elapsedMs: endMs, phase: RolledBack }, RolledBack],
+        ["keeps a completion", { elapsedMs: endMs, phase: Completed, missing: ["x"] }, Completed],
+    ] as const) {
+        it(name, () => {
+            assert.equal(decideRolloutPhase({ ...FACTS, ...facts }).phase, expected);
+        });
+    }
+
+    it("ends before the deadline, and shifts for less than a twentieth of the time", () => {
+        for (const durationMs of [5_000, 15_000, 45 * 60_000]) {
+            const times = planRollout(durationMs);
+            assert.ok(times.endMs < durationMs && times.shiftMs < times.endMs);
+            assert.ok(durationMs - times.shiftMs <= 0.0601 * durationMs);
+        }
+    });
+});
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -146,6 +146,7 @@
         isInTouch: () => true,
         readNodeCount: () => 1,
         clock,
+        metrics,
         log,
     });
     const components = {
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -10,7 +10,7 @@
 import type { ConfigurationHolder } from "./createConfigurationHolder";
 import type { EndpointDirectory } from "./createEndpointDirectory";
 import type { FleetNews } from "./createFleetNews";
-import type { Rollouts } from "./createRollouts";
+import type { Rollouts } from "./rollouts";
 import type { ServiceSpeeds } from "./createServiceSpeeds";
 import type { CheckHolder, Duty } from "./startDutyHolder";
 
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -2,6 +2,7 @@
  * @module Counters and latency histograms of a gateway, in the Prometheus text format.
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { RolloutPhase } from "../model/gateway";
 import type { CallerCounts } from "./createGatewayListener";
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
@@ -18,6 +19,10 @@
 export interface GatewayMetrics {
     countRequest(service: string, outcome: string): void;
     countAttempt(service: string, end: string): void;
+    /** Counts an attempt at an endpoint of a service that an order names, by the endpoint's version. */
+    countVersionAttempt(service: string, version: string, end: string): void;
+    /** Sets the phase of a service's move to another version. */
+    setRolloutPhase(service: string, phase: RolloutPhase): void;
     /** Counts an attempt whose connection the endpoint ended. */
     countConnectionEnd(service: string, connection: string, hasAnswerBegun: boolean): void;
     /** Counts an attempt that was not made because of a prompt part that crashes endpoints. */
@@ -61,6 +66,18 @@
         labelNames: ["service", "end"],
         registers,
     });
+    const versionAttempts = new Counter({
+        name: "redwinglift_version_attempts_total",
+        help: "Attempts at endpoints of services with an ordered move, by version and how they ended.",
+        labelNames: ["service", "version", "end"],
+        registers,
+    });
+    const rolloutPhase = new Gauge({
+        name: "redwinglift_rollout_phase",
+        help: "Phase of a service's ordered move: 0 trial, 1 shifting, 2 rolled back, 3 completed.",
+        labelNames: ["service"],
+        registers,
+    });
     const connectionEnds = new Counter({
         name: "redwinglift_connection_ends_total",
         help: "Attempts whose connection broke or was refused, by whether their answer had begun.",
@@ -131,6 +148,8 @@
     return {
         countRequest: (service, outcome) => requests.inc({ service, outcome }),
         countAttempt: (service, end) => attempts.inc({ service, end }),
+        countVersionAttempt: (service, version, end) => versionAttempts.inc({ service, version, end }),
+        setRolloutPhase: (service, phase) => rolloutPhase.set({ service }, phase),
         countConnectionEnd: (service, connection, hasAnswerBegun) =>
             connectionEnds.inc({ service, connection, answer: hasAnswerBegun ? "begun" : "waiting" }),
         countPromptRefusal: verdict => promptRefusals.inc({ verdict }),
--- a/src/gateway/createRolloutDuty.ts
+++ b/src/gateway/createRolloutDuty.ts
@@ -9,7 +9,7 @@
 import type { RolloutRecordsPort, StoredRolloutRecord } from "../ports/rolloutRecords";
 import type { ClusterTime } from "./createClusterTime";
 import type { EndpointDirectory } from "./createEndpointDirectory";
-import type { RolloutMove, Rollouts } from "./createRollouts";
+import type { RolloutMove, Rollouts } from "./rollouts";
 import type { CheckHolder, Duty } from "./startDutyHolder";
 
 /** Time between two attempts to read or write the records while the store fails. */
--- a/src/gateway/createRollouts.ts
+++ b/src/gateway/createRollouts.ts
@@ -6,8 +6,6 @@
  * rolled back or while it is unknown whether it has.
  */
 import type { Clock } from "../base/clock";
-import type { DumpSource } from "../base/dump";
-import type { Instant } from "../base/instant";
 import type { Log } from "../base/log/log";
 import { AttemptOutcome, isFailedStatus } from "../decisions/gateway/decideNextAction";
 import type { RolloutReport, RolloutReports } from "../decisions/relays/news";
@@ -16,66 +14,14 @@
 import { describeAlarm } from "../decisions/versions/describeAlarm";
 import { listMissingEvidence } from "../decisions/versions/listMissingEvidence";
 import type { VersionAlarm } from "../decisions/versions/versionEvidence";
-import { type GatewayEndpoint, type RolloutOrder, RolloutPhase } from "../model/gateway";
-import type { RolloutRecord } from "../ports/rolloutRecords";
+import { type RolloutOrder, RolloutPhase } from "../model/gateway";
 import { createCrashWatch, type CrashWatchOptions } from "./createCrashWatch";
 import { createRolloutEvidence, type RolloutEvidence } from "./createRolloutEvidence";
+import type { GatewayMetrics } from "./createGatewayMetrics";
 import type { EndpointRecord } from "./endpointRecord";
-import type { RolloutSource } from "./fleetNewsOptions";
+import type { EligibleEndpoints, OrderChange, RolloutMove, Rollouts } from "./rollouts";
 import { type AttemptResult, ConnectionEnd } from "./sendAttempt";
 
-/** A new or removed order for a service. */
-export interface OrderChange {
-    readonly service: string;
-    /** `undefined` if the operator has removed it. */
-    readonly order: RolloutOrder | undefined;
-}
-
-/** An ordered move, as this node knows it. */
-export interface RolloutMove {
-    readonly order: RolloutOrder;
-    readonly phase: RolloutPhase;
-    /** Time for which this node has known the order. */
-    readonly knownForMs: number;
-    /** What is missing before the target counts as good, by the attempts at all nodes. */
-    readonly missing: readonly string[];
-}
-
-/** The endpoints that an attempt may be made at. */
-export interface EligibleEndpoints {
-    readonly records: readonly EndpointRecord[];
-    /** True if they have the version on trial. */
-    readonly isTrial: boolean;
-}
-
-/** An attempt that is followed for the comparison of versions. */
-export interface VersionTrial {
-    /** Records the time to the first part of the answer as a multiple of the expected one. */
-    recordFirstPart(slowness: number): void;
-    finish(result: AttemptResult): void;
-}
-
-/** The moves of all services. */
-export interface Rollouts extends RolloutSource, DumpSource {
-    /** Takes the operator's orders: all of them, or those that changed. */
-    applyOrders(changes: readonly OrderChange[], isWholeTable: boolean): void;
-    /** Records that the known orders were the newest ones at this moment. */
-    recordConfirmation(at: Instant): void;
-    /** Takes endpoints' versions when they are listed; those of the first whole list need no confirmation. */
-    recordVersions(endpoints: readonly GatewayEndpoint[], isFirstList: boolean): void;
-    /** Lists those of a service's endpoints that an attempt may be made at; only a first attempt may be part of a trial. */
-    filterEligible(service: string, records: readonly EndpointRecord[], isFirst: boolean): EligibleEndpoints;
-    /** Follows an attempt from its begin. */
-    beginAttempt(record: EndpointRecord, route: string, isFirst: boolean): VersionTrial;
-    /** True if an endpoint may serve requests without a bound. */
-    isServing(endpoint: GatewayEndpoint): boolean;
-    listMoves(): readonly RolloutMove[];
-    /** Lets a move enter a later phase. */
-    advanceMove(order: RolloutOrder, phase: RolloutPhase, reason: string): void;
-    /** Takes what the store has of moves. */
-    applyRecords(records: readonly RolloutRecord[]): void;
-}
-
 /** What the moves depend on. */
 export interface RolloutsOptions extends Pick<CrashWatchOptions, "directory" | "isRefusing"> {
     readonly nodeName: string;
@@ -85,6 +31,7 @@
     /** Counts the nodes of the fleet, this one included. */
     readonly readNodeCount: () => number;
     readonly clock: Clock;
+    readonly metrics: Pick<GatewayMetrics, "countVersionAttempt" | "setRolloutPhase">;
     readonly log: Log;
 }
 
@@ -126,7 +73,7 @@
  * const { records } = rollouts.filterEligible("assistant", directory.listUsable("assistant"), true);
  */
 export function createRollouts(options: RolloutsOptions): Rollouts {
-    const { clock, log, bounds } = options;
+    const { clock, metrics, log, bounds } = options;
     const services = new Map<string, ServiceVersions>();
     const crashes = createCrashWatch({ ...options, handleCrash: () => undefined });
     let hasOrders = false;
@@ -156,6 +103,7 @@
             versions.established.clear();
             versions.established.add(target);
         }
+        metrics.setRolloutPhase(service, phase);
         log.warn("roll-out advanced", {
             service,
             target,
@@ -192,6 +140,7 @@
             requests: 0,
             canaries: 0,
         };
+        metrics.setRolloutPhase(order.service, RolloutPhase.Trial);
         log.info("roll-out ordered", {
             service: order.service,
             target: order.target,
@@ -346,6 +295,9 @@
                     slowness = value;
                 },
                 finish: result => {
+                    if (move !== undefined) {
+                        metrics.countVersionAttempt(service, version, result.end);
+                    }
                     if (!wasCold) {
                         void recordEnd(record, route, result, slowness);
                     }
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -11,7 +11,7 @@
 import type { EndpointDirectory } from "./createEndpointDirectory";
 import type { GatewayMetrics } from "./createGatewayMetrics";
 import type { PartQuarantine } from "./createPartQuarantine";
-import type { Rollouts } from "./createRollouts";
+import type { Rollouts } from "./rollouts";
 import type { ServiceSpeeds } from "./createServiceSpeeds";
 import type { UsageMeter } from "./createUsageMeter";
 import type { FleetNews } from "./createFleetNews";
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -104,6 +104,7 @@
         isInTouch: () => news.isInTouch(),
         readNodeCount: () => news.readUsage().nodes,
         clock,
+        metrics,
         log,
     });
     const news = createFleetNews({
--- a/src/gateway/startWatches.ts
+++ b/src/gateway/startWatches.ts
@@ -8,6 +8,7 @@
 import { createTableSnapshot } from "./createTableSnapshot";
 import type { GatewayComponents } from "./gatewayComponents";
 import type { GatewayPlatform } from "./gatewayPlatform";
+import { loadRolloutRecords } from "./loadRolloutRecords";
 import { startTableWatch } from "./startTableWatch";
 
 /** How long the store may delay its answer while a table does not change (long polling). */
@@ -36,6 +37,7 @@
         [configurationTable]: createTableSnapshot(clock),
         [endpointTable]: createTableSnapshot(clock),
     };
+    let hasReadOrders = false;
     startTableWatch({
         table: configurationTable,
         port,
@@ -49,6 +51,10 @@
                 rows.flatMap(row => platform.decodeRolloutRow(row) ?? []),
                 isWholeTable,
             );
+            if (!hasReadOrders) {
+                hasReadOrders = true;
+                void loadRolloutRecords(rollouts, platform.rolloutRecords, clock);
+            }
         },
         handleConfirmation: (askedAt, answer) => {
             configuration.recordConfirmation(askedAt);
