Keep all nodes together within the limit that an endpoint names

Back ends in need got several times what they had asked for. Cause: Server-Limit wasn't decoded, and no account of a limit was shared; with a bucket at each node the sum would grow with their number. Change: the newest limit travels with the news, and the relays choose for each limited endpoint a few of the nodes with requests for it; each of these has its part of the rate and room for one request, and only its part of that while some nodes are out of reach. The rest is sent elsewhere, or refused with the time until it may be sent.

--- a/src/decisions/gateway/_testing/simulateQuotas.ts
+++ b/src/decisions/gateway/_testing/simulateQuotas.ts
@@ -111,6 +111,7 @@
             endpoints: {},
             suspects: {},
             rollouts: {},
+            limits: {},
             counted: undefined,
         };
         for (const relay of [...relays, ...(simulation.lostRelays === true ? spareRelays : [])]) {
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -22,7 +22,7 @@
 }
 
 /** What a node knows of all nodes, itself included. */
-export interface FleetUsage extends Omit<FleetView, "loads" | "endpoints" | "suspects" | "rollouts"> {
+export interface FleetUsage extends Omit<FleetView, "loads" | "endpoints" | "suspects" | "rollouts" | "limits"> {
     /** True if the unreachable nodes leave this node and its reachable peers a share of each limit. */
     readonly isCounted: boolean;
 }
--- a/src/decisions/relays/_testing/makeReport.ts
+++ b/src/decisions/relays/_testing/makeReport.ts
@@ -26,6 +26,7 @@
         endpoints: { "i-1": { inFlight: 1, pendingTokens: 100 } },
         suspects: {},
         rollouts: {},
+        limits: {},
         counted: undefined,
         ...changes,
     };
--- a/src/decisions/relays/createReportCollector.ts
+++ b/src/decisions/relays/createReportCollector.ts
@@ -4,6 +4,7 @@
 import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, SILENT_EVIDENCE_MS, UNREACHABLE_AFTER_MS } from "./constants";
 import { estimateUsedAtEnd } from "./estimateUsedAtEnd";
 import { mergeHeardSuspects, sumClearances } from "./mergeSuspects";
+import { mergeLimits } from "./mergeLimits";
 import { mergeRollouts, sumCells } from "./mergeRollouts";
 import type { DomainSummary, NodeIdentity, NodeReport, WindowCounts } from "./news";
 import { sumAmounts, sumNews } from "./sumNews";
@@ -99,6 +100,7 @@
                     listHeardWithin(SILENT_EVIDENCE_MS, nowMs).map(({ report }) => report.rollouts),
                     sumCells,
                 ),
+                limits: mergeLimits(reachable.map(({ report }) => report.limits)),
                 silentUsage: sumAmounts(silent.map(({ report }) => pickUsed(report))),
             };
         },
--- a/src/decisions/relays/createSummaryMerger.ts
+++ b/src/decisions/relays/createSummaryMerger.ts
@@ -12,6 +12,7 @@
 import type { DomainSummary, FleetView, NodeIdentity, RolloutReports, SuspectParts, UsageSums } from "./news";
 import { createLostUsage, type UsageByAccount } from "./createLostUsage";
 import { advanceSuspects, mergeSuspects, sumClearances } from "./mergeSuspects";
+import { mergeLimits } from "./mergeLimits";
 import { maximizeCells, mergeRollouts, sumCells } from "./mergeRollouts";
 import { sumAmounts, sumNews, sumRecords } from "./sumNews";
 
@@ -167,6 +168,7 @@
                 silentUsage,
                 suspects: mergeAllSuspects(nowMs),
                 rollouts: mergeAllRollouts(nowMs),
+                limits: mergeLimits(listWithin(UNREACHABLE_AFTER_MS, nowMs).map(({ summary }) => summary.limits)),
                 lostUsage: sumRecords([ownLost, ...othersLost], Math.max),
             };
         },
--- a/src/decisions/relays/news.ts
+++ b/src/decisions/relays/news.ts
@@ -61,6 +61,19 @@
 /** Reports on moves, by service. */
 export type RolloutReports = Readonly<Record<string, RolloutReport>>;
 
+/** What the newest answer of an endpoint says of its limit. */
+export interface LimitReport {
+    /** Requests a second from all nodes together; `undefined` if the endpoint names no limit any more. */
+    readonly perSecond: number | undefined;
+    /** Cluster time of that answer. */
+    readonly atMs: number;
+    /** The nodes that may send to the endpoint while it has a limit. */
+    readonly senders: readonly string[];
+}
+
+/** Limits by endpoint and its start. */
+export type LimitReports = Readonly<Record<string, LimitReport>>;
+
 /** Values that are summed over nodes. */
 export interface NewsSums {
     /** Longest time for which one of the nodes has counted usage, in milliseconds; at most one quota window. */
@@ -71,6 +84,7 @@
     /** Prompt parts that may crash endpoints. */
     readonly suspects: SuspectParts;
     readonly rollouts: RolloutReports;
+    readonly limits: LimitReports;
 }
 
 /** Identity of a node and its address for news. */
--- a/src/decisions/relays/sumNews.ts
+++ b/src/decisions/relays/sumNews.ts
@@ -4,7 +4,7 @@
 import type { EndpointActivity, NewsSums, ServiceLoad, UsageSums } from "./news";
 
 /** Sums of news that is only valid while its nodes are reachable; evidence outlasts them. */
-export type ReachableSums = Omit<NewsSums, "suspects" | "rollouts">;
+export type ReachableSums = Omit<NewsSums, "suspects" | "rollouts" | "limits">;
 
 /**
  * Sums news by account, service and endpoint.
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -20,6 +20,7 @@
 import { createConfigurationHolder, type ConfigurationHolder } from "../createConfigurationHolder";
 import { createDemandMeter } from "../createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "../createEndpointDirectory";
+import { createEndpointLimits } from "../createEndpointLimits";
 import { createForwarder } from "../createForwarder";
 import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
 import { createGatewayMetrics } from "../createGatewayMetrics";
@@ -174,6 +175,14 @@
             log,
         }),
         rollouts,
+        limits: createEndpointLimits({
+            nodeName: settings.nodeName,
+            directory,
+            clusterTime: { readClusterMs: () => clock.readWallMs(), hasAgreedOffset: () => true },
+            readFleet: () => ({ nodes: 1, reachable: 1 }),
+            clock,
+            log,
+        }),
     };
     const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
     const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
--- a/src/gateway/_testing/createNewsFleet.ts
+++ b/src/gateway/_testing/createNewsFleet.ts
@@ -146,6 +146,7 @@
                     },
                 },
                 rollouts: { readReports: () => ({}), mergeReports: () => undefined },
+                limits: { readLimits: () => ({}), mergeLimits: () => undefined },
                 clock: { readMonotonicMs: () => nowMs, readWallMs: () => nowMs, waitMs: () => Promise.resolve() },
                 log: createLog({ write: () => undefined }),
             }),
--- a/src/gateway/createFleetNews.test.ts
+++ b/src/gateway/createFleetNews.test.ts
@@ -45,6 +45,7 @@
                 isNearEndpoint: () => true,
                 evidence: { readEvidence: () => ({}), mergeEvidence: () => undefined },
                 rollouts: { readReports: () => ({}), mergeReports: () => undefined },
+                limits: { readLimits: () => ({}), mergeLimits: () => undefined },
                 handleActivity: activity => (node.activity = activity),
                 clock: createSystemClock(),
                 log: createLog({ write: () => undefined }),
--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -137,6 +137,7 @@
         // Before this node counts as loaded: its first request must not go where the others know that it must not.
         options.evidence.mergeEvidence(content.suspects);
         options.rollouts.mergeReports(content.rollouts);
+        options.limits.mergeLimits(content.limits);
         view = { content, atMs: clock.readMonotonicMs() };
         const activity = new Map<string, EndpointActivity>();
         for (const [id, { inFlight, pendingTokens }] of Object.entries(content.endpoints)) {
@@ -207,6 +208,7 @@
         ...options.readOwnNews(),
         suspects: readOwnSuspects(),
         rollouts: options.rollouts.readReports(),
+        limits: options.limits.readLimits(),
         ...self,
         sequence: ++sequence,
         counted: sequence % COUNTS_EVERY_PERIODS === 1 ? options.readCounts() : undefined,
@@ -387,4 +389,5 @@
     endpoints: {},
     suspects: {},
     rollouts: {},
+    limits: {},
 };
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -113,13 +113,25 @@
         return allowance;
     };
 
-    const listUntried = (state: ForwardingState, nowMs: number) => {
+    /** Lists the endpoints that this request may be sent to by its model, its version and its former attempts. */
+    const listUntried = (state: ForwardingState): readonly EndpointRecord[] => {
         const { exchange, triedEndpoints } = state;
         const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
         const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
         const { records } = components.rollouts.filterEligible(exchange.service, usable, isFirst);
-        const untried = records.filter(record => !triedEndpoints.has(record.endpoint.id));
-        return { untried, reachable: untried.filter(record => record.suspectUntilMs <= nowMs) };
+        return records.filter(record => !triedEndpoints.has(record.endpoint.id));
+    };
+    /** Lists those of them that take a request now, and gives the least time until one does. */
+    const listOpen = (state: ForwardingState, nowMs: number) => {
+        const untried = listUntried(state);
+        untried.forEach(record => components.limits.recordDemand(record));
+        const waitsMs = new Map(untried.map(record => [record, components.limits.computeWaitMs(record)]));
+        const open = untried.filter(record => waitsMs.get(record) === 0);
+        return {
+            open,
+            reachable: open.filter(record => record.suspectUntilMs <= nowMs),
+            leastWaitMs: Math.min(...waitsMs.values()),
+        };
     };
 
     const chargeRetry = ({ exchange }: ForwardingState, nowMs: number): boolean =>
@@ -137,7 +149,7 @@
                 sends: state.sends,
                 remainingMs: exchange.timeoutAtMs - nowMs - ATTEMPT_TIME_MIN_MS,
                 estimateElsewhereMs: () => {
-                    const { reachable } = listUntried(state, nowMs);
+                    const { reachable } = listOpen(state, nowMs);
                     const estimatesMs = reachable.map(record =>
                         estimateResponseMs(
                             buildEndpointView(record, request.promptParts, nowMs),
@@ -154,12 +166,13 @@
         return isGivenUp;
     };
 
-    const pickCandidate = (state: ForwardingState): Candidate | undefined => {
+    /** Picks an endpoint; if none takes the request now, gives the time until one may, which may be infinite. */
+    const pickCandidate = (state: ForwardingState): Candidate | { readonly waitMs: number } => {
         const { request, exchange } = state;
         const nowMs = clock.readMonotonicMs();
-        const { untried, reachable } = listUntried(state, nowMs);
+        const { open, reachable, leastWaitMs } = listOpen(state, nowMs);
         const speed = speeds.readSpeed(exchange.service);
-        const all = (reachable.length > 0 ? reachable : untried).map(record => ({
+        const all = (reachable.length > 0 ? reachable : open).map(record => ({
             record,
             view: buildEndpointView(record, request.promptParts, nowMs),
         }));
@@ -167,7 +180,7 @@
         const candidates = state.isCareful ? all.filter(({ view }) => view.occupancy <= leastOccupancy) : all;
         const views = candidates.map(candidate => candidate.view);
         const id = chooseEndpoint(views, request, speed, components.random);
-        return candidates.find(candidate => candidate.view.id === id);
+        return candidates.find(candidate => candidate.view.id === id) ?? { waitMs: leastWaitMs };
     };
 
     const runAttempt = async (state: ForwardingState, { record, view }: Candidate): Promise<EndedAttempt> => {
@@ -200,6 +213,7 @@
         if (state.sends === 1) {
             components.demand.recordArrival(service, uncachedTokens);
         }
+        components.limits.chargeAttempt(record);
         record.ownInFlight++;
         record.pendingTokens += pendingTokens;
         recordCachedParts(record, request.promptParts, sentAtMs);
@@ -230,7 +244,10 @@
             eventTimeoutMs: isBounded ? Math.max(1_000, route.gapTargetMs * EVENT_TIMEOUT_FACTOR) : undefined,
             canGiveUp: () => canGiveUp(state),
             ended: state.ended,
-            handleAnswerHead: answer => applyAnswerHead(record, answer, clock.readMonotonicMs()),
+            handleAnswerHead: answer => {
+                applyAnswerHead(record, answer, clock.readMonotonicMs());
+                components.limits.recordAnswer(record, answer, sentAtMs);
+            },
             handleFirstPart,
         });
         record.ownInFlight--;
@@ -301,8 +318,8 @@
             }
             state.isCareful = admission.verdict !== PartVerdict.Free;
             const candidate = pickCandidate(state);
-            if (candidate === undefined) {
-                return describeWithoutEndpoint(state);
+            if ("waitMs" in candidate) {
+                return describeWithoutEndpoint(state, candidate.waitMs);
             }
             state.triedEndpoints.add(candidate.view.id);
             state.sends++;
--- a/src/gateway/dumpOnSignal.ts
+++ b/src/gateway/dumpOnSignal.ts
@@ -14,11 +14,11 @@
  * dumpOnSignal(components);
  */
 export function dumpOnSignal(components: GatewayComponents, write?: (line: string) => void): void {
-    const { clock, settings, configuration, directory, news, quarantine, rollouts } = components;
+    const { clock, settings, configuration, directory, news, quarantine, rollouts, limits } = components;
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
-        listDumpSources: () => [configuration, directory, news, quarantine, rollouts],
+        listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits],
     };
     writeDumpOnSignal(() => collectDump(dependencies), write);
 }
--- a/src/gateway/fleetNewsOptions.ts
+++ b/src/gateway/fleetNewsOptions.ts
@@ -3,9 +3,23 @@
  */
 import type { Clock } from "../base/clock";
 import type { Log } from "../base/log/log";
-import type { EndpointActivity, NodeIdentity, NodeReport, RolloutReports } from "../decisions/relays/news";
+import type {
+    EndpointActivity,
+    LimitReports,
+    NodeIdentity,
+    NodeReport,
+    RolloutReports,
+} from "../decisions/relays/news";
 import type { PartEvidenceSource } from "./partEvidence";
 
+/** What a node knows of the limits that endpoints name. */
+export interface LimitSource {
+    /** Gives the limits that this node knows, with itself as a sender where it has requests to send. */
+    readLimits(): LimitReports;
+    /** Takes what the whole fleet knows, and which nodes may send. */
+    mergeLimits(reports: LimitReports): void;
+}
+
 /** What a node knows of moves of services to other versions. */
 export interface RolloutSource {
     /** Gives this node's own counts, and the phase that it knows of each move. */
@@ -30,6 +44,8 @@
     readonly evidence: PartEvidenceSource;
     /** What this node knows of moves of services to other versions. */
     readonly rollouts: RolloutSource;
+    /** What this node knows of the limits that endpoints name. */
+    readonly limits: LimitSource;
     /** Called with what the other nodes do at endpoints. */
     readonly handleActivity: (activity: ReadonlyMap<string, EndpointActivity>) => void;
     readonly clock: Clock;
--- a/src/gateway/forwardingOutcome.ts
+++ b/src/gateway/forwardingOutcome.ts
@@ -24,9 +24,11 @@
 }
 
 /** The failure of a request that no endpoint took. */
-export const NO_ENDPOINT_FAILURE = createFailure(FailureKind.NoEndpoint, "No endpoint took the request.", {
-    retryAfterMs: RETRY_AFTER_MS,
-});
+export const NO_ENDPOINT_FAILURE = createNoEndpointFailure(RETRY_AFTER_MS);
+
+function createNoEndpointFailure(retryAfterMs: number): Failure {
+    return createFailure(FailureKind.NoEndpoint, "No endpoint took the request.", { retryAfterMs });
+}
 
 /** Describes the failure of a request that may have been executed, by its last attempt. */
 export function describeFailure(result: AttemptResult): Failure {
@@ -38,15 +40,15 @@
 
 /**
  * Describes the end if no endpoint is left to try: the request was not executed unless an earlier attempt may have
- * been.
+ * been. `waitMs` is the time until an endpoint may take one; infinite if that is unknown.
  */
-export function describeWithoutEndpoint(state: UnansweredState): ForwardingOutcome {
+export function describeWithoutEndpoint(state: UnansweredState, waitMs: number): ForwardingOutcome {
     if (state.relay.hasBegun()) {
         return { isRelayed: false, failure: undefined };
     }
     const failure =
         state.executions === 0
-            ? NO_ENDPOINT_FAILURE
+            ? createNoEndpointFailure(Number.isFinite(waitMs) ? Math.max(RETRY_AFTER_MS, waitMs) : RETRY_AFTER_MS)
             : createFailure(FailureKind.OutcomeUnknown, "No other endpoint is left to try.", {
                   execution: Execution.Unknown,
               });
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationHolder } from "./createConfigurationHolder";
 import type { DemandMeter } from "./createDemandMeter";
 import type { EndpointDirectory } from "./createEndpointDirectory";
+import type { EndpointLimits } from "./createEndpointLimits";
 import type { GatewayMetrics } from "./createGatewayMetrics";
 import type { PartQuarantine } from "./createPartQuarantine";
 import type { Rollouts } from "./rollouts";
@@ -32,4 +33,5 @@
     readonly news: FleetNews;
     readonly quarantine: PartQuarantine;
     readonly rollouts: Rollouts;
+    readonly limits: EndpointLimits;
 }
--- a/src/gateway/newsCodec.ts
+++ b/src/gateway/newsCodec.ts
@@ -12,6 +12,7 @@
     NodeIdentity,
     NodeReport,
 } from "../decisions/relays/news";
+import { decodeLimits, encodeLimits } from "./limitsCodec";
 import { decodeRollouts, encodeRollouts } from "./rolloutsCodec";
 import { decodeSuspects, encodeSuspects } from "./suspectsCodec";
 
@@ -70,15 +71,16 @@
         z.record(z.string(), z.tuple([COUNT, COUNT])),
         z.record(z.string(), z.tuple([COUNT, COUNT])),
     ])
-    // Evidence on prompt parts and on versions, if any. It is decoded leniently: a fault in it must not cost the rest.
+    // Evidence on prompt parts, on versions and on limits, if any. It is decoded leniently: a fault in it must not cost the rest.
     .rest(z.unknown())
-    .transform(([countsForMs, usage, loads, endpoints, suspects, rollouts]): NewsSums => ({
+    .transform(([countsForMs, usage, loads, endpoints, suspects, rollouts, limits]): NewsSums => ({
         countsForMs,
         usage: convertRecord(usage, ([used, recent, asked]) => ({ used, recent, asked })),
         loads: convertRecord(loads, ([tokensPerSecond, inFlight]) => ({ tokensPerSecond, inFlight })),
         endpoints: convertRecord(endpoints, ([inFlight, pendingTokens]) => ({ inFlight, pendingTokens })),
         suspects: decodeSuspects(suspects),
         rollouts: decodeRollouts(rollouts),
+        limits: decodeLimits(limits),
     }));
 const SENDER = z.tuple([z.string(), z.string(), z.string(), z.number().positive()]);
 const COUNTED = z.tuple([z.number(), z.record(z.string(), NUMBERS)]);
@@ -213,15 +215,15 @@
 }
 
 function listSums(sums: NewsSums): z.input<typeof SUMS> {
-    const { countsForMs, usage, loads, endpoints, suspects, rollouts } = sums;
-    const hasRollouts = Object.keys(rollouts).length > 0;
+    const { countsForMs, usage, loads, endpoints, suspects, rollouts, limits } = sums;
+    const evidence = [encodeSuspects(suspects), encodeRollouts(rollouts), encodeLimits(limits)];
+    const isEmpty = [suspects, rollouts, limits].map(record => Object.keys(record).length === 0);
     return [
         Math.round(countsForMs),
         convertRecord(usage, ({ used, recent, asked }): [number, number, number] => [used, recent, asked]),
         convertRecord(loads, ({ tokensPerSecond, inFlight }): [number, number] => [tokensPerSecond, inFlight]),
         convertRecord(endpoints, listActivity),
-        ...(Object.keys(suspects).length === 0 && !hasRollouts ? [] : [encodeSuspects(suspects)]),
-        ...(hasRollouts ? [encodeRollouts(rollouts)] : []),
+        ...evidence.slice(0, isEmpty.lastIndexOf(false) + 1),
     ];
 }
 
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -15,6 +15,7 @@
 import { createConfigurationHolder } from "./createConfigurationHolder";
 import { createDemandMeter } from "./createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "./createEndpointDirectory";
+import { createEndpointLimits } from "./createEndpointLimits";
 import { createFleetNews } from "./createFleetNews";
 import { createForwarder } from "./createForwarder";
 import { createGatewayListener } from "./createGatewayListener";
@@ -107,6 +108,14 @@
         metrics,
         log,
     });
+    const limits = createEndpointLimits({
+        nodeName: settings.nodeName,
+        directory,
+        clusterTime,
+        readFleet: () => news.readUsage(),
+        clock,
+        log,
+    });
     const news = createFleetNews({
         self,
         failureDomains: Object.keys(settings.regions),
@@ -123,6 +132,7 @@
         isNearEndpoint: createNearEndpointCheck(settings, directory),
         evidence: quarantine,
         rollouts,
+        limits,
         handleActivity: directory.recordOthers,
         clock,
         log,
@@ -153,6 +163,7 @@
         news,
         quarantine,
         rollouts,
+        limits,
     };
     dumpOnSignal(components);
     const rowServer = startWatches(components, platform, clusterTime);
