--- a/src/decisions/relays/mergeLimits.ts
+++ b/src/decisions/relays/mergeLimits.ts
@@ -10,8 +10,8 @@
 const SENDERS_MAX = 16;
 
 /**
- * Counts the nodes that may send to an endpoint: each may have one request more than its rate, so that their number adds
- * to what arrives in a short time.
+ * Counts the nodes that may send to an endpoint: each may have saved some requests up, so that their number adds to what
+ * arrives in a short time.
  *
  * @param perSecond - The limit
  * @returns The number, at least 1
--- a/src/gateway/createEndpointLimits.ts
+++ b/src/gateway/createEndpointLimits.ts
@@ -1,8 +1,8 @@
 /**
  * @module The limits that endpoints name: how many requests a second each takes from all nodes together.
  *
- * A limit is shared by few nodes, which all nodes know by the news; each of them has a part of the rate and room for one
- * request, so that what arrives in a short time stays near the limit however many nodes there are. A node that has just
+ * A limit is shared by few nodes, which all nodes know by the news; each of them has a part of the rate and room for two
+ * requests, so that what arrives in a short time stays near the limit however many nodes there are. A node that has just
  * learnt of a limit has sent its room already.
  */
 import type { Clock } from "../base/clock";
@@ -55,7 +55,7 @@
 /** An endpoint that takes nothing is still asked from time to time, or it could never be heard to take more. */
 const PROBES_PER_SECOND = 0.2;
 /** Most requests that a sender may have saved up. */
-const TOKENS_MAX = 1;
+const TOKENS_MAX = 2;
 /** Time for which a node without requests for an endpoint stays a sender. */
 const DEMAND_MS = 2_000;
 /** An ended limit is passed on for this long, so that all nodes learn of it. */
