--- a/src/gateway/applyAttemptOutcome.ts
+++ b/src/gateway/applyAttemptOutcome.ts
@@ -24,6 +24,8 @@
     }
     if (answer.isMisdirected) {
         record.isMisdirected = true;
+    } else if (answer.isLeaving) {
+        record.isLeaving = true;
     }
 }
 
--- a/src/gateway/createEndpointDirectory.ts
+++ b/src/gateway/createEndpointDirectory.ts
@@ -129,7 +129,7 @@
                 .forEach(record => applyMissing(record, isStoreRecovering));
         },
         listAll,
-        listUsable: service => listAll(service).filter(record => !record.endpoint.isDraining && !record.isMisdirected),
+        listUsable: service => listAll(service).filter(isUsable),
         findEndpoint: id => records.get(id),
         readActivity: () =>
             Object.fromEntries(
@@ -164,6 +164,11 @@
     };
 }
 
+/** Tells whether an endpoint may get new requests, by its entry and by its own answers. */
+function isUsable({ endpoint, isMisdirected, isLeaving }: EndpointRecord): boolean {
+    return !endpoint.isDraining && !isMisdirected && !isLeaving;
+}
+
 /** Tells whether two entries describe the same start of an endpoint. */
 function isSameInstance(before: GatewayEndpoint, after: GatewayEndpoint): boolean {
     return (
--- a/src/gateway/endpointRecord.ts
+++ b/src/gateway/endpointRecord.ts
@@ -48,6 +48,8 @@
     missingSinceMs: number | undefined;
     /** True once a different endpoint has answered at this address. */
     isMisdirected: boolean;
+    /** True once the endpoint has said in an answer that it leaves. */
+    isLeaving: boolean;
     /** Requests of this node in progress at the endpoint. */
     ownInFlight: number;
     /** Uncached prompt tokens of this node's requests that have no first part of an answer yet. */
@@ -84,6 +86,7 @@
         coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs,
         missingSinceMs: undefined,
         isMisdirected: false,
+        isLeaving: false,
         ownInFlight: 0,
         pendingTokens: 0,
         others: undefined,
