Leave an endpoint alone for the time that it asks for when it refuses

Cause: Retry-After of an endpoint's 503 wasn't read; a node went on trying it. Change: the node sends nothing to it until then, and tells callers the time if no other endpoint is there.

--- a/src/gateway/applyAttemptOutcome.ts
+++ b/src/gateway/applyAttemptOutcome.ts
@@ -24,9 +24,14 @@
     }
     if (answer.isMisdirected) {
         record.isMisdirected = true;
-    } else if (answer.isLeaving) {
+        return;
+    }
+    if (answer.isLeaving) {
         record.isLeaving = true;
     }
+    if (answer.refusedForMs !== undefined) {
+        record.refusedUntilMs = nowMs + answer.refusedForMs;
+    }
 }
 
 /**
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -121,11 +121,14 @@
         const { records } = components.rollouts.filterEligible(exchange.service, usable, isFirst);
         return records.filter(record => !triedEndpoints.has(record.endpoint.id));
     };
+    /** Computes the time until an endpoint takes a request, by what it has said in its answers. */
+    const computeWaitMs = (record: EndpointRecord, nowMs: number): number =>
+        Math.max(0, record.refusedUntilMs - nowMs, components.limits.computeWaitMs(record));
     /** Lists those of them that take a request now, and gives the least time until one does. */
     const listOpen = (state: ForwardingState, nowMs: number) => {
         const untried = listUntried(state);
         untried.forEach(record => components.limits.recordDemand(record));
-        const waitsMs = new Map(untried.map(record => [record, components.limits.computeWaitMs(record)]));
+        const waitsMs = new Map(untried.map(record => [record, computeWaitMs(record, nowMs)]));
         const open = untried.filter(record => waitsMs.get(record) === 0);
         return {
             open,
--- a/src/gateway/endpointNotices.test.ts
+++ b/src/gateway/endpointNotices.test.ts
@@ -13,6 +13,8 @@
         const id = `Redwinglift-Attempt-Id: ${/Attempt-Id: (\S+)/i.exec(request)?.[1] ?? ""}`;
         socket.write(formatAnswer("hello", { status, headers: [id, ...headers] }));
     };
+const refuseFor = (seconds: string) =>
+    buildScript("503 Service Unavailable", "Redwinglift-Not-Executed: 1", `Retry-After: ${seconds}`);
 const answer = buildScript("200 OK");
 const countRequests = (index: number) => harness.endpoints[index]?.listRequests().length ?? 0;
 const sendMany = async (count: number) => {
@@ -51,3 +53,39 @@
         });
     }
 });
+
+describe("an endpoint that refuses with Retry-After", () => {
+    // Guards against: requests reach an endpoint before the time for which it wanted none from this node (BUDGET).
+    it("gets no request from this node until then, while another one serves them", async () => {
+        await start(refuseFor("30"), answer);
+        assert.ok((await sendMany(30)).every(status => status === 200));
+        assert.equal(countRequests(0), 1);
+    });
+
+    it("alone: callers are told when to come back", async () => {
+        await start(refuseFor("30"));
+        await harness.send();
+        const { status, headers } = await harness.send();
+        assert.equal(status, 503);
+        assert.ok(Number(headers["retry-after"]) > 25);
+        assert.equal(countRequests(0), 1);
+    });
+
+    it("gets requests again after the time", async () => {
+        await start(refuseFor("0.2"));
+        await harness.send();
+        await harness.send();
+        assert.equal(countRequests(0), 1);
+        await new Promise(resolve => setTimeout(resolve, 250));
+        await harness.send();
+        assert.equal(countRequests(0), 2);
+    });
+
+    for (const value of ["-3", "soon", "", "1e9", "99999999999"]) {
+        it(`goes on getting requests if the value is ${JSON.stringify(value)}`, async () => {
+            await start(refuseFor(value));
+            await sendMany(2);
+            assert.ok(countRequests(0) >= 2);
+        });
+    }
+});
--- a/src/gateway/endpointRecord.ts
+++ b/src/gateway/endpointRecord.ts
@@ -50,6 +50,8 @@
     isMisdirected: boolean;
     /** True once the endpoint has said in an answer that it leaves. */
     isLeaving: boolean;
+    /** Monotonic time until which the endpoint wants no requests from this node. */
+    refusedUntilMs: number;
     /** Requests of this node in progress at the endpoint. */
     ownInFlight: number;
     /** Uncached prompt tokens of this node's requests that have no first part of an answer yet. */
@@ -87,6 +89,7 @@
         missingSinceMs: undefined,
         isMisdirected: false,
         isLeaving: false,
+        refusedUntilMs: 0,
         ownInFlight: 0,
         pendingTokens: 0,
         others: undefined,
--- a/src/ports/forwardingCodec.ts
+++ b/src/ports/forwardingCodec.ts
@@ -69,6 +69,8 @@
     /** True if the bytes of the body are not those that the endpoint sent, for example because they were compressed. */
     readonly isBodyAltered: boolean;
     readonly load: ReportedLoad | undefined;
+    /** Time for which an endpoint that refuses the request wants none from this node, in milliseconds. */
+    readonly refusedForMs: number | undefined;
     /** True if the endpoint states that it leaves. */
     readonly isLeaving: boolean;
     /** Requests a second that the endpoint takes from all nodes together; `undefined` if it names no limit. */
