--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -361,7 +361,7 @@
     if (result.end === AttemptOutcome.Relayed) {
         return { isRelayed: true };
     }
-    if (step === NextAction.Relay && result.answer !== undefined) {
+    if (step === NextAction.Relay && result.answer !== undefined && !state.relay.hasBegun()) {
         sendWholeAnswer(state.exchange, result.answer);
         return { isRelayed: true };
     }
