--- a/src/decisions/relays/mergeRollouts.test.ts
+++ b/src/decisions/relays/mergeRollouts.test.ts
@@ -29,6 +29,15 @@
         assert.equal(mergeRollouts([...list].reverse(), sumCells)["chat"]?.phase, RolloutPhase.RolledBack);
     });
 
+    // Guards against: what nodes send of moves grows with the number of nodes.
+    it("are as long for 400 nodes as for one", () => {
+        const many = mergeRollouts(
+            Array.from({ length: 400 }, () => ({ chat: makeReport() })),
+            sumCells,
+        );
+        assert.deepEqual([many["chat"]?.cells.length, readTrials(many["chat"])], [1, 1_200]);
+    });
+
     it("of an earlier order count no more", () => {
         const list = [{ chat: makeReport({ order: 3, phase: RolloutPhase.RolledBack }) }, { chat: makeReport() }];
         for (const reports of [list, [...list].reverse()]) {
