Name other parts of a crash in the news each time, so that a deadly one is heard of

Cause: of more parts of a crash than news may name, the first ones by their texts were kept, the same at each crash; a deadly part with a late text was never named. Change: equal parts are ranked by a hash of the part and its crashes.

--- a/src/decisions/relays/mergeSuspects.ts
+++ b/src/decisions/relays/mergeSuspects.ts
@@ -1,6 +1,7 @@
 /**
  * @module Merges what several nodes know of prompt parts that may crash endpoints.
  */
+import { hashText } from "../../base/hashText";
 import { CRASH_RETENTION_MS, CRASHES_PER_PART_MAX, SUSPECTS_MAX } from "./constants";
 import type { PartEvidence, SuspectParts } from "./news";
 
@@ -123,10 +124,16 @@
         computeSuspicion(right) - computeSuspicion(left) ||
         Math.min(...Object.values(left.crashes)) - Math.min(...Object.values(right.crashes)) ||
         left.earlierClearances - right.earlierClearances ||
+        rankPart(leftPart, left) - rankPart(rightPart, right) ||
         compareTexts(leftPart, rightPart)
     );
 }
 
+/** Ranks equal parts of a crash, another way for each crash: a part of several crashes is kept sooner or later. */
+function rankPart(part: string, { crashes }: PartEvidence): number {
+    return hashText(`${part}|${Object.keys(crashes).sort().join("|")}`);
+}
+
 function computeSuspicion({ crashes, clearances }: PartEvidence): number {
     return Object.keys(crashes).length / (1 + clearances);
 }
