--- a/src/decisions/relays/mergeSuspects.ts
+++ b/src/decisions/relays/mergeSuspects.ts
@@ -124,13 +124,13 @@
         computeSuspicion(right) - computeSuspicion(left) ||
         Math.min(...Object.values(left.crashes)) - Math.min(...Object.values(right.crashes)) ||
         left.earlierClearances - right.earlierClearances ||
-        rankPart(leftPart, left) - rankPart(rightPart, right) ||
+        computeRank(leftPart, left) - computeRank(rightPart, right) ||
         compareTexts(leftPart, rightPart)
     );
 }
 
 /** Ranks equal parts of a crash, another way for each crash: a part of several crashes is kept sooner or later. */
-function rankPart(part: string, { crashes }: PartEvidence): number {
+function computeRank(part: string, { crashes }: PartEvidence): number {
     return hashText(`${part}|${Object.keys(crashes).sort().join("|")}`);
 }
 
