Judge at most 63 routes of a service by themselves

Cause, found by reading: the evidence on versions kept each route that a configuration ever had, in memory and in the news. Change: a bounded number, the rest counts over all routes; routes out of use are forgotten with a new order.

--- a/src/gateway/createRolloutEvidence.ts
+++ b/src/gateway/createRolloutEvidence.ts
@@ -4,6 +4,7 @@
  * Answer times are judged relative to what was expected of them, so that endpoints with different loads and caches can
  * be compared, and counted for their route and for all routes together.
  */
+import { buildCellKey } from "../decisions/versions/buildCellKey";
 import { createEvidenceCell } from "../decisions/versions/createEvidenceCell";
 import { createMoveEvidence } from "../decisions/versions/createMoveEvidence";
 import { ALL_ROUTES } from "../decisions/versions/listMissingEvidence";
@@ -14,6 +15,7 @@
 import {
     type CellCounts,
     LoadLevel,
+    Measure,
     type MoveEvidence,
     type VersionAlarm,
 } from "../decisions/versions/versionEvidence";
@@ -22,6 +24,8 @@
 const OLD_VERSION = "old";
 const NEW_VERSION = "new";
 const PERCENT = 100;
+/** Most routes of a service that are judged by themselves. */
+const ROUTES_MAX = 63;
 /** Key of the fleet's counts among those of other nodes. */
 const FLEET = "fleet";
 
@@ -43,7 +47,7 @@
     /** Lists the counts of this node, and of the fleet as far as they are known. */
     listOwn(): readonly CellCounts[];
     listFleet(): readonly CellCounts[];
-    /** Forgets all counts, for a new order; what is known of usual answer times stays. */
+    /** Forgets all counts, for a new order; what is known of usual answer times on routes in use stays. */
     reset(): void;
 }
 
@@ -56,6 +60,7 @@
  * evidence.recordAttempt({ route: "chat", isNewVersion: true, hasFailed: true, slowness: undefined });
  */
 export function createRolloutEvidence(service: string): RolloutEvidence {
+    const loadLevel = LoadLevel.Low;
     let own = createEvidence(service);
     let pooled = createEvidence(service);
     let fleet: readonly CellCounts[] = [];
@@ -68,11 +73,14 @@
         recordAttempt: ({ route, isNewVersion, hasFailed, slowness }) => {
             const observation = {
                 version: isNewVersion ? NEW_VERSION : OLD_VERSION,
-                loadLevel: LoadLevel.Low,
+                loadLevel,
                 isFailure: hasFailed,
                 firstTokenMs: slowness === undefined ? undefined : slowness * PERCENT,
             };
-            const alarms = [route, ALL_ROUTES].map(name => recordObservation(own, { ...observation, route: name }));
+            const isJudgedAlone = own.cells.size <= ROUTES_MAX || own.cells.has(buildCellKey({ route, loadLevel }));
+            const alarms = (isJudgedAlone ? [ALL_ROUTES, route] : [ALL_ROUTES]).map(name =>
+                recordObservation(own, { ...observation, route: name }),
+            );
             return alarms.find(alarm => alarm !== undefined);
         },
         mergeFleet,
@@ -80,7 +88,8 @@
         listFleet: () => mergeReports(fleet, listOwnCounts(own)),
         reset: () => {
             const fresh = createEvidence(service);
-            for (const [key, { counts, firstTokenTimes }] of own.cells) {
+            const inUse = [...own.cells].filter(([, { counts }]) => counts.old[Measure.Failures].trials > 0);
+            for (const [key, { counts, firstTokenTimes }] of inUse) {
                 fresh.cells.set(key, { ...createEvidenceCell(counts.route, counts.loadLevel), firstTokenTimes });
             }
             own = fresh;
