Roll an unproved version back also while no old endpoint is left

Change: only a version that has proved itself, or that was the service's only one when it was ordered, gets all requests.

--- a/src/decisions/versions/decideRolloutPhase.test.ts
+++ b/src/decisions/versions/decideRolloutPhase.test.ts
@@ -12,7 +12,7 @@
     elapsedMs: 0,
     missing: [],
     hasTargets: true,
-    hasOthers: true,
+    isInUse: false,
 };
 const { Trial, Shifting, RolledBack, Completed } = RolloutPhase;
 
@@ -23,8 +23,8 @@
         ["does not shift an unproved version", { elapsedMs: shiftMs, missing: ["x"] }, Trial],
         ["does not shift without endpoints of the target", { elapsedMs: shiftMs, hasTargets: false }, Trial],
         [
-            "shifts at the end if nothing else is left",
-            { elapsedMs: shiftMs, missing: ["x"], hasOthers: false },
+            "shifts at the end if the target was the only version",
+            { elapsedMs: shiftMs, missing: ["x"], isInUse: true },
             Shifting,
         ],
         ["completes a shifted move", { elapsedMs: endMs, phase: Shifting }, Completed],
@@ -32,8 +32,8 @@
         ["rolls back a move whose endpoints never came", { elapsedMs: endMs, hasTargets: false }, RolledBack],
         ["rolls back a move that was not shifted in time", { elapsedMs: endMs }, RolledBack],
         [
-            "completes if there is nothing to go back to",
-            { elapsedMs: endMs, missing: ["x"], hasOthers: false },
+            "completes if the target was the only version",
+            { elapsedMs: endMs, missing: ["x"], isInUse: true },
             Completed,
         ],
         ["keeps a rollback", { elapsedMs: endMs, phase: RolledBack }, RolledBack],
--- a/src/decisions/versions/decideRolloutPhase.ts
+++ b/src/decisions/versions/decideRolloutPhase.ts
@@ -12,9 +12,10 @@
     readonly elapsedMs: number;
     /** What is missing before the target counts as good. */
     readonly missing: readonly string[];
-    /** True if endpoints of the target, and of other versions, can serve requests. */
+    /** True if endpoints of the target can serve requests. */
     readonly hasTargets: boolean;
-    readonly hasOthers: boolean;
+    /** True if the target was the service's only version when it was ordered: there is nothing to move. */
+    readonly isInUse: boolean;
 }
 
 /** A phase, and why it begins. */
@@ -25,7 +26,8 @@
 }
 
 /**
- * Decides the phase. A move that is undecided at its end is rolled back, unless there is nothing to go back to.
+ * Decides the phase. A move that is undecided at its end is rolled back, also while no endpoint of the old version is
+ * there: those may come back, and a bad version must not get their requests.
  *
  * @param facts - What is known of the move
  * @returns The phase, the present one included
@@ -33,17 +35,17 @@
  * decideRolloutPhase({ phase: RolloutPhase.Trial, elapsedMs: 0, durationMs: 15_000, ... }).phase;
  */
 export function decideRolloutPhase(facts: RolloutFacts): RolloutStep {
-    const { phase, elapsedMs, missing, hasTargets, hasOthers } = facts;
+    const { phase, elapsedMs, missing, hasTargets, isInUse } = facts;
     const { shiftMs, endMs } = planRollout(facts.durationMs);
     if (phase >= RolloutPhase.RolledBack || elapsedMs < shiftMs) {
         return { phase };
     }
-    const canShift = hasTargets && (missing.length === 0 || !hasOthers);
+    const canShift = hasTargets && (missing.length === 0 || isInUse);
     if (elapsedMs < endMs) {
-        const reason = hasOthers ? "No fault was shown." : "No endpoint of another version is left.";
+        const reason = isInUse ? "No other version was in use." : "No fault was shown.";
         return phase === RolloutPhase.Trial && canShift ? { phase: RolloutPhase.Shifting, reason } : { phase };
     }
-    if (phase === RolloutPhase.Shifting || (hasTargets && !hasOthers)) {
+    if (phase === RolloutPhase.Shifting || (hasTargets && isInUse)) {
         return { phase: RolloutPhase.Completed, reason: "No fault was shown by the deadline." };
     }
     const undecided = hasTargets ? missing.join("; ") : "no endpoint of the new version";
--- a/src/gateway/createRolloutDuty.test.ts
+++ b/src/gateway/createRolloutDuty.test.ts
@@ -53,7 +53,7 @@
             },
             directory: {
                 listUsable: () =>
-                    ["v1", "v2"].map(version =>
+                    versions.map(version =>
                         createEndpointRecord(
                             makeEndpoint(version, { version }),
                             { roundTripMs: 0, penaltyMs: 0 },
@@ -67,11 +67,13 @@
             log: createLog({ write: () => undefined }),
         });
     let startedAtMs = 0;
+    let versions: readonly string[] = [];
     beforeEach(() => {
         clock = createManualClock();
         startedAtMs = clock.readMonotonicMs();
-        move = { order: ORDER, phase: RolloutPhase.Trial, knownForMs: 0, missing: [] };
+        move = { order: ORDER, phase: RolloutPhase.Trial, knownForMs: 0, isInUse: false, missing: [] };
         rows = new Map();
+        versions = ["v1", "v2"];
         failure = undefined;
         duty = createDuty();
         duty.beginTerm();
@@ -107,6 +109,17 @@
         assert.equal(readPhase(), RolloutPhase.RolledBack);
     });
 
+    // Guards against: an unproved version gets all requests since the old endpoints are down at the end (EXPOSURE).
+    it("rolls back what is undecided at the end although no endpoint of the old version is left", async () => {
+        move = { ...move, missing: ["x"] };
+        versions = ["v2"];
+        await run(0);
+        await run(shiftMs + 10);
+        assert.equal(move.phase, RolloutPhase.Trial);
+        await run(endMs);
+        assert.equal(readPhase(), RolloutPhase.RolledBack);
+    });
+
     // Guards against: a completion that is only assumed stops nothing, or is stored over a rollback.
     it("completes no move in its own view before the store has it", async () => {
         await run(0);
--- a/src/gateway/createRolloutDuty.ts
+++ b/src/gateway/createRolloutDuty.ts
@@ -85,7 +85,7 @@
                     : Math.max(move.knownForMs, clusterTime.readClusterMs() - record.orderedAtMs),
             missing: move.missing,
             hasTargets: usable.some(({ endpoint }) => endpoint.version === order.target),
-            hasOthers: usable.some(({ endpoint }) => endpoint.version !== order.target),
+            isInUse: move.isInUse,
         });
         if (reason !== undefined && phase !== RolloutPhase.Completed) {
             rollouts.advanceMove(order, phase, reason);
--- a/src/gateway/createRollouts.ts
+++ b/src/gateway/createRollouts.ts
@@ -38,6 +38,8 @@
 interface Move {
     readonly order: RolloutOrder;
     readonly knownSinceMs: number;
+    /** True if the target was the service's only version when it was ordered. */
+    readonly isInUse: boolean;
     phase: RolloutPhase;
     /** True once a view of the fleet has named the order: then it is known whether another node has ended it. */
     isKnownToFleet: boolean;
@@ -136,6 +138,7 @@
             order,
             knownSinceMs: clock.readMonotonicMs(),
             phase: RolloutPhase.Trial,
+            isInUse: isOnlyVersion,
             isKnownToFleet: false,
             requests: 0,
             canaries: 0,
@@ -237,6 +240,7 @@
                       {
                           order: move.order,
                           phase: move.phase,
+                          isInUse: move.isInUse,
                           knownForMs: clock.readMonotonicMs() - move.knownSinceMs,
                           missing: listMissingEvidence(evidence.listFleet()),
                       },
--- a/src/gateway/loadRolloutRecords.test.ts
+++ b/src/gateway/loadRolloutRecords.test.ts
@@ -20,6 +20,7 @@
     order: { service: "chat", target: "v2", durationMs: 15_000, revision: 7 },
     phase: RolloutPhase.Trial,
     knownForMs: 0,
+    isInUse: false,
     missing: [],
 };
 
