Order no endpoints for a service that is being moved to another version

Cause, by the log: at 14.58 s the fleet duty ordered 3 instead of 4 reclaimable endpoints in each failure domain, without those of the new version in its count; the platform counts both, and stopped all reclaimable ones of the old version. With the version on trial held back, nothing served. Change: no orders while a move is on and 10 s after a rollback.

--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/createFleetDuty.ts
@@ -46,7 +46,7 @@
     readonly directory: EndpointDirectory;
     readonly news: FleetNews;
     /** Endpoints with a version that is on trial or was rolled back are no capacity. */
-    readonly rollouts: Pick<Rollouts, "isServing">;
+    readonly rollouts: Pick<Rollouts, "isServing" | "isMoving">;
     readonly speeds: ServiceSpeeds;
     readonly failureDomains: readonly string[];
     /** True if the whole system starts for the first time. */
@@ -201,7 +201,8 @@
             }
             nextPlanMs = nowMs + PLAN_PERIOD_MS;
             for (const service of view.configuration.services) {
-                if (service.fleet !== undefined) {
+                // The platform counts both versions against an order, and may stop endpoints of the old one for it.
+                if (service.fleet !== undefined && !rollouts.isMoving(service.name)) {
                     await planService(service, service.fleet, check);
                 }
             }
--- a/src/gateway/createRollouts.test.ts
+++ b/src/gateway/createRollouts.test.ts
@@ -223,6 +223,17 @@
         assert.deepEqual(Object.keys(sendRequests(600)).sort(), ["v1", "v3"]);
     });
 
+    // Guards against: an order during a move makes the platform stop the endpoints of the old version (LOST).
+    it("are left as they are by the fleet duty until the move has ended and the target's are gone", () => {
+        assert.equal(rollouts.isMoving(SERVICE), false);
+        order();
+        assert.equal(rollouts.isMoving(SERVICE), true);
+        mergeFleet({ [SERVICE]: { order: 7, phase: RolloutPhase.RolledBack, cells: [] } });
+        assert.equal(rollouts.isMoving(SERVICE), true);
+        clock.advanceMs(30_000);
+        assert.equal(rollouts.isMoving(SERVICE), false);
+    });
+
     it("count as capacity only without a trial or rollback", () => {
         order();
         const endpoint = makeEndpoint("i-2", { version: "v2" });
--- a/src/gateway/createRollouts.ts
+++ b/src/gateway/createRollouts.ts
@@ -41,6 +41,8 @@
     /** True if the target was the service's only version when it was ordered. */
     readonly isInUse: boolean;
     phase: RolloutPhase;
+    /** Monotonic time at which the phase began. */
+    advancedAtMs: number;
     /** True once a view of the fleet has named the order: then it is known whether another node has ended it. */
     isKnownToFleet: boolean;
     requests: number;
@@ -57,6 +59,9 @@
     move: Move | undefined;
 }
 
+/** Time after a rollback within which the platform stops the endpoints of the target. */
+const DRAIN_AFTER_ROLLBACK_MS = 10_000;
+
 /** Whether an attempt speaks for or against its version; others have a cause outside of it. */
 const HAS_FAILED: Readonly<Partial<Record<AttemptOutcome, (result: AttemptResult) => boolean>>> = {
     [AttemptOutcome.Relayed]: () => false,
@@ -96,6 +101,7 @@
             return;
         }
         move.phase = phase;
+        move.advancedAtMs = clock.readMonotonicMs();
         const { service, target, revision } = move.order;
         if (phase === RolloutPhase.RolledBack) {
             versions.rejected.add(target);
@@ -138,6 +144,7 @@
             order,
             knownSinceMs: clock.readMonotonicMs(),
             phase: RolloutPhase.Trial,
+            advancedAtMs: clock.readMonotonicMs(),
             isInUse: isOnlyVersion,
             isKnownToFleet: false,
             requests: 0,
@@ -313,6 +320,14 @@
             const isOnTrial = move?.order.target === version && move.phase === RolloutPhase.Trial;
             return !isOnTrial && !rejected.has(version);
         },
+        isMoving: service => {
+            const move = services.get(service)?.move;
+            if (move === undefined || move.phase === RolloutPhase.Completed) {
+                return false;
+            }
+            const isRolledBack = move.phase === RolloutPhase.RolledBack;
+            return !isRolledBack || clock.readMonotonicMs() - move.advancedAtMs < DRAIN_AFTER_ROLLBACK_MS;
+        },
         listMoves,
         advanceMove: (order, phase, reason) => {
             const versions = readVersions(order.service);
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts.ts
@@ -56,6 +56,8 @@
     beginAttempt(record: EndpointRecord, route: string, isFirst: boolean): VersionTrial;
     /** True if an endpoint may serve requests without a bound. */
     isServing(endpoint: GatewayEndpoint): boolean;
+    /** True while a service is being moved, and shortly after a rollback: its fleet must be left as it is. */
+    isMoving(service: string): boolean;
     listMoves(): readonly RolloutMove[];
     /** Lets a move enter a later phase. */
     advanceMove(order: RolloutOrder, phase: RolloutPhase, reason: string): void;
