--- a/src/gateway/createEndpointLimits.ts
+++ b/src/gateway/createEndpointLimits.ts
@@ -105,7 +105,7 @@
         state.filledAtMs = nowMs;
     };
     const findLimit = (record: EndpointRecord): LimitState | undefined => {
-        const state = states.get(buildKey(record));
+        const state = states.size === 0 ? undefined : states.get(buildKey(record));
         return state?.report.perSecond === undefined ? undefined : state;
     };
     const isKnownEndpoint = (key: string) => {
