Send a request to the old version if the trial's endpoint wants none now

Found in the read-through: the endpoints of a trial were picked first, and those that had refused with Retry-After or named a limit were left out afterwards; if all of them were, the request was refused with 503 although endpoints of the old version were there. Change: what an endpoint has said of itself is asked before the version. With it goes a flag that no one read (isTrial) and a state that only the dump showed.

--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -113,27 +113,28 @@
         return allowance;
     };
 
-    /** Lists the endpoints that this request may be sent to by its model, its version and its former attempts. */
-    const listUntried = (state: ForwardingState): readonly EndpointRecord[] => {
-        const { exchange, triedEndpoints } = state;
-        const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
-        const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
-        const { records } = components.rollouts.filterEligible(exchange.service, usable, isFirst);
-        return records.filter(record => !triedEndpoints.has(record.endpoint.id));
-    };
     /** Computes the time until an endpoint takes a request, by what it has said in its answers. */
     const computeWaitMs = (record: EndpointRecord, nowMs: number): number =>
         Math.max(0, record.refusedUntilMs - nowMs, components.limits.computeWaitMs(record));
-    /** Lists those of them that take a request now, and gives the least time until one does. */
+    /** Lists the endpoints that take this request now, and gives the least time until one does. */
     const listOpen = (state: ForwardingState, nowMs: number) => {
-        const untried = listUntried(state);
-        untried.forEach(record => components.limits.recordDemand(record));
+        const { exchange, triedEndpoints } = state;
+        const { rollouts, limits } = components;
+        const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
+        const untried = usable.filter(record => !triedEndpoints.has(record.endpoint.id));
         const waitsMs = new Map(untried.map(record => [record, computeWaitMs(record, nowMs)]));
-        const open = untried.filter(record => waitsMs.get(record) === 0);
+        const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
+        const open = rollouts.filterEligible(
+            exchange.service,
+            untried.filter(record => waitsMs.get(record) === 0),
+            isFirst,
+        );
+        const eligible = rollouts.filterEligible(exchange.service, untried, false);
+        eligible.forEach(record => limits.recordDemand(record));
         return {
             open,
             reachable: open.filter(record => record.suspectUntilMs <= nowMs),
-            leastWaitMs: Math.min(...waitsMs.values()),
+            leastWaitMs: Math.min(...eligible.map(record => waitsMs.get(record) ?? 0)),
         };
     };
 
--- a/src/gateway/createRollouts.test.ts
+++ b/src/gateway/createRollouts.test.ts
@@ -69,13 +69,13 @@
     const mergeFleet = (reports: RolloutReports = {}) =>
         rollouts.mergeReports({ ...rollouts.readReports(), ...reports });
     const listVersions = (isFirst = true) => [
-        ...new Set(rollouts.filterEligible(SERVICE, records, isFirst).records.map(({ endpoint }) => endpoint.version)),
+        ...new Set(rollouts.filterEligible(SERVICE, records, isFirst).map(({ endpoint }) => endpoint.version)),
     ];
     /** Sends requests as the forwarder does; gives how many went to each version. */
     const sendRequests = (count: number, judge: (version: string) => AttemptResult = () => GOOD) => {
         const sent: Record<string, number> = {};
         for (let index = 0; index < count; index++) {
-            const [record] = rollouts.filterEligible(SERVICE, records, true).records;
+            const [record] = rollouts.filterEligible(SERVICE, records, true);
             if (record !== undefined) {
                 const { version } = record.endpoint;
                 sent[version] = (sent[version] ?? 0) + 1;
--- a/src/gateway/createRollouts.ts
+++ b/src/gateway/createRollouts.ts
@@ -19,7 +19,7 @@
 import { createRolloutEvidence, type RolloutEvidence } from "./createRolloutEvidence";
 import type { GatewayMetrics } from "./createGatewayMetrics";
 import type { EndpointRecord } from "./endpointRecord";
-import type { EligibleEndpoints, OrderChange, RolloutMove, Rollouts } from "./rollouts";
+import type { OrderChange, RolloutMove, Rollouts } from "./rollouts";
 import { type AttemptResult, ConnectionEnd } from "./sendAttempt";
 
 /** What the moves depend on. */
@@ -77,13 +77,12 @@
  * @param options - Dependencies
  * @returns The moves
  * @example
- * const { records } = rollouts.filterEligible("assistant", directory.listUsable("assistant"), true);
+ * const records = rollouts.filterEligible("assistant", directory.listUsable("assistant"), true);
  */
 export function createRollouts(options: RolloutsOptions): Rollouts {
     const { clock, metrics, log, bounds } = options;
     const services = new Map<string, ServiceVersions>();
     const crashes = createCrashWatch({ ...options, handleCrash: () => undefined });
-    let hasOrders = false;
 
     const readVersions = (service: string): ServiceVersions => {
         const versions = services.get(service) ?? {
@@ -186,17 +185,17 @@
         move: Move,
         records: readonly EndpointRecord[],
         isFirst: boolean,
-    ): EligibleEndpoints => {
+    ): readonly EndpointRecord[] => {
         const others = records.filter(({ endpoint }) => isOrdinary(versions, endpoint.version));
         if (move.phase === RolloutPhase.RolledBack) {
-            return { records: others, isTrial: false };
+            return others;
         }
         const targets = records.filter(({ endpoint }) => endpoint.version === move.order.target);
         if (move.phase !== RolloutPhase.Trial) {
-            return { records: targets.length > 0 ? targets : others, isTrial: false };
+            return targets.length > 0 ? targets : others;
         }
         if (!isFirst || targets.length === 0 || !hasAllowance(move)) {
-            return { records: others, isTrial: false };
+            return others;
         }
         const nowMs = clock.readMonotonicMs();
         const warm = targets.filter(
@@ -207,7 +206,7 @@
             others.length,
         );
         const canaries = warm.filter(({ endpoint }) => chosen.includes(endpoint.id));
-        return canaries.length > 0 ? { records: canaries, isTrial: true } : { records: others, isTrial: false };
+        return canaries.length > 0 ? canaries : others;
     };
     const recordEnd = async (record: EndpointRecord, route: string, result: AttemptResult, slowness?: number) => {
         const { service, version } = record.endpoint;
@@ -257,7 +256,6 @@
     return {
         name: "rollouts",
         applyOrders: (changes, isWholeTable) => {
-            hasOrders = true;
             changes.forEach(applyChange);
             if (isWholeTable) {
                 const ordered = new Set(changes.map(({ service }) => service));
@@ -289,7 +287,7 @@
             const versions = readVersions(service);
             const { move } = versions;
             return move === undefined
-                ? { records: records.filter(({ endpoint }) => isOrdinary(versions, endpoint.version)), isTrial: false }
+                ? records.filter(({ endpoint }) => isOrdinary(versions, endpoint.version))
                 : filterTrial(versions, move, records, isFirst);
         },
         beginAttempt: (record, route, isFirst) => {
@@ -356,7 +354,6 @@
             ),
         mergeReports: reports => Object.entries(reports).forEach(([service, report]) => mergeReport(service, report)),
         dumpState: () => ({
-            hasOrders,
             moves: listMoves(),
             versions: [...services].map(([service, { established, rejected, seenAtMs }]) => ({
                 service,
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts.ts
@@ -28,13 +28,6 @@
     readonly missing: readonly string[];
 }
 
-/** The endpoints that an attempt may be made at. */
-export interface EligibleEndpoints {
-    readonly records: readonly EndpointRecord[];
-    /** True if they have the version on trial. */
-    readonly isTrial: boolean;
-}
-
 /** An attempt that is followed for the comparison of versions. */
 export interface VersionTrial {
     /** Records the time to the first part of the answer as a multiple of the expected one. */
@@ -51,7 +44,7 @@
     /** Takes endpoints' versions when they are listed; those of the first whole list need no confirmation. */
     recordVersions(endpoints: readonly GatewayEndpoint[], isFirstList: boolean): void;
     /** Lists those of a service's endpoints that an attempt may be made at; only a first attempt may be part of a trial. */
-    filterEligible(service: string, records: readonly EndpointRecord[], isFirst: boolean): EligibleEndpoints;
+    filterEligible(service: string, records: readonly EndpointRecord[], isFirst: boolean): readonly EndpointRecord[];
     /** Follows an attempt from its begin. */
     beginAttempt(record: EndpointRecord, route: string, isFirst: boolean): VersionTrial;
     /** True if an endpoint may serve requests without a bound. */
