--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -23,7 +23,7 @@
     const run = async (request, response, bytes) => {
         running++;
         const attempt = request.headers["redwinglift-attempt-id"];
-        record({ at: performance.now(), runner: id, what: "runs", attempt, bytes });
+        record({ runner: id, what: "runs", attempt, bytes, tenant: request.headers["redwinglift-tenant"] });
         await new Promise(resolve => {
             const timer = setTimeout(resolve, workMs(request));
             response.once("close", () => {
@@ -31,7 +31,7 @@
                 resolve();
             });
         });
-        record({ at: performance.now(), runner: id, what: response.destroyed ? "dropped" : "ran", attempt });
+        record({ runner: id, what: response.destroyed ? "dropped" : "ran", attempt });
         if (!response.destroyed) {
             answer(request, response, 200, { "Redwinglift-Response-Seal": `seal-${attempt}` }, `whole ${attempt}`);
         }
