--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -1,6 +1,6 @@
 // Starts gateways as DEPLOY.md says: the run command of the deploy file, one process a machine, each at a loopback
-// address of its own, with a settings file of the platform's fields. The process starts with the signal handlers of
-// this script: `close` ends every process that was started.
+// address of its own, with a settings file of the platform's fields. Every process that was started ends with the
+// script, whichever way that ends.
 import { spawn } from "node:child_process";
 import fs from "node:fs";
 import http from "node:http";
@@ -56,6 +56,9 @@
 export function createFleet({ storeAddress, cloudAddress, zones = ["z-1"] }) {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
     const processes = new Set();
+    const endProcesses = () => processes.forEach(({ child, end }) => end === undefined && child.kill("SIGKILL"));
+    process.once("exit", endProcesses);
+    ["SIGINT", "SIGTERM", "SIGHUP"].forEach(signal => process.once(signal, () => process.exit(2)));
     const start = (host, { isFirstStart = true, zone = zones[0] } = {}) => {
         const ip = addressOf(host);
         const settings = path.join(folder, `settings-${host}.json`);
@@ -126,7 +129,7 @@
             }
         },
         close: () => {
-            processes.forEach(({ child, end }) => end === undefined && child.kill("SIGKILL"));
+            endProcesses();
             if (process.env.KEEP_LOGS === undefined) {
                 fs.rmSync(folder, { recursive: true, force: true });
             } else {
