--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,10 +1,10 @@
 // Case 3: a runner spoils a stream, and the machine stands still for seconds. See claim.txt.
-import { createClient } from "../standins/client.mjs";
-import { addressOf, createFleet, pause } from "../standins/fleet.mjs";
-import { createRecord } from "../standins/record.mjs";
-import { startRunner } from "../standins/runner.mjs";
-import { startStore } from "../standins/store.mjs";
-import { startStreamRunner } from "../standins/streamRunner.mjs";
+import { createClient } from "./client.mjs";
+import { addressOf, createFleet, pause } from "./fleet.mjs";
+import { BROKEN, createRecord } from "./record.mjs";
+import { startRunner } from "./runner.mjs";
+import { startStore } from "./store.mjs";
+import { startStreamRunner } from "./streamRunner.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const LENGTH_MS = 25_000;
@@ -164,8 +164,8 @@
         `posts: ${posts.length}; longer than timeoutMs: ${longer.length}; no answer 0.5 s after it: ${late.length}`,
     );
     const isBroken = late.length >= 8 && late.length > longer.length / 4;
-    exitCode = isBroken ? 1 : posts.length > 0 ? 0 : 2;
-    record.add(exitCode === 1 ? "CONFIG is broken" : exitCode === 0 ? "the rule held" : "the case could not run");
+    exitCode = isBroken ? BROKEN : posts.length > 0 ? 0 : 2;
+    record.add(exitCode === BROKEN ? "CONFIG is broken" : exitCode === 0 ? "the rule held" : "the case could not run");
 } catch (error) {
     record.add(`the case could not run: ${error.stack}`);
 } finally {
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,9 +1,9 @@
 // Case 4: a new version of the configuration takes the last tenant away. See claim.txt.
-import { createClient } from "../standins/client.mjs";
-import { addressOf, BOUNDS, createFleet, pause } from "../standins/fleet.mjs";
-import { createRecord } from "../standins/record.mjs";
-import { startRunner } from "../standins/runner.mjs";
-import { startStore } from "../standins/store.mjs";
+import { createClient } from "./client.mjs";
+import { addressOf, BOUNDS, createFleet, pause } from "./fleet.mjs";
+import { BROKEN, createRecord } from "./record.mjs";
+import { startRunner } from "./runner.mjs";
+import { startStore } from "./store.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const LENGTH_MS = 20_000;
@@ -120,8 +120,10 @@
     record.add(`served: ${served}; answered 401: ${unauthorized}`);
     record.add(`run over revokeMs after their key was taken away: ${broken.length - byNobody}`);
     record.add(`run with a key that no configuration ever held: ${byNobody}`);
-    exitCode = broken.length > 0 ? 1 : served > 0 && unauthorized > 0 ? 0 : 2;
-    record.add(exitCode === 1 ? "CONFIG and ROUTE are broken" : exitCode === 0 ? "the rules held" : "could not run");
+    exitCode = broken.length > 0 ? BROKEN : served > 0 && unauthorized > 0 ? 0 : 2;
+    record.add(
+        exitCode === BROKEN ? "CONFIG and ROUTE are broken" : exitCode === 0 ? "the rules held" : "could not run",
+    );
 } catch (error) {
     record.add(`the case could not run: ${error.stack}`);
 } finally {
