Show for how long the event loop of a gateway stands still

A process whose event loop is held by one piece of work looks like a slow link from outside: timeouts, confirmations of keys and health answers are all late, and neither a metric nor a log line of the gateway told the two apart.

The delay is sampled by the runtime; a standstill over 500 ms is logged, and the longest one since the last reading is a metric.

--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -4,6 +4,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { RolloutPhase } from "../model/gateway";
 import type { CallerCounts } from "./createGatewayListener";
+import type { LoopDelays } from "./createLoopMonitor";
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
 
@@ -40,6 +41,8 @@
     setNewsState(state: NewsState): void;
     /** Sets the numbers of the callers' connections and requests. */
     setCallers(counts: CallerCounts): void;
+    /** Sets the delays of the event loop. */
+    setLoopDelays(delays: LoopDelays): void;
     /** Formats all metrics in the Prometheus text format. */
     formatMetrics(): Promise<string>;
 }
@@ -145,6 +148,11 @@
         labelNames: ["end"],
         registers,
     });
+    const loopDelay = new Gauge({
+        name: "redwinglift_loop_delay_milliseconds",
+        help: "Longest standstill of the event loop since the last reading.",
+        registers,
+    });
     return {
         countRequest: (service, outcome) => requests.inc({ service, outcome }),
         countAttempt: (service, end) => attempts.inc({ service, end }),
@@ -173,6 +181,7 @@
             Object.entries(phases).forEach(([phase, count]) => openRequests.set({ phase }, count));
             Object.entries(ends).forEach(([end, count]) => endedRequests.set({ end }, count));
         },
+        setLoopDelays: ({ longestMs }) => loopDelay.set(longestMs),
         formatMetrics: () => registry.metrics(),
     };
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -20,6 +20,7 @@
 import { createForwarder } from "./createForwarder";
 import { createGatewayListener } from "./createGatewayListener";
 import { createGatewayMetrics } from "./createGatewayMetrics";
+import { createLoopMonitor } from "./createLoopMonitor";
 import { createPartQuarantine } from "./createPartQuarantine";
 import { createMembership } from "./createMembership";
 import { createMetricsListener } from "./createMetricsListener";
@@ -166,6 +167,7 @@
         limits,
     };
     dumpOnSignal(components);
+    const loopMonitor = createLoopMonitor(log);
     const rowServer = startWatches(components, platform, clusterTime);
     void resolveClusterTime(platform.tables, clusterTime, clock.waitMs, log);
     const duties = startDuties({
@@ -189,6 +191,7 @@
             const { nodes, reachable } = news.readUsage();
             metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
             metrics.setCallers(listener.countCallers());
+            metrics.setLoopDelays(loopMonitor.takeDelays());
             return metrics.formatMetrics();
         },
         quarantine,
