Split streams into events in time linear in their bytes

Cause: createEventSplitter's work is the square of the size of an event that doesn't end. The bytes after the last event now stand in an accumulator that doubles its storage, and only new bytes are searched. Its cost is at most two copies and one look for each byte.

--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/createEventSplitter.ts
@@ -1,6 +1,7 @@
 /**
  * @module Splits a stream of server-sent events into whole events.
  */
+import { createByteAccumulator } from "../base/createByteAccumulator";
 
 const LF = 0x0a;
 const CR = 0x0d;
@@ -37,30 +38,27 @@
  * const batch = splitter.push(chunk);
  */
 export function createEventSplitter(): EventSplitter {
-    let buffered: Buffer = Buffer.alloc(0);
+    const rest = createByteAccumulator();
     return {
         push: chunk => {
-            buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-            const end = findEventsEnd(buffered);
-            if (end === 0) {
-                return undefined;
+            const searchedBytes = rest.countBytes();
+            if (searchedBytes === 0) {
+                const end = findEventsEnd(chunk, 0);
+                rest.append(chunk.subarray(end));
+                return end === 0 ? undefined : describeEvents(chunk.subarray(0, end));
             }
-            const bytes = buffered.subarray(0, end);
-            buffered = buffered.subarray(end);
-            return describeEvents(bytes);
-        },
-        isOverfull: () => buffered.length > EVENT_BYTES_MAX,
-        takeRemainder: () => {
-            const remainder = buffered;
-            buffered = Buffer.alloc(0);
-            return remainder;
+            rest.append(chunk);
+            const end = findEventsEnd(rest.readBytes(), searchedBytes);
+            return end === 0 ? undefined : describeEvents(rest.takeBytes(end));
         },
+        isOverfull: () => rest.countBytes() > EVENT_BYTES_MAX,
+        takeRemainder: () => rest.takeBytes(),
     };
 }
 
-/** Finds the end of the last empty line, which ends an event; 0 if there is none. */
-function findEventsEnd(bytes: Buffer): number {
-    for (let index = bytes.length - 1; index > 0; index--) {
+/** Finds the end of the last empty line, which ends an event, at or after an index; 0 if there is none. */
+function findEventsEnd(bytes: Buffer, from: number): number {
+    for (let index = bytes.length - 1; index >= Math.max(1, from); index--) {
         if (bytes[index] !== LF) {
             continue;
         }
