Take an empty line for one also where the events before it are gone

Found by a property test: a stream whose last event ends with one empty line more than needed counted as cut off if the two lines arrived apart. Callers would get a broken stream, or the request would be sent again.

Cause: an empty line was known by the line end before it, and that is taken away with the whole events. At the start of what is left a line end is an empty line.

Evidence: 'gives the same events whatever the size of the pieces' failed before (counterexample: id: 7, CRLF, LF, byte by byte) and passes now.

--- a/src/gateway/createEventSplitter.test.ts
+++ b/src/gateway/createEventSplitter.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import fc from "fast-check";
 import { measureWork } from "../base/_testing/measureWork";
 import { createEventSplitter } from "./createEventSplitter";
 
@@ -29,6 +30,31 @@
         });
     }
 
+    // Guards against a whole stream that counts as cut off since one of its empty lines arrived alone.
+    it("gives the same events whatever the size of the pieces", () => {
+        const lines = fc.constantFrom("id: 7\n", "data: a b\n", "data\r\n", ": comment\n", "\n", "\r\n", "x");
+        fc.assert(
+            fc.property(fc.array(lines, { maxLength: 40 }), fc.integer({ min: 1, max: 30 }), (texts, pieceBytes) => {
+                const bytes = Buffer.from(texts.join(""));
+                const splitter = createEventSplitter();
+                const batches = listPieces(bytes, pieceBytes).flatMap(piece => splitter.push(piece) ?? []);
+                const whole = createEventSplitter();
+                const atOnce = whole.push(bytes);
+                assert.equal(
+                    Buffer.concat(batches.map(batch => batch.bytes)).toString(),
+                    (atOnce?.bytes ?? Buffer.alloc(0)).toString(),
+                );
+                assert.equal(splitter.takeRemainder().toString(), whole.takeRemainder().toString());
+                const ids = batches.flatMap(batch => batch.lastEventId ?? []);
+                assert.equal(ids.at(-1), atOnce?.lastEventId);
+                assert.equal(
+                    batches.some(batch => batch.hasEvent),
+                    atOnce?.hasEvent ?? false,
+                );
+            }),
+        );
+    });
+
     it("keeps the bytes of a batch unchanged while more are received", () => {
         const splitter = createEventSplitter();
         assert.equal(splitter.push(Buffer.from("data: 1")), undefined);
--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/createEventSplitter.ts
@@ -58,18 +58,18 @@
 
 /** Finds the end of the last empty line, which ends an event, at or after an index; 0 if there is none. */
 function findEventsEnd(bytes: Buffer, from: number): number {
-    for (let index = bytes.length - 1; index >= Math.max(1, from); index--) {
-        if (bytes[index] !== LF) {
-            continue;
-        }
-        const before = bytes[index - 1] === CR ? index - 2 : index - 1;
-        if (bytes[before] === LF) {
+    for (let index = bytes.length - 1; index >= from; index--) {
+        if (bytes[index] === LF && isLineStart(bytes, bytes[index - 1] === CR ? index - 1 : index)) {
             return index + 1;
         }
     }
     return 0;
 }
 
+function isLineStart(bytes: Buffer, index: number): boolean {
+    return index === 0 || bytes[index - 1] === LF;
+}
+
 /** Finds the event ids in a batch. */
 function describeEvents(bytes: Buffer): EventBatch {
     const text = bytes.toString("latin1");
