Let nobody in where the list of accounts is empty, and keep the last good configuration

Cause: a missing list of accounts, an empty one, an unreadable one and one of skipped entries were all the empty list, and admitHead took that for a deployment without keys. A missing list is now undefined and alone means that no key is needed; an unreadable list makes the configuration unreadable, and the last good one stays in force, with a log line and a metric.

--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -192,6 +192,7 @@
         services: [{ name: "chat", connectionsMax: 100, engine: undefined, fleet: undefined }],
         accounts: [ACCOUNT],
         limits: { headerBytesMax: 16_384, bodyBytesMax: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 4_000 },
+        skippedEntries: 0,
     };
     const apply = (changes: Partial<GatewayConfiguration>) => {
         current = { ...current, version: current.version + 1, ...changes };
--- a/src/gateway/createConfigurationHolder.ts
+++ b/src/gateway/createConfigurationHolder.ts
@@ -52,12 +52,15 @@
             confirmedAgeMs: computeAgeMs(),
             routes: current?.configuration.routes,
             services: current?.configuration.services,
-            accounts: current?.configuration.accounts.map(({ name, quotaPerSecond }) => ({ name, quotaPerSecond })),
+            accounts: current?.configuration.accounts?.map(({ name, quotaPerSecond }) => ({ name, quotaPerSecond })),
         }),
         readCurrent: () => current,
         applyConfiguration: configuration => {
             const before = current?.configuration.version;
             if (before !== undefined && configuration.version <= before) {
+                if (configuration.version < before) {
+                    log.warn("older configuration ignored", { version: configuration.version, keptVersion: before });
+                }
                 return;
             }
             current = buildView(configuration);
@@ -65,7 +68,8 @@
                 version: configuration.version,
                 before,
                 routes: configuration.routes.length,
-                accounts: configuration.accounts.length,
+                accounts: configuration.accounts?.length,
+                skippedEntries: configuration.skippedEntries,
             });
             const view = current;
             watchers.forEach(handle => handle(view));
@@ -90,7 +94,7 @@
         configuration,
         routes: buildRouteTable(configuration.routes),
         accountsByKey: new Map(
-            configuration.accounts.flatMap(account => account.keys.map(key => [key, account] as const)),
+            (configuration.accounts ?? []).flatMap(account => account.keys.map(key => [key, account] as const)),
         ),
         services: new Map(configuration.services.map(service => [service.name, service])),
     };
--- a/src/gateway/createFleetDuty.test.ts
+++ b/src/gateway/createFleetDuty.test.ts
@@ -27,7 +27,7 @@
     const configuration = createConfigurationHolder(clock, log);
     const limits = { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
     const services = [{ name: "chat", connectionsMax: 9, engine: { slots: 4 }, fleet: FLEET }];
-    configuration.applyConfiguration({ version: 1, routes: [], services, accounts: [], limits });
+    configuration.applyConfiguration({ version: 1, routes: [], services, accounts: [], limits, skippedEntries: 0 });
     const directory = createEndpointDirectory(makeSettings(), clock, log);
     const entries = ["i-1", "i-2", "i-3", "i-4"].map(id => ({ id, endpoint: makeEndpoint(id) }));
     directory.replaceAll(entries, false);
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -120,7 +120,7 @@
         if (route === undefined) {
             return createFailure(FailureKind.NotFound, "No route matches the host and path.");
         }
-        if (route.isAnonymous || view.configuration.accounts.length === 0) {
+        if (route.isAnonymous || view.configuration.accounts === undefined) {
             return { route, account: undefined, view };
         }
         const stale = checkConfirmation();
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -35,6 +35,8 @@
     /** Records the time that the gateway spends on a request before it is first sent to an endpoint. */
     recordOverhead(milliseconds: number): void;
     setConfigurationVersion(version: number): void;
+    /** Counts a version of the configuration that can't be read, or its removal; the version in force stays. */
+    countUnreadableConfiguration(): void;
     /** Counts a call to the platform's store. */
     countStoreCall(call: string, outcome: string): void;
     /** Sets where the news of this node stands: whether it is a relay, and the age of its view of the fleet. */
@@ -117,6 +119,11 @@
         help: "Version of the configuration in force.",
         registers,
     });
+    const unreadableConfigurations = new Counter({
+        name: "redwinglift_configuration_unreadable_total",
+        help: "Versions of the configuration that could not be read, and its removals.",
+        registers,
+    });
     const storeCalls = new Counter({
         name: "redwinglift_store_calls_total",
         help: "Calls to the platform's store by kind and outcome.",
@@ -168,6 +175,7 @@
         recordFirstPart: (service, milliseconds) => firstPart.observe({ service }, milliseconds),
         recordOverhead: milliseconds => overhead.observe(milliseconds),
         setConfigurationVersion: value => version.set(value),
+        countUnreadableConfiguration: () => unreadableConfigurations.inc(),
         countStoreCall: (call, outcome) => storeCalls.inc({ call, outcome }),
         setNewsState: state => {
             relay.set(state.isRelay ? 1 : 0);
--- a/src/gateway/gateway.test.ts
+++ b/src/gateway/gateway.test.ts
@@ -60,6 +60,22 @@
         assert.equal(countRequests(), 0);
     });
 
+    // Guards against: the configuration that takes the last account away opens the node to every key (CONFIG, ROUTE).
+    it("is refused with 401 once the last account is gone, whatever its key", async () => {
+        const { send, apply } = await start(makeRoute(), answerSuccess);
+        apply({ accounts: [] });
+        assert.equal((await send()).status, 401);
+        assert.equal((await send({ headers: { authorization: "Bearer other" } })).status, 401);
+        assert.equal((await send({ headers: { authorization: "" } })).status, 401);
+        assert.equal(countRequests(), 0);
+    });
+
+    it("is served without a key in a deployment that has no accounts", async () => {
+        const { send, apply } = await start(makeRoute(), answerSuccess);
+        apply({ accounts: undefined });
+        assert.equal((await send({ headers: { authorization: "" } })).status, 200);
+    });
+
     it("is refused with 503 and not forwarded while the keys in force can't be confirmed", async () => {
         harness = await createGatewayHarness(makeRoute(), [answerSuccess], { confirmedAgoMs: 4_900 });
         const answer = await harness.send();
--- a/src/gateway/gatewayPlatform.ts
+++ b/src/gateway/gatewayPlatform.ts
@@ -22,7 +22,8 @@
     readonly codec: ForwardingCodec;
     readonly configurationTable: string;
     readonly endpointTable: string;
-    readonly decodeConfigurationRow: (row: WatchedRow) => GatewayConfiguration | undefined;
+    /** Gives the configuration, or why it can't be read; `undefined` for any other row. */
+    readonly decodeConfigurationRow: (row: WatchedRow) => Result<GatewayConfiguration, Failure> | undefined;
     /** Gives the order for a service, or its removal; `undefined` for any other row, and for a malformed one. */
     readonly decodeRolloutRow: (row: WatchedRow) => OrderChange | undefined;
     readonly decodeEndpointRow: (row: WatchedRow) => GatewayEndpoint | undefined;
--- a/src/gateway/startWatches.ts
+++ b/src/gateway/startWatches.ts
@@ -2,6 +2,9 @@
  * @module Watches the configuration and the endpoints, and passes their rows on to other nodes.
  */
 import type http from "node:http";
+import type { Result } from "neverthrow";
+import type { Failure } from "../base/failure";
+import type { GatewayConfiguration } from "../model/gateway";
 import type { ClusterTime } from "./createClusterTime";
 import { createRelayedTables } from "./createRelayedTables";
 import { createRowServer } from "./createRowServer";
@@ -30,13 +33,24 @@
     platform: GatewayPlatform,
     clusterTime: ClusterTime,
 ): http.Server {
-    const { configuration, directory, rollouts, news, clock, random, log } = components;
+    const { configuration, directory, rollouts, news, clock, random, log, metrics } = components;
     const { configurationTable, endpointTable } = platform;
     const port = createRelayedTables({ store: platform.tables, news, clock, random, log });
     const snapshots = {
         [configurationTable]: createTableSnapshot(clock),
         [endpointTable]: createTableSnapshot(clock),
     };
+    const handleConfiguration = (decoded: Result<GatewayConfiguration, Failure>) => {
+        if (decoded.isOk()) {
+            configuration.applyConfiguration(decoded.value);
+            return;
+        }
+        metrics.countUnreadableConfiguration();
+        log.error("configuration unreadable", {
+            reason: decoded.error.message,
+            keptVersion: configuration.readCurrent()?.configuration.version,
+        });
+    };
     let hasReadOrders = false;
     startTableWatch({
         table: configurationTable,
@@ -46,7 +60,7 @@
         log,
         waitMs: CONFIGURATION_WAIT_MS,
         handleRows: (rows, isWholeTable) => {
-            rows.flatMap(row => platform.decodeConfigurationRow(row) ?? []).forEach(configuration.applyConfiguration);
+            rows.flatMap(row => platform.decodeConfigurationRow(row) ?? []).forEach(handleConfiguration);
             rollouts.applyOrders(
                 rows.flatMap(row => platform.decodeRolloutRow(row) ?? []),
                 isWholeTable,
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -106,8 +106,11 @@
     readonly version: number;
     readonly routes: readonly GatewayRoute[];
     readonly services: readonly GatewayService[];
-    readonly accounts: readonly GatewayAccount[];
+    /** `undefined` if requests need no key; where the list is empty, no key is valid. */
+    readonly accounts: readonly GatewayAccount[] | undefined;
     readonly limits: CallerLimits;
+    /** Number of routes, services and accounts that could not be read. */
+    readonly skippedEntries: number;
 }
 
 /** An endpoint as the platform lists it. */
