Keep bodies by their bytes, whatever the size of their pieces

Cause: readBody, two functions named readWholeAnswer and the operators' client kept one Buffer object a piece, about a hundred bytes of heap for each byte of body, and their limits count payload only. All of them now copy into one accumulator, whose storage doubles; an answer that states a greater length than the limit isn't read at all. Node's event parser of the product's own path was run with 40,000 pieces of 16 bytes: 15 ms, linear.

--- a/src/adapters/_lib/readWholeAnswer.ts
+++ b/src/adapters/_lib/readWholeAnswer.ts
@@ -2,7 +2,8 @@
  * @module Answers that are read whole.
  */
 import type http from "node:http";
-import { LARGEST_ANSWER_BYTES } from "../constants";
+import { createByteAccumulator } from "../../base/createByteAccumulator";
+import { readContentLength } from "../../http/readContentLength";
 import { createCompletionCheck } from "./createCompletionCheck";
 
 /** What reading an answer can come to. */
@@ -15,23 +16,25 @@
 }
 
 /**
- * Reads an answer to its end.
+ * Reads an answer to its end. One that is too large isn't read on, and not at all if it says so itself.
  *
  * @param response - The answer
+ * @param bytesMax - Largest size, in bytes
  * @param handlers - What is called on the way
  * @example
- * readWholeAnswer(response, { handlePart, handleWhole, handleTooLarge, handleError });
+ * readWholeAnswer(response, LARGEST_ANSWER_BYTES, { handlePart, handleWhole, handleTooLarge, handleError });
  */
-export function readWholeAnswer(response: http.IncomingMessage, handlers: AnswerHandlers): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    response.on("data", (chunk: Buffer) => {
+export function readWholeAnswer(response: http.IncomingMessage, bytesMax: number, handlers: AnswerHandlers): void {
+    const bytesExpected = readContentLength(response.headers);
+    if (bytesExpected !== undefined && bytesExpected > bytesMax) {
+        handlers.handleTooLarge();
+        return;
+    }
+    const body = createByteAccumulator({ bytesMax, bytesExpected });
+    response.on("data", (piece: Buffer) => {
         handlers.handlePart();
-        bytes += chunk.length;
-        if (bytes > LARGEST_ANSWER_BYTES) {
+        if (!body.append(piece)) {
             handlers.handleTooLarge();
-        } else {
-            chunks.push(chunk);
         }
     });
     response.on("error", handlers.handleError);
@@ -39,7 +42,7 @@
     response.on("end", () => {
         void isComplete().then(complete =>
             complete
-                ? handlers.handleWhole(Buffer.concat(chunks))
+                ? handlers.handleWhole(body.takeBytes())
                 : handlers.handleError(new Error("The answer was cut off.")),
         );
     });
--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -4,7 +4,13 @@
 import http from "node:http";
 import https from "node:https";
 import { ulid } from "ulid";
-import { CONNECT_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS, SILENCE_TIMEOUT_MS, WHOLE_ANSWER_TIMEOUT_MS } from "../constants";
+import {
+    CONNECT_TIMEOUT_MS,
+    FIRST_BYTE_TIMEOUT_MS,
+    LARGEST_ANSWER_BYTES,
+    SILENCE_TIMEOUT_MS,
+    WHOLE_ANSWER_TIMEOUT_MS,
+} from "../constants";
 import type { ConnectionPool } from "./createConnectionPool";
 import { createWaitBound } from "./createWaitBound";
 import { describeError } from "./describeError";
@@ -121,7 +127,7 @@
             }
             beginSilence();
             wholeBound.beginWait(call.timeouts?.wholeMs ?? WHOLE_ANSWER_TIMEOUT_MS, "end of the answer");
-            readWholeAnswer(response, {
+            readWholeAnswer(response, LARGEST_ANSWER_BYTES, {
                 handlePart: beginSilence,
                 handleTooLarge: () => endCall(LossReason.Unusable, "The answer is too large."),
                 handleError: failBroken,
--- a/src/base/createByteAccumulator.ts
+++ b/src/base/createByteAccumulator.ts
@@ -18,7 +18,7 @@
  * the pieces.
  */
 export interface ByteAccumulator {
-    /** Adds a copy of a piece; gives false, and holds nothing any more, if that is more than may be held. */
+    /** Adds a copy of a piece. If that is more than may be held, gives false now and later, and holds nothing. */
     append(piece: Buffer): boolean;
     countBytes(): number;
     /** Gives the bytes held; they may change with the next call. */
@@ -39,6 +39,7 @@
     const { bytesMax = Number.POSITIVE_INFINITY, bytesExpected = 0 } = options;
     let storage = Buffer.alloc(0);
     let length = 0;
+    let isOverfull = false;
     const reserve = (needed: number) => {
         const grown = Math.max(needed, bytesExpected, storage.length * GROWTH_FACTOR, CAPACITY_MIN_BYTES);
         const larger = Buffer.allocUnsafeSlow(Math.min(grown, bytesMax));
@@ -47,7 +48,8 @@
     };
     const append = (piece: Buffer): boolean => {
         const needed = length + piece.length;
-        if (needed > bytesMax) {
+        if (isOverfull || needed > bytesMax) {
+            isOverfull = true;
             storage = Buffer.alloc(0);
             length = 0;
             return false;
--- a/src/cli/createOperatorClient.ts
+++ b/src/cli/createOperatorClient.ts
@@ -4,6 +4,7 @@
 import http from "node:http";
 import https from "node:https";
 import { err, ok, type Result } from "neverthrow";
+import { createByteAccumulator } from "../base/createByteAccumulator";
 import { createFailure } from "../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import { OPERATOR_PATH_PREFIX } from "../operator/constants";
@@ -98,20 +99,16 @@
 }
 
 function collectBody(response: http.IncomingMessage, done: (body: Buffer | undefined) => void): void {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    response.on("data", (chunk: Buffer) => {
-        length += chunk.length;
-        if (length > LARGEST_ANSWER_BYTES) {
+    const body = createByteAccumulator({ bytesMax: LARGEST_ANSWER_BYTES });
+    let isTooLarge = false;
+    response.on("data", (piece: Buffer) => {
+        if (!body.append(piece)) {
+            isTooLarge = true;
             response.destroy();
-        } else {
-            chunks.push(chunk);
         }
     });
     response.on("error", () => undefined);
-    response.on("close", () =>
-        done(response.complete && length <= LARGEST_ANSWER_BYTES ? Buffer.concat(chunks) : undefined),
-    );
+    response.on("close", () => done(response.complete && !isTooLarge ? body.takeBytes() : undefined));
 }
 
 function readAnswer<T>(answer: Result<Answer, Failure>): Result<T, Failure> {
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -6,6 +6,7 @@
 import { createWaitBound } from "../adapters/_lib/createWaitBound";
 import { describeError } from "../adapters/_lib/describeError";
 import { HttpStatus } from "../adapters/_lib/httpStatus";
+import { readWholeAnswer } from "../adapters/_lib/readWholeAnswer";
 import { trackSentBytes } from "../adapters/_lib/trackSentBytes";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
 import type { ResponseHead, ForwardingCodec } from "../ports/forwardingCodec";
@@ -205,7 +206,6 @@
         response.resume();
         return;
     }
-    const isComplete = createCompletionCheck(response);
     const relayed = { status, headers: options.codec.buildCallerHeaders(response.rawHeaders) };
     if (!isUsable(status, head)) {
         settle(buildLossResult(options, `unusable answer, status ${status}`));
@@ -213,9 +213,9 @@
     }
     const isStream = status < HttpStatus.FirstRedirect && EVENT_STREAM.test(response.headers["content-type"] ?? "");
     if (isStream) {
-        streamAnswer(options, response, relayed, isComplete, settle, beginWait);
+        streamAnswer(options, response, relayed, settle, beginWait);
     } else {
-        readWholeAnswer(options, response, relayed, isComplete, settle);
+        receiveWholeAnswer(options, response, relayed, settle);
     }
 }
 
@@ -231,10 +231,10 @@
     options: AttemptOptions,
     response: http.IncomingMessage,
     head: RelayedHead,
-    isComplete: () => Promise<boolean>,
     settle: Settle,
     beginWait: BeginWait,
 ): void {
+    const isComplete = createCompletionCheck(response);
     const splitter = createEventSplitter();
     let hasFirstEvent = false;
     const beginEventWait = () =>
@@ -282,33 +282,20 @@
     });
 }
 
-function readWholeAnswer(
+function receiveWholeAnswer(
     options: AttemptOptions,
     response: http.IncomingMessage,
     head: RelayedHead,
-    isComplete: () => Promise<boolean>,
     settle: Settle,
 ): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    response.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > WHOLE_ANSWER_BYTES_MAX) {
-            settle(buildLossResult(options, "the answer is too large"));
-            return;
-        }
-        chunks.push(chunk);
-    });
-    response.on("end", () => {
-        void isComplete().then(complete => {
-            if (!complete) {
-                settle(buildLossResult(options, "the answer was cut off", ConnectionEnd.Broken));
-                return;
-            }
+    readWholeAnswer(response, WHOLE_ANSWER_BYTES_MAX, {
+        handlePart: () => undefined,
+        handleTooLarge: () => settle(buildLossResult(options, "the answer is too large")),
+        handleError: error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)),
+        handleWhole: body => {
             options.handleFirstPart();
-            const answer = { ...head, body: Buffer.concat(chunks) };
-            settle({ end: AttemptOutcome.Answered, answer, reason: `status ${head.status}` }, true);
-        });
+            settle({ end: AttemptOutcome.Answered, answer: { ...head, body }, reason: `status ${head.status}` }, true);
+        },
     });
 }
 
--- a/src/http/readBody.ts
+++ b/src/http/readBody.ts
@@ -4,7 +4,9 @@
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { createFailure } from "../base/createFailure";
+import { createByteAccumulator } from "../base/createByteAccumulator";
 import { type Failure, FailureKind } from "../base/failure";
+import { readContentLength } from "./readContentLength";
 
 /** Limits of a request body. */
 export interface BodyLimits {
@@ -29,13 +31,13 @@
 export function readBody(request: IncomingMessage, limits: BodyLimits): Promise<Result<Buffer, Failure>> {
     return new Promise(resolve => {
         const tooLarge = createFailure(FailureKind.BodyTooLarge, `The request body exceeds ${limits.bodyBytes} bytes.`);
-        if (Number(request.headers["content-length"] ?? 0) > limits.bodyBytes) {
+        const bytesExpected = readContentLength(request.headers);
+        if (bytesExpected !== undefined && bytesExpected > limits.bodyBytes) {
             request.resume();
             resolve(err(tooLarge));
             return;
         }
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const body = createByteAccumulator({ bytesMax: limits.bodyBytes, bytesExpected });
         const handleStop = () =>
             resolve(err(createFailure(FailureKind.ShuttingDown, "The node stopped before the request was complete.")));
         limits.stopped?.addEventListener("abort", handleStop, { once: true });
@@ -46,17 +48,13 @@
                 ),
             limits.idleMs,
         );
-        request.on("data", (chunk: Buffer) => {
-            length += chunk.length;
+        request.on("data", (piece: Buffer) => {
             idleTimer.refresh();
-            if (length > limits.bodyBytes) {
-                chunks.length = 0;
+            if (!body.append(piece)) {
                 resolve(err(tooLarge));
-            } else {
-                chunks.push(chunk);
             }
         });
-        request.on("end", () => resolve(ok(Buffer.concat(chunks))));
+        request.on("end", () => resolve(ok(body.takeBytes())));
         request.on("close", () => {
             clearTimeout(idleTimer);
             limits.stopped?.removeEventListener("abort", handleStop);
--- a/src/standins/_lib/readCall.ts
+++ b/src/standins/_lib/readCall.ts
@@ -3,6 +3,7 @@
  */
 import type http from "node:http";
 import type { Socket } from "node:net";
+import { createByteAccumulator } from "../../base/createByteAccumulator";
 import { LARGEST_BODY_BYTES, LOOPBACK_ADDRESS } from "../constants";
 import type { StandinCall } from "./standinCall";
 
@@ -22,15 +23,11 @@
     silent: WeakSet<Socket>,
 ): Promise<StandinCall | undefined> {
     const isSilent = () => silent.has(request.socket);
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = createByteAccumulator({ bytesMax: LARGEST_BODY_BYTES });
     return new Promise(resolve => {
-        request.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes > LARGEST_BODY_BYTES) {
+        request.on("data", (piece: Buffer) => {
+            if (!body.append(piece)) {
                 request.destroy();
-            } else {
-                chunks.push(chunk);
             }
         });
         request.on("error", () => resolve(undefined));
@@ -42,7 +39,7 @@
                 path: decodePath(url.pathname),
                 query: url.searchParams,
                 headers: request.headers,
-                body: Buffer.concat(chunks),
+                body: body.takeBytes(),
                 request,
                 response,
                 isSilent,
