--- a/src/gateway/_testing/runAttempt.ts
+++ b/src/gateway/_testing/runAttempt.ts
@@ -30,6 +30,7 @@
  *
  * @param record - The endpoint
  * @param options - Options to override
+ * @param keepsConnections - True if the caller closes the record's connections itself; default: false
  * @returns The result on both sides
  * @example
  * const { result } = await runAttempt(makeEndpointRecord(endpoint));
@@ -37,6 +38,7 @@
 export async function runAttempt(
     record: EndpointRecord,
     options: Partial<AttemptOptions> = {},
+    keepsConnections = false,
 ): Promise<ObservedAttempt> {
     let resolveResult: (result: AttemptResult) => void;
     const whenResult = new Promise<AttemptResult>(resolve => {
@@ -83,6 +85,8 @@
     });
     const [result, observed] = await Promise.all([whenResult, caller]);
     server.close();
-    record.connections.dispose();
+    if (!keepsConnections) {
+        record.connections.dispose();
+    }
     return { result, ...observed };
 }
--- a/src/gateway/endlessAnswers.test.ts
+++ b/src/gateway/endlessAnswers.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
+import { setTimeout as waitMs } from "node:timers/promises";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
 import { makeEndpointRecord, runAttempt } from "./_testing/runAttempt";
 import { formatAnswer, startScriptedEndpoint } from "./_testing/startScriptedEndpoint";
@@ -39,6 +40,10 @@
         begin: `${formatAnswer("", { headers: [ATTEMPT_ID], length: "chunked" })}1;`,
         repeated: "x".repeat(16_384),
     },
+    "a body with a length beyond all limits": {
+        begin: formatAnswer("", { headers: [ATTEMPT_ID], length: 9_000_000_000 }),
+        repeated: "x".repeat(16_384),
+    },
     "a head": { begin: "HTTP/1.1 200 OK\r\n", repeated: `X-Filler: ${"x".repeat(1_000)}\r\n` },
     "a line of a head": { begin: "HTTP/1.1 200 OK\r\nX-Filler: ", repeated: "x".repeat(16_384) },
     "informational answers": { begin: "", repeated: "HTTP/1.1 102 Processing\r\n\r\n" },
@@ -68,4 +73,38 @@
             assert.ok(sent.bytes <= SENT_BYTES_MAX, `${sent.bytes} bytes were taken`);
         });
     }
+
+    // Guards against: a refusal was understood, and its body is read on for as long as the endpoint sends.
+    for (const [name, { length, piece, periodMs }] of Object.entries({
+        "without a length": { length: "none" as const, piece: "x".repeat(16_384), periodMs: 0 },
+        "in chunks": { length: "chunked" as const, piece: `4000\r\n${"x".repeat(16_384)}\r\n`, periodMs: 0 },
+        "in rare bytes": { length: 1_000, piece: "x", periodMs: 100 },
+    })) {
+        it(`the body of a refusal ${name} is cut off soon, and the request is free to go on elsewhere`, async () => {
+            const sent = { bytes: 0 };
+            let handleClose: () => void;
+            const whenClosed = new Promise<void>(resolve => (handleClose = resolve));
+            const headers = [ATTEMPT_ID, "Redwinglift-Not-Executed: 1"];
+            const endpoint = await startScriptedEndpoint((_request, socket) => {
+                socket.once("close", () => handleClose());
+                socket.write(formatAnswer("", { status: "503 Service Unavailable", headers, length }));
+                if (periodMs === 0) {
+                    writeWithoutEnd(socket, piece, sent);
+                    return;
+                }
+                const timer = setInterval(() => socket.write(piece), periodMs);
+                socket.once("close", () => clearInterval(timer));
+            });
+            const beganAt = performance.now();
+            const record = makeEndpointRecord(endpoint);
+            const { result } = await runAttempt(record, {}, true);
+            assert.equal(result.end, AttemptOutcome.NotExecuted);
+            assert.ok(performance.now() - beganAt < 500);
+            const isClosed = await Promise.race([whenClosed.then(() => true), waitMs(CLOSE_TIMEOUT_MS, false)]);
+            record.connections.dispose();
+            endpoint.dispose();
+            assert.ok(isClosed, "the connection was read on");
+            assert.ok(sent.bytes < SENT_BYTES_MAX, `${sent.bytes} bytes were taken`);
+        });
+    }
 });
