--- a/src/gateway/discardAnswer.ts
+++ b/src/gateway/dropAnswer.ts
@@ -3,22 +3,22 @@
  */
 import type { IncomingMessage } from "node:http";
 
-const DISCARDED_BYTES_MAX = 65_536;
-const DISCARD_TIMEOUT_MS = 1_000;
+const DROPPED_BYTES_MAX = 65_536;
+const DROP_TIMEOUT_MS = 1_000;
 
 /**
  * Reads an answer to its end, so that its connection can be used again. If it is long or slow, the connection is closed.
  *
  * @param response - The answer
  * @example
- * discardAnswer(response);
+ * dropAnswer(response);
  */
-export function discardAnswer(response: IncomingMessage): void {
+export function dropAnswer(response: IncomingMessage): void {
     let bytes = 0;
-    const timer = setTimeout(() => response.destroy(), DISCARD_TIMEOUT_MS);
+    const timer = setTimeout(() => response.destroy(), DROP_TIMEOUT_MS);
     response.on("data", (piece: Buffer) => {
         bytes += piece.length;
-        if (bytes > DISCARDED_BYTES_MAX) {
+        if (bytes > DROPPED_BYTES_MAX) {
             response.destroy();
         }
     });
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -13,7 +13,7 @@
 import { CONNECT_TIMEOUT_MS } from "./constants";
 import { createEventSplitter } from "./createEventSplitter";
 import type { RelayedHead, StreamRelay } from "./createStreamRelay";
-import { discardAnswer } from "./discardAnswer";
+import { dropAnswer } from "./dropAnswer";
 import type { EndpointRecord } from "./endpointRecord";
 
 /** The request, its endpoint and time limits, and the handlers of its progress. */
@@ -204,7 +204,7 @@
     options.handleAnswerHead(head);
     if (head.isNotExecuted) {
         settle({ end: AttemptOutcome.NotExecuted, reason: `not executed, status ${status}` }, true);
-        discardAnswer(response);
+        dropAnswer(response);
         return;
     }
     const relayed = { status, headers: options.codec.buildCallerHeaders(response.rawHeaders) };
