Hold the bodies of all requests and answers within the memory of the node

Cause: limits stood for one request each, and nothing added them up. A body that doesn't fit is refused before it is read, 503, not run, with Retry-After; an answer that doesn't fit waits.

--- a/src/adapters/_lib/readWholeAnswer.ts
+++ b/src/adapters/_lib/readWholeAnswer.ts
@@ -3,9 +3,18 @@
  */
 import type http from "node:http";
 import { createByteAccumulator } from "../../base/createByteAccumulator";
+import type { MemoryLease } from "../../base/createMemoryBudget";
 import { readContentLength } from "../../http/readContentLength";
 import { createCompletionCheck } from "./createCompletionCheck";
 
+/** How much of an answer is read. */
+export interface AnswerLimits {
+    /** Largest size, in bytes. */
+    readonly bytesMax: number;
+    /** Where the bytes are held; while there is no room, the answer isn't read. Absent: they are not counted. */
+    readonly memory?: MemoryLease;
+}
+
 /** What reading an answer can come to. */
 export interface AnswerHandlers {
     /** Called with each part, before the next is read. */
@@ -19,24 +28,37 @@
  * Reads an answer to its end. One that is too large isn't read on, and not at all if it says so itself.
  *
  * @param response - The answer
- * @param bytesMax - Largest size, in bytes
+ * @param limits - Largest size, and where the bytes are held
  * @param handlers - What is called on the way
  * @example
- * readWholeAnswer(response, LARGEST_ANSWER_BYTES, { handlePart, handleWhole, handleTooLarge, handleError });
+ * readWholeAnswer(response, { bytesMax: LARGEST_ANSWER_BYTES }, { handlePart, handleWhole, handleTooLarge, handleError });
  */
-export function readWholeAnswer(response: http.IncomingMessage, bytesMax: number, handlers: AnswerHandlers): void {
+export function readWholeAnswer(
+    response: http.IncomingMessage,
+    { bytesMax, memory }: AnswerLimits,
+    handlers: AnswerHandlers,
+): void {
     const bytesExpected = readContentLength(response.headers);
     if (bytesExpected !== undefined && bytesExpected > bytesMax) {
         handlers.handleTooLarge();
         return;
     }
     const body = createByteAccumulator({ bytesMax, bytesExpected });
+    const waitForRoom = (bytes: number) => {
+        if (memory?.setBytes(bytes) === false) {
+            response.pause();
+            memory.growWhenFree(bytes, () => response.resume());
+        }
+    };
     response.on("data", (piece: Buffer) => {
         handlers.handlePart();
         if (!body.append(piece)) {
             handlers.handleTooLarge();
+        } else if (bytesExpected === undefined) {
+            waitForRoom(body.countBytes());
         }
     });
+    waitForRoom(bytesExpected ?? 0);
     response.on("error", handlers.handleError);
     const isComplete = createCompletionCheck(response);
     response.on("end", () => {
--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -127,19 +127,23 @@
             }
             beginSilence();
             wholeBound.beginWait(call.timeouts?.wholeMs ?? WHOLE_ANSWER_TIMEOUT_MS, "end of the answer");
-            readWholeAnswer(response, LARGEST_ANSWER_BYTES, {
-                handlePart: beginSilence,
-                handleTooLarge: () => endCall(LossReason.Unusable, "The answer is too large."),
-                handleError: failBroken,
-                handleWhole: body => {
-                    const echoed = response.headers["x-request-id"];
-                    if (echoed !== undefined && echoed !== callId) {
-                        endCall(LossReason.Unusable, "The answer belongs to another call.");
-                    } else {
-                        settle(createAnswer(response, body, echoed === callId));
-                    }
+            readWholeAnswer(
+                response,
+                { bytesMax: LARGEST_ANSWER_BYTES },
+                {
+                    handlePart: beginSilence,
+                    handleTooLarge: () => endCall(LossReason.Unusable, "The answer is too large."),
+                    handleError: failBroken,
+                    handleWhole: body => {
+                        const echoed = response.headers["x-request-id"];
+                        if (echoed !== undefined && echoed !== callId) {
+                            endCall(LossReason.Unusable, "The answer belongs to another call.");
+                        } else {
+                            settle(createAnswer(response, body, echoed === callId));
+                        }
+                    },
                 },
-            });
+            );
         });
         if (call.cancelled?.aborted === true) {
             cancelCall();
--- a/src/base/failure.ts
+++ b/src/base/failure.ts
@@ -32,6 +32,8 @@
     /** The caller closed the connection. */
     CallerGone = "caller_gone",
     TooManyConnections = "too_many_connections",
+    /** The bodies of other requests take the memory that the node has for them. */
+    MemoryExhausted = "memory_exhausted",
     IdempotencyKeyReused = "idempotency_key_reused",
     IdempotencyKeyRequired = "idempotency_key_required",
     /** An earlier request with the same idempotency key is still in progress. */
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -17,6 +17,7 @@
     GatewayRoute,
     GatewaySettings,
 } from "../../model/gateway";
+import { createBodyMemory } from "../createBodyMemory";
 import { createConfigurationHolder, type ConfigurationHolder } from "../createConfigurationHolder";
 import { createDemandMeter } from "../createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "../createEndpointDirectory";
@@ -108,6 +109,7 @@
         usageDueMs: 10_000,
     },
     processorShare: 0.675,
+    memoryBytesMax: 350 * 1_048_576,
     descriptorsMax: 4_100,
     isFirstStart: true,
 };
@@ -130,9 +132,12 @@
         readonly isWithoutConfiguration?: boolean;
         readonly confirmedAgoMs?: number;
         readonly bounds?: Partial<GatewayBounds>;
+        readonly memoryBytesMax?: number;
     } = {},
 ): Promise<GatewayHarness> {
-    const settings: GatewaySettings = { ...SETTINGS, bounds: { ...SETTINGS.bounds, ...options.bounds } };
+    const { memoryBytesMax = SETTINGS.memoryBytesMax } = options;
+    const bounds = { ...SETTINGS.bounds, ...options.bounds };
+    const settings: GatewaySettings = { ...SETTINGS, bounds, memoryBytesMax };
     const clock = createSystemClock();
     const log = createLog({ write: () => undefined });
     const configuration = createConfigurationHolder(clock, log);
@@ -175,6 +180,7 @@
             log,
         }),
         rollouts,
+        memory: createBodyMemory(settings.memoryBytesMax),
         limits: createEndpointLimits({
             nodeName: settings.nodeName,
             directory,
--- a/src/gateway/_testing/runAttempt.ts
+++ b/src/gateway/_testing/runAttempt.ts
@@ -6,6 +6,7 @@
 import { PLATFORM_CODEC } from "../../../platform/forwardingCodec";
 import type { HttpTarget } from "../../adapters/_lib/httpTarget";
 import { createSystemClock } from "../../base/createSystemClock";
+import { createMemoryBudget } from "../../base/createMemoryBudget";
 import { createStreamRelay } from "../createStreamRelay";
 import { createEndpointRecord, type EndpointRecord } from "../endpointRecord";
 import { type AttemptOptions, type AttemptResult, sendAttempt } from "../sendAttempt";
@@ -61,6 +62,7 @@
             answerTimeoutMs: undefined,
             eventTimeoutMs: undefined,
             canGiveUp: () => true,
+            answerMemory: createMemoryBudget(Number.POSITIVE_INFINITY).openLease(),
             ended: new AbortController().signal,
             handleAnswerHead: () => undefined,
             handleFirstPart: () => undefined,
--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/createEventSplitter.ts
@@ -24,6 +24,8 @@
 export interface EventSplitter {
     /** Adds received bytes; gives the events that are now whole, or `undefined` if there are none. */
     push(chunk: Buffer): EventBatch | undefined;
+    /** Counts the bytes after the last whole event. */
+    countUnfinishedBytes(): number;
     /** True if an event is larger than any that an endpoint may send; the stream must be given up. */
     isOverfull(): boolean;
     /** Removes and gives the bytes after the last whole event. */
@@ -51,6 +53,7 @@
             const end = findEventsEnd(rest.readBytes(), searchedBytes);
             return end === 0 ? undefined : describeEvents(rest.takeBytes(end));
         },
+        countUnfinishedBytes: () => rest.countBytes(),
         isOverfull: () => rest.countBytes() > EVENT_BYTES_MAX,
         takeRemainder: () => rest.takeBytes(),
     };
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -6,7 +6,6 @@
     type EndpointView,
     estimateFirstPartMs,
     estimateResponseMs,
-    type PlacementRequest,
 } from "../decisions/gateway/chooseEndpoint";
 import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../decisions/gateway/decideNextAction";
 import { decideGiveUp } from "../decisions/gateway/decideGiveUp";
@@ -17,7 +16,7 @@
 import { RouteKind } from "../model/gateway";
 import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS } from "./constants";
-import { createStreamRelay, type StreamRelay } from "./createStreamRelay";
+import { createStreamRelay } from "./createStreamRelay";
 import { describePartRefusal } from "./describePartRefusal";
 import {
     buildEndpointView,
@@ -34,6 +33,8 @@
     NO_ENDPOINT_FAILURE,
 } from "./forwardingOutcome";
 import type { GatewayComponents } from "./gatewayComponents";
+import type { EndedAttempt, ForwardingState } from "./forwardingState";
+import { logAttempt } from "./logAttempt";
 import { type AttemptResult, ConnectionEnd, sendAttempt } from "./sendAttempt";
 import { sendWholeAnswer } from "./sendWholeAnswer";
 import { waitUnlessAborted } from "./waitUnlessAborted";
@@ -61,40 +62,6 @@
     readonly view: EndpointView;
 }
 
-/** How an attempt ended, with what else is known at its end about the answer and the endpoint. */
-interface EndedAttempt {
-    readonly result: AttemptResult;
-    /** True if a part of the request may have crashed the endpoint. */
-    readonly mayHaveCrashed: boolean;
-    /** Time since the first part of the answer arrived; absent if none did. */
-    readonly answerAgeMs: number | undefined;
-    /** Connections of this node to the endpoint that broke about now; 0 if this attempt's did not. */
-    readonly breaksTogether: number;
-    readonly stillInFlight: number;
-}
-
-/** The state of one request while it is forwarded. */
-interface ForwardingState {
-    readonly exchange: GatewayExchange;
-    readonly request: PlacementRequest;
-    /** Ids of the prompt parts that other requests may have as well. */
-    readonly sharedParts: readonly string[];
-    readonly relay: StreamRelay;
-    readonly ended: AbortSignal;
-    /** Ids of the endpoints that an attempt was made at. */
-    readonly triedEndpoints: Set<string>;
-    /** Attempts that may have been executed. */
-    executions: number;
-    /** All attempts. */
-    sends: number;
-    /** True while the attempt is a try of a suspected prompt part, which is neither given up nor repeated. */
-    isCareful: boolean;
-    /** True if the next attempt was charged to the retry budget when the one before it was given up. */
-    isRetryCharged: boolean;
-    /** True once the request was counted in the usage of its account. */
-    isUsageRecorded: boolean;
-}
-
 /**
  * Creates the forwarder of a node.
  *
@@ -247,6 +214,7 @@
                 : undefined,
             eventTimeoutMs: isBounded ? Math.max(1_000, route.gapTargetMs * EVENT_TIMEOUT_FACTOR) : undefined,
             canGiveUp: () => canGiveUp(state),
+            answerMemory: exchange.answerMemory,
             ended: state.ended,
             handleAnswerHead: answer => {
                 applyAnswerHead(record, answer, clock.readMonotonicMs());
@@ -339,7 +307,7 @@
             components.metrics.countAttempt(exchange.service, result.end);
             const step = decideNext(state, attempt);
             if (!isSuccessful(result)) {
-                logAttempt(components, state, candidate.record, attempt, step);
+                logAttempt(components.log, state, candidate.record, attempt, step);
             }
             if (step !== NextAction.SendAgain) {
                 return finishForwarding(state, result, step);
@@ -371,30 +339,3 @@
     }
     return { isRelayed: false, failure: step === NextAction.Refuse ? NO_ENDPOINT_FAILURE : describeFailure(result) };
 }
-
-function logAttempt(
-    { log }: GatewayComponents,
-    state: ForwardingState,
-    record: EndpointRecord,
-    { result, ...attempt }: EndedAttempt,
-    step: NextAction,
-): void {
-    log.warn("attempt ended", {
-        requestId: state.exchange.head.requestId,
-        route: state.exchange.route.name,
-        endpointId: record.endpoint.id,
-        version: record.endpoint.version,
-        endpointStartedAtMs: record.endpoint.startedAtMs,
-        connection: result.connection,
-        answerAgeMs: attempt.answerAgeMs,
-        breaksTogether: attempt.breaksTogether,
-        stillInFlight: attempt.stillInFlight,
-        sharedParts: state.sharedParts.join(","),
-        end: result.end,
-        status: result.answer?.status,
-        reason: result.reason,
-        sends: state.sends,
-        executions: state.executions,
-        step,
-    });
-}
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -14,13 +14,13 @@
 import { installConnectionLimit } from "../http/installConnectionLimit";
 import { readBody } from "../http/readBody";
 import { sendFailure } from "../http/sendFailure";
-import { type GatewayAccount, type GatewayRoute } from "../model/gateway";
 import type { CallerRequestHead } from "../ports/forwardingCodec";
 import { QUOTA_RETRY_AFTER_MS, RETRY_AFTER_MS } from "./constants";
 import { type CallerConnections, type ConnectionCounts, createCallerConnections } from "./createCallerConnections";
-import type { ConfigurationView } from "./createConfigurationHolder";
 import type { Forwarder } from "./createForwarder";
 import { abandonAnswer } from "./abandonAnswer";
+import { type AdmittedRequest, buildExchange } from "./buildExchange";
+import { computeRequestTimes } from "./computeRequestTimes";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
@@ -30,8 +30,6 @@
 const REVOKE_MARGIN_MS = 250;
 /** File descriptors that are reserved for other connections of the process. */
 const RESERVED_DESCRIPTORS = 700;
-/** Upper limit of the deadline that a caller may state: one day. */
-const DEADLINE_MAX_MS = 86_400_000;
 /**
  * Longest wait of a request while the node loads its data after a start: a few round trips to a store in another
  * region.
@@ -78,13 +76,6 @@
     readonly quotas: AccountQuotas;
 }
 
-/** A request that passed the checks, with the route and account that it matched. */
-interface AdmittedRequest {
-    readonly route: GatewayRoute;
-    readonly account: GatewayAccount | undefined;
-    readonly view: ConfigurationView;
-}
-
 /**
  * Creates the listener; it does not listen yet.
  *
@@ -95,7 +86,7 @@
  */
 export function createGatewayListener(options: GatewayListenerOptions): GatewayListener {
     const { components, forwarder, quotas } = options;
-    const { clock, demand, configuration, codec, log, metrics, settings } = components;
+    const { clock, demand, configuration, codec, log, metrics, settings, memory } = components;
     /** The times of the stop, and the monotonic time of its signal; absent while the node does not drain. */
     let stop: { readonly times: StopTimes; readonly signalledAtMs: number } | undefined;
     const openRequests = createOpenRequests();
@@ -185,13 +176,19 @@
             sendFailureAnswer(open, admitted);
             return;
         }
-        if (!isTaken(computeTimeoutAtMs(admitted.route, head, receivedAtMs))) {
+        if (!isTaken(computeRequestTimes(admitted.route, head, receivedAtMs).timeoutAtMs)) {
             sendFailureAnswer(open, SHUTTING_DOWN_FAILURE);
             return;
         }
         open.phase = RequestPhase.Body;
         const { limits } = admitted.view.configuration;
-        const body = await readBody(request, { bodyBytes: limits.bodyBytesMax, idleMs: limits.idleTimeoutMs });
+        const requestMemory = memory.requests.openLease();
+        response.once("close", requestMemory.release);
+        const body = await readBody(request, {
+            bodyBytes: limits.bodyBytesMax,
+            idleMs: limits.idleTimeoutMs,
+            memory: requestMemory,
+        });
         if (open.end !== undefined) {
             return;
         }
@@ -205,7 +202,7 @@
             sendFailureAnswer(open, current);
             return;
         }
-        if (!isTaken(computeTimeoutAtMs(current.route, head, receivedAtMs))) {
+        if (!isTaken(computeRequestTimes(current.route, head, receivedAtMs).timeoutAtMs)) {
             sendFailureAnswer(open, SHUTTING_DOWN_FAILURE);
             return;
         }
@@ -215,11 +212,11 @@
             return;
         }
         open.phase = RequestPhase.Forwarded;
-        await forwardAdmitted(
-            open,
-            buildExchange(components, { request, response, head, receivedAtMs, body: body.value, ...current }),
-            charged.amount,
-        );
+        const answerMemory = memory.answers.openLease();
+        response.once("close", answerMemory.release);
+        const received = { request, response, head, receivedAtMs, body: body.value, answerMemory };
+        await forwardAdmitted(open, buildExchange(current, received, components.random), charged.amount);
+        requestMemory.release();
     };
 
     const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, amount: number) => {
@@ -337,48 +334,6 @@
     };
 }
 
-function buildExchange(
-    components: GatewayComponents,
-    admitted: AdmittedRequest & Pick<GatewayExchange, "request" | "response" | "head" | "receivedAtMs" | "body">,
-): GatewayExchange {
-    const { route, account, view, head, receivedAtMs } = admitted;
-    return {
-        request: admitted.request,
-        response: admitted.response,
-        head,
-        route,
-        service: chooseService(route, components.random.drawFraction()),
-        account: account?.name,
-        priority: account?.priority ?? route.priority,
-        body: admitted.body,
-        receivedAtMs,
-        deadlineAtMs: computeDeadlineAtMs(route, head, receivedAtMs),
-        timeoutAtMs: computeTimeoutAtMs(route, head, receivedAtMs),
-        configurationVersion: view.configuration.version,
-    };
-}
-
-function computeDeadlineAtMs(route: GatewayRoute, head: CallerRequestHead, receivedAtMs: number): number {
-    return receivedAtMs + Math.min(head.deadlineMs ?? route.timeoutMs, DEADLINE_MAX_MS);
-}
-
-function computeTimeoutAtMs(route: GatewayRoute, head: CallerRequestHead, receivedAtMs: number): number {
-    return Math.min(computeDeadlineAtMs(route, head, receivedAtMs), receivedAtMs + route.timeoutMs);
-}
-
-/** Chooses one of the route's services by weight. `fraction` is a random number from 0 to 1. */
-function chooseService(route: GatewayRoute, fraction: number): string {
-    const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
-    let remainingWeight = fraction * total;
-    for (const target of route.targets) {
-        remainingWeight -= target.weight;
-        if (remainingWeight < 0) {
-            return target.service;
-        }
-    }
-    return route.targets.at(-1)?.service ?? "";
-}
-
 function logSuccess({ log, clock }: GatewayComponents, exchange: GatewayExchange): void {
     log.info("request relayed", {
         requestId: exchange.head.requestId,
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -3,6 +3,7 @@
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { RolloutPhase } from "../model/gateway";
+import type { BodyMemory } from "./createBodyMemory";
 import type { CallerCounts } from "./createGatewayListener";
 import type { LoopDelays } from "./createLoopMonitor";
 
@@ -43,6 +44,8 @@
     setNewsState(state: NewsState): void;
     /** Sets the numbers of the callers' connections and requests. */
     setCallers(counts: CallerCounts): void;
+    /** Sets the bytes held by bodies. */
+    setBodyMemory(memory: BodyMemory): void;
     /** Sets the delays of the event loop. */
     setLoopDelays(delays: LoopDelays): void;
     /** Formats all metrics in the Prometheus text format. */
@@ -155,6 +158,12 @@
         labelNames: ["end"],
         registers,
     });
+    const bodyBytes = new Gauge({
+        name: "redwinglift_body_bytes",
+        help: "Bytes held by the bodies of all requests, and of all answers.",
+        labelNames: ["of"],
+        registers,
+    });
     const loopDelay = new Gauge({
         name: "redwinglift_loop_delay_milliseconds",
         help: "Longest standstill of the event loop since the last reading.",
@@ -189,6 +198,10 @@
             Object.entries(phases).forEach(([phase, count]) => openRequests.set({ phase }, count));
             Object.entries(ends).forEach(([end, count]) => endedRequests.set({ end }, count));
         },
+        setBodyMemory: ({ requests: ofRequests, answers }) => {
+            bodyBytes.set({ of: "requests" }, ofRequests.countBytes());
+            bodyBytes.set({ of: "answers" }, answers.countBytes());
+        },
         setLoopDelays: ({ longestMs }) => loopDelay.set(longestMs),
         formatMetrics: () => registry.metrics(),
     };
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,6 +2,7 @@
  * @module The request of a caller together with its response.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { MemoryLease } from "../base/createMemoryBudget";
 import type { GatewayRoute } from "../model/gateway";
 import type { CallerRequestHead } from "../ports/forwardingCodec";
 
@@ -19,6 +20,8 @@
     /** 0 is the most urgent. */
     readonly priority: number;
     readonly body: Buffer;
+    /** Where the bytes of its answer are held until they are sent. */
+    readonly answerMemory: MemoryLease;
     /** Monotonic time at which the headers had arrived. */
     readonly receivedAtMs: number;
     /** Monotonic time at which the gateway gives up: the earlier of the caller's deadline and the route's timeout. */
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -16,6 +16,7 @@
 import type { ServiceSpeeds } from "./createServiceSpeeds";
 import type { UsageMeter } from "./createUsageMeter";
 import type { FleetNews } from "./createFleetNews";
+import type { BodyMemory } from "./createBodyMemory";
 
 /** The components that take part in handling a request. */
 export interface GatewayComponents {
@@ -34,4 +35,5 @@
     readonly quarantine: PartQuarantine;
     readonly rollouts: Rollouts;
     readonly limits: EndpointLimits;
+    readonly memory: BodyMemory;
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -10,6 +10,7 @@
 import { startListening } from "../http/startListening";
 import type { GatewaySettings } from "../model/gateway";
 import { logStrayErrors } from "../serve/logStrayErrors";
+import { createBodyMemory } from "./createBodyMemory";
 import { createCountedTables } from "./createCountedTables";
 import { createClusterTime } from "./createClusterTime";
 import { createConfigurationHolder } from "./createConfigurationHolder";
@@ -69,6 +70,7 @@
     watchSettings(settings, { readSettings: platformPorts.readSettings, log });
     logStrayErrors(log);
     const metrics = createGatewayMetrics();
+    const memory = createBodyMemory(settings.memoryBytesMax);
     const platform = { ...platformPorts, tables: createCountedTables(platformPorts.tables, metrics) };
     const clusterTime = createClusterTime(clock);
     const configuration = createConfigurationHolder(clock, log);
@@ -165,6 +167,7 @@
         quarantine,
         rollouts,
         limits,
+        memory,
     };
     dumpOnSignal(components);
     const loopMonitor = createLoopMonitor(log);
@@ -191,6 +194,7 @@
             const { nodes, reachable } = news.readUsage();
             metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
             metrics.setCallers(listener.countCallers());
+            metrics.setBodyMemory(memory);
             metrics.setLoopDelays(loopMonitor.takeDelays());
             return metrics.formatMetrics();
         },
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -8,6 +8,7 @@
 import { HttpStatus } from "../adapters/_lib/httpStatus";
 import { readWholeAnswer } from "../adapters/_lib/readWholeAnswer";
 import { trackSentBytes } from "../adapters/_lib/trackSentBytes";
+import type { MemoryLease } from "../base/createMemoryBudget";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
 import type { ResponseHead, ForwardingCodec } from "../ports/forwardingCodec";
 import { CONNECT_TIMEOUT_MS } from "./constants";
@@ -38,6 +39,8 @@
     readonly eventTimeoutMs: number | undefined;
     /** Decides, when one of the two times is over, whether the attempt is given up. */
     readonly canGiveUp: () => boolean;
+    /** Where the bytes of a whole answer, and of a large event that isn't whole yet, are held. */
+    readonly answerMemory: MemoryLease;
     /** Aborts the attempt when the caller leaves or the request times out; its reason is the `AttemptOutcome`. */
     readonly ended: AbortSignal;
     readonly handleAnswerHead: (head: ResponseHead) => void;
@@ -71,6 +74,8 @@
 
 /** Largest answer that is read whole before it is relayed. */
 const WHOLE_ANSWER_BYTES_MAX = 8 * 1_048_576;
+/** Larger events count as held memory while they aren't whole. */
+const SMALL_EVENT_BYTES_MAX = 65_536;
 /** Time after which it is asked again whether an attempt is given up. */
 const GIVE_UP_INTERVAL_MS = 250;
 /** Most informational answers (status 1xx) before the final one. */
@@ -126,6 +131,9 @@
             isSettled = true;
             waitBound.endWait();
             ended.removeEventListener("abort", abandon);
+            if (result.end !== AttemptOutcome.Answered) {
+                options.answerMemory.release();
+            }
             if (!keepsConnection) {
                 request.destroy();
             }
@@ -249,7 +257,9 @@
     beginEventWait();
     response.on("data", (chunk: Buffer) => {
         const batch = splitter.push(chunk);
-        if (splitter.isOverfull()) {
+        const unfinishedBytes = splitter.countUnfinishedBytes();
+        const heldBytes = unfinishedBytes > SMALL_EVENT_BYTES_MAX ? unfinishedBytes : 0;
+        if (splitter.isOverfull() || !options.answerMemory.setBytes(heldBytes)) {
             settle(buildLossResult(options, "an event is too large"));
             return;
         }
@@ -289,15 +299,22 @@
     head: RelayedHead,
     settle: Settle,
 ): void {
-    readWholeAnswer(response, WHOLE_ANSWER_BYTES_MAX, {
-        handlePart: () => undefined,
-        handleTooLarge: () => settle(buildLossResult(options, "the answer is too large")),
-        handleError: error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)),
-        handleWhole: body => {
-            options.handleFirstPart();
-            settle({ end: AttemptOutcome.Answered, answer: { ...head, body }, reason: `status ${head.status}` }, true);
+    readWholeAnswer(
+        response,
+        { bytesMax: WHOLE_ANSWER_BYTES_MAX, memory: options.answerMemory },
+        {
+            handlePart: () => undefined,
+            handleTooLarge: () => settle(buildLossResult(options, "the answer is too large")),
+            handleError: error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)),
+            handleWhole: body => {
+                options.handleFirstPart();
+                settle(
+                    { end: AttemptOutcome.Answered, answer: { ...head, body }, reason: `status ${head.status}` },
+                    true,
+                );
+            },
         },
-    });
+    );
 }
 
 /**
--- a/src/http/failureStatus.ts
+++ b/src/http/failureStatus.ts
@@ -20,6 +20,7 @@
     // 499 is not a standard status; nginx logs it for a request whose client closed the connection.
     [FailureKind.CallerGone]: 499,
     [FailureKind.TooManyConnections]: 503,
+    [FailureKind.MemoryExhausted]: 503,
     [FailureKind.IdempotencyKeyReused]: 422,
     [FailureKind.IdempotencyKeyRequired]: 400,
     [FailureKind.IdempotencyKeyInProgress]: 409,
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -208,6 +208,8 @@
     readonly bounds: GatewayBounds;
     /** Processor cores that the node may use, as a fraction. */
     readonly processorShare: number;
+    /** Memory that the process may use, in bytes. */
+    readonly memoryBytesMax: number;
     /** Maximum number of open file descriptors. */
     readonly descriptorsMax: number;
     /** True only at the first start of the whole system. */
