Take an answer without a body for whole at its head

The caller of a service that acknowledges with 204 (or 304 without a length) and keeps its connection got 504 at the route's timeout, though the runner had answered at once.

Cause: createCompletionCheck took every answer without a length or chunks for one that ends with its connection. Answers with 204 and 304 and those to HEAD have no body and end with their head. 204 was also relayed with a length, and HEAD and 304 with 0 in place of their own; both are relayed as they came.

--- a/src/adapters/_lib/httpStatus.ts
+++ b/src/adapters/_lib/httpStatus.ts
@@ -6,8 +6,10 @@
 export enum HttpStatus {
     Ok = 200,
     Accepted = 202,
+    NoContent = 204,
     PartialContent = 206,
     FirstRedirect = 300,
+    NotModified = 304,
     BadRequest = 400,
     NotFound = 404,
     Conflict = 409,
--- a/src/adapters/_lib/readWholeAnswer.ts
+++ b/src/adapters/_lib/readWholeAnswer.ts
@@ -5,10 +5,13 @@
 import { createByteAccumulator } from "../../base/createByteAccumulator";
 import type { MemoryLease } from "../../base/createMemoryBudget";
 import { readContentLength } from "../../http/readContentLength";
+import { hasBody } from "./hasBody";
 import { createCompletionCheck } from "./createCompletionCheck";
 
 /** How much of an answer is read. */
 export interface AnswerLimits {
+    /** Method of the request. */
+    readonly method: string;
     /** Largest size, in bytes. */
     readonly bytesMax: number;
     /** Where the bytes are held; while there is no room, the answer isn't read. Absent: they are not counted. */
@@ -28,17 +31,18 @@
  * Reads an answer to its end. One that is too large isn't read on, and not at all if it says so itself.
  *
  * @param response - The answer
- * @param limits - Largest size, and where the bytes are held
+ * @param limits - Method of the request, largest size, and where the bytes are held
  * @param handlers - What is called on the way
  * @example
- * readWholeAnswer(response, { bytesMax: LARGEST_ANSWER_BYTES }, { handlePart, handleWhole, handleTooLarge, handleError });
+ * readWholeAnswer(response, { method, bytesMax: LARGEST_ANSWER_BYTES }, { handlePart, handleWhole, handleTooLarge, handleError });
  */
 export function readWholeAnswer(
     response: http.IncomingMessage,
-    { bytesMax, memory }: AnswerLimits,
+    { method, bytesMax, memory }: AnswerLimits,
     handlers: AnswerHandlers,
 ): void {
-    const bytesExpected = readContentLength(response.headers);
+    const isBodyExpected = hasBody(response.statusCode ?? 0, method);
+    const bytesExpected = isBodyExpected ? readContentLength(response.headers) : 0;
     if (bytesExpected !== undefined && bytesExpected > bytesMax) {
         handlers.handleTooLarge();
         return;
@@ -60,7 +64,7 @@
     });
     waitForRoom(bytesExpected ?? 0);
     response.on("error", handlers.handleError);
-    const isComplete = createCompletionCheck(response);
+    const isComplete = createCompletionCheck(response, method);
     response.on("end", () => {
         void isComplete().then(complete =>
             complete
--- a/src/adapters/_lib/sendHttpCall.ts
+++ b/src/adapters/_lib/sendHttpCall.ts
@@ -129,7 +129,7 @@
             wholeBound.beginWait(call.timeouts?.wholeMs ?? WHOLE_ANSWER_TIMEOUT_MS, "end of the answer");
             readWholeAnswer(
                 response,
-                { bytesMax: LARGEST_ANSWER_BYTES },
+                { method: call.method, bytesMax: LARGEST_ANSWER_BYTES },
                 {
                     handlePart: beginSilence,
                     handleTooLarge: () => endCall(LossReason.Unusable, "The answer is too large."),
--- a/src/gateway/createRollouts.test.ts
+++ b/src/gateway/createRollouts.test.ts
@@ -19,7 +19,7 @@
 const FAILED: AttemptResult = {
     end: AttemptOutcome.Answered,
     reason: "status 500",
-    answer: { status: 500, headers: [], body: Buffer.alloc(0) },
+    answer: { status: 500, headers: [], body: Buffer.alloc(0), statedBytes: 0 },
 };
 
 describe("the endpoints that may get a request", () => {
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -9,6 +9,7 @@
 import { readWholeAnswer } from "../adapters/_lib/readWholeAnswer";
 import { trackSentBytes } from "../adapters/_lib/trackSentBytes";
 import type { MemoryLease } from "../base/createMemoryBudget";
+import { readContentLength } from "../http/readContentLength";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
 import type { ResponseHead, ForwardingCodec } from "../ports/forwardingCodec";
 import { CONNECT_TIMEOUT_MS } from "./constants";
@@ -51,6 +52,8 @@
 /** An answer that was received whole and is not relayed yet. */
 export interface WholeAnswer extends RelayedHead {
     readonly body: Buffer;
+    /** The length that it states, which is not that of `body` if an answer of its kind has none. */
+    readonly statedBytes: number | undefined;
 }
 
 /** What happened to the connection of an attempt that the endpoint, and not this node, ended. */
@@ -243,7 +246,7 @@
     settle: Settle,
     beginWait: BeginWait,
 ): void {
-    const isComplete = createCompletionCheck(response);
+    const isComplete = createCompletionCheck(response, options.method);
     const splitter = createEventSplitter();
     let hasFirstEvent = false;
     const beginEventWait = () =>
@@ -299,22 +302,18 @@
     head: RelayedHead,
     settle: Settle,
 ): void {
-    readWholeAnswer(
-        response,
-        { bytesMax: WHOLE_ANSWER_BYTES_MAX, memory: options.answerMemory },
-        {
-            handlePart: () => undefined,
-            handleTooLarge: () => settle(buildLossResult(options, "the answer is too large")),
-            handleError: error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)),
-            handleWhole: body => {
-                options.handleFirstPart();
-                settle(
-                    { end: AttemptOutcome.Answered, answer: { ...head, body }, reason: `status ${head.status}` },
-                    true,
-                );
-            },
+    const statedBytes = readContentLength(response.headers);
+    const limits = { method: options.method, bytesMax: WHOLE_ANSWER_BYTES_MAX, memory: options.answerMemory };
+    readWholeAnswer(response, limits, {
+        handlePart: () => undefined,
+        handleTooLarge: () => settle(buildLossResult(options, "the answer is too large")),
+        handleError: error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)),
+        handleWhole: body => {
+            options.handleFirstPart();
+            const answer = { ...head, body, statedBytes };
+            settle({ end: AttemptOutcome.Answered, answer, reason: `status ${head.status}` }, true);
         },
-    );
+    });
 }
 
 /**
--- a/src/gateway/sendWholeAnswer.ts
+++ b/src/gateway/sendWholeAnswer.ts
@@ -1,6 +1,8 @@
 /**
  * @module Sends an answer that was received whole to the caller.
  */
+import { hasBody } from "../adapters/_lib/hasBody";
+import { HttpStatus } from "../adapters/_lib/httpStatus";
 import type { GatewayExchange } from "./exchange";
 import type { WholeAnswer } from "./sendAttempt";
 
@@ -12,7 +14,14 @@
  * @example
  * sendWholeAnswer(exchange, result.answer);
  */
-export function sendWholeAnswer({ response }: GatewayExchange, answer: WholeAnswer): void {
-    response.writeHead(answer.status, [...answer.headers.flat(), "Content-Length", String(answer.body.length)]);
+export function sendWholeAnswer({ request, response }: GatewayExchange, answer: WholeAnswer): void {
+    const length = hasBody(answer.status, request.method ?? "GET") ? answer.body.length : findStatedLength(answer);
+    const lengthHeader = length === undefined ? [] : ["Content-Length", String(length)];
+    response.writeHead(answer.status, [...answer.headers.flat(), ...lengthHeader]);
     response.end(answer.body);
 }
+
+/** Finds the length that an answer without a body states for the one that another request would get. */
+function findStatedLength({ status, statedBytes }: WholeAnswer): number | undefined {
+    return status === HttpStatus.NoContent ? undefined : statedBytes;
+}
