Leave a stream to its slow endpoint until its caller would leave

Cause: silence of 0.9 of the objective before the first event, or of three times the target between two, was taken for the end of the run. A stream counts as stalled now only once its caller would leave; a runner that is only slow keeps it.

--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -8,12 +8,13 @@
     estimateResponseMs,
 } from "../decisions/gateway/chooseEndpoint";
 import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../decisions/gateway/decideNextAction";
+import { computeStallTimeoutMs } from "../decisions/gateway/computeStallTimeoutMs";
 import { decideGiveUp } from "../decisions/gateway/decideGiveUp";
 import { filterServable } from "../decisions/gateway/filterServable";
 import { PartVerdict } from "../decisions/gateway/evaluatePart";
 import { listSharedParts } from "../decisions/gateway/listSharedParts";
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../decisions/gateway/serviceRetryBudget";
-import { RouteKind } from "../model/gateway";
+import { type GatewayRoute, RouteKind } from "../model/gateway";
 import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS } from "./constants";
 import { createStreamRelay } from "./createStreamRelay";
@@ -35,7 +36,7 @@
 import type { GatewayComponents } from "./gatewayComponents";
 import type { EndedAttempt, ForwardingState } from "./forwardingState";
 import { logAttempt } from "./logAttempt";
-import { type AttemptResult, ConnectionEnd, sendAttempt } from "./sendAttempt";
+import { type AttemptOptions, type AttemptResult, ConnectionEnd, sendAttempt } from "./sendAttempt";
 import { sendWholeAnswer } from "./sendWholeAnswer";
 import { waitUnlessAborted } from "./waitUnlessAborted";
 
@@ -43,8 +44,6 @@
 const ATTEMPT_TIME_MIN_MS = 60;
 /** Share of the route's objective after which a repeatable request without an answer may go to another endpoint. */
 const ANSWER_TIMEOUT_SHARE = 0.9;
-/** Longest pause between two events of a resumable stream, as a multiple of the route's target. */
-const EVENT_TIMEOUT_FACTOR = 3;
 
 /** Forwards requests. */
 export interface Forwarder {
@@ -209,10 +208,7 @@
             codec: components.codec,
             relay: state.relay,
             maxIdleMs: isRepeatable(route) ? undefined : NON_REPEATABLE_IDLE_MAX_MS,
-            answerTimeoutMs: isBounded
-                ? Math.max(route.objectiveMs * ANSWER_TIMEOUT_SHARE, estimatedMs * 2)
-                : undefined,
-            eventTimeoutMs: isBounded ? Math.max(1_000, route.gapTargetMs * EVENT_TIMEOUT_FACTOR) : undefined,
+            ...(isBounded ? computeWaits(route, estimatedMs) : NO_WAITS),
             canGiveUp: () => canGiveUp(state),
             answerMemory: exchange.answerMemory,
             ended: state.ended,
@@ -317,6 +313,20 @@
     return { forwardRequest };
 }
 
+/** How long an attempt may wait before it is asked whether it is given up. */
+type AttemptWaits = Pick<AttemptOptions, "answerTimeoutMs" | "eventTimeoutMs">;
+
+const NO_WAITS: AttemptWaits = { answerTimeoutMs: undefined, eventTimeoutMs: undefined };
+
+function computeWaits(route: GatewayRoute, estimatedMs: number): AttemptWaits {
+    if (route.kind === RouteKind.Streaming) {
+        const stallMs = computeStallTimeoutMs(route);
+        return { answerTimeoutMs: stallMs, eventTimeoutMs: stallMs };
+    }
+    const answerTimeoutMs = Math.max(route.objectiveMs * ANSWER_TIMEOUT_SHARE, estimatedMs * 2);
+    return { answerTimeoutMs, eventTimeoutMs: undefined };
+}
+
 /** Ends of an attempt after which the endpoint may have executed the request. */
 const MAY_HAVE_EXECUTED: ReadonlySet<AttemptOutcome> = new Set([
     AttemptOutcome.Relayed,
--- a/src/gateway/waitingAttempts.test.ts
+++ b/src/gateway/waitingAttempts.test.ts
@@ -112,6 +112,33 @@
     });
 });
 
+// Guards against: a stream goes on at another endpoint while the slow one before works on it (TWICE).
+describe("a stream whose endpoint is slow, and doesn't drop it when its connection closes", () => {
+    const slowStream =
+        (gapsMs: readonly number[]): EndpointScript =>
+        async (_request, socket) => {
+            socket.write(STREAM_HEAD);
+            for (const [index, gapMs] of gapsMs.entries()) {
+                await new Promise(resolve => setTimeout(resolve, gapMs));
+                socket.write(formatEvent(index + 1));
+            }
+            socket.write("0\r\n\r\n");
+        };
+    for (const [name, gapsMs] of [
+        ["before its first event", [1_500, 10]],
+        ["between two events", [10, 1_500, 10]],
+    ] as const) {
+        it(`is waited for ${name}, though another endpoint is free`, async () => {
+            const route = { ...RESUMABLE, objectiveMs: 600, gapTargetMs: 400, timeoutMs: 5_000 };
+            const { send } = await start(route, slowStream(gapsMs), slowStream(gapsMs));
+            const answer = await send();
+            assert.equal(answer.body, gapsMs.map((_gap, index) => `id: ${index + 1}\ndata: x\n\n`).join(""));
+            assert.ok(answer.isComplete);
+            assert.equal(countRequests(), 1);
+        });
+    }
+});
+
 // Guards against stalled streams that seem alive by bytes that are no event.
 describe("a stream without further events is continued elsewhere", () => {
     for (const [name, first, repeated] of [
