--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -16,10 +16,11 @@
 import { sendFailure } from "../http/sendFailure";
 import type { CallerRequestHead } from "../ports/forwardingCodec";
 import { QUOTA_RETRY_AFTER_MS, RETRY_AFTER_MS } from "./constants";
-import { type CallerConnections, type ConnectionCounts, createCallerConnections } from "./createCallerConnections";
+import { type CallerConnections, createCallerConnections } from "./createCallerConnections";
 import type { Forwarder } from "./createForwarder";
 import { abandonAnswer } from "./abandonAnswer";
 import { type AdmittedRequest, buildExchange } from "./buildExchange";
+import type { CallerCounts } from "./callerCounts";
 import { computeRequestTimes } from "./computeRequestTimes";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
@@ -47,12 +48,6 @@
 });
 const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
-/** Numbers of the callers' connections and of the open requests by phase, and of the requests that have ended. */
-export interface CallerCounts extends ConnectionCounts {
-    readonly phases: Readonly<Record<RequestPhase, number>>;
-    readonly ends: Readonly<Record<RequestEnd, number>>;
-}
-
 /** The HTTP listener for callers. */
 export interface GatewayListener {
     readonly server: http.Server;
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -4,7 +4,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { RolloutPhase } from "../model/gateway";
 import type { BodyMemory } from "./createBodyMemory";
-import type { CallerCounts } from "./createGatewayListener";
+import type { CallerCounts } from "./callerCounts";
 import type { LoopDelays } from "./createLoopMonitor";
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/drainGateway.ts
@@ -3,7 +3,8 @@
  */
 import type { LogFields } from "../base/log/log";
 import { computeStopTimes } from "../decisions/gateway/computeStopTimes";
-import type { CallerCounts, GatewayListener } from "./createGatewayListener";
+import type { CallerCounts } from "./callerCounts";
+import type { GatewayListener } from "./createGatewayListener";
 import type { GatewayComponents } from "./gatewayComponents";
 
 const DRAIN_CHECK_PERIOD_MS = 20;
