Answer a request that can't be sent on, and leave the endpoint's counters as they were

A request with a tab in its path or a space in a header's name ended without an answer, and the endpoint and the service counted it as open for good; the review had read it off the code.

Cause: Node's server takes such a head and its client throws on it; sendAttempt let the exception pass. The attempt ends as unsendable now: 400, not run, nothing recorded against the endpoint.

--- a/src/decisions/gateway/decideNextAction.ts
+++ b/src/decisions/gateway/decideNextAction.ts
@@ -9,6 +9,8 @@
     Relayed = "relayed",
     /** A whole response was received, and no part of it was relayed yet. */
     Answered = "answered",
+    /** The request's path or headers can't be sent to any endpoint. */
+    Unsendable = "unsendable",
     /** No byte of the request can have reached the endpoint. */
     NotSent = "not_sent",
     /** The endpoint states that it did not execute the request. */
@@ -91,6 +93,7 @@
     [AttemptOutcome.Answered]: (route, state) => {
         return isFailedStatus(state.status) && isRetryAllowed(route, state) ? NextAction.SendAgain : NextAction.Relay;
     },
+    [AttemptOutcome.Unsendable]: () => NextAction.Fail,
     [AttemptOutcome.NotSent]: (_route, state) => {
         const canSend = state.hasTime && state.sends < MAX_SENDS;
         return canSend ? NextAction.SendAgain : chooseFailure(state);
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -226,10 +226,11 @@
         response.once("close", handleClose);
         demand.recordInFlight(service, 1);
         metrics.recordOverhead(clock.readMonotonicMs() - exchange.receivedAtMs);
-        const end = await forwarder.forwardRequest(exchange, ended.signal);
-        demand.recordInFlight(service, -1);
-        clearTimeout(timer);
-        response.off("close", handleClose);
+        const end = await forwarder.forwardRequest(exchange, ended.signal).finally(() => {
+            demand.recordInFlight(service, -1);
+            clearTimeout(timer);
+            response.off("close", handleClose);
+        });
         if (end.isRelayed) {
             metrics.countRequest(service, "relayed");
             if (successes++ % SUCCESSES_PER_LOG_LINE === 0) {
--- a/src/gateway/forwardingOutcome.ts
+++ b/src/gateway/forwardingOutcome.ts
@@ -32,6 +32,9 @@
 
 /** Describes the failure of a request that may have been executed, by its last attempt. */
 export function describeFailure(result: AttemptResult): Failure {
+    if (result.end === AttemptOutcome.Unsendable) {
+        return createFailure(FailureKind.InvalidRequest, "The path or a header can't be sent on.");
+    }
     const kind = result.end === AttemptOutcome.TimedOut ? FailureKind.EndpointSilent : FailureKind.OutcomeUnknown;
     return createFailure(kind, `The attempt ended without an answer: ${result.reason}.`, {
         execution: Execution.Unknown,
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -100,15 +100,12 @@
  */
 export function sendAttempt(options: AttemptOptions): Promise<AttemptResult> {
     return new Promise(resolve => {
-        const { record, ended } = options;
-        const request = http.request({
-            host: record.endpoint.target.address,
-            port: record.endpoint.target.port,
-            method: options.method,
-            path: options.path,
-            headers: options.headers.flat(),
-            agent: record.connections.prepareAgent(options.maxIdleMs),
-        });
+        const { ended } = options;
+        const request = createRequest(options);
+        if (request instanceof Error) {
+            resolve({ end: AttemptOutcome.Unsendable, reason: describeError(request) });
+            return;
+        }
         let isSettled = false;
         let overdue: string | undefined;
         const waitBound = createWaitBound(message => {
@@ -189,6 +186,23 @@
     });
 }
 
+/** Creates the request; gives the error if its path or headers are none that the protocol allows. */
+function createRequest({ record, method, path, headers, maxIdleMs }: AttemptOptions): http.ClientRequest | Error {
+    const { address: host, port } = record.endpoint.target;
+    try {
+        return http.request({
+            host,
+            port,
+            method,
+            path,
+            headers: headers.flat(),
+            agent: record.connections.prepareAgent(maxIdleMs),
+        });
+    } catch (error) {
+        return error instanceof Error ? error : new Error(String(error));
+    }
+}
+
 /** Ends the attempt; the connection is closed unless `keepsConnection` is true. */
 type Settle = (result: AttemptResult, keepsConnection?: boolean) => void;
 /** Sets the limit of the next wait; without a delay there is none. */
