Break off an answer whose caller doesn't read it

A caller that doesn't read holds the bytes of its answer for good; with the bound on all answers together, a few of them would keep all other large answers waiting.

Cause: the request's timer ends with the last byte handed to the connection. An answer of which nothing is taken for idleTimeoutMs is broken off now, visibly to its caller.

Evidence: 'are given back once a caller doesn't read its answer' failed with the listener of before, passes now; a caller that reads slowly keeps its answer.

--- a/src/gateway/createBodyMemory.test.ts
+++ b/src/gateway/createBodyMemory.test.ts
@@ -5,6 +5,7 @@
 import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
 import { RouteKind } from "../model/gateway";
 import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
+import { formatRequest, openCaller } from "./_testing/openCaller";
 import { formatAnswer } from "./_testing/startScriptedEndpoint";
 
 const MEBIBYTE = 1_048_576;
@@ -114,6 +115,47 @@
 });
 
 describe("the bodies of all answers", () => {
+    // Guards against: callers that don't read their answers hold the memory of all others for good.
+    it("are given back once a caller doesn't read its answer, which doesn't look whole to it", async () => {
+        const { answerAll, countForwarded } = await startGateway(() =>
+            formatAnswer("x".repeat(2 * BODY_BYTES - 1), { headers: [ATTEMPT_ID] }),
+        );
+        const limits = harness.configuration.readCurrent()?.configuration.limits;
+        assert.ok(limits !== undefined);
+        harness.apply({ limits: { ...limits, idleTimeoutMs: 300 } });
+        const caller = openCaller(harness.port);
+        caller.setReading(false);
+        caller.write(formatRequest("attempt-1"));
+        await waitUntil(() => countForwarded() === 1);
+        answerAll();
+        await waitUntil(() => harness.components.memory.answers.countBytes() > 0);
+        await waitUntil(() => harness.components.memory.answers.countBytes() === 0);
+        caller.setReading(true);
+        assert.ok((await caller.whenClosed).received.length < BODY_BYTES * 2);
+    });
+
+    it("are held as long as a slow caller goes on reading", async () => {
+        const { answerAll, countForwarded } = await startGateway(() =>
+            formatAnswer("x".repeat(BODY_BYTES), { headers: [ATTEMPT_ID, "Connection: close"] }),
+        );
+        const limits = harness.configuration.readCurrent()?.configuration.limits;
+        assert.ok(limits !== undefined);
+        harness.apply({ limits: { ...limits, idleTimeoutMs: 600 } });
+        const caller = openCaller(harness.port);
+        caller.setReading(false);
+        caller.write(formatRequest("attempt-1"));
+        await waitUntil(() => countForwarded() === 1);
+        answerAll();
+        for (let pauses = 0; pauses < 8; pauses++) {
+            await waitMs(200);
+            caller.setReading(true);
+            await waitMs(1);
+            caller.setReading(false);
+        }
+        caller.setReading(true);
+        await waitUntil(() => caller.readReceived().length > BODY_BYTES);
+    });
+
     // Guards against: each answer is within its own limit, and all together take the process over its memory (LOST).
     for (const [name, formatReply] of Object.entries({
         "with a length": () => formatAnswer("x".repeat(BODY_BYTES), { headers: [ATTEMPT_ID] }),
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -233,6 +233,7 @@
         });
         if (end.isRelayed) {
             metrics.countRequest(service, "relayed");
+            limitUnreadTime(open);
             if (successes++ % SUCCESSES_PER_LOG_LINE === 0) {
                 logSuccess(components, exchange);
             }
@@ -250,6 +251,19 @@
         sendFailureAnswer(open, end.failure);
     };
 
+    /** Breaks an answer off if its caller doesn't read it, since its bytes are held until then. */
+    const limitUnreadTime = (open: OpenRequest) => {
+        const { response } = open;
+        const idleTimeoutMs = configuration.readCurrent()?.configuration.limits.idleTimeoutMs;
+        if (response.writableFinished || idleTimeoutMs === undefined) {
+            return;
+        }
+        response.setTimeout(idleTimeoutMs, () => {
+            open.end = RequestEnd.Cut;
+            abandonAnswer(response);
+        });
+    };
+
     /** Handles one request of a connection at a time: the answer before it may close the connection. */
     const handleInTurn = async (open: OpenRequest, receivedAtMs: number) => {
         if (await connections.waitForTurn(open.request, open.response)) {
