Ask the store once the known rows are stale, whatever the relays do

Cause: a silent relay is found out after 1.5 s and left alone for 1 s. With two silent relays a node asks one and the other in turn for ever, and never the store behind them. It asks the store now once its rows are older than 2.2 s, and waits for a relay no longer than until then.

Evidence: 'come from the store soon after relays fall silent': with the code before nine seconds pass without a call to the store; now the rows are current within 3 s.

--- a/src/decisions/relays/chooseRowSource.ts
+++ b/src/decisions/relays/chooseRowSource.ts
@@ -29,13 +29,15 @@
     readonly role: RowRole;
     /** Names of the nodes that may be asked, the first choice first. */
     readonly nodes: readonly string[];
+    /** True if the rows that are known were current too long ago to wait for another node. */
+    readonly areRowsStale?: boolean;
     /** Monotonic time of the last failure of each source. */
     readonly failedAtMs: ReadonlyMap<string, number>;
 }
 
 /**
  * Chooses a source. A reader reads the store, and from other nodes only while the store fails it; any other node reads
- * the store only while all other sources fail it.
+ * the store only while all other sources fail it, or once what they gave is stale.
  *
  * @param input - What is known of the sources
  * @param nowMs - Monotonic time
@@ -43,8 +45,11 @@
  * @example
  * chooseRowSource({ role: RowRole.Node, nodes: ["west-1"], failedAtMs: new Map() }, nowMs); //=> "west-1"
  */
-export function chooseRowSource({ role, nodes, failedAtMs }: RowSourceInput, nowMs: number): string | undefined {
-    const sources = role === RowRole.Reader ? [STORE_SOURCE, ...nodes] : [...nodes, STORE_SOURCE];
+export function chooseRowSource(
+    { role, nodes, areRowsStale = false, failedAtMs }: RowSourceInput,
+    nowMs: number,
+): string | undefined {
+    const sources = role === RowRole.Reader || areRowsStale ? [STORE_SOURCE, ...nodes] : [...nodes, STORE_SOURCE];
     return sources.find(source => {
         const backoffMs = source === STORE_SOURCE ? STORE_BACKOFF_MS[role] : NODE_BACKOFF_MS;
         return nowMs - (failedAtMs.get(source) ?? Number.NEGATIVE_INFINITY) >= backoffMs;
--- a/src/gateway/createRelayedTables.test.ts
+++ b/src/gateway/createRelayedTables.test.ts
@@ -20,6 +20,8 @@
 import { createTableSnapshot, type TableSnapshot } from "./createTableSnapshot";
 
 const TABLE = "servers";
+/** The shortest time of the sites within which a leaving endpoint must be known everywhere. */
+const DRAIN_BOUND_MS = 3_000;
 const clock = createSystemClock();
 const stops: (() => void)[] = [];
 
@@ -112,6 +114,44 @@
         assert.deepEqual(calls, ["read"]);
     });
 
+    // Guards against: the waits for silent relays, one after the other, exceed the bound on a change of endpoints (DRAIN).
+    it("come from the store soon after relays fall silent, and not once each of them was waited for", async () => {
+        const sound = await startRelay("sound");
+        recordAnswer(sound.snapshot, { revision: 5 }, 800, true);
+        const silent = await Promise.all(
+            ["a", "b", "c"].map(async node => {
+                const relay = await startRelay(node);
+                relay.server.removeAllListeners("request");
+                return relay.identity;
+            }),
+        );
+        const nodes = [sound.identity];
+        const { tables, calls } = createTables(nodes);
+        assert.equal((await tables.readTable(TABLE))._unsafeUnwrap().revision, 5);
+        const currentAtMs = performance.now() - 800;
+        nodes.splice(0, 1, ...silent);
+        const readStaleMs = () => performance.now() - currentAtMs;
+        for (let isRead = false; !isRead && readStaleMs() < 3 * DRAIN_BOUND_MS;) {
+            isRead = (await tables.waitForChanges(TABLE, 5, 800)).isOk();
+        }
+        const staleMs = readStaleMs();
+        assert.deepEqual(calls, ["wait"]);
+        assert.ok(staleMs < DRAIN_BOUND_MS, `${staleMs} ms`);
+    });
+
+    it("come from relays again while the store fails a node whose rows are stale", async () => {
+        const relay = await startRelay("relay");
+        recordAnswer(relay.snapshot, { revision: 5 }, 1_000, true);
+        const refused = err(createFailure(FailureKind.StoreUnavailable, "refused"));
+        const { tables, calls } = createTables([relay.identity], refused);
+        assert.ok((await tables.readTable(TABLE)).isOk());
+        await clock.waitMs(1_300);
+        assert.ok((await tables.waitForChanges(TABLE, 5, 0)).isErr());
+        recordAnswer(relay.snapshot, { revision: 6 });
+        assert.equal((await tables.waitForChanges(TABLE, 5, 0))._unsafeUnwrap().revision, 6);
+        assert.deepEqual(calls, ["wait"]);
+    });
+
     it("are not taken from a relay that is behind what this node has read", async () => {
         const [ahead, behind] = [await startRelay("a"), await startRelay("b")];
         recordAnswer(ahead.snapshot, { revision: 9 }, 0, true);
--- a/src/gateway/createRelayedTables.ts
+++ b/src/gateway/createRelayedTables.ts
@@ -27,6 +27,11 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** Another node may hold a call for longer than the store, since it answers whenever the store has answered it. */
 const EXTRA_WAIT_MS = 400;
+/**
+ * Age of the known rows at which a node turns to the store, whatever the other nodes do: the waits for several silent
+ * nodes, one after the other, would exceed the bounds on changes of endpoints and routes.
+ */
+const STALE_MS = 2_200;
 /** Longest time to read an answer, which may be as long as a whole table. */
 const WHOLE_ANSWER_TIMEOUT_MS = 2_000;
 /** Added to the time for which another node may hold a call. */
@@ -61,6 +66,8 @@
     const failedAtMs = new Map<string, number>();
     const storeAnsweredAtMs = new Map<string, number>();
     const newestRevisions = new Map<string, number>();
+    /** Monotonic time at which the known rows of a table were current. */
+    const currentAtMs = new Map<string, number>();
     let lastSource = STORE_SOURCE;
 
     const recordSource = (source: string) => {
@@ -69,6 +76,13 @@
             lastSource = source;
         }
     };
+    const recordCurrent = (table: string, atMs: number) =>
+        void currentAtMs.set(table, Math.max(atMs, currentAtMs.get(table) ?? atMs));
+    /** Computes for how long the known rows are not stale yet. Before any are known there is nothing to be stale. */
+    const computeFreshMs = (table: string) => {
+        const atMs = currentAtMs.get(table);
+        return atMs === undefined ? STALE_MS : Math.max(0, atMs + STALE_MS - clock.readMonotonicMs());
+    };
     const recordFailure = (source: string) => void failedAtMs.set(source, clock.readMonotonicMs());
     const askRelay = async (
         { node, address, port }: NodeIdentity,
@@ -77,15 +91,18 @@
         waitMs: number,
     ): Promise<Result<TableRows, Failure>> => {
         const startedAtMs = clock.readMonotonicMs();
+        const answerMs = Math.min(waitMs + EXTRA_WAIT_MS, computeFreshMs(table) - ANSWER_MARGIN_MS);
+        const heldMs = Math.max(0, Math.min(Number(query["wait"] ?? 0), answerMs));
+        const parameters = query["wait"] === undefined ? query : { ...query, wait: String(Math.floor(heldMs)) };
         const outcome = await sendHttpCall(
             { address, port },
             {
                 method: "GET",
-                path: `${ROWS_PATH}${table}?${new URLSearchParams(query)}`,
+                path: `${ROWS_PATH}${table}?${new URLSearchParams(parameters)}`,
                 omitsRequestId: true,
                 timeouts: {
                     connectMs: CONNECT_TIMEOUT_MS,
-                    firstByteMs: waitMs + EXTRA_WAIT_MS + ANSWER_MARGIN_MS,
+                    firstByteMs: Math.max(0, answerMs) + ANSWER_MARGIN_MS,
                     wholeMs: WHOLE_ANSWER_TIMEOUT_MS,
                 },
             },
@@ -106,6 +123,7 @@
             return err(createFailure(FailureKind.RelayUnavailable, `The relay ${node} has older rows.`));
         }
         newestRevisions.set(table, answer.revision);
+        recordCurrent(table, clock.readMonotonicMs() - answer.ageMs);
         return ok({
             rows: answer.rows.map(({ key, value, version }) => ({ key, value, version })),
             revision: answer.revision,
@@ -130,6 +148,7 @@
             recordFailure(STORE_SOURCE);
         }
         return result.map(rows => {
+            recordCurrent(table, startedAtMs + askedAfterMs);
             newestRevisions.set(table, Math.max(rows.revision, newestRevisions.get(table) ?? 0));
             return { ...rows, askedAfterMs };
         });
@@ -142,7 +161,8 @@
     ) => {
         const { role, nodes } = news.readRowSources();
         const names = nodes.map(({ node }) => node);
-        const source = chooseRowSource({ role, nodes: names, failedAtMs }, clock.readMonotonicMs());
+        const areRowsStale = computeFreshMs(table) === 0;
+        const source = chooseRowSource({ role, nodes: names, areRowsStale, failedAtMs }, clock.readMonotonicMs());
         if (source === undefined) {
             return err(createFailure(FailureKind.RelayUnavailable, "Every source of rows has just failed."));
         }
