Wake for the shift of a good version, and shift late rather than not at all

Callers and operators saw a good version rolled back: "Undecided at the deadline" with nothing missing. Cause: the shift must fall into 2.5 % of the order (150 ms of 6 s), but the holder looked each 250 ms, and a look after these 150 ms rolled the version back, whatever it had shown. Change: a duty says when its next step is due, and the holder waits no longer; a proved version is still shifted between the end and the deadline and completed halfway.

--- /dev/null
+++ b/src/decisions/versions/computeNextStepMs.test.ts
@@ -0,0 +1,22 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { computeNextStepMs } from "./computeNextStepMs";
+import { planRollout } from "./planRollout";
+
+const DURATION_MS = 6_000;
+const { shiftMs, endMs } = planRollout(DURATION_MS);
+
+describe("the next step of an ordered move", () => {
+    it("is the shift, then the end, then the end of a late shift, then the deadline", () => {
+        const times: number[] = [];
+        for (let elapsedMs = 0; times.length < 4;) {
+            elapsedMs += computeNextStepMs(DURATION_MS, elapsedMs) ?? Number.NaN;
+            times.push(elapsedMs);
+        }
+        assert.deepEqual(times, [shiftMs, endMs, (endMs + DURATION_MS) / 2, DURATION_MS]);
+    });
+
+    it("is not due after the deadline", () => {
+        assert.equal(computeNextStepMs(DURATION_MS, DURATION_MS), undefined);
+    });
+});
--- a/src/decisions/versions/decideRolloutPhase.ts
+++ b/src/decisions/versions/decideRolloutPhase.ts
@@ -27,7 +27,8 @@
 
 /**
  * Decides the phase. A move that is undecided at its end is rolled back, also while no endpoint of the old version is
- * there: those may come back, and a bad version must not get their requests.
+ * there: those may come back, and a bad version must not get their requests. A good version whose shift comes late is
+ * still shifted before the deadline.
  *
  * @param facts - What is known of the move
  * @returns The phase, the present one included
@@ -40,13 +41,16 @@
     if (phase >= RolloutPhase.RolledBack || elapsedMs < shiftMs) {
         return { phase };
     }
+    if (elapsedMs >= endMs && (phase === RolloutPhase.Shifting || (hasTargets && isInUse))) {
+        return { phase: RolloutPhase.Completed, reason: "No fault was shown by the deadline." };
+    }
     const canShift = hasTargets && (missing.length === 0 || isInUse);
-    if (elapsedMs < endMs) {
+    if (phase === RolloutPhase.Trial && canShift && elapsedMs < facts.durationMs) {
         const reason = isInUse ? "No other version was in use." : "No fault was shown.";
-        return phase === RolloutPhase.Trial && canShift ? { phase: RolloutPhase.Shifting, reason } : { phase };
+        return { phase: RolloutPhase.Shifting, reason };
     }
-    if (phase === RolloutPhase.Shifting || (hasTargets && isInUse)) {
-        return { phase: RolloutPhase.Completed, reason: "No fault was shown by the deadline." };
+    if (elapsedMs < endMs) {
+        return { phase };
     }
     const undecided = hasTargets ? missing.join("; ") : "no endpoint of the new version";
     return { phase: RolloutPhase.RolledBack, reason: `Undecided at the deadline: ${undecided}.` };
--- a/src/gateway/createRolloutDuty.test.ts
+++ b/src/gateway/createRolloutDuty.test.ts
@@ -96,6 +96,29 @@
         assert.equal(move.phase, RolloutPhase.Completed);
     });
 
+    // Guards against: a good version is rolled back since its node was held up while it should have shifted (missed duty).
+    it("completes a good version before its deadline although the step of the shift came late", async () => {
+        await run(0);
+        await run(endMs + 10, 1);
+        assert.equal(move.phase, RolloutPhase.Shifting);
+        const nowMs = clock.readMonotonicMs() - startedAtMs;
+        const dueMs = duty.computeDueMs?.() ?? Number.NaN;
+        assert.ok(nowMs + dueMs < ORDER.durationMs);
+        await run(nowMs + dueMs);
+        assert.equal(readPhase(), RolloutPhase.Completed);
+    });
+
+    // Guards against: steps at a fixed period miss the time in which a good version shifts (missed duty).
+    it("is due exactly when a good version shifts", async () => {
+        await run(shiftMs - 40);
+        assert.equal(duty.computeDueMs?.(), 40);
+    });
+
+    it("is not due for a move that has ended", async () => {
+        move = { ...move, phase: RolloutPhase.RolledBack };
+        assert.equal(duty.computeDueMs?.(), undefined);
+    });
+
     it("stores a rollback at once", async () => {
         await run(0);
         move = { ...move, phase: RolloutPhase.RolledBack };
--- a/src/gateway/createRolloutDuty.ts
+++ b/src/gateway/createRolloutDuty.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../base/clock";
 import { FailureKind } from "../base/failure";
 import type { Log } from "../base/log/log";
+import { computeNextStepMs } from "../decisions/versions/computeNextStepMs";
 import { decideRolloutPhase } from "../decisions/versions/decideRolloutPhase";
 import { RolloutPhase } from "../model/gateway";
 import type { RolloutRecordsPort, StoredRolloutRecord } from "../ports/rolloutRecords";
@@ -67,11 +68,20 @@
             failure: written.isErr() ? written.error.message : undefined,
         });
     };
+    const findRecord = ({ order }: RolloutMove) => {
+        const known = stored?.get(order.service);
+        return known?.order === order.revision ? known : undefined;
+    };
+    const computeElapsedMs = (move: RolloutMove): number => {
+        const record = findRecord(move);
+        return record === undefined
+            ? move.knownForMs
+            : Math.max(move.knownForMs, clusterTime.readClusterMs() - record.orderedAtMs);
+    };
     /** Decides on a move, and gives the phase that the store must have; `undefined` if it has it. */
     const decideStored = (move: RolloutMove): RolloutPhase | undefined => {
         const { order } = move;
-        const known = stored?.get(order.service);
-        const record = known?.order === order.revision ? known : undefined;
+        const record = findRecord(move);
         if (record !== undefined && record.phase >= RolloutPhase.RolledBack) {
             return undefined;
         }
@@ -79,10 +89,7 @@
         const { phase, reason } = decideRolloutPhase({
             phase: move.phase,
             durationMs: order.durationMs,
-            elapsedMs:
-                record === undefined
-                    ? move.knownForMs
-                    : Math.max(move.knownForMs, clusterTime.readClusterMs() - record.orderedAtMs),
+            elapsedMs: computeElapsedMs(move),
             missing: move.missing,
             hasTargets: usable.some(({ endpoint }) => endpoint.version === order.target),
             isInUse: move.isInUse,
@@ -103,6 +110,11 @@
             stored = undefined;
             retryAtMs = 0;
         },
+        computeDueMs: () => {
+            const open = rollouts.listMoves().filter(({ phase }) => phase < RolloutPhase.RolledBack);
+            const dueMs = open.flatMap(move => computeNextStepMs(move.order.durationMs, computeElapsedMs(move)) ?? []);
+            return dueMs.length === 0 ? undefined : Math.min(...dueMs);
+        },
         runStep: async check => {
             const moves = rollouts.listMoves();
             if (moves.length === 0 || !clusterTime.hasAgreedOffset() || clock.readMonotonicMs() < retryAtMs) {
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/startDutyHolder.ts
@@ -39,6 +39,8 @@
     beginTerm(): void;
     /** Carries out what is due; called repeatedly. */
     runStep(check: CheckHolder): Promise<void>;
+    /** Gives the time until its next step is due; `undefined` if the usual period between steps will do. */
+    computeDueMs?(): number | undefined;
 }
 
 /** Handle of the participation of this node in the duties. */
@@ -102,7 +104,7 @@
                 }
                 steppedAt = readInstant(clock);
             }
-            yield* waitFor(clock.waitMs(STEP_PERIOD_MS));
+            yield* waitFor(clock.waitMs(computePauseMs(options.duties)));
             if (wasPaused()) {
                 return;
             }
@@ -157,3 +159,8 @@
         },
     };
 }
+
+/** Computes the time until the next step of any duty. */
+function computePauseMs(duties: readonly Duty[]): number {
+    return Math.min(STEP_PERIOD_MS, ...duties.map(duty => duty.computeDueMs?.() ?? STEP_PERIOD_MS));
+}
