Leave a relay its time after this node itself stood still

Seen: a node that heard nobody for 0.8 s, since its process stood still or its port was closed, took its sound relay for silent, chose another for ten seconds and left the fleet's sums split meanwhile. Cause: silence was measured by the clock alone, whether the node could hear or not. Change: a gap of more than two periods between two exchanges begins the measure anew. Evidence: the new test of the roster has no counterpart on the code before (its call is new); with it the relay stays after a pause of 5 s and is still replaced after 0.85 s of silence.

--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -39,6 +39,8 @@
 const LOADING_PERIODS_MAX = 3;
 /** A node assumes that it is no longer counted this long before it is not. */
 const COUNTED_MARGIN_MS = 1_500;
+/** A longer time between two exchanges means that this node stood still and heard nobody. */
+const STANDSTILL_MS = 2 * NEWS_PERIOD_MS;
 
 /** Where a node reads rows of the store. */
 export interface RowSources {
@@ -113,6 +115,7 @@
     let hasMembers = false;
     let hasHeardLoaded = false;
     let wasRelay = false;
+    let exchangedAtMs = clock.readMonotonicMs();
 
     const isFresh = (atMs: number, withinMs: number) => clock.readMonotonicMs() - atMs < withinMs;
     const send = (bytes: Buffer, { address, port }: NodeIdentity) => socket.send(bytes, port, address);
@@ -278,6 +281,11 @@
         }
     };
     const exchangeNews = () => {
+        const nowMs = clock.readMonotonicMs();
+        if (nowMs - exchangedAtMs > STANDSTILL_MS) {
+            roster.recordStandstill();
+        }
+        exchangedAtMs = nowMs;
         if (!hasMembers) {
             return;
         }
--- a/src/gateway/createRelayRoster.test.ts
+++ b/src/gateway/createRelayRoster.test.ts
@@ -40,6 +40,17 @@
         assert.equal(listNames()[0], relays[0]);
     });
 
+    // Guards against: a node that stood still, or could not open its port, takes its sound relay for silent.
+    it("stay when this node itself heard nobody for a while, and change if the first is silent after it", () => {
+        const { clock, roster, relays, listNames } = createRoster();
+        listNames();
+        clock.advanceMs(5_000);
+        roster.recordStandstill();
+        assert.equal(listNames()[0], relays[0]);
+        clock.advanceMs(850);
+        assert.equal(listNames()[0], relays[1]);
+    });
+
     it("are this node alone once nobody lists the others any more", () => {
         const { clock, listNames } = createRoster();
         clock.advanceMs(9_500);
--- a/src/gateway/createRelayRoster.ts
+++ b/src/gateway/createRelayRoster.ts
@@ -20,6 +20,8 @@
     recordLife(node: string): void;
     /** Records a view of the fleet by a relay. */
     recordView(relay: string): void;
+    /** Records that this node could hear nobody for a while: that time doesn't count as silence of its relay. */
+    recordStandstill(): void;
     /** Lists the chosen relays, the first choice first; this node itself may be among them. */
     listRelays(): readonly NodeIdentity[];
     /** Passes over the first choice for a while if it sends no views; gives the relays that then are chosen. */
@@ -90,6 +92,9 @@
                 primary.heardAtMs = clock.readMonotonicMs();
             }
         },
+        recordStandstill: () => {
+            primary = undefined;
+        },
         listRelays,
         replaceSilentRelay,
     };
