Open a node's datagram port once a former process lets it go

What callers saw: nothing at once; the node served out of touch with the others for as long as it lived, with a lone node's share of quotas and limits. Cause: the socket was bound once and its error only logged, as for the listeners of H1. The tests of the news bind an address of their own process, since two runs took each other's ports (seen).

--- a/src/gateway/createFleetNews.test.ts
+++ b/src/gateway/createFleetNews.test.ts
@@ -1,14 +1,17 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import dgram from "node:dgram";
+import { once } from "node:events";
 import { waitUntil } from "../adapters/contracts/waitUntil";
 import { createSystemClock } from "../base/createSystemClock";
 import { createLog } from "../base/log/createLog";
+import { chooseRelays } from "../decisions/relays/chooseRelays";
 import { RowRole } from "../decisions/relays/chooseRowSource";
 import type { EndpointActivity, NodeIdentity } from "../decisions/relays/news";
 import { createFleetNews, type FleetNews } from "./createFleetNews";
 
-const ADDRESS = "127.0.0.1";
+/** An address of this process alone: other runs of this test on the machine use the same ports. */
+const ADDRESS = `127.0.${1 + (process.pid % 250)}.1`;
 const FIRST_PORT = 17_620;
 
 interface RunningNode {
@@ -18,6 +21,8 @@
 }
 
 let running: RunningNode[] = [];
+/** A socket of a former process. */
+let holder: dgram.Socket | undefined;
 
 function makeIdentity(index: number, failureDomain: string): NodeIdentity {
     const node = `${failureDomain}-${index}`;
@@ -70,6 +75,8 @@
     afterEach(() => {
         running.forEach(({ news }) => news.dispose());
         running = [];
+        holder?.close();
+        holder = undefined;
     });
 
     it("reach every node of every failure domain through relays, each node counted once", async () => {
@@ -105,6 +112,22 @@
         }
     });
 
+    // Guards against: a node whose port a former process still holds at its start never hears of the others again.
+    it("begin once a former process lets the port of a node go", async () => {
+        const identities = [0, 1, 2].map(index => makeIdentity(index, "west"));
+        const [relay] = chooseRelays(identities, 1);
+        const late = identities.find(identity => identity !== relay);
+        holder = dgram.createSocket("udp4").bind(late?.port, ADDRESS);
+        await once(holder, "listening");
+        const nodes = startNodes(identities);
+        const others = nodes.filter(({ identity }) => identity !== late);
+        await waitUntil(() => others.every(({ news }) => news.readUsage().reachable === 2), "the others know");
+        assert.equal(nodes.filter(({ news }) => !news.isInTouch()).length, 1);
+        holder.close();
+        holder = undefined;
+        await waitUntil(() => nodes.every(({ news }) => news.readUsage().reachable === 3), "all know of all");
+    });
+
     it("survive datagrams that are no messages", async () => {
         const nodes = startNodes([0, 1].map(index => makeIdentity(index, "west")));
         const socket = dgram.createSocket("udp4");
--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -6,7 +6,7 @@
  * Every node can be a relay: it is one while it is among its own choices or other nodes report to it. A relay holds
  * nothing that must last, and the next choice takes over when it falls silent.
  */
-import dgram from "node:dgram";
+import type { RemoteInfo } from "node:dgram";
 import type { Disposable } from "../base/disposableStore";
 import type { DumpSource } from "../base/dump";
 import type { FleetUsage } from "../decisions/gateway/accountQuotas";
@@ -27,6 +27,7 @@
 import { createRelayRoster } from "./createRelayRoster";
 import type { FleetNewsOptions } from "./fleetNewsOptions";
 import { decodeNews, encodeNews, NewsKind, type NewsMessage } from "./newsCodec";
+import { openDatagramPort } from "./openDatagramPort";
 
 /** A node stops acting as a relay when nobody has reported to it for this long. */
 const RELAY_UNUSED_MS = 3_000;
@@ -100,7 +101,6 @@
  */
 export function createFleetNews(options: FleetNewsOptions): FleetNews {
     const { self, clock, log, quotaWindowMs } = options;
-    const socket = dgram.createSocket("udp4");
     const collector = createReportCollector(quotaWindowMs);
     const merger = createSummaryMerger(quotaWindowMs);
     const roster = createRelayRoster(self, clock, log);
@@ -118,7 +118,6 @@
     let exchangedAtMs = clock.readMonotonicMs();
 
     const isFresh = (atMs: number, withinMs: number) => clock.readMonotonicMs() - atMs < withinMs;
-    const send = (bytes: Buffer, { address, port }: NodeIdentity) => socket.send(bytes, port, address);
     const isRelay = () =>
         isFresh(askedAtMs, RELAY_UNUSED_MS) || roster.listRelays().some(({ node }) => node === self.node);
     const isInTouch = () => view !== undefined && isFresh(view.atMs, UNREACHABLE_AFTER_MS);
@@ -199,12 +198,14 @@
             }
         },
     };
-    const handleDatagram = (bytes: Buffer, from: dgram.RemoteInfo) => {
+    const handleDatagram = (bytes: Buffer, from: RemoteInfo) => {
         const message = decodeNews(bytes, from);
         if (message !== undefined) {
             (handlers[message.kind] as (message: NewsMessage) => void)(message);
         }
     };
+    const datagrams = openDatagramPort({ address: self.address, port: self.port, handleDatagram, log });
+    const send = datagrams.send;
 
     const readOwnSuspects = () => mergeSuspects([options.evidence.readEvidence()], sumClearances);
     const buildReport = (): NodeReport => ({
@@ -282,11 +283,11 @@
     };
     const exchangeNews = () => {
         const nowMs = clock.readMonotonicMs();
-        if (nowMs - exchangedAtMs > STANDSTILL_MS) {
+        if (datagrams.isDeaf() || nowMs - exchangedAtMs > STANDSTILL_MS) {
             roster.recordStandstill();
         }
         exchangedAtMs = nowMs;
-        if (!hasMembers) {
+        if (!hasMembers || datagrams.isDeaf()) {
             return;
         }
         sendReports();
@@ -328,15 +329,13 @@
         const ofFleet = advanceSuspects(view?.content.suspects ?? {}, clock.readMonotonicMs() - (view?.atMs ?? 0));
         return mergeSuspects([ofFleet, readOwnSuspects()], Math.max);
     };
-    socket.on("message", handleDatagram);
-    socket.on("error", error => log.warn("datagram socket failed", { reason: error.message }));
-    socket.bind(self.port, self.address);
     const timer = setInterval(exchangeNews, NEWS_PERIOD_MS);
     return {
         name: "news",
         dumpState: () => ({
             isRelay: isRelay(),
             isInTouch: isInTouch(),
+            datagramPort: datagrams.readState(),
             viewAgeMs: view === undefined ? undefined : Math.round(clock.readMonotonicMs() - view.atMs),
             view: view?.content,
             ownRelays: roster.listRelays().map(({ node }) => node),
@@ -381,7 +380,7 @@
         },
         dispose: () => {
             clearInterval(timer);
-            socket.close();
+            datagrams.dispose();
         },
     };
 }
