Handle a gateway's signals from its first statement on

Seen: a signal ended a gateway that was starting. SIGHUP, which an operator sends after writing a settings file, ended it for as long as its program was loaded and its settings read; SIGTERM ended it by the signal instead of by a planned stop with code 0; SIGUSR2 did so even later. Callers lost the capacity of a process that nobody had told to go.

Cause: the handlers were installed by runGateway, after Node's start, the load of the program and the reading of settings. Until then a signal has its default meaning, which is to end the process.

A signal that comes before its taker waits for it: SIGHUP is acted on once the watch of the settings begins, SIGUSR2 once the parts are there, SIGTERM and SIGINT once the gateway could serve. Handles of signals keep no process alive, so invalid settings still end with code 2. `gateway started` says in `signalsMs` after how long the signals were handled. A process that a signal ends before has no such line, and its parent sees the signal as the reason.

--- a/src/gateway/dumpOnSignal.test.ts
+++ b/src/gateway/dumpOnSignal.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { installSignalHandlers } from "../base/installSignalHandlers";
 import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
 import { createGatewayHarness } from "./_testing/createGatewayHarness";
 import { dumpOnSignal } from "./dumpOnSignal";
@@ -8,7 +9,7 @@
     it("shows configuration, endpoints and news, and no key", async () => {
         const harness = await createGatewayHarness(makeRoute(), [() => undefined]);
         const line = await new Promise<string>(resolve => {
-            dumpOnSignal(harness.components, resolve);
+            dumpOnSignal(harness.components, installSignalHandlers(), resolve);
             process.kill(process.pid, "SIGUSR2");
         });
         harness.dispose();
--- a/src/gateway/dumpOnSignal.ts
+++ b/src/gateway/dumpOnSignal.ts
@@ -1,6 +1,7 @@
 /**
  * @module Dumps the state of a gateway on a signal.
  */
+import type { ProcessSignals } from "../base/processSignals";
 import { collectDump } from "../queries/collectDump";
 import { writeDumpOnSignal } from "../serve/writeDumpOnSignal";
 import type { GatewayComponents } from "./gatewayComponents";
@@ -9,16 +10,21 @@
  * Installs a handler that writes a dump of the configuration, the endpoints, the news and the quarantine at each `SIGUSR2`.
  *
  * @param components - The components whose state is dumped
+ * @param signals - The signals of the process
  * @param write - Writes the line; default: to the standard error stream
  * @example
- * dumpOnSignal(components);
+ * dumpOnSignal(components, signals);
  */
-export function dumpOnSignal(components: GatewayComponents, write?: (line: string) => void): void {
+export function dumpOnSignal(
+    components: GatewayComponents,
+    signals: Pick<ProcessSignals, "setHandler">,
+    write?: (line: string) => void,
+): void {
     const { clock, settings, configuration, directory, news, quarantine, rollouts, limits } = components;
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
         listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits],
     };
-    writeDumpOnSignal(() => collectDump(dependencies), write);
+    writeDumpOnSignal(signals, () => collectDump(dependencies), write);
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -6,6 +6,7 @@
 import { createSystemClock } from "../base/createSystemClock";
 import { createLog } from "../base/log/createLog";
 import { type Log, LogFormat } from "../base/log/log";
+import type { ProcessSignals } from "../base/processSignals";
 import { createAccountQuotas } from "../decisions/gateway/accountQuotas";
 import { startListening } from "../http/startListening";
 import type { GatewaySettings } from "../model/gateway";
@@ -52,22 +53,27 @@
  * @param settings - Its settings
  * @param platformPorts - The adapters of the platform
  * @param metricsPort - Port of the metrics listener, on the node's address
+ * @param signals - The signals of the process
  * @returns The exit code
  * @example
- * process.exitCode = await runGateway(settings, platform, 7_615);
+ * process.exitCode = await runGateway(settings, platform, 7_615, installSignalHandlers());
  */
 export async function runGateway(
     settings: LiveSettings,
     platformPorts: GatewayPlatform,
     metricsPort: number,
+    signals: ProcessSignals,
 ): Promise<number> {
     const clock = createSystemClock();
     const random = createEntropySeededRandom();
     const lifeLog = createProcessLog().withFields({ node: settings.nodeName });
     const log = createRateLimitedLog(lifeLog, clock);
-    log.info("gateway started", { isFirstStart: settings.isFirstStart });
-    const whenSignalled = waitForSignal();
-    watchSettings(settings, { readSettings: platformPorts.readSettings, log });
+    log.info("gateway started", {
+        isFirstStart: settings.isFirstStart,
+        signalsMs: Math.round(signals.handledAfterMs),
+    });
+    const whenSignalled = signals.takeStop();
+    watchSettings(settings, { readSettings: platformPorts.readSettings, signals, log });
     logStrayErrors(log);
     const metrics = createGatewayMetrics();
     const memory = createBodyMemory(settings.memoryBytesMax);
@@ -169,7 +175,7 @@
         limits,
         memory,
     };
-    dumpOnSignal(components);
+    dumpOnSignal(components, signals);
     const loopMonitor = createLoopMonitor(log);
     const rowServer = startWatches(components, platform, clusterTime);
     void resolveClusterTime(platform.tables, clusterTime, clock.waitMs, log);
@@ -231,11 +237,3 @@
     const write = (line: string) => void process.stdout.write(`${line}\n`);
     return createLog({ format: LogFormat.Json, write });
 }
-
-/** Waits for SIGTERM or SIGINT; gives its name. */
-function waitForSignal(): Promise<string> {
-    return new Promise(resolve => {
-        process.on("SIGTERM", () => resolve("SIGTERM"));
-        process.on("SIGINT", () => resolve("SIGINT"));
-    });
-}
--- a/src/gateway/watchSettings.ts
+++ b/src/gateway/watchSettings.ts
@@ -4,6 +4,7 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../base/failure";
 import type { Log } from "../base/log/log";
+import { ControlSignal, type ProcessSignals } from "../base/processSignals";
 import type { GatewaySettings } from "../model/gateway";
 
 /** Period of reading the settings file: it may change without a signal, and is small enough to be read each time. */
@@ -15,9 +16,10 @@
     Changed = "changed file",
 }
 
-/** Where the settings are read, and the log. */
+/** Where the settings are read, the signals of the process, and the log. */
 export interface SettingsWatchOptions {
     readonly readSettings: () => Result<GatewaySettings, Failure>;
+    readonly signals: Pick<ProcessSignals, "setHandler">;
     readonly log: Log;
 }
 
@@ -30,12 +32,12 @@
  * those in force stay.
  *
  * @param settings - The settings in force; changed in place
- * @param watch - Where they are read, and the log
+ * @param watch - Where they are read, the signals, and the log
  * @example
- * watchSettings(settings, { readSettings, log });
+ * watchSettings(settings, { readSettings, signals, log });
  */
 export function watchSettings(settings: LiveSettings, watch: SettingsWatchOptions): void {
-    const { readSettings, log } = watch;
+    const { readSettings, signals, log } = watch;
     let lastText = JSON.stringify(settings);
     const refresh = (reason: ReloadReason) => {
         const read = readSettings();
@@ -56,7 +58,7 @@
         Object.assign(settings, { bounds, regions });
         log.info("settings reloaded", { reason, needsStart: needsStart.join(",") });
     };
-    process.on("SIGHUP", () => refresh(ReloadReason.Signal));
+    signals.setHandler(ControlSignal.HangUp, () => refresh(ReloadReason.Signal));
     setInterval(() => refresh(ReloadReason.Changed), POLL_PERIOD_MS).unref();
 }
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,6 +4,7 @@
 import { randomBytes } from "node:crypto";
 import fs from "node:fs";
 import { createSystemClock } from "./base/createSystemClock";
+import { installSignalHandlers } from "./base/installSignalHandlers";
 import type { CliContext } from "./cli/cliContext";
 import { runCli } from "./cli/runCli";
 
@@ -18,7 +19,7 @@
     writeError: text => void process.stderr.write(text),
     readFile: file => fs.readFileSync(file, "utf8"),
     createRandomBytes: count => randomBytes(count),
-    runServe: async settings => (await import("./serve/runServe")).runServe(settings),
+    runServe: async settings => (await import("./serve/runServe")).runServe(settings, installSignalHandlers()),
     runDev: async options => (await import("./dev/runDev")).runDev(options),
 };
 
--- a/src/serve/runServe.test.ts
+++ b/src/serve/runServe.test.ts
@@ -2,6 +2,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import net from "node:net";
 import { after, before, describe, it } from "node:test";
+import { installSignalHandlers } from "../base/installSignalHandlers";
 import { LogLevel } from "../base/log/log";
 import { createEmbeddedNodes } from "../dev/createEmbeddedNodes";
 import { createEmbeddedPlatform, type EmbeddedPlatform } from "../dev/createEmbeddedPlatform";
@@ -68,7 +69,7 @@
 
     it("ends orderly at a SIGTERM that arrives while it starts", { timeout: 10_000 }, async () => {
         const settings = readSettings({ ...listFlags(), drainMs: "100" }, {})._unsafeUnwrap();
-        const ended = runServe(settings);
+        const ended = runServe(settings, installSignalHandlers());
         process.emit("SIGTERM", "SIGTERM");
         assert.equal(await ended, 0);
     });
