Handle a node's signals before its program is loaded

Seen: SIGTERM, SIGINT, SIGHUP or SIGUSR2 ended `redwinglift serve` while it parsed its settings and loaded its parts; for SIGHUP and SIGUSR2 also later, until they were made.

Change: main.ts installs them if the command is `serve`, and loads the program (runProgram.ts) after that. Other commands keep the defaults: Ctrl+C ends them. So does `dev`, where nothing is lost, until its nodes run.

--- a/src/main.ts
+++ b/src/main.ts
@@ -1,30 +1,9 @@
 /**
- * @module The program's entry.
+ * @module The program's entry. A node handles signals before its program is loaded; the other commands keep their defaults.
  */
-import { randomBytes } from "node:crypto";
-import fs from "node:fs";
-import { createSystemClock } from "./base/createSystemClock";
 import { installSignalHandlers } from "./base/installSignalHandlers";
-import type { CliContext } from "./cli/cliContext";
-import { runCli } from "./cli/runCli";
 
-/** How long output and connections may take to close after the command has ended. */
-const EXIT_GRACE_MS = 1_000;
+const SERVE_COMMAND = "serve";
 
-const context: CliContext = {
-    environment: process.env,
-    clock: createSystemClock(),
-    programVersion: process.env["REDWINGLIFT_VERSION"] ?? "development",
-    write: text => void process.stdout.write(text),
-    writeError: text => void process.stderr.write(text),
-    readFile: file => fs.readFileSync(file, "utf8"),
-    createRandomBytes: count => randomBytes(count),
-    runServe: async settings => (await import("./serve/runServe")).runServe(settings, installSignalHandlers()),
-    runDev: async options => (await import("./dev/runDev")).runDev(options),
-};
-
-void runCli(process.argv.slice(2), context).then(exitCode => {
-    process.exitCode = exitCode;
-    // A peer that keeps its end of a connection open must not keep a finished program alive.
-    setTimeout(() => process.exit(exitCode), EXIT_GRACE_MS).unref();
-});
+const signals = process.argv[2] === SERVE_COMMAND ? installSignalHandlers() : undefined;
+void import("./runProgram").then(({ runProgram }) => runProgram(signals));
--- a/src/serve/runServe.test.ts
+++ b/src/serve/runServe.test.ts
@@ -9,6 +9,8 @@
 import { DEPLOYMENT_PRESETS, PresetName } from "../dev/deploymentPreset";
 import { installPresetConfiguration } from "../dev/installPresetConfiguration";
 import { readSettings } from "../settings/readSettings";
+import { formatServeWords } from "./_testing/formatServeWords";
+import { listServeFlags } from "./_testing/listServeFlags";
 import { runServe } from "./runServe";
 
 const ACCOUNT_KEY = "rwl_signals";
@@ -68,38 +70,16 @@
     });
 
     it("ends orderly at a SIGTERM that arrives while it starts", { timeout: 10_000 }, async () => {
-        const settings = readSettings({ ...listFlags(), drainMs: "100" }, {})._unsafeUnwrap();
+        const settings = readSettings({ ...listServeFlags(embedded.platformUrl), drainMs: "100" }, {})._unsafeUnwrap();
         const ended = runServe(settings, installSignalHandlers());
         process.emit("SIGTERM", "SIGTERM");
         assert.equal(await ended, 0);
     });
 });
 
-function listFlags(): Readonly<Record<string, string>> {
-    const url = embedded.platformUrl;
-    return {
-        nodeId: "node-9",
-        vmId: "node-vm-9",
-        region: "local",
-        failureDomain: "local",
-        callerPort: "0",
-        operatorPort: "0",
-        nodePort: "0",
-        platformTableUrl: url,
-        platformObjectsUrl: url,
-        platformCloudUrl: url,
-        platformVmListUrl: url,
-        operatorKeyHashes: "0".repeat(64),
-        logFormat: "json",
-    };
-}
-
 async function startNodeProcess(): Promise<NodeProcess> {
-    const flags = Object.entries(listFlags()).flatMap(([name, value]) => [
-        `--${name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`,
-        value,
-    ]);
-    const child = spawn(process.execPath, ["--import", "tsx", "src/main.ts", "serve", ...flags], {
+    const words = formatServeWords(listServeFlags(embedded.platformUrl));
+    const child = spawn(process.execPath, ["--import", "tsx", "src/main.ts", ...words], {
         stdio: ["ignore", "ignore", "pipe"],
     });
     after(() => child.kill("SIGKILL"));
