Keep the exit code of a process that is about to end

Seen: a node that had drained, and a gateway with invalid settings, ended by SIGHUP or SIGTERM instead of with their exit code (0 and 2) if the signal came in their last milliseconds. Whoever restarts or counts ends saw a process that a signal had killed.

Cause: a process whose event loop has no more work is torn down by Node, which closes the handles of signals first. libuv then gives each signal its default meaning back.

Change: both end by process.exit, at which Node doesn't tear the handles down. The node does so once its event loop has no more work (`beforeExit`), so nothing that is still being sent is cut.

Evidence: "ends with the code of invalid settings" and "ends with its own exit code however many other signals come" send signals about each millisecond until the process is gone. "ends with the code of its stop" held before, since the gateway always used process.exit.

--- a/src/runProgram.ts
+++ b/src/runProgram.ts
@@ -22,6 +22,8 @@
 export async function runProgram(signals?: ProcessSignals): Promise<void> {
     const exitCode = await runCli(process.argv.slice(2), createContext(signals));
     process.exitCode = exitCode;
+    // Node gives signals their default meaning back before a process without work ends, but not at process.exit.
+    process.once("beforeExit", () => process.exit(exitCode));
     // A peer that keeps its end of a connection open must not keep a finished program alive.
     setTimeout(() => process.exit(exitCode), EXIT_GRACE_MS).unref();
 }
--- a/src/serve/serveSignals.test.ts
+++ b/src/serve/serveSignals.test.ts
@@ -120,6 +120,22 @@
     }
 });
 
+// Guards against: a signal that changes nothing ends a process that is about to end by itself.
+describe("a node's process that stops", OPTIONS, () => {
+    it("ends with its own exit code however many other signals come", OPTIONS, async () => {
+        const node = startNode(Moment.FirstStatements, []);
+        await waitForLog(node, "node ready");
+        node.child.kill("SIGTERM");
+        let isEnded = false;
+        const whenStopped = assertOnePlannedStop(node).finally(() => (isEnded = true));
+        while (!isEnded) {
+            OTHER_SIGNALS.forEach(signal => node.child.kill(signal));
+            await pause(1);
+        }
+        await whenStopped;
+    });
+});
+
 describe("a command that isn't a node", OPTIONS, () => {
     it("is ended by SIGINT as usual", OPTIONS, async () => {
         const program = startProgram(["status"], Moment.FirstStatements, ["SIGINT"]);
