Test signals in a drain of a node with an open stream

Cause: only SIGHUP and a second SIGTERM were tested there. Change: SIGHUP, SIGUSR2 and SIGPIPE leave an open stream, SIGINT ends it with its last event and exit code 1. Evidence: "keeps a stream in a drain beside SIGHUP, SIGUSR2 and SIGPIPE until SIGINT" passed once on this code; not run on the code before.

--- a/src/serve/runServe.test.ts
+++ b/src/serve/runServe.test.ts
@@ -69,6 +69,17 @@
         assert.ok(performance.now() - secondAtMs < 4_000);
     });
 
+    it("keeps a stream in a drain beside SIGHUP, SIGUSR2 and SIGPIPE until SIGINT", { timeout: 60_000 }, async () => {
+        const node = await startNodeProcess();
+        const caller = openStream(node.callerPort);
+        await caller.begun;
+        (["SIGTERM", "SIGHUP", "SIGUSR2", "SIGPIPE"] as const).forEach(signal => node.child.kill(signal));
+        assert.equal(await Promise.race([caller.ended, sleepMs(1_000).then(() => "open")]), "open");
+        node.child.kill("SIGINT");
+        assert.match(await caller.ended, /shutting_down[\s\S]*\r\n0\r\n\r\n$/);
+        assert.equal(await node.exitCode, 1);
+    });
+
     it("ends orderly at a SIGTERM that arrives while it starts", { timeout: 10_000 }, async () => {
         const settings = readSettings({ ...listServeFlags(embedded.platformUrl), drainMs: "100" }, {})._unsafeUnwrap();
         const ended = runServe(settings, installSignalHandlers());
