--- a/src/serve/runServe.test.ts
+++ b/src/serve/runServe.test.ts
@@ -2,12 +2,15 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import net from "node:net";
 import { after, before, describe, it } from "node:test";
+import { installSignalHandlers } from "../base/installSignalHandlers";
 import { LogLevel } from "../base/log/log";
 import { createEmbeddedNodes } from "../dev/createEmbeddedNodes";
 import { createEmbeddedPlatform, type EmbeddedPlatform } from "../dev/createEmbeddedPlatform";
 import { DEPLOYMENT_PRESETS, PresetName } from "../dev/deploymentPreset";
 import { installPresetConfiguration } from "../dev/installPresetConfiguration";
 import { readSettings } from "../settings/readSettings";
+import { formatServeWords } from "./_testing/formatServeWords";
+import { listServeFlags } from "./_testing/listServeFlags";
 import { runServe } from "./runServe";
 
 const ACCOUNT_KEY = "rwl_signals";
@@ -66,39 +69,28 @@
         assert.ok(performance.now() - secondAtMs < 4_000);
     });
 
+    it("keeps a stream in a drain beside SIGHUP, SIGUSR2 and SIGPIPE until SIGINT", { timeout: 60_000 }, async () => {
+        const node = await startNodeProcess();
+        const caller = openStream(node.callerPort);
+        await caller.begun;
+        (["SIGTERM", "SIGHUP", "SIGUSR2", "SIGPIPE"] as const).forEach(signal => node.child.kill(signal));
+        assert.equal(await Promise.race([caller.ended, sleepMs(1_000).then(() => "open")]), "open");
+        node.child.kill("SIGINT");
+        assert.match(await caller.ended, /shutting_down[\s\S]*\r\n0\r\n\r\n$/);
+        assert.equal(await node.exitCode, 1);
+    });
+
     it("ends orderly at a SIGTERM that arrives while it starts", { timeout: 10_000 }, async () => {
-        const settings = readSettings({ ...listFlags(), drainMs: "100" }, {})._unsafeUnwrap();
-        const ended = runServe(settings);
+        const settings = readSettings({ ...listServeFlags(embedded.platformUrl), drainMs: "100" }, {})._unsafeUnwrap();
+        const ended = runServe(settings, installSignalHandlers());
         process.emit("SIGTERM", "SIGTERM");
         assert.equal(await ended, 0);
     });
 });
 
-function listFlags(): Readonly<Record<string, string>> {
-    const url = embedded.platformUrl;
-    return {
-        nodeId: "node-9",
-        vmId: "node-vm-9",
-        region: "local",
-        failureDomain: "local",
-        callerPort: "0",
-        operatorPort: "0",
-        nodePort: "0",
-        platformTableUrl: url,
-        platformObjectsUrl: url,
-        platformCloudUrl: url,
-        platformVmListUrl: url,
-        operatorKeyHashes: "0".repeat(64),
-        logFormat: "json",
-    };
-}
-
 async function startNodeProcess(): Promise<NodeProcess> {
-    const flags = Object.entries(listFlags()).flatMap(([name, value]) => [
-        `--${name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`,
-        value,
-    ]);
-    const child = spawn(process.execPath, ["--import", "tsx", "src/main.ts", "serve", ...flags], {
+    const words = formatServeWords(listServeFlags(embedded.platformUrl));
+    const child = spawn(process.execPath, ["--import", "tsx", "src/main.ts", ...words], {
         stdio: ["ignore", "ignore", "pipe"],
     });
     after(() => child.kill("SIGKILL"));
