Log each listener of a gateway with its address, and why it can't listen

Change: a line for each listener that listens or can't, with its address; these and `gateway listens` are never dropped.

No behaviour changes.

--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -1,13 +1,14 @@
 /**
  * @module Runs a gateway as a process, and connects its components.
  */
+import type http from "node:http";
 import { ulid } from "ulid";
 import { createEntropySeededRandom } from "../base/createEntropySeededRandom";
 import { createSystemClock } from "../base/createSystemClock";
 import { createLog } from "../base/log/createLog";
 import { type Log, LogFormat } from "../base/log/log";
 import { createAccountQuotas } from "../decisions/gateway/accountQuotas";
-import { startListening } from "../http/startListening";
+import { type ListenAddress, startListening } from "../http/startListening";
 import type { GatewaySettings } from "../model/gateway";
 import { logStrayErrors } from "../serve/logStrayErrors";
 import { createBodyMemory } from "./createBodyMemory";
@@ -200,13 +201,23 @@
         },
         quarantine,
     });
+    const start = (name: string, server: http.Server, { address, port }: ListenAddress) => {
+        const fields = { listener: name, address, port };
+        return startListening(server, { address, port }).then(
+            () => lifeLog.info("listener listens", fields),
+            (error: Error) => {
+                lifeLog.error("listener can't listen", { ...fields, reason: error.message });
+                throw error;
+            },
+        );
+    };
     await Promise.all([
-        startListening(listener.server, settings.callers),
-        startListening(readiness, settings.readiness),
-        startListening(rowServer, { address: settings.address, port: internalPort }),
-        startListening(metricsListener, { address: settings.address, port: metricsPort }),
+        start("callers", listener.server, settings.callers),
+        start("readiness", readiness, settings.readiness),
+        start("rows", rowServer, { address: settings.address, port: internalPort }),
+        start("metrics", metricsListener, { address: settings.address, port: metricsPort }),
     ]);
-    log.info("gateway listens", { startMs: Math.round(process.uptime() * 1_000) });
+    lifeLog.info("gateway listens", { startMs: Math.round(process.uptime() * 1_000) });
 
     const signal = await whenSignalled;
     isLeaving = true;
