Make the start of a gateway whole or none

What callers saw: a port that is taken when a process starts left it for good without that listener: readiness 200 beside a front that refuses connections, a front beside a readiness that is refused, no rows for other nodes. Such a process ignored SIGTERM: it went on to answer and stayed ready, so that whatever ended it cut what it had accepted.

Cause: runGateway waited for all listeners together and only then for the signal; one rejection ended it, and nobody handled that.

Change: superviseListener tries an address again and owns the errors of its server, also those after the start. startListeners knows which are needed. Callers, readiness and rows are tried for the grace time (a former process may hold a port for it) and 5 s more; then `gateway failed` says why, and the process ends with code 8. Metrics keep nobody out and are tried for as long as the process lives; a dump shows what is missing. Not ready before all needed ones listen. The signal is waited for beside the listeners, so SIGTERM in the start is one planned stop that ends the retries. An unexpected error in the start ends the process with code 70 and one line.

Whether the users met it isn't known.

--- a/src/base/failure.ts
+++ b/src/base/failure.ts
@@ -72,6 +72,8 @@
     InvalidConfiguration = "invalid_configuration",
     RevisionConflict = "revision_conflict",
     InvalidSettings = "invalid_settings",
+    /** An address of the settings could not be listened on in time. */
+    AddressUnavailable = "address_unavailable",
     LeaseLost = "lease_lost",
     // Faults of the program itself
     TaskFailed = "task_failed",
--- a/src/cli/exitCode.ts
+++ b/src/cli/exitCode.ts
@@ -20,6 +20,8 @@
     Unauthenticated = 6,
     /** What was waited for did not come in time. */
     TimedOut = 7,
+    /** An address of the settings could not be listened on in time. */
+    AddressUnavailable = 8,
     /** A fault of the program. */
     Internal = 70,
 }
@@ -35,6 +37,7 @@
     [FailureKind.Unauthenticated]: ExitCode.Unauthenticated,
     [FailureKind.Forbidden]: ExitCode.Unauthenticated,
     [FailureKind.DeadlineExceeded]: ExitCode.TimedOut,
+    [FailureKind.AddressUnavailable]: ExitCode.AddressUnavailable,
     [FailureKind.Internal]: ExitCode.Internal,
     [FailureKind.TaskFailed]: ExitCode.Internal,
     [FailureKind.InvariantBroken]: ExitCode.Internal,
--- a/src/gateway/dumpOnSignal.test.ts
+++ b/src/gateway/dumpOnSignal.test.ts
@@ -5,10 +5,10 @@
 import { dumpOnSignal } from "./dumpOnSignal";
 
 describe("a dump of a gateway", () => {
-    it("shows configuration, endpoints and news, and no key", async () => {
+    it("shows configuration, endpoints, news and listeners, and no key", async () => {
         const harness = await createGatewayHarness(makeRoute(), [() => undefined]);
         const line = await new Promise<string>(resolve => {
-            dumpOnSignal(harness.components, resolve);
+            dumpOnSignal(harness.components, { name: "listeners", dumpState: () => ["callers"] }, resolve);
             process.kill(process.pid, "SIGUSR2");
         });
         harness.dispose();
@@ -16,6 +16,7 @@
         assert.equal(dump.tasks.configuration.version, 2);
         assert.equal(dump.tasks.endpoints[0].endpoint.id, "i-0");
         assert.ok("news" in dump.tasks);
+        assert.deepEqual(dump.tasks.listeners, ["callers"]);
         assert.doesNotMatch(line, /key-1/);
     });
 });
--- a/src/gateway/dumpOnSignal.ts
+++ b/src/gateway/dumpOnSignal.ts
@@ -1,24 +1,31 @@
 /**
  * @module Dumps the state of a gateway on a signal.
  */
+import type { DumpSource } from "../base/dump";
 import { collectDump } from "../queries/collectDump";
 import { writeDumpOnSignal } from "../serve/writeDumpOnSignal";
 import type { GatewayComponents } from "./gatewayComponents";
 
 /**
- * Installs a handler that writes a dump of the configuration, the endpoints, the news and the quarantine at each `SIGUSR2`.
+ * Installs a handler that writes a dump of the configuration, the endpoints, the news, the quarantine and the listeners at
+ * each `SIGUSR2`.
  *
  * @param components - The components whose state is dumped
+ * @param listeners - The state of its listeners
  * @param write - Writes the line; default: to the standard error stream
  * @example
- * dumpOnSignal(components);
+ * dumpOnSignal(components, listeners);
  */
-export function dumpOnSignal(components: GatewayComponents, write?: (line: string) => void): void {
+export function dumpOnSignal(
+    components: GatewayComponents,
+    listeners: DumpSource,
+    write?: (line: string) => void,
+): void {
     const { clock, settings, configuration, directory, news, quarantine, rollouts, limits } = components;
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
-        listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits],
+        listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits, listeners],
     };
     writeDumpOnSignal(() => collectDump(dependencies), write);
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -1,14 +1,13 @@
 /**
  * @module Runs a gateway as a process, and connects its components.
  */
-import type http from "node:http";
 import { ulid } from "ulid";
 import { createEntropySeededRandom } from "../base/createEntropySeededRandom";
 import { createSystemClock } from "../base/createSystemClock";
 import { createLog } from "../base/log/createLog";
 import { type Log, LogFormat } from "../base/log/log";
+import { chooseExitCode, ExitCode } from "../cli/exitCode";
 import { createAccountQuotas } from "../decisions/gateway/accountQuotas";
-import { type ListenAddress, startListening } from "../http/startListening";
 import type { GatewaySettings } from "../model/gateway";
 import { logStrayErrors } from "../serve/logStrayErrors";
 import { createBodyMemory } from "./createBodyMemory";
@@ -37,6 +36,7 @@
 import type { GatewayPlatform } from "./gatewayPlatform";
 import { resolveClusterTime } from "./resolveClusterTime";
 import { startDuties } from "./startDuties";
+import { startListeners } from "./startListeners";
 import { startWatches } from "./startWatches";
 import { type LiveSettings, watchSettings } from "./watchSettings";
 
@@ -44,27 +44,44 @@
  * Share of `revokeMs` after which a node that can't reach the store reports to the load balancer that it is not ready.
  */
 const READY_SHARE = 0.6;
+/** A former process may hold an address for the grace time of its stop; so long after that, the start has failed. */
+const LISTEN_MARGIN_MS = 5_000;
 /** Number of usage windows in a report, the newest ones. */
 const REPORTED_WINDOWS = 2;
 
 /**
- * Runs a gateway until a signal ends it.
+ * Runs a gateway until a signal ends it, or until it can't go on.
  *
  * @param settings - Its settings
  * @param platformPorts - The adapters of the platform
  * @param metricsPort - Port of the metrics listener, on the node's address
- * @returns The exit code
+ * @returns The exit code; never rejects
  * @example
- * process.exitCode = await runGateway(settings, platform, 7_615);
+ * process.exit(await runGateway(settings, platform, 7_615));
  */
 export async function runGateway(
     settings: LiveSettings,
     platformPorts: GatewayPlatform,
     metricsPort: number,
+): Promise<number> {
+    const log = createProcessLog().withFields({ node: settings.nodeName });
+    try {
+        return await runUntilStopped(settings, platformPorts, metricsPort, log);
+    } catch (error) {
+        const { message: reason, stack } = error as Error;
+        log.error("gateway failed", { reason, exitCode: ExitCode.Internal, stack });
+        return ExitCode.Internal;
+    }
+}
+
+async function runUntilStopped(
+    settings: LiveSettings,
+    platformPorts: GatewayPlatform,
+    metricsPort: number,
+    lifeLog: Log,
 ): Promise<number> {
     const clock = createSystemClock();
     const random = createEntropySeededRandom();
-    const lifeLog = createProcessLog().withFields({ node: settings.nodeName });
     const log = createRateLimitedLog(lifeLog, clock);
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenSignalled = waitForSignal();
@@ -170,7 +187,6 @@
         limits,
         memory,
     };
-    dumpOnSignal(components);
     const loopMonitor = createLoopMonitor(log);
     const rowServer = startWatches(components, platform, clusterTime);
     void resolveClusterTime(platform.tables, clusterTime, clock.waitMs, log);
@@ -186,6 +202,7 @@
     let isLeaving = false;
     const isReady = () =>
         !isLeaving &&
+        listeners.areNeededListening() &&
         configuration.readCurrent() !== undefined &&
         directory.isLoaded() &&
         configuration.computeAgeMs() < settings.bounds.revokeMs * READY_SHARE;
@@ -201,28 +218,40 @@
         },
         quarantine,
     });
-    const start = (name: string, server: http.Server, { address, port }: ListenAddress) => {
-        const fields = { listener: name, address, port };
-        return startListening(server, { address, port }).then(
-            () => lifeLog.info("listener listens", fields),
-            (error: Error) => {
-                lifeLog.error("listener can't listen", { ...fields, reason: error.message });
-                throw error;
-            },
-        );
-    };
-    await Promise.all([
-        start("callers", listener.server, settings.callers),
-        start("readiness", readiness, settings.readiness),
-        start("rows", rowServer, { address: settings.address, port: internalPort }),
-        start("metrics", metricsListener, { address: settings.address, port: metricsPort }),
-    ]);
-    lifeLog.info("gateway listens", { startMs: Math.round(process.uptime() * 1_000) });
-
-    const signal = await whenSignalled;
+    const retries = new AbortController();
+    const listeners = startListeners(
+        [
+            { name: "callers", server: listener.server, ...settings.callers, isNeeded: true },
+            { name: "readiness", server: readiness, ...settings.readiness, isNeeded: true },
+            { name: "rows", server: rowServer, address: settings.address, port: internalPort, isNeeded: true },
+            { name: "metrics", server: metricsListener, address: settings.address, port: metricsPort, isNeeded: false },
+        ],
+        {
+            clock,
+            log: lifeLog,
+            limitMs: settings.bounds.graceMs + LISTEN_MARGIN_MS,
+            signal: retries.signal,
+        },
+    );
+    dumpOnSignal(components, listeners);
+    const started = await Promise.race([listeners.whenStarted, whenSignalled.then(() => undefined)]);
+    if (started?.isOk()) {
+        lifeLog.info("gateway listens", { startMs: Math.round(process.uptime() * 1_000) });
+    }
+    const failure = started?.isErr() ? started.error : undefined;
+    const reason = failure === undefined ? await whenSignalled : failure.kind;
+    const failedExitCode = failure === undefined ? undefined : chooseExitCode(failure);
+    if (failure !== undefined) {
+        lifeLog.error("gateway failed", { reason: failure.message, exitCode: failedExitCode });
+    }
     isLeaving = true;
+    retries.abort();
     duties.leave();
-    return drainGateway({ clock, settings, log: lifeLog }, listener, signal);
+    if (failure !== undefined && !listener.server.listening) {
+        return chooseExitCode(failure);
+    }
+    const exitCode = await drainGateway({ clock, settings, log: lifeLog }, listener, reason);
+    return failedExitCode ?? exitCode;
 }
 
 /** Creates the check whether an endpoint is in the region of this node. */
--- a/src/http/failureStatus.ts
+++ b/src/http/failureStatus.ts
@@ -46,6 +46,7 @@
     [FailureKind.InvalidConfiguration]: 422,
     [FailureKind.RevisionConflict]: 409,
     [FailureKind.InvalidSettings]: 500,
+    [FailureKind.AddressUnavailable]: 503,
     [FailureKind.LeaseLost]: 503,
     [FailureKind.TaskFailed]: 500,
     [FailureKind.InvariantBroken]: 500,
--- a/src/http/startListening.ts
+++ b/src/http/startListening.ts
@@ -12,7 +12,7 @@
 }
 
 /**
- * Starts listening on an address.
+ * Starts listening on an address. After a rejection the server can be started again.
  *
  * @param server - The server
  * @param target - Its address
@@ -22,10 +22,16 @@
  */
 export function startListening(server: http.Server, target: ListenAddress): Promise<void> {
     return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(target.port, target.address, () => {
-            server.off("error", reject);
+        const handleListening = () => {
+            server.off("error", handleError);
             resolve();
-        });
+        };
+        const handleError = (error: Error) => {
+            server.off("listening", handleListening);
+            reject(error);
+        };
+        server.once("listening", handleListening);
+        server.once("error", handleError);
+        server.listen(target.port, target.address);
     });
 }
