Make the start of a node, of dev and of the stand-ins whole or none

What operators saw: `redwinglift serve` beside a former process that still held one of its ports ended at once with code 70, "a fault of the program"; the callers' listener answered ready before the operators' one listened. `dev` left the nodes that it had started to the end of the process; the stand-ins ended with a stack.

Cause: each listener was tried once, its rejection had no type, and errors of a server after its start had no owner.

Change: retryListening (split from superviseListener) tries an address for the drain time and 5 s more; the HTTP listeners of a node use superviseListener, which also owns their later errors, and the node link a new server for each attempt, since grpc-js keeps the outcome of the first one for an address. A node is ready once all of them listen (createNodeReadiness, split from wire.ts). A signal ends the retries, and then the start, with code 0. What fails ends with `node failed`, its reason and code 8. `dev` and stand-ins try once, dispose what has started, and end with code 8 and one line. main.ts has an owner for a rejection of runCli.

Errors of the node link's server after its start still have no owner but the log of uncaught exceptions.

--- a/src/dev/createEmbeddedNodes.ts
+++ b/src/dev/createEmbeddedNodes.ts
@@ -29,7 +29,7 @@
  * @param preset - Sizes and places
  * @param embedded - The embedded platform
  * @param options - Operator key, log level and ports
- * @returns The running nodes
+ * @returns The running nodes; rejects if one of them can't start, and then none runs
  * @example
  * const nodes = await createEmbeddedNodes(preset, embedded, { operatorKey, logLevel: LogLevel.Warn });
  */
@@ -39,10 +39,15 @@
     options: EmbeddedNodesOptions,
 ): Promise<readonly RunningNode[]> {
     const nodes: RunningNode[] = [];
-    for (let index = 0; index < (options.count ?? preset.nodeCount); index++) {
-        nodes.push(await startNode(preset, embedded, options, index));
+    try {
+        for (let index = 0; index < (options.count ?? preset.nodeCount); index++) {
+            nodes.push(await startNode(preset, embedded, options, index));
+        }
+        return nodes;
+    } catch (error) {
+        nodes.forEach(node => node.dispose());
+        throw error;
     }
-    return nodes;
 }
 
 async function startNode(
@@ -53,7 +58,10 @@
 ): Promise<RunningNode> {
     const settings = buildSettings(preset, embedded, options, index);
     const parts = createNodeParts(settings);
-    const node = await wireNode(settings, parts);
+    const node = await wireNode(settings, parts).catch((error: unknown) => {
+        parts.dispose();
+        throw error;
+    });
     embedded.platform.addVm(createNodeRecord(settings, node));
     return {
         ...node,
--- a/src/dev/runDev.ts
+++ b/src/dev/runDev.ts
@@ -2,6 +2,7 @@
  * @module `redwinglift dev`: the embedded default, everything on loopback in one process.
  */
 import { createDisposableStore } from "../base/createDisposableStore";
+import type { DisposableStore } from "../base/disposableStore";
 import { FailureError } from "../base/failureError";
 import { LogLevel } from "../base/log/log";
 import type { RunningNode } from "../wire";
@@ -30,13 +31,23 @@
  * Runs the embedded platform and its nodes until the process is told to end.
  *
  * @param options - Preset, ports and output
- * @returns The exit code
+ * @returns The exit code; rejects if the start fails, and then nothing runs
  * @example
  * process.exitCode = await runDev({ print: line => process.stdout.write(`${line}\n`) });
  */
 export async function runDev(options: DevOptions): Promise<number> {
     const preset = DEPLOYMENT_PRESETS[options.preset ?? PresetName.Small];
     const owned = createDisposableStore();
+    try {
+        await startSystem(preset, owned, options);
+        await new Promise(resolve => ["SIGINT", "SIGTERM"].forEach(signal => process.once(signal, resolve)));
+        return 0;
+    } finally {
+        owned.dispose();
+    }
+}
+
+async function startSystem(preset: DeploymentPreset, owned: DisposableStore, options: DevOptions): Promise<void> {
     const embedded = owned.add(await createEmbeddedPlatform(preset, { platform: { vmListLagMs: 0 } }));
     const nodes = await createEmbeddedNodes(preset, embedded, {
         operatorKey: OPERATOR_KEY,
@@ -47,9 +58,6 @@
     nodes.forEach(node => owned.add(node));
     await installConfiguration(preset, nodes);
     describeSystem(preset, embedded, nodes).forEach(options.print);
-    await new Promise(resolve => ["SIGINT", "SIGTERM"].forEach(signal => process.once(signal, resolve)));
-    owned.dispose();
-    return 0;
 }
 
 async function installConfiguration(preset: DeploymentPreset, nodes: readonly RunningNode[]): Promise<void> {
--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -3,7 +3,6 @@
  */
 import http from "node:http";
 import https from "node:https";
-import type { AddressInfo } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import { ulid } from "ulid";
 import { startTask } from "../base/csp";
@@ -29,7 +28,8 @@
 } from "./constants";
 import type { ExchangeEnd, HttpExchange } from "./httpExchange";
 import { sendFailure } from "../http/sendFailure";
-import { startListening } from "../http/startListening";
+import { openListener } from "../http/openListener";
+import type { ListenerSupervision } from "../http/retryListening";
 
 const BASE_URL = "http://localhost";
 
@@ -39,6 +39,8 @@
     readonly address: string;
     /** 0 lets the system choose. */
     readonly port: number;
+    /** How long the address is tried; default: once. */
+    readonly supervision?: ListenerSupervision;
     readonly limits: CallerLimits;
     /** Absent for plain HTTP. */
     readonly identity?: TlsIdentity;
@@ -116,10 +118,11 @@
 
     const server = createServer(options, handleRequest);
     const connections = installConnectionLimit(server, options.limits.connections);
-    await startListening(server, options);
+    const { address, supervision } = options;
+    const port = await openListener({ name: "callers", server, address, port: options.port }, supervision);
     return {
         name: "caller-listener",
-        port: (server.address() as AddressInfo).port,
+        port,
         announceLeaving: () => {
             isLeaving = true;
         },
--- a/src/gateway/startListeners.ts
+++ b/src/gateway/startListeners.ts
@@ -4,7 +4,8 @@
 import { Result } from "neverthrow";
 import type { DumpSource } from "../base/dump";
 import type { Failure } from "../base/failure";
-import { type ListenerSupervision, type ListenerTarget, superviseListener } from "../http/superviseListener";
+import type { ListenerSupervision } from "../http/retryListening";
+import { type ListenerTarget, superviseListener } from "../http/superviseListener";
 
 /** A listener of a gateway. */
 export interface GatewayListenerTarget extends ListenerTarget {
--- a/src/http/superviseListener.ts
+++ b/src/http/superviseListener.ts
@@ -2,18 +2,12 @@
  * @module Keeps a server listening on its address, and owns the errors of the server.
  */
 import type http from "node:http";
-import { setTimeout as pauseMs } from "node:timers/promises";
-import { err, ok, type Result } from "neverthrow";
-import type { Clock } from "../base/clock";
-import { createFailure } from "../base/createFailure";
-import { type Failure, FailureKind } from "../base/failure";
-import type { Log } from "../base/log/log";
+import type { Result } from "neverthrow";
+import type { Failure } from "../base/failure";
+import { createProblemLog } from "./createProblemLog";
+import { type ListenerSupervision, retryListening } from "./retryListening";
 import { type ListenAddress, startListening } from "./startListening";
 
-const RETRY_PERIOD_MS = 200;
-/** A problem that lasts is logged once in this time. */
-const LOG_PERIOD_MS = 10_000;
-
 /** A server, and where it has to listen. */
 export interface ListenerTarget extends ListenAddress {
     /** Names the listener in log lines, failures and dumps. */
@@ -21,16 +15,6 @@
     readonly server: http.Server;
 }
 
-/** How a listener is supervised. */
-export interface ListenerSupervision {
-    readonly clock: Clock;
-    readonly log: Log;
-    /** How long the address is tried before the start has failed. Default: until the signal is aborted. */
-    readonly limitMs?: number;
-    /** Ends the retries when it is aborted. */
-    readonly signal: AbortSignal;
-}
-
 /** State of a listener, for dumps. */
 export interface ListenerState extends ListenAddress {
     readonly isListening: boolean;
@@ -51,9 +35,8 @@
 }
 
 /**
- * Starts a listener, and tries again while its address can't be listened on: another process may still hold the port,
- * or the address may not be up yet. Errors of the server after its start are logged and counted; they never reach the
- * process as uncaught exceptions.
+ * Starts a listener, and tries again while its address can't be listened on. Errors of the server after its start are
+ * logged and counted; they never reach the process as uncaught exceptions.
  *
  * @param target - The server and its address
  * @param supervision - Clock, log, limit and signal
@@ -64,67 +47,45 @@
  */
 export function superviseListener(target: ListenerTarget, supervision: ListenerSupervision): SupervisedListener {
     const { name, server, address, port } = target;
-    const { clock, log, limitMs = Number.POSITIVE_INFINITY, signal } = supervision;
+    const { clock, log, signal } = supervision;
     const fields = { listener: name, address, port };
     const counts = { failedAttempts: 0, errors: 0 };
-    let lastError: string | undefined;
-    let loggedAtMs = Number.NEGATIVE_INFINITY;
+    const problems = createProblemLog(clock, log);
     let isStarting = false;
 
-    const logProblem = (message: string, error: Error) => {
-        const nowMs = clock.readMonotonicMs();
-        if (error.message !== lastError || nowMs - loggedAtMs >= LOG_PERIOD_MS) {
-            loggedAtMs = nowMs;
-            log.error(message, { ...fields, ...counts, reason: error.message });
-        }
-        lastError = error.message;
+    const listen = async () => {
+        await startListening(server, target);
+        isStarting = false;
+        log.info("listener listens", { ...fields, ...counts });
     };
-    const tryToListen = async (): Promise<boolean> => {
-        try {
-            await startListening(server, target);
-            log.info("listener listens", { ...fields, ...counts });
-            return true;
-        } catch (error) {
-            counts.failedAttempts++;
-            logProblem("listener can't listen", error as Error);
-            return false;
-        }
+    const reportProblem = (error: Error) => {
+        counts.failedAttempts++;
+        problems.logProblem("listener can't listen", error, { ...fields, ...counts });
     };
-    const start = async (untilMs: number): Promise<Result<void, Failure>> => {
+    const start = (limitMs: number | undefined) => {
         isStarting = true;
-        while (!(await tryToListen())) {
-            if (clock.readMonotonicMs() >= untilMs) {
-                isStarting = false;
-                return err(createStartFailure(target, lastError));
-            }
-            await pauseMs(RETRY_PERIOD_MS, undefined, { signal }).catch(() => undefined);
-            if (signal.aborted) {
-                isStarting = false;
-                return err(createFailure(FailureKind.ShuttingDown, `The start of the listener ${name} was ended.`));
-            }
-        }
-        isStarting = false;
-        return ok(undefined);
+        return retryListening({ name, address, port, listen, reportProblem }, { clock, limitMs, signal });
     };
     server.on("error", error => {
         if (isStarting) {
             return;
         }
         counts.errors++;
-        logProblem("listener error", error);
+        problems.logProblem("listener error", error, { ...fields, ...counts });
         if (!server.listening && !signal.aborted) {
-            void start(Number.POSITIVE_INFINITY);
+            void start(undefined);
         }
     });
     return {
         name,
-        whenStarted: start(clock.readMonotonicMs() + limitMs),
+        whenStarted: start(supervision.limitMs),
         isListening: () => server.listening,
-        readState: () => ({ address, port, isListening: server.listening, ...counts, lastError }),
+        readState: () => ({
+            address,
+            port,
+            isListening: server.listening,
+            ...counts,
+            lastError: problems.readLastError(),
+        }),
     };
 }
-
-function createStartFailure({ name, address, port }: ListenerTarget, reason = ""): Failure {
-    const message = `The listener ${name} can't listen on ${address}:${port}: ${reason}.`;
-    return createFailure(FailureKind.AddressUnavailable, message);
-}
--- a/src/main.ts
+++ b/src/main.ts
@@ -5,6 +5,7 @@
 import fs from "node:fs";
 import { createSystemClock } from "./base/createSystemClock";
 import type { CliContext } from "./cli/cliContext";
+import { ExitCode } from "./cli/exitCode";
 import { runCli } from "./cli/runCli";
 
 /** How long output and connections may take to close after the command has ended. */
@@ -22,8 +23,16 @@
     runDev: async options => (await import("./dev/runDev")).runDev(options),
 };
 
-void runCli(process.argv.slice(2), context).then(exitCode => {
-    process.exitCode = exitCode;
-    // A peer that keeps its end of a connection open must not keep a finished program alive.
-    setTimeout(() => process.exit(exitCode), EXIT_GRACE_MS).unref();
-});
+/** Reports an error that the command line hasn't handled; gives the exit code. */
+function reportFault(error: unknown): number {
+    context.writeError(`internal: ${error instanceof Error ? error.message : "unknown error"}\n`);
+    return ExitCode.Internal;
+}
+
+void runCli(process.argv.slice(2), context)
+    .catch(reportFault)
+    .then(exitCode => {
+        process.exitCode = exitCode;
+        // A peer that keeps its end of a connection open must not keep a finished program alive.
+        setTimeout(() => process.exit(exitCode), EXIT_GRACE_MS).unref();
+    });
--- a/src/nodes/createGrpcTransport.ts
+++ b/src/nodes/createGrpcTransport.ts
@@ -3,25 +3,24 @@
  */
 import {
     type Client,
-    experimental,
     Metadata,
     type sendUnaryData,
     Server,
-    ServerCredentials,
     type ServerUnaryCall,
     type ServiceError,
     status,
 } from "@grpc/grpc-js";
 import { err, ok, type Result } from "neverthrow";
+import type { ListenerSupervision } from "../http/retryListening";
 import type { Clock } from "../base/clock";
 import { createFailure } from "../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../base/failure";
 import { FailureError } from "../base/failureError";
 import { KEEPALIVE_PERIOD_MS, KEEPALIVE_TIMEOUT_MS, MESSAGE_MAX_BYTES } from "./_lib/constants";
-import { createCertificateProvider } from "./_lib/createCertificateProvider";
 import { createLinkPool } from "./_lib/createLinkPool";
 import { createTrafficCounter } from "./_lib/createTrafficCounter";
 import { METHODS, SERVICE } from "./_lib/methods";
+import { openNodeServer } from "./_lib/openNodeServer";
 import type { TlsWatcher } from "./createTlsWatcher";
 import { type CallHandler, type CallOptions, type NodeAddress, NodeCall, type NodeTransport } from "./nodeTransport";
 
@@ -32,12 +31,21 @@
     /** 0 lets the system choose. */
     readonly port: number;
     readonly clock: Clock;
+    /** How long the address is tried; default: once. */
+    readonly supervision?: ListenerSupervision;
     /** Keys and certificates for mutual TLS; absent for plain connections. */
     readonly tls?: TlsWatcher;
     /** Allows plain connections on other addresses than loopback (default false). */
     readonly allowsPlain?: boolean;
 }
 
+const SERVER_OPTIONS = {
+    "grpc.max_receive_message_length": MESSAGE_MAX_BYTES,
+    "grpc.keepalive_time_ms": KEEPALIVE_PERIOD_MS,
+    "grpc.keepalive_timeout_ms": KEEPALIVE_TIMEOUT_MS,
+    "grpc.enable_channelz": 0,
+};
+
 /** A listening transport. */
 export interface GrpcTransport extends NodeTransport {
     /** The port it listens on. */
@@ -50,7 +58,8 @@
  *
  * @param options - Address, port, clock and keys
  * @returns The transport, listening
- * @throws {FailureError} `InvalidSettings` for a plain listener beyond loopback, or an address that can't be bound
+ * @throws {FailureError} `InvalidSettings` for a plain listener beyond loopback; `AddressUnavailable` for an address that
+ * can't be bound
  * @example
  * const transport = await createGrpcTransport({ address: "127.0.0.1", port: 0, clock });
  */
@@ -67,12 +76,6 @@
     const pool = createLinkPool({ clock: options.clock, tls: options.tls, onOpened: traffic.addConnection });
     let handler: CallHandler | undefined;
 
-    const server = new Server({
-        "grpc.max_receive_message_length": MESSAGE_MAX_BYTES,
-        "grpc.keepalive_time_ms": KEEPALIVE_PERIOD_MS,
-        "grpc.keepalive_timeout_ms": KEEPALIVE_TIMEOUT_MS,
-        "grpc.enable_channelz": 0,
-    });
     const serveCall =
         (call: NodeCall) => async (request: ServerUnaryCall<Buffer, Buffer>, reply: sendUnaryData<Buffer>) => {
             traffic.addReceived(request.request.length);
@@ -87,8 +90,12 @@
                 reply({ code: status.INTERNAL, details: error instanceof Error ? error.message : "failed" });
             }
         };
-    server.addService(SERVICE, Object.fromEntries(Object.values(NodeCall).map(call => [call, serveCall(call)])));
-    const port = await openListener(server, options);
+    const createServer = () => {
+        const server = new Server(SERVER_OPTIONS);
+        server.addService(SERVICE, Object.fromEntries(Object.values(NodeCall).map(call => [call, serveCall(call)])));
+        return server;
+    };
+    const { server, port } = await openNodeServer(createServer, options);
 
     const sendCall = (link: Client, call: NodeCall, body: Uint8Array, timeoutMs: number) =>
         new Promise<Result<Uint8Array, Failure>>(resolve => {
@@ -132,25 +139,6 @@
     };
 }
 
-function openListener(server: Server, options: GrpcTransportOptions): Promise<number> {
-    const { address, port, tls } = options;
-    const provider = tls === undefined ? undefined : createCertificateProvider(tls);
-    const credentials =
-        provider === undefined
-            ? ServerCredentials.createInsecure()
-            : experimental.createCertificateProviderServerCredentials(provider, provider, true);
-    const target = address.includes(":") ? `[${address}]:${port}` : `${address}:${port}`;
-    return new Promise((resolve, reject) => {
-        server.bindAsync(target, credentials, (error, boundPort) => {
-            if (error) {
-                reject(new FailureError(createFailure(FailureKind.InvalidSettings, error.message)));
-            } else {
-                resolve(boundPort);
-            }
-        });
-    });
-}
-
 const SILENT_CODES: readonly status[] = [status.DEADLINE_EXCEEDED, status.UNAVAILABLE, status.CANCELLED];
 
 function convertReply(error: ServiceError | null, reply: Buffer | undefined): Result<Uint8Array, Failure> {
--- a/src/operator/createOperatorListener.ts
+++ b/src/operator/createOperatorListener.ts
@@ -3,7 +3,6 @@
  */
 import http from "node:http";
 import https from "node:https";
-import type { AddressInfo } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import { ulid } from "ulid";
 import { createFailure } from "../base/createFailure";
@@ -22,7 +21,8 @@
 import { sendJson } from "../http/sendJson";
 import type { TlsIdentity } from "../http/tlsIdentity";
 import { sendFailure } from "../http/sendFailure";
-import { startListening } from "../http/startListening";
+import { openListener } from "../http/openListener";
+import type { ListenerSupervision } from "../http/retryListening";
 import { buildQueryRoutes } from "../queries/buildQueryRoutes";
 import { authenticateOperator } from "./authenticateOperator";
 import {
@@ -43,6 +43,8 @@
     readonly address: string;
     /** 0 lets the system choose. */
     readonly port: number;
+    /** How long the address is tried; default: once. */
+    readonly supervision?: ListenerSupervision;
     /** Absent for plain HTTP. */
     readonly identity?: TlsIdentity;
     /** SHA-256 of each operator key, hexadecimal. */
@@ -111,10 +113,11 @@
     };
     const server = createServer(options, limits, handleRequest);
     const connections = installConnectionLimit(server, limits.connections);
-    await startListening(server, options);
+    const { address, supervision } = options;
+    const port = await openListener({ name: "operators", server, address, port: options.port }, supervision);
     return {
         name: "operator-listener",
-        port: (server.address() as AddressInfo).port,
+        port,
         replaceIdentity: identity => {
             if (server instanceof https.Server) {
                 server.setSecureContext({ key: identity.key, cert: identity.certificate });
--- a/src/serve/runServe.test.ts
+++ b/src/serve/runServe.test.ts
@@ -1,8 +1,11 @@
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
-import net from "node:net";
-import { after, before, describe, it } from "node:test";
+import { once } from "node:events";
+import http from "node:http";
+import net, { type AddressInfo } from "node:net";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { LogLevel } from "../base/log/log";
+import { ExitCode } from "../cli/exitCode";
 import { createEmbeddedNodes } from "../dev/createEmbeddedNodes";
 import { createEmbeddedPlatform, type EmbeddedPlatform } from "../dev/createEmbeddedPlatform";
 import { DEPLOYMENT_PRESETS, PresetName } from "../dev/deploymentPreset";
@@ -74,6 +77,64 @@
     });
 });
 
+describe("a node whose port another process holds", () => {
+    const START_LIMIT_MS = 9_000;
+    let holder: http.Server;
+    let port = 0;
+
+    beforeEach(async () => {
+        holder = http.createServer((_request, response) => response.writeHead(503, { connection: "close" }).end());
+        holder.listen(0, "127.0.0.1");
+        await once(holder, "listening");
+        ({ port } = holder.address() as AddressInfo);
+    });
+    afterEach(() => void holder.close());
+
+    const runNode = (flags: Readonly<Record<string, string>>) =>
+        runServe(readSettings({ ...listFlags(), drainMs: "100", ...flags }, {})._unsafeUnwrap());
+    const readCallerPort = async () => {
+        const probe = net.createServer().listen(0, "127.0.0.1");
+        await once(probe, "listening");
+        const { port: callerPort } = probe.address() as AddressInfo;
+        probe.close();
+        await once(probe, "close");
+        return callerPort;
+    };
+
+    // Guards against: a process that a former one's ports keep from starting ends by itself (FAULT).
+    for (const flag of ["callerPort", "operatorPort", "nodePort"]) {
+        it(`is ready once ${flag} is free again, and not before`, { timeout: 20_000 }, async () => {
+            const callerPort = flag === "callerPort" ? port : await readCallerPort();
+            const ended = runNode({ callerPort: String(callerPort), [flag]: String(port) });
+            const isReady = () =>
+                fetch(`http://127.0.0.1:${callerPort}/health/ready`).then(
+                    ({ status }) => status === 200,
+                    () => false,
+                );
+            await sleepMs(1_000);
+            assert.equal(await isReady(), false);
+            holder.close();
+            while (!(await isReady())) {
+                await sleepMs(20);
+            }
+            process.emit("SIGTERM", "SIGTERM");
+            assert.equal(await ended, 0);
+        });
+    }
+
+    it("ends with an exit code of its own if it is never free", { timeout: START_LIMIT_MS }, async () => {
+        assert.equal(await runNode({ operatorPort: String(port) }), ExitCode.AddressUnavailable);
+    });
+
+    // Guards against: a signal waits until the addresses are free or given up.
+    it("ends at a signal while it tries", { timeout: 3_000 }, async () => {
+        const ended = runNode({ callerPort: String(port) });
+        await sleepMs(700);
+        process.emit("SIGTERM", "SIGTERM");
+        assert.equal(await ended, 0);
+    });
+});
+
 function listFlags(): Readonly<Record<string, string>> {
     const url = embedded.platformUrl;
     return {
--- a/src/serve/runServe.ts
+++ b/src/serve/runServe.ts
@@ -1,6 +1,11 @@
 /**
  * @module `redwinglift serve`: one node as a process.
  */
+import { createFailure } from "../base/createFailure";
+import { type Failure, FailureKind } from "../base/failure";
+import { FailureError } from "../base/failureError";
+import type { Log } from "../base/log/log";
+import { chooseExitCode, ExitCode } from "../cli/exitCode";
 import { createNodeParts } from "../createNodeParts";
 import type { Settings } from "../settings/settings";
 import { type RunningNode, wireNode } from "../wire";
@@ -12,6 +17,9 @@
 /** Time in which a second signal ends what is in progress, and its failures are sent. */
 const END_MS = 2_000;
 
+/** A former process may hold an address for the time of its drain; so long after that, the start has failed. */
+const LISTEN_MARGIN_MS = 5_000;
+
 /** The signals that stop a process, as they arrive. */
 interface StopSignals {
     readonly first: Promise<string>;
@@ -24,7 +32,8 @@
  * the standard error stream as one line of JSON.
  *
  * @param settings - Its checked settings
- * @returns The exit code: 0 after a complete drain, 1 if answers were cut
+ * @returns The exit code: 0 after a complete drain or a start that a signal ended, 1 if answers were cut, another one if
+ * the start failed
  * @example
  * process.exitCode = await runServe(settings);
  */
@@ -34,7 +43,14 @@
     const { log } = parts;
     logStrayErrors(log);
     process.on("SIGHUP", () => log.info("a signal changes nothing", { signal: "SIGHUP" }));
-    const node = await wireNode(settings, parts);
+    const start = new AbortController();
+    void signals.first.then(() => start.abort());
+    const listenLimitMs = settings.drainMs + LISTEN_MARGIN_MS;
+    const node = await wireNode(settings, parts, { listenLimitMs, signal: start.signal }).catch(convertError);
+    if ("kind" in node) {
+        parts.dispose();
+        return endFailedStart(node, log);
+    }
     writeDumpOnSignal(() => node.dumpState());
     log.info("node started", {
         callerPort: node.callerPort,
@@ -52,6 +68,23 @@
     return cutRequests === 0 ? 0 : 1;
 }
 
+function convertError(error: unknown): Failure {
+    return error instanceof FailureError
+        ? error.failure
+        : createFailure(FailureKind.Internal, error instanceof Error ? error.message : "unknown error");
+}
+
+/** Logs why the start ended; gives the exit code. */
+function endFailedStart(failure: Failure, log: Log): number {
+    if (failure.kind === FailureKind.ShuttingDown) {
+        log.info("node ended", { cutRequests: 0 });
+        return ExitCode.Ok;
+    }
+    const exitCode = chooseExitCode(failure);
+    log.error("node failed", { reason: failure.message, exitCode });
+    return exitCode;
+}
+
 function watchStopSignals(): StopSignals {
     const resolvers: ((signal: string) => void)[] = [];
     const waitForNext = () => new Promise<string>(resolve => resolvers.push(resolve));
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -2,6 +2,7 @@
  * @module The command line of the stand-ins, for tests and benches that run and kill them as processes of their own.
  */
 import { cac } from "cac";
+import { ExitCode } from "../cli/exitCode";
 import { createStandinFleet, type StandinFleet } from "./createStandinFleet";
 import { parseFleetOptions } from "./parseFleetOptions";
 
@@ -38,7 +39,7 @@
             process.exitCode = EXIT_INVALID_SETTINGS;
             return;
         }
-        const fleet = await createStandinFleet(parsed.value);
+        const fleet = await createStandinFleet(parsed.value).catch(endFailedStart);
         process.stdout.write(`${JSON.stringify(describeFleet(fleet))}\n`);
         const stop = () => fleet.dispose();
         process.once("SIGTERM", stop);
@@ -48,6 +49,12 @@
 program.version(process.env["REDWINGLIFT_VERSION"] ?? "development");
 program.parse();
 
+/** Ends the process with one line: stand-ins that listen in part would look like a platform with faults. */
+function endFailedStart(error: unknown): never {
+    process.stderr.write(`The stand-ins can't start: ${error instanceof Error ? error.message : "unknown error"}\n`);
+    process.exit(ExitCode.AddressUnavailable);
+}
+
 function describeFleet({ platform, modelRunners, applicationRunners }: StandinFleet): object {
     const { address, port, controlPort } = platform;
     const runners = platform.listVmsNow().map(vm => ({
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -7,6 +7,7 @@
 import type { DumpSource } from "./base/dump";
 import type { Failure } from "./base/failure";
 import { Metric } from "./base/metrics/metric";
+import { createNodeReadiness, type NodeReadiness } from "./createNodeReadiness";
 import { type DrainedParts, drainNode } from "./drainNode";
 import { endNode } from "./endNode";
 import type { CallerListener, ExchangeSummary } from "./faces/callerListener";
@@ -15,6 +16,7 @@
 import { createDeferredExchange } from "./nodes/createDeferredExchange";
 import { createGrpcTransport } from "./nodes/createGrpcTransport";
 import { createTlsWatcher } from "./nodes/createTlsWatcher";
+import type { ListenerSupervision } from "./http/retryListening";
 import type { NodeParts } from "./nodeParts";
 import { createOperatorListener, type OperatorListener } from "./operator/createOperatorListener";
 import { collectDump } from "./queries/collectDump";
@@ -80,11 +82,21 @@
     readonly directory: ReturnType<typeof createDirectoryTask>;
     readonly leases: ReturnType<typeof createLeaseTask>;
     readonly nodeLinkPort: number;
+    readonly readiness: NodeReadiness;
+}
+
+/** How a node starts. */
+export interface NodeStartOptions {
+    /** How long each address is tried; default: once. */
+    readonly listenLimitMs?: number;
+    /** Ends the start when it is aborted. */
+    readonly signal?: AbortSignal;
 }
 
 interface Wiring {
     readonly settings: Settings;
     readonly parts: NodeParts;
+    readonly supervision: ListenerSupervision;
     readonly owned: DisposableStore;
     readonly reportFailure: (name: string, failure: Failure) => void;
     readonly reportEvent: (name: string, details: Readonly<Record<string, unknown>>) => void;
@@ -95,16 +107,21 @@
  *
  * @param settings - Its checked settings
  * @param parts - The outside
+ * @param options - How long its addresses are tried
  * @returns The running node; rejects if an address can't be listened on or a key can't be used
  * @example
  * const node = await wireNode(settings, createNodeParts(settings));
  * await node.whenReady;
  */
-export async function wireNode(settings: Settings, parts: NodeParts): Promise<RunningNode> {
+export async function wireNode(
+    settings: Settings,
+    parts: NodeParts,
+    options: NodeStartOptions = {},
+): Promise<RunningNode> {
     const { metrics, clock } = parts;
     const table = measureTable(parts.table, metrics, clock);
     const objects = measureObjects(parts.objects, metrics, clock);
-    const wiring = createWiring(settings, { ...parts, table, objects });
+    const wiring = createWiring(settings, { ...parts, table, objects }, options);
     try {
         return await wireTasks(wiring);
     } catch (error) {
@@ -127,6 +144,7 @@
         callers,
     ];
     const operators = await wireOperators(wiring, agreement, work, dumpSources);
+    agreement.readiness.finishStart();
     owned.add(
         createMetricsTask({
             metrics: parts.metrics,
@@ -148,7 +166,7 @@
         configuration: agreement.configuration,
         membership: agreement.membership,
         execution: work.execution,
-        whenReady: Promise.all([agreement.configuration.whenReady, waitForFirstVms(agreement)]).then(() => undefined),
+        whenReady: agreement.readiness.whenReady,
         dumpState: () =>
             collectDump({ node: describeNode(settings), clock: parts.clock, listDumpSources: () => dumpSources }),
         countOpenRequests: () => callers.countOpenRequests(),
@@ -158,8 +176,9 @@
     };
 }
 
-function createWiring(settings: Settings, parts: NodeParts): Wiring {
-    const { log, metrics } = parts;
+function createWiring(settings: Settings, parts: NodeParts, options: NodeStartOptions): Wiring {
+    const { clock, log, metrics } = parts;
+    const { listenLimitMs: limitMs = 0, signal = new AbortController().signal } = options;
     setInvariantViolationListener((invariant, detail) => {
         log.error("an invariant does not hold", { invariant, detail });
         metrics.count(Metric.InvariantViolations, { invariant });
@@ -167,6 +186,7 @@
     return {
         settings,
         parts,
+        supervision: { clock, log, limitMs, signal },
         owned: createDisposableStore({ reportError: error => log.error("closing failed", { reason: String(error) }) }),
         reportFailure: (task, failure) => {
             log.warn("a task reports a failure", { task, kind: failure.kind, reason: failure.message });
@@ -187,6 +207,7 @@
             address: settings.nodeLink.address,
             port: settings.nodeLink.port,
             clock,
+            supervision: wiring.supervision,
             tls: tls && owned.add(await createTlsWatcher(tls, watchOptions)),
             // The settings have refused plain links beyond loopback unless the operator allowed them.
             allowsPlain: true,
@@ -219,7 +240,8 @@
         }),
     );
     const leases = owned.add(createLeaseTask({ nodeId, table: parts.table, clock }));
-    return { configuration, membership, directory, leases, nodeLinkPort: transport.port };
+    const readiness = createNodeReadiness({ configuration, directory });
+    return { configuration, membership, directory, leases, nodeLinkPort: transport.port, readiness };
 }
 
 function wireWork(wiring: Wiring, agreement: Agreement): Work {
@@ -305,9 +327,10 @@
             {
                 address,
                 port,
+                supervision: wiring.supervision,
                 identity: identity.first,
                 limits: settings.callerLimits,
-                isReady: () => isReady(agreement),
+                isReady: agreement.readiness.isReady,
                 reportEnd: summary => recordExchange(parts, summary),
             },
         ),
@@ -324,6 +347,7 @@
 ): Promise<OperatorListener> {
     const { settings, parts, owned, reportFailure } = wiring;
     const { clock, log, metrics } = parts;
+    const { operatorKeyHashes: keyHashes } = settings;
     const { address, port, tls } = settings.operators;
     const reportKeys = (failure: Failure) => reportFailure("operator-keys", failure);
     const identity = await watchTlsIdentity(tls, { clock, owned, reportFailure: reportKeys });
@@ -332,36 +356,20 @@
             {
                 clock,
                 node: describeNode(settings),
-                isReady: () => isReady(agreement),
+                isReady: agreement.readiness.isReady,
                 configuration: agreement.configuration,
                 directory: agreement.directory,
                 nodes: agreement.membership,
                 jobs: work.jobs,
                 listDumpSources: () => dumpSources,
             },
-            { address, port, identity: identity.first, keyHashes: settings.operatorKeyHashes, log, metrics },
+            { address, port, supervision: wiring.supervision, identity: identity.first, keyHashes, log, metrics },
         ),
     );
     identity.attach(listener);
     return listener;
 }
 
-// Without a list of VMs the node would have no endpoint to send a request to.
-function isReady(agreement: Agreement): boolean {
-    return agreement.configuration.isReady() && agreement.directory.listVms().length > 0;
-}
-
-function waitForFirstVms(agreement: Agreement): Promise<void> {
-    return new Promise(resolve => {
-        const release = agreement.directory.subscribeChanges(vms => {
-            if (vms.length > 0) {
-                release();
-                resolve();
-            }
-        });
-    });
-}
-
 function describeNode(settings: Settings) {
     const { nodeId, vmId, region, failureDomain } = settings;
     return { nodeId, vmId, region, failureDomain, programVersion: process.env["REDWINGLIFT_VERSION"] ?? "development" };
