--- a/src/gateway/dumpOnSignal.ts
+++ b/src/gateway/dumpOnSignal.ts
@@ -1,22 +1,26 @@
 /**
  * @module Dumps the state of a gateway on a signal.
  */
+import type { DumpSource } from "../base/dump";
 import type { ProcessSignals } from "../base/processSignals";
 import { collectDump } from "../queries/collectDump";
 import { writeDumpOnSignal } from "../serve/writeDumpOnSignal";
 import type { GatewayComponents } from "./gatewayComponents";
 
 /**
- * Installs a handler that writes a dump of the configuration, the endpoints, the news and the quarantine at each `SIGUSR2`.
+ * Installs a handler that writes a dump of the configuration, the endpoints, the news, the quarantine and the listeners at
+ * each `SIGUSR2`.
  *
  * @param components - The components whose state is dumped
+ * @param listeners - The state of its listeners
  * @param signals - The signals of the process
  * @param write - Writes the line; default: to the standard error stream
  * @example
- * dumpOnSignal(components, signals);
+ * dumpOnSignal(components, listeners, signals);
  */
 export function dumpOnSignal(
     components: GatewayComponents,
+    listeners: DumpSource,
     signals: Pick<ProcessSignals, "setHandler">,
     write?: (line: string) => void,
 ): void {
@@ -24,7 +28,7 @@
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
-        listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits],
+        listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits, listeners],
     };
     writeDumpOnSignal(signals, () => collectDump(dependencies), write);
 }
--- a/src/runProgram.ts
+++ b/src/runProgram.ts
@@ -7,6 +7,7 @@
 import { installSignalHandlers } from "./base/installSignalHandlers";
 import type { ProcessSignals } from "./base/processSignals";
 import type { CliContext } from "./cli/cliContext";
+import { ExitCode } from "./cli/exitCode";
 import { runCli } from "./cli/runCli";
 
 /** How long output and connections may take to close after the command has ended. */
@@ -20,7 +21,8 @@
  * await runProgram(installSignalHandlers());
  */
 export async function runProgram(signals?: ProcessSignals): Promise<void> {
-    const exitCode = await runCli(process.argv.slice(2), createContext(signals));
+    const context = createContext(signals);
+    const exitCode = await runCli(process.argv.slice(2), context).catch(error => reportFault(error, context));
     process.exitCode = exitCode;
     // Node gives signals their default meaning back before a process without work ends, but not at process.exit.
     process.once("beforeExit", () => process.exit(exitCode));
@@ -44,3 +46,9 @@
         runDev: async options => (await import("./dev/runDev")).runDev(options),
     };
 }
+
+/** Reports an error that the command line hasn't handled; gives the exit code. */
+function reportFault(error: unknown, { writeError }: CliContext): ExitCode {
+    writeError(`internal: ${error instanceof Error ? error.message : "unknown error"}\n`);
+    return ExitCode.Internal;
+}
--- a/src/serve/runServe.ts
+++ b/src/serve/runServe.ts
@@ -1,6 +1,11 @@
 /**
  * @module `redwinglift serve`: one node as a process.
  */
+import { createFailure } from "../base/createFailure";
+import { type Failure, FailureKind } from "../base/failure";
+import { FailureError } from "../base/failureError";
+import type { Log } from "../base/log/log";
+import { chooseExitCode, ExitCode } from "../cli/exitCode";
 import { ControlSignal, type ProcessSignals, type StopSignal } from "../base/processSignals";
 import { createNodeParts } from "../createNodeParts";
 import type { Settings } from "../settings/settings";
@@ -11,6 +16,9 @@
 /** Time in which a second signal ends what is in progress, and its failures are sent. */
 const END_MS = 2_000;
 
+/** A former process may hold an address for the time of its drain; so long after that, the start has failed. */
+const LISTEN_MARGIN_MS = 5_000;
+
 /**
  * Runs a node until a signal ends it. `SIGTERM` and `SIGINT` drain it, also while it starts; a second one ends what is in
  * progress with failures. `SIGHUP` changes nothing: files of keys are watched. `SIGUSR2` writes a dump of its state to
@@ -18,7 +26,8 @@
  *
  * @param settings - Its checked settings
  * @param signals - The signals of the process
- * @returns The exit code: 0 after a complete drain, 1 if answers were cut
+ * @returns The exit code: 0 after a complete drain or a start that a signal ended, 1 if answers were cut, another one if
+ * the start failed
  * @example
  * process.exitCode = await runServe(settings, installSignalHandlers());
  */
@@ -28,7 +37,14 @@
     const { log } = parts;
     logStrayErrors(log);
     signals.setHandler(ControlSignal.HangUp, () => log.info("a signal changes nothing", { signal: "SIGHUP" }));
-    const node = await wireNode(settings, parts);
+    const start = new AbortController();
+    void firstStop.then(() => start.abort());
+    const listenLimitMs = settings.drainMs + LISTEN_MARGIN_MS;
+    const node = await wireNode(settings, parts, { listenLimitMs, signal: start.signal }).catch(convertError);
+    if ("kind" in node) {
+        parts.dispose();
+        return endFailedStart(node, log);
+    }
     writeDumpOnSignal(signals, () => node.dumpState());
     log.info("node started", {
         callerPort: node.callerPort,
@@ -46,6 +62,23 @@
     return cutRequests === 0 ? 0 : 1;
 }
 
+function convertError(error: unknown): Failure {
+    return error instanceof FailureError
+        ? error.failure
+        : createFailure(FailureKind.Internal, error instanceof Error ? error.message : "unknown error");
+}
+
+/** Logs why the start ended; gives the exit code. */
+function endFailedStart(failure: Failure, log: Log): number {
+    if (failure.kind === FailureKind.ShuttingDown) {
+        log.info("node ended", { cutRequests: 0 });
+        return ExitCode.Ok;
+    }
+    const exitCode = chooseExitCode(failure);
+    log.error("node failed", { reason: failure.message, exitCode });
+    return exitCode;
+}
+
 function drainUntilSignal(node: RunningNode, boundMs: number, second: Promise<StopSignal>): Promise<number> {
     return new Promise((resolve, reject) => {
         let isEnding = false;
