Count errors that nothing handles, and those that an owner inside the node has handled

Cause: an unhandled rejection or exception left a log line only, which the limit of 60 lines a second may drop. Change: redwinglift_unhandled_errors_total by origin and redwinglift_internal_failures_total by owner at the gateway's metrics listener, redwinglift.errors.unhandled in a node's metrics. Conclusion: an error without an owner is seen on each node, whatever the log drops.

--- a/src/base/metrics/metric.ts
+++ b/src/base/metrics/metric.ts
@@ -27,6 +27,7 @@
     Class = "class",
     Invariant = "invariant",
     Operation = "operation",
+    Origin = "origin",
     Outcome = "outcome",
     Service = "service",
     Task = "task",
@@ -69,6 +70,7 @@
     FleetVms = "fleet.vms",
     InvariantViolations = "invariants.breaches",
     TaskFailures = "tasks.failures",
+    UnhandledErrors = "errors.unhandled",
     OperatorRequests = "operators.requests",
     ResidentMemory = "process.resident_memory",
     EventLoopDelay = "process.event_loop_delay",
@@ -84,7 +86,7 @@
 
 const { Counter, Gauge, Timing } = MetricKind;
 const { Bytes, Count, Milliseconds, Ratio, Tokens } = MetricUnit;
-const { Class, Invariant, Operation, Outcome, Service, Task, Version } = MetricTag;
+const { Class, Invariant, Operation, Origin, Outcome, Service, Task, Version } = MetricTag;
 
 /** Kind, unit, tags and meaning of each metric. */
 export const METRIC_DESCRIPTIONS: Readonly<Record<Metric, MetricDescription>> = {
@@ -142,6 +144,12 @@
     [Metric.FleetVms]: define(Gauge, Count, [Service], "Live VMs behind a service"),
     [Metric.InvariantViolations]: define(Counter, Count, [Invariant], "Invariants found broken"),
     [Metric.TaskFailures]: define(Counter, Count, [Task], "Failures that tasks reported"),
+    [Metric.UnhandledErrors]: define(
+        Counter,
+        Count,
+        [Origin],
+        "Errors that no part of the process has handled, by `rejection` or `exception`",
+    ),
     [Metric.OperatorRequests]: define(Counter, Count, [Operation, Outcome], "Requests of operators"),
     [Metric.ResidentMemory]: define(Gauge, Bytes, [], "Resident memory of the process"),
     [Metric.EventLoopDelay]: define(Timing, Milliseconds, [], "How late timers of the process fire"),
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -38,6 +38,10 @@
     setConfigurationVersion(version: number): void;
     /** Counts a version of the configuration that can't be read, or its removal; the version in force stays. */
     countUnreadableConfiguration(): void;
+    /** Counts an error that no part of the process has handled, by its origin. */
+    countUnhandledError(origin: string): void;
+    /** Counts an error inside the node that its owner has handled. */
+    countFailure(owner: string): void;
     /** Counts a call to the platform's store. */
     countStoreCall(call: string, outcome: string): void;
     /** Sets where the news of this node stands: whether it is a relay, and the age of its view of the fleet. */
@@ -127,6 +131,18 @@
         help: "Versions of the configuration that could not be read, and its removals.",
         registers,
     });
+    const unhandledErrors = new Counter({
+        name: "redwinglift_unhandled_errors_total",
+        help: "Errors that no part of the process has handled, by origin: a rejected promise or an exception.",
+        labelNames: ["origin"],
+        registers,
+    });
+    const failures = new Counter({
+        name: "redwinglift_internal_failures_total",
+        help: "Errors inside the node that their owner has handled, by owner.",
+        labelNames: ["owner"],
+        registers,
+    });
     const storeCalls = new Counter({
         name: "redwinglift_store_calls_total",
         help: "Calls to the platform's store by kind and outcome.",
@@ -185,6 +201,8 @@
         recordOverhead: milliseconds => overhead.observe(milliseconds),
         setConfigurationVersion: value => version.set(value),
         countUnreadableConfiguration: () => unreadableConfigurations.inc(),
+        countUnhandledError: origin => unhandledErrors.inc({ origin }),
+        countFailure: owner => failures.inc({ owner }),
         countStoreCall: (call, outcome) => storeCalls.inc({ call, outcome }),
         setNewsState: state => {
             relay.set(state.isRelay ? 1 : 0);
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -68,8 +68,8 @@
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenSignalled = waitForSignal();
     watchSettings(settings, { readSettings: platformPorts.readSettings, log });
-    logStrayErrors(log);
     const metrics = createGatewayMetrics();
+    logStrayErrors(log, metrics.countUnhandledError);
     const memory = createBodyMemory(settings.memoryBytesMax);
     const platform = { ...platformPorts, tables: createCountedTables(platformPorts.tables, metrics) };
     const clusterTime = createClusterTime(clock);
--- a/src/serve/logStrayErrors.ts
+++ b/src/serve/logStrayErrors.ts
@@ -1,23 +1,34 @@
 /**
  * @module Errors that no part of a process has handled.
  */
-import { FailureError } from "../base/failureError";
+import { formatError } from "../base/formatError";
 import type { Log } from "../base/log/log";
 
+/** How an unhandled error arrived. The values appear in metrics. */
+export enum ErrorOrigin {
+    Rejection = "rejection",
+    Exception = "exception",
+}
+
+const MESSAGES: Readonly<Record<ErrorOrigin, string>> = {
+    [ErrorOrigin.Rejection]: "unhandled rejection",
+    [ErrorOrigin.Exception]: "uncaught exception",
+};
+
 /**
- * Logs rejections and exceptions that nothing handles; the process goes on.
+ * Counts and logs rejections and exceptions that nothing handles; the process goes on. Each is counted, also if the log
+ * drops its line.
  *
- * @param log - Where they are logged
+ * @param log - Where they are logged, with their stack
+ * @param countError - Counts one
  * @example
- * logStrayErrors(log);
+ * logStrayErrors(log, metrics.countUnhandledError);
  */
-export function logStrayErrors(log: Log): void {
-    process.on("unhandledRejection", reason => logStray(log, "unhandled rejection", reason));
-    process.on("uncaughtException", error => logStray(log, "uncaught exception", error));
-}
-
-function logStray(log: Log, what: string, reason: unknown): void {
-    const text =
-        reason instanceof FailureError ? reason.message : reason instanceof Error ? reason.stack : String(reason);
-    log.error(what, { reason: text ?? "" });
+export function logStrayErrors(log: Log, countError: (origin: ErrorOrigin) => void): void {
+    const handleError = (origin: ErrorOrigin, error: unknown) => {
+        countError(origin);
+        log.error(MESSAGES[origin], { reason: formatError(error) });
+    };
+    process.on("unhandledRejection", reason => handleError(ErrorOrigin.Rejection, reason));
+    process.on("uncaughtException", error => handleError(ErrorOrigin.Exception, error));
 }
--- a/src/serve/runServe.ts
+++ b/src/serve/runServe.ts
@@ -1,6 +1,7 @@
 /**
  * @module `redwinglift serve`: one node as a process.
  */
+import { Metric, MetricTag } from "../base/metrics/metric";
 import { createNodeParts } from "../createNodeParts";
 import type { Settings } from "../settings/settings";
 import { type RunningNode, wireNode } from "../wire";
@@ -32,7 +33,7 @@
     const signals = watchStopSignals();
     const parts = createNodeParts(settings);
     const { log } = parts;
-    logStrayErrors(log);
+    logStrayErrors(log, origin => parts.metrics.count(Metric.UnhandledErrors, { [MetricTag.Origin]: origin }));
     process.on("SIGHUP", () => log.info("a signal changes nothing", { signal: "SIGHUP" }));
     const node = await wireNode(settings, parts);
     writeDumpOnSignal(() => node.dumpState());
