Answer a request whose handling throws, with the truth about its execution

Cause: the path's event handlers had no owner. A throw in the handler of a caller's request, of an endpoint's answer, of an event or of an answer's end reached the process, which logged it; the attempt never settled. A throw in the awaited part ended in the listener's catch, which closed the connection, also where nothing had been sent on, and also where the answer was already whole. Fix: sendAttempt runs each handler under a guard that settles the attempt as lost and does nothing once it has settled; the forwarder never rejects, and knows whether a byte may have been sent; the listener answers 503 node_failed (not run) before the request was sent on, 502 outcome_unknown after, and leaves an answer alone that is on its way. Headers for the endpoint are built before any counter changes, so that a throw there leaves no request in flight. Other adapters' whole answers have an owner as well.

--- a/src/adapters/_lib/readWholeAnswer.ts
+++ b/src/adapters/_lib/readWholeAnswer.ts
@@ -66,10 +66,12 @@
     response.on("error", handlers.handleError);
     const isComplete = createCompletionCheck(response, method);
     response.on("end", () => {
-        void isComplete().then(complete =>
-            complete
-                ? handlers.handleWhole(body.takeBytes())
-                : handlers.handleError(new Error("The answer was cut off.")),
-        );
+        isComplete()
+            .then(complete =>
+                complete
+                    ? handlers.handleWhole(body.takeBytes())
+                    : handlers.handleError(new Error("The answer was cut off.")),
+            )
+            .catch((error: unknown) => handlers.handleError(error instanceof Error ? error : new Error(String(error))));
     });
 }
--- a/src/base/failure.ts
+++ b/src/base/failure.ts
@@ -45,6 +45,8 @@
     CostCeilingExceeded = "cost_ceiling_exceeded",
     QuotaExceeded = "quota_exceeded",
     ShuttingDown = "shutting_down",
+    /** An error inside the node ended the request before it was sent on. */
+    NodeFailed = "node_failed",
     /** Requests with the same prompt part crashed endpoints. */
     PromptQuarantined = "prompt_quarantined",
     // Execution on an endpoint
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -22,6 +22,7 @@
 import { createDemandMeter } from "../createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "../createEndpointDirectory";
 import { createEndpointLimits } from "../createEndpointLimits";
+import { createFailureReporter } from "../createFailureReporter";
 import { createForwarder } from "../createForwarder";
 import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
 import { createGatewayMetrics } from "../createGatewayMetrics";
@@ -120,7 +121,7 @@
  * @param route - The route; its service is `chat`
  * @param scripts - The behaviour of each endpoint
  * @param options - `isWithoutConfiguration`: no configuration is in force and none was confirmed; `confirmedAgoMs`: how
- * long ago the store confirmed it (default 0); `bounds`: bounds to override
+ * long ago the store confirmed it (default 0); `bounds`: bounds to override; `replace`: components to override
  * @returns The harness; otherwise the configuration is in force and has just been confirmed
  * @example
  * const harness = await createGatewayHarness(makeRoute(), [answer]);
@@ -133,6 +134,8 @@
         readonly confirmedAgoMs?: number;
         readonly bounds?: Partial<GatewayBounds>;
         readonly memoryBytesMax?: number;
+        /** Gives components that replace those of the harness, for example some that throw. */
+        readonly replace?: (components: GatewayComponents) => Partial<GatewayComponents>;
     } = {},
 ): Promise<GatewayHarness> {
     const { memoryBytesMax = SETTINGS.memoryBytesMax } = options;
@@ -155,7 +158,7 @@
         metrics,
         log,
     });
-    const components = {
+    const sound: GatewayComponents = {
         settings,
         clock,
         random: createRandom(1),
@@ -181,6 +184,7 @@
         }),
         rollouts,
         memory: createBodyMemory(settings.memoryBytesMax),
+        reportFailure: createFailureReporter(log, metrics),
         limits: createEndpointLimits({
             nodeName: settings.nodeName,
             directory,
@@ -190,6 +194,7 @@
             log,
         }),
     };
+    const components: GatewayComponents = { ...sound, ...options.replace?.(sound) };
     const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
     const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
     let current: GatewayConfiguration = {
--- a/src/gateway/_testing/runAttempt.ts
+++ b/src/gateway/_testing/runAttempt.ts
@@ -66,6 +66,7 @@
             ended: new AbortController().signal,
             handleAnswerHead: () => undefined,
             handleFirstPart: () => undefined,
+            reportFailure: () => undefined,
             ...options,
         }).then(result => {
             resolveResult(result);
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -27,8 +27,10 @@
     recordConnectionBreak,
 } from "./endpointRecord";
 import { type GatewayExchange, hasBodyHeader } from "./exchange";
+import { FailureOwner } from "./createFailureReporter";
 import {
     describeFailure,
+    describeNodeFailure,
     describeWithoutEndpoint,
     type ForwardingOutcome,
     NO_ENDPOINT_FAILURE,
@@ -180,6 +182,15 @@
             components.metrics.recordFirstPart(service, nowMs - exchange.receivedAtMs);
             recordUsage(state);
         };
+        const headers = components.codec.buildEndpointHeaders({
+            rawHeaders: exchange.request.rawHeaders,
+            endpointId: record.endpoint.id,
+            remainingMs: exchange.deadlineAtMs - sentAtMs,
+            account: exchange.account,
+            priority: route.kind === RouteKind.Streaming ? Math.min(9, Math.max(0, exchange.priority)) : undefined,
+            lastEventId: state.relay.readLastEventId(),
+            bodyBytes: exchange.body.length > 0 || hasBodyHeader(exchange) ? exchange.body.length : undefined,
+        });
         if (state.sends === 1) {
             components.demand.recordArrival(service, uncachedTokens);
         }
@@ -190,19 +201,12 @@
         const followed = components.quarantine.beginAttempt(record, state.sharedParts);
         const compared = components.rollouts.beginAttempt(record, route.name, state.sends === 1);
         const isBounded = isRepeatable(route) && state.executions + 1 < route.attemptsMax;
+        state.isSending = true;
         const result = await sendAttempt({
             record,
             method: exchange.request.method ?? "GET",
             path: exchange.request.url ?? "/",
-            headers: components.codec.buildEndpointHeaders({
-                rawHeaders: exchange.request.rawHeaders,
-                endpointId: record.endpoint.id,
-                remainingMs: exchange.deadlineAtMs - sentAtMs,
-                account: exchange.account,
-                priority: route.kind === RouteKind.Streaming ? Math.min(9, Math.max(0, exchange.priority)) : undefined,
-                lastEventId: state.relay.readLastEventId(),
-                bodyBytes: exchange.body.length > 0 || hasBodyHeader(exchange) ? exchange.body.length : undefined,
-            }),
+            headers,
             body: exchange.body.length > 0 ? exchange.body : undefined,
             requestId: head.requestId,
             codec: components.codec,
@@ -217,6 +221,7 @@
                 components.limits.recordAnswer(record, answer, sentAtMs);
             },
             handleFirstPart,
+            reportFailure: components.reportFailure,
         });
         record.ownInFlight--;
         releasePending();
@@ -258,23 +263,26 @@
         });
     };
 
-    const forwardRequest = async (exchange: GatewayExchange, ended: AbortSignal): Promise<ForwardingOutcome> => {
-        const state: ForwardingState = {
-            exchange,
-            request: {
-                promptTokens: exchange.head.promptTokens ?? 0,
-                promptParts: exchange.head.promptParts,
-            },
-            sharedParts: listSharedParts(exchange.head.promptParts),
-            ended,
-            relay: createStreamRelay(exchange.response),
-            triedEndpoints: new Set(),
-            executions: 0,
-            sends: 0,
-            isCareful: false,
-            isRetryCharged: false,
-            isUsageRecorded: false,
-        };
+    const createState = (exchange: GatewayExchange, ended: AbortSignal): ForwardingState => ({
+        exchange,
+        request: {
+            promptTokens: exchange.head.promptTokens ?? 0,
+            promptParts: exchange.head.promptParts,
+        },
+        sharedParts: listSharedParts(exchange.head.promptParts),
+        ended,
+        relay: createStreamRelay(exchange.response),
+        triedEndpoints: new Set(),
+        executions: 0,
+        sends: 0,
+        isSending: false,
+        isCareful: false,
+        isRetryCharged: false,
+        isUsageRecorded: false,
+    });
+
+    const forwardByAttempts = async (state: ForwardingState): Promise<ForwardingOutcome> => {
+        const { exchange } = state;
         readAllowance(exchange.service).recordRequest(clock.readMonotonicMs());
         for (;;) {
             const admission = components.quarantine.admitAttempt(state.sharedParts);
@@ -300,6 +308,7 @@
                     recordUsage(state);
                 }
             }
+            state.isSending = false;
             components.metrics.countAttempt(exchange.service, result.end);
             const step = decideNext(state, attempt);
             if (!isSuccessful(result)) {
@@ -310,7 +319,17 @@
             }
         }
     };
-    return { forwardRequest };
+    return {
+        forwardRequest: async (exchange, ended) => {
+            const state = createState(exchange, ended);
+            try {
+                return await forwardByAttempts(state);
+            } catch (error) {
+                components.reportFailure(FailureOwner.Request, error, { requestId: exchange.head.requestId });
+                return describeNodeFailure(state.relay, state.isSending || state.executions > 0);
+            }
+        },
+    };
 }
 
 /** How long an attempt may wait before it is asked whether it is given up. */
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -17,6 +17,7 @@
 import type { CallerRequestHead } from "../ports/forwardingCodec";
 import { QUOTA_RETRY_AFTER_MS, RETRY_AFTER_MS } from "./constants";
 import { type CallerConnections, createCallerConnections } from "./createCallerConnections";
+import { FailureOwner } from "./createFailureReporter";
 import type { Forwarder } from "./createForwarder";
 import { abandonAnswer } from "./abandonAnswer";
 import { type AdmittedRequest, buildExchange } from "./buildExchange";
@@ -24,6 +25,7 @@
 import { computeRequestTimes } from "./computeRequestTimes";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
+import { LATE_NODE_FAILURE, NODE_FAILURE } from "./forwardingOutcome";
 import type { GatewayComponents } from "./gatewayComponents";
 import { waitUntilLoaded } from "./waitUntilLoaded";
 
@@ -48,6 +50,18 @@
 });
 const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
+/** Stands for the head of a request whose headers can't be read. */
+const UNREADABLE_HEAD: CallerRequestHead = {
+    requestId: undefined,
+    model: undefined,
+    deadlineMs: undefined,
+    promptTokens: undefined,
+    outputTokensMax: undefined,
+    promptParts: [],
+    key: undefined,
+    lastEventId: undefined,
+};
+
 /** The HTTP listener for callers. */
 export interface GatewayListener {
     readonly server: http.Server;
@@ -81,7 +95,7 @@
  */
 export function createGatewayListener(options: GatewayListenerOptions): GatewayListener {
     const { components, forwarder, quotas } = options;
-    const { clock, demand, configuration, codec, log, metrics, settings, memory } = components;
+    const { clock, demand, configuration, codec, log, metrics, settings, memory, reportFailure } = components;
     /** The times of the stop, and the monotonic time of its signal; absent while the node does not drain. */
     let stop: { readonly times: StopTimes; readonly signalledAtMs: number } | undefined;
     const openRequests = createOpenRequests();
@@ -206,7 +220,6 @@
             sendFailureAnswer(open, charged);
             return;
         }
-        open.phase = RequestPhase.Forwarded;
         const answerMemory = memory.answers.openLease();
         response.once("close", answerMemory.release);
         const received = { request, response, head, receivedAtMs, body: body.value, answerMemory };
@@ -216,6 +229,7 @@
 
     const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, amount: number) => {
         const { response, service } = exchange;
+        open.phase = RequestPhase.Forwarded;
         const ended = new AbortController();
         const timer = setTimeout(
             () => ended.abort(AttemptOutcome.TimedOut),
@@ -265,9 +279,12 @@
     };
 
     /** Handles one request of a connection at a time: the answer before it may close the connection. */
-    const handleInTurn = async (open: OpenRequest, receivedAtMs: number) => {
+    const handleInTurn = async (open: OpenRequest, receivedAtMs: number, headError: unknown) => {
         if (await connections.waitForTurn(open.request, open.response)) {
             open.phase = RequestPhase.Waiting;
+            if (headError !== undefined) {
+                throw headError;
+            }
             await forward(open, receivedAtMs);
             return;
         }
@@ -275,9 +292,36 @@
         open.request.resume();
     };
 
+    /** Answers a request that an error inside the node has ended, unless its answer is on the way. */
+    const handleFailure = (open: OpenRequest, error: unknown) => {
+        const { response, head, phase } = open;
+        reportFailure(FailureOwner.Request, error, { requestId: head.requestId });
+        if (response.writableEnded) {
+            return;
+        }
+        try {
+            if (!response.headersSent) {
+                sendFailureAnswer(open, phase === RequestPhase.Forwarded ? LATE_NODE_FAILURE : NODE_FAILURE);
+                return;
+            }
+        } catch (furtherError) {
+            reportFailure(FailureOwner.Request, furtherError, { requestId: head.requestId });
+        }
+        open.end = RequestEnd.Cut;
+        abandonAnswer(response);
+    };
+
+    const readHead = (request: IncomingMessage): { head: CallerRequestHead; error?: unknown } => {
+        try {
+            return { head: codec.readCallerHead(request.headers) };
+        } catch (error) {
+            return { head: UNREADABLE_HEAD, error };
+        }
+    };
+
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
-        const head = codec.readCallerHead(request.headers);
+        const { head, error: headError } = readHead(request);
         const open = openRequests.addRequest(request, response, head);
         if (stop !== undefined) {
             response.setHeader("connection", "close");
@@ -287,14 +331,7 @@
                 request.socket.destroySoon();
             }
         });
-        handleInTurn(open, receivedAtMs).catch((error: unknown) => {
-            log.error("request failed inside the node", {
-                requestId: head.requestId,
-                reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
-            });
-            open.end = RequestEnd.Cut;
-            abandonAnswer(response);
-        });
+        handleInTurn(open, receivedAtMs, headError).catch((error: unknown) => handleFailure(open, error));
     };
 
     const server = http.createServer(
--- a/src/gateway/forwardingOutcome.ts
+++ b/src/gateway/forwardingOutcome.ts
@@ -23,6 +23,17 @@
     readonly executions: number;
 }
 
+/** The failure of a request that an error inside the node ended before it was sent on. */
+export const NODE_FAILURE = createFailure(FailureKind.NodeFailed, "An error inside the node ended the request.", {
+    retryAfterMs: RETRY_AFTER_MS,
+});
+/** The failure of a request that an error inside the node ended after a byte of it can have reached an endpoint. */
+export const LATE_NODE_FAILURE = createFailure(
+    FailureKind.OutcomeUnknown,
+    "An error inside the node ended the request.",
+    { execution: Execution.Unknown },
+);
+
 /** The failure of a request that no endpoint took. */
 export const NO_ENDPOINT_FAILURE = createNoEndpointFailure(RETRY_AFTER_MS);
 
@@ -41,6 +52,14 @@
     });
 }
 
+/** Describes the end of a request by an error inside the node; `mayHaveRun` is true if a byte of it can have been sent. */
+export function describeNodeFailure(relay: StreamRelay, mayHaveRun: boolean): ForwardingOutcome {
+    if (relay.hasBegun()) {
+        return { isRelayed: false, failure: undefined };
+    }
+    return { isRelayed: false, failure: mayHaveRun ? LATE_NODE_FAILURE : NODE_FAILURE };
+}
+
 /**
  * Describes the end if no endpoint is left to try: the request was not executed unless an earlier attempt may have
  * been. `waitMs` is the time until an endpoint may take one; infinite if that is unknown.
--- a/src/gateway/forwardingState.ts
+++ b/src/gateway/forwardingState.ts
@@ -32,6 +32,8 @@
     executions: number;
     /** All attempts. */
     sends: number;
+    /** True while it isn't known of the present attempt whether it may have been executed. */
+    isSending: boolean;
     /** True while the attempt is a try of a suspected prompt part, which is neither given up nor repeated. */
     isCareful: boolean;
     /** True if the next attempt was charged to the retry budget when the one before it was given up. */
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -15,6 +15,7 @@
 import type { Rollouts } from "./rollouts";
 import type { ServiceSpeeds } from "./createServiceSpeeds";
 import type { UsageMeter } from "./createUsageMeter";
+import type { FailureReporter } from "./createFailureReporter";
 import type { FleetNews } from "./createFleetNews";
 import type { BodyMemory } from "./createBodyMemory";
 
@@ -36,4 +37,5 @@
     readonly rollouts: Rollouts;
     readonly limits: EndpointLimits;
     readonly memory: BodyMemory;
+    readonly reportFailure: FailureReporter;
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -17,6 +17,7 @@
 import { createDemandMeter } from "./createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "./createEndpointDirectory";
 import { createEndpointLimits } from "./createEndpointLimits";
+import { createFailureReporter } from "./createFailureReporter";
 import { createFleetNews } from "./createFleetNews";
 import { createForwarder } from "./createForwarder";
 import { createGatewayListener } from "./createGatewayListener";
@@ -70,6 +71,7 @@
     watchSettings(settings, { readSettings: platformPorts.readSettings, log });
     const metrics = createGatewayMetrics();
     logStrayErrors(log, metrics.countUnhandledError);
+    const reportFailure = createFailureReporter(log, metrics);
     const memory = createBodyMemory(settings.memoryBytesMax);
     const platform = { ...platformPorts, tables: createCountedTables(platformPorts.tables, metrics) };
     const clusterTime = createClusterTime(clock);
@@ -168,6 +170,7 @@
         rollouts,
         limits,
         memory,
+        reportFailure,
     };
     dumpOnSignal(components);
     const loopMonitor = createLoopMonitor(log);
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -14,6 +14,7 @@
 import type { ResponseHead, ForwardingCodec } from "../ports/forwardingCodec";
 import { CONNECT_TIMEOUT_MS } from "./constants";
 import { createEventSplitter } from "./createEventSplitter";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 import type { RelayedHead, StreamRelay } from "./createStreamRelay";
 import { dropAnswer } from "./dropAnswer";
 import type { EndpointRecord } from "./endpointRecord";
@@ -47,6 +48,7 @@
     readonly handleAnswerHead: (head: ResponseHead) => void;
     /** Called when the first event, or an answer that is not a stream, has been received whole. */
     readonly handleFirstPart: () => void;
+    readonly reportFailure: FailureReporter;
 }
 
 /** An answer that was received whole and is not relayed yet. */
@@ -108,7 +110,20 @@
         }
         let isSettled = false;
         let overdue: string | undefined;
-        const waitBound = createWaitBound(message => {
+        const guard: Guard = handle => {
+            return (...values) => {
+                if (isSettled) {
+                    return;
+                }
+                try {
+                    handle(...values);
+                } catch (error) {
+                    options.reportFailure(FailureOwner.Attempt, error, { requestId: options.requestId });
+                    settle(buildLossResult(options, "an error inside the node"));
+                }
+            };
+        };
+        const handleOverdue = guard((message: string) => {
             overdue ??= message;
             if (!sentBytes.hasSentBytes() || options.canGiveUp()) {
                 settleUnanswered(overdue);
@@ -116,6 +131,7 @@
                 waitBound.beginWait(GIVE_UP_INTERVAL_MS, "answer");
             }
         });
+        const waitBound = createWaitBound(handleOverdue);
         const beginWait: BeginWait = (delayMs, awaited) => {
             overdue = undefined;
             if (delayMs === undefined || isSettled) {
@@ -171,11 +187,14 @@
             socket.destroy();
             settleUnanswered("the endpoint switched protocols");
         });
+        const handleAnswer = guard((response: http.IncomingMessage) => {
+            const isFirst = !request.reusedSocket;
+            handleResponse({ options, response, settle, beginWait, guard }, isFirst);
+        });
         request.on("response", response => {
             answer = response;
             waitBound.endWait();
-            const isFirst = !request.reusedSocket;
-            handleResponse(options, response, isFirst, settle, beginWait);
+            handleAnswer(response);
         });
         if (ended.aborted) {
             abandon();
@@ -207,19 +226,25 @@
 type Settle = (result: AttemptResult, keepsConnection?: boolean) => void;
 /** Sets the limit of the next wait; without a delay there is none. */
 type BeginWait = (delayMs: number | undefined, awaited: string) => void;
+/** Makes a handler that ends the attempt if the given one throws, and does nothing once the attempt has ended. */
+type Guard = <A extends unknown[]>(handle: (...values: A) => void) => (...values: A) => void;
 
-function handleResponse(
-    options: AttemptOptions,
-    response: http.IncomingMessage,
-    isFirst: boolean,
-    settleAttempt: Settle,
-    beginWait: BeginWait,
-): void {
+/** An answer whose head has arrived, and what its handlers do with the attempt. */
+interface AnswerContext {
+    readonly options: AttemptOptions;
+    readonly response: http.IncomingMessage;
+    readonly settle: Settle;
+    readonly beginWait: BeginWait;
+    readonly guard: Guard;
+}
+
+function handleResponse(context: AnswerContext, isFirst: boolean): void {
+    const { options, response } = context;
     const status = response.statusCode ?? 0;
     const head = options.codec.readResponseHead(status, response.headers);
     const hasOwnId = head.requestId === options.requestId;
     // Without an id, only the first answer on a connection is sure to be no copy of an earlier one.
-    const settle: Settle = (result, keepsConnection = false) => settleAttempt(result, keepsConnection && hasOwnId);
+    const settle: Settle = (result, keepsConnection = false) => context.settle(result, keepsConnection && hasOwnId);
     response.on("error", error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)));
     response.on("aborted", () => settle(buildLossResult(options, "the answer was cut off", ConnectionEnd.Broken)));
     if (!hasOwnId && (head.requestId !== undefined || !isFirst)) {
@@ -239,9 +264,9 @@
     }
     const isStream = status < HttpStatus.FirstRedirect && EVENT_STREAM.test(response.headers["content-type"] ?? "");
     if (isStream) {
-        streamAnswer(options, response, relayed, settle, beginWait);
+        streamAnswer({ ...context, settle }, relayed);
     } else {
-        receiveWholeAnswer(options, response, relayed, settle);
+        receiveWholeAnswer({ ...context, settle }, relayed);
     }
 }
 
@@ -253,13 +278,8 @@
     return !REFUSAL_STATUSES.has(status);
 }
 
-function streamAnswer(
-    options: AttemptOptions,
-    response: http.IncomingMessage,
-    head: RelayedHead,
-    settle: Settle,
-    beginWait: BeginWait,
-): void {
+function streamAnswer(context: AnswerContext, head: RelayedHead): void {
+    const { options, response, settle, beginWait, guard } = context;
     const isComplete = createCompletionCheck(response, options.method);
     const splitter = createEventSplitter();
     let hasFirstEvent = false;
@@ -271,8 +291,7 @@
         beginEventWait();
         response.resume();
     };
-    beginEventWait();
-    response.on("data", (chunk: Buffer) => {
+    const handleChunk = (chunk: Buffer) => {
         const batch = splitter.push(chunk);
         const unfinishedBytes = splitter.countUnfinishedBytes();
         const heldBytes = unfinishedBytes > SMALL_EVENT_BYTES_MAX ? unfinishedBytes : 0;
@@ -297,36 +316,37 @@
             beginWait(undefined, "further event");
             response.pause();
         }
-    });
+    };
+    const handleEnd = (complete: boolean) => {
+        if (!complete || splitter.takeRemainder().length > 0 || options.ended.aborted) {
+            settle(buildLossResult(options, "the stream was cut off", complete ? undefined : ConnectionEnd.Broken));
+            return;
+        }
+        options.relay.endRelay(head);
+        settle({ end: AttemptOutcome.Relayed, reason: "complete" }, true);
+    };
+    beginEventWait();
+    response.on("data", guard(handleChunk));
     response.on("end", () => {
-        void isComplete().then(complete => {
-            if (!complete || splitter.takeRemainder().length > 0 || options.ended.aborted) {
-                settle(buildLossResult(options, "the stream was cut off", complete ? undefined : ConnectionEnd.Broken));
-                return;
-            }
-            options.relay.endRelay(head);
-            settle({ end: AttemptOutcome.Relayed, reason: "complete" }, true);
-        });
+        isComplete().then(
+            guard(handleEnd),
+            guard(() => handleEnd(false)),
+        );
     });
 }
 
-function receiveWholeAnswer(
-    options: AttemptOptions,
-    response: http.IncomingMessage,
-    head: RelayedHead,
-    settle: Settle,
-): void {
+function receiveWholeAnswer({ options, response, settle, guard }: AnswerContext, head: RelayedHead): void {
     const statedBytes = readContentLength(response.headers);
     const limits = { method: options.method, bytesMax: WHOLE_ANSWER_BYTES_MAX, memory: options.answerMemory };
     readWholeAnswer(response, limits, {
         handlePart: () => undefined,
         handleTooLarge: () => settle(buildLossResult(options, "the answer is too large")),
         handleError: error => settle(buildLossResult(options, describeError(error), ConnectionEnd.Broken)),
-        handleWhole: body => {
+        handleWhole: guard((body: Buffer) => {
             options.handleFirstPart();
             const answer = { ...head, body, statedBytes };
             settle({ end: AttemptOutcome.Answered, answer, reason: `status ${head.status}` }, true);
-        },
+        }),
     });
 }
 
--- a/src/http/failureStatus.ts
+++ b/src/http/failureStatus.ts
@@ -29,6 +29,7 @@
     [FailureKind.CostCeilingExceeded]: 503,
     [FailureKind.QuotaExceeded]: 429,
     [FailureKind.ShuttingDown]: 503,
+    [FailureKind.NodeFailed]: 503,
     [FailureKind.PromptQuarantined]: 503,
     [FailureKind.NoEndpoint]: 503,
     [FailureKind.DeadlineExceeded]: 504,
