Begin loops of a gateway again soon after an error, and keep one row or duty from the others

Callers saw: nothing at once. A node followed a table 5.2 s late, held rows of a table back for good, or the fleet stopped its duties. Cause: a supervised task's pause doubled with each failure of its life and never became short again. Handlers got all rows of an answer at once, so that one row whose decoder throws held back all others; and since other nodes read a reader's rows only after it has handled them, theirs as well. An error of the holder of the duties left its lease client renewing the lease, so that nobody ever held the duties again while the process lived, and a duty that threw kept the next ones from their turn. The agreement on the cluster time and the reading of stored roll-outs ended with their first error. A report that threw ended supervision itself. Fix: startLoop is the owner of each loop: it reports (counter, log) and begins again. superviseTask pauses shortly again after a run longer than its longest pause. A watch handles its own errors, pauses 500 ms at most and asks for the same rows again, so none is lost; a row whose decoder throws is skipped like a malformed one. The lease client of a term is disposed however the term ends.

--- a/src/base/csp/csp.test.ts
+++ b/src/base/csp/csp.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { runClock } from "../../nodes/_testing/runClock";
 import { createManualClock } from "../createManualClock";
 import { FailureKind } from "../failure";
 import {
@@ -156,4 +157,42 @@
         assert.equal((await end).failure, undefined);
         assert.deepEqual(failures, [FailureKind.TaskFailed, FailureKind.TaskFailed]);
     });
+
+    // Guards against: a task whose failures can't be reported ends for good.
+    it("restarts a failing task even if its report fails", async () => {
+        const clock = createManualClock();
+        let starts = 0;
+        const body = function* () {
+            if (starts++ === 0) {
+                throw new Error("planted");
+            }
+            yield* waitFor(Promise.resolve());
+        };
+        const reportFailure = () => {
+            throw new Error("planted in the report");
+        };
+        const end = superviseTask("flaky", body, { clock, reportFailure });
+        await runClock(clock, 1_000);
+        assert.equal((await end).failure, undefined);
+        assert.equal(starts, 2);
+    });
+
+    // Guards against: a task that has failed some times in its life is away for 5 s after each further failure.
+    it("restarts a task soon that has run for long before it failed, and later and later one that fails at once", async () => {
+        const clock = createManualClock();
+        const startsAtMs: number[] = [];
+        const runMs = [8_000, 8_000, 8_000, 8_000, 8_000, 8_000, 8_000, 8_000, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+        const body = function* () {
+            startsAtMs.push(clock.readMonotonicMs());
+            yield* waitFor(clock.waitMs(runMs[startsAtMs.length - 1] ?? 0));
+            throw new Error("planted");
+        };
+        void superviseTask("flaky", body, { clock, reportFailure: () => undefined });
+        await runClock(clock, 100_000);
+        const pausesMs = startsAtMs
+            .slice(1)
+            .map((atMs, index) => atMs - (startsAtMs[index] ?? 0) - (runMs[index] ?? 0));
+        assert.ok(Math.max(...pausesMs.slice(0, 8)) <= 100, pausesMs.join(", "));
+        assert.ok((pausesMs[16] ?? 0) >= 5_000, pausesMs.join(", "));
+    });
 });
--- a/src/gateway/control.test.ts
+++ b/src/gateway/control.test.ts
@@ -91,6 +91,7 @@
             clock,
             random: createRandom(1),
             log: SILENT_LOG,
+            reportFailure: () => undefined,
             waitMs: 900,
             handleRows: (_rows, _isWhole, isStoreRecovering) => recoveries.push(isStoreRecovering),
             handleConfirmation: () => undefined,
@@ -194,6 +195,7 @@
             clock,
             random: createRandom(1),
             log: SILENT_LOG,
+            reportFailure: () => undefined,
         });
         const cloud: DutyPort = {
             sendUsage: async (holder, report) => {
@@ -221,6 +223,7 @@
             duties: [duty],
             clock,
             log: SILENT_LOG,
+            reportFailure: () => undefined,
         });
         const stop = () => {
             holding.leave();
--- a/src/gateway/createMembership.test.ts
+++ b/src/gateway/createMembership.test.ts
@@ -51,6 +51,7 @@
             clock,
             random: createRandom(1),
             log: SILENT_LOG,
+            reportFailure: () => undefined,
         });
         return { clock, table, calls, membership };
     }
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/createMembership.ts
@@ -4,10 +4,9 @@
  */
 import { ulid } from "ulid";
 import type { Clock } from "../base/clock";
-import { type TaskGenerator, superviseTask, waitFor } from "../base/csp";
+import { type TaskGenerator, waitFor } from "../base/csp";
 import type { Disposable } from "../base/disposableStore";
 import type { Log } from "../base/log/log";
-import { createTaskFailureLogger } from "../base/log/createTaskFailureLogger";
 import type { Random } from "../base/random";
 import { RowRole } from "../decisions/relays/chooseRowSource";
 import { CRASH_RETENTION_MS, MEMBER_TIMEOUT_MS } from "../decisions/relays/constants";
@@ -16,7 +15,9 @@
 import type { NodeIdentity } from "../decisions/relays/news";
 import type { RowWrite, TablePort, TableRow } from "../ports/table";
 import type { ClusterTime } from "./createClusterTime";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 import type { FleetNews } from "./createFleetNews";
+import { startLoop } from "./startLoop";
 import type { UsageMeter } from "./createUsageMeter";
 import {
     buildMemberKey,
@@ -68,6 +69,7 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly log: Log;
+    readonly reportFailure: FailureReporter;
 }
 
 /** The rows of the nodes. */
@@ -221,10 +223,7 @@
             yield* waitFor(clock.waitMs(listCount === 0 ? START_CHECK_PERIOD_MS : CHECK_PERIOD_MS));
         }
     };
-    void superviseTask("membership", run, {
-        clock,
-        reportFailure: createTaskFailureLogger(log),
-    });
+    startLoop(FailureOwner.Membership, run, options);
     return {
         readCounts: async () => {
             const rows = await table.listRows(MEMBER_PREFIX);
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -35,7 +35,7 @@
 import { dumpOnSignal } from "./dumpOnSignal";
 import type { GatewayComponents } from "./gatewayComponents";
 import type { GatewayPlatform } from "./gatewayPlatform";
-import { resolveClusterTime } from "./resolveClusterTime";
+import { startClusterTime } from "./startClusterTime";
 import { startDuties } from "./startDuties";
 import { startWatches } from "./startWatches";
 import { type LiveSettings, watchSettings } from "./watchSettings";
@@ -152,6 +152,7 @@
         clock,
         random,
         log,
+        reportFailure,
     });
     const components: GatewayComponents = {
         settings,
@@ -175,7 +176,7 @@
     dumpOnSignal(components);
     const loopMonitor = createLoopMonitor(log);
     const rowServer = startWatches(components, platform, clusterTime);
-    void resolveClusterTime(platform.tables, clusterTime, clock.waitMs, log);
+    startClusterTime({ table: platform.tables, clusterTime, clock, log, reportFailure });
     const duties = startDuties({
         components,
         cloud: platform.cloud,
--- a/src/gateway/startDuties.ts
+++ b/src/gateway/startDuties.ts
@@ -40,7 +40,7 @@
     clusterTime,
     rolloutRecords: records,
 }: DutyDependencies): DutyHandle {
-    const { settings, news, clock, log } = components;
+    const { settings, news, clock, log, reportFailure } = components;
     const { usageWindowMs: windowMs, usageDueMs: dueMs, leaseMs } = settings.bounds;
     const { isFirstStart } = settings;
     const ledger = createUsageLedger();
@@ -67,5 +67,5 @@
     };
     const cloudDuties = cloud === undefined ? [] : settings.duties.map(kind => creators[kind](cloud));
     const duties = [createRolloutDuty({ ...components, records, clusterTime }), ...cloudDuties];
-    return startDutyHolder({ node: settings.nodeName, leaseMs, table, news, duties, clock, log });
+    return startDutyHolder({ node: settings.nodeName, leaseMs, table, news, duties, clock, log, reportFailure });
 }
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/startDutyHolder.ts
@@ -2,15 +2,16 @@
  * @module Election of the node that carries out the duties: one node at a time reports usage and orders endpoints.
  */
 import type { Clock } from "../base/clock";
-import { type TaskGenerator, superviseTask, waitFor } from "../base/csp";
+import { type TaskGenerator, waitFor } from "../base/csp";
 import { computeElapsedMs, readInstant } from "../base/instant";
 import type { Log } from "../base/log/log";
-import { createTaskFailureLogger } from "../base/log/createTaskFailureLogger";
 import type { TablePort } from "../ports/table";
 import type { DutyHolder } from "../ports/duties";
 import { createLeaseTask } from "../tasks/leases/createLeaseTask";
 import type { LeaseClient, LeaseHandle } from "../tasks/leases/leaseClient";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 import type { FleetNews } from "./createFleetNews";
+import { startLoop } from "./startLoop";
 
 const LEASE_NAME = "duties";
 /** Added to the length of the lease, so that two nodes never act within one lease length. */
@@ -60,6 +61,7 @@
     readonly duties: readonly Duty[];
     readonly clock: Clock;
     readonly log: Log;
+    readonly reportFailure: FailureReporter;
 }
 
 /**
@@ -68,10 +70,10 @@
  * @param options - Identity of this node, the duties, and dependencies
  * @returns The handle that ends the participation
  * @example
- * startDutyHolder({ node, leaseMs, table, news, duties, clock, log });
+ * startDutyHolder({ node, leaseMs, table, news, duties, clock, log, reportFailure });
  */
 export function startDutyHolder(options: DutyHolderOptions): DutyHandle {
-    const { clock, log, news, node } = options;
+    const { clock, log, news, node, reportFailure } = options;
     const durationMs = options.leaseMs + LEASE_MARGIN_MS;
     let relaySinceMs: number | undefined;
     let isStopped = false;
@@ -85,6 +87,14 @@
     };
     /** True if this node is one of the first by name among the live relays. */
     const isCandidate = () => news.listAllRelays().filter(relay => relay.node < node).length < CANDIDATE_COUNT;
+    /** Carries out what is due of a duty. If that throws, it is due again at the next step, and the others go on. */
+    const runDuty = function* (duty: Duty, check: CheckHolder): TaskGenerator<void> {
+        try {
+            yield* waitFor(duty.runStep(check));
+        } catch (error) {
+            reportFailure(FailureOwner.Duty, error);
+        }
+    };
     /** Carries out the duties until the lease ends, this node leaves, or a pause makes the state outdated. */
     const holdTerm = function* (lease: LeaseHandle): TaskGenerator<void> {
         let steppedAt = readInstant(clock);
@@ -96,7 +106,7 @@
         options.duties.forEach(duty => duty.beginTerm());
         while (!isStopped && lease.checkHeld().isOk()) {
             for (const duty of options.duties) {
-                yield* waitFor(duty.runStep(check));
+                yield* runDuty(duty, check);
                 if (wasPaused()) {
                     return;
                 }
@@ -124,32 +134,33 @@
         }
         return undefined;
     };
+    const carryOutTerm = function* (lease: LeaseHandle): TaskGenerator<void> {
+        log.info("duties held", { epoch: lease.epoch });
+        const heldFrom = readInstant(clock);
+        yield* holdTerm(lease);
+        const heldForMs = clock.readMonotonicMs() - heldFrom.monotonicMs;
+        if (isStopped && lease.checkHeld().isOk() && heldForMs > durationMs) {
+            yield* waitFor(lease.release());
+        }
+        log.info("duties no longer held", { epoch: lease.epoch });
+    };
     const run = function* (): TaskGenerator<void> {
         while (!isStopped) {
             const leases = createLeaseTask({ nodeId: node, table: options.table, clock });
             abandonWait = leases.dispose;
-            const lease = yield* acquireDutyLease(leases);
-            abandonWait = () => undefined;
-            if (lease !== undefined) {
-                log.info("duties held", { epoch: lease.epoch });
-                const heldFrom = readInstant(clock);
-                yield* holdTerm(lease);
-                if (
-                    isStopped &&
-                    lease.checkHeld().isOk() &&
-                    clock.readMonotonicMs() - heldFrom.monotonicMs > durationMs
-                ) {
-                    yield* waitFor(lease.release());
+            try {
+                const lease = yield* acquireDutyLease(leases);
+                abandonWait = () => undefined;
+                if (lease !== undefined) {
+                    yield* carryOutTerm(lease);
                 }
-                log.info("duties no longer held", { epoch: lease.epoch });
+            } finally {
+                // Ends the renewals: a lease that is still held after an error expires, and another node can take it.
+                leases.dispose();
             }
-            leases.dispose();
         }
     };
-    void superviseTask("duties", run, {
-        clock,
-        reportFailure: createTaskFailureLogger(log),
-    });
+    startLoop(FailureOwner.Duty, run, options);
     return {
         leave: () => {
             isStopped = true;
--- a/src/gateway/startTableWatch.ts
+++ b/src/gateway/startTableWatch.ts
@@ -2,16 +2,17 @@
  * @module A task that watches a table of the store.
  */
 import type { Clock } from "../base/clock";
-import { type TaskGenerator, superviseTask, waitFor } from "../base/csp";
+import { type TaskGenerator, waitFor } from "../base/csp";
 import type { Disposable } from "../base/disposableStore";
 import { FailureKind } from "../base/failure";
 import { type Instant, readInstant, moveInstant } from "../base/instant";
 import type { Log } from "../base/log/log";
-import { createTaskFailureLogger } from "../base/log/createTaskFailureLogger";
 import type { Random } from "../base/random";
 import type { TableRows, WatchedRow, WatchedTablePort } from "../ports/watchedTable";
 import { STORE_RECOVERY_GRACE_MS } from "./constants";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 import type { TableSnapshot } from "./createTableSnapshot";
+import { startLoop } from "./startLoop";
 
 const RETRY_INITIAL_MS = 50;
 const RETRY_MAX_MS = 500;
@@ -29,6 +30,8 @@
     readonly handleRows: (rows: readonly WatchedRow[], isWholeTable: boolean, isStoreRecovering: boolean) => void;
     /** Receives the time at which the store was asked; the known rows were current at that time or later. */
     readonly handleConfirmation: (askedAt: Instant, answer: TableRows) => void;
+    /** Receives what the handlers throw; the same rows are asked for again. */
+    readonly reportFailure: FailureReporter;
     /** Receives each answer, after its rows were handled, for other nodes that ask this one. */
     readonly snapshot?: Pick<TableSnapshot, "recordAnswer" | "recordFailure">;
 }
@@ -47,6 +50,8 @@
     let isStopped = false;
     let revision: number | undefined;
     let failures = 0;
+    /** Answers in a row whose handlers have thrown. */
+    let unhandledAnswers = 0;
     let recoveredAtMs = Number.NEGATIVE_INFINITY;
 
     const handleAnswer = (answer: TableRows, sentAt: Instant, isWholeTable: boolean) => {
@@ -66,6 +71,23 @@
         options.handleConfirmation(askedAt, answer);
         options.snapshot?.recordAnswer(answer, { askedAt, isWholeTable, isStoreRecovering });
     };
+    /** Handles an answer; gives false if that fails. Its rows count as unknown then. */
+    const tryAnswer = (answer: TableRows, sentAt: Instant, isWholeTable: boolean): boolean => {
+        try {
+            handleAnswer(answer, sentAt, isWholeTable);
+            unhandledAnswers = 0;
+            return true;
+        } catch (error) {
+            unhandledAnswers++;
+            options.reportFailure(FailureOwner.Watch, error, { table });
+            options.snapshot?.recordFailure();
+            return false;
+        }
+    };
+    const computePauseMs = (failuresInARow: number) => {
+        const limitMs = Math.min(RETRY_MAX_MS, RETRY_INITIAL_MS * 2 ** failuresInARow);
+        return random.drawInteger(limitMs / 2, limitMs);
+    };
     const run = function* (): TaskGenerator<void> {
         while (!isStopped) {
             const sentAt = readInstant(clock);
@@ -76,7 +98,9 @@
                     : port.waitForChanges(table, revision, failures > 0 ? 0 : options.waitMs),
             );
             if (result.isOk() && result.value.revision >= (revision ?? 0)) {
-                handleAnswer(result.value, sentAt, isWholeTable);
+                if (!tryAnswer(result.value, sentAt, isWholeTable)) {
+                    yield* waitFor(clock.waitMs(computePauseMs(unhandledAnswers)));
+                }
                 continue;
             }
             if (result.isErr() && result.error.kind === FailureKind.HistoryLost) {
@@ -97,14 +121,10 @@
                     reason: result.isErr() ? result.error.message : "the answer has an older revision",
                 });
             }
-            const limitMs = Math.min(RETRY_MAX_MS, RETRY_INITIAL_MS * 2 ** failures);
-            yield* waitFor(clock.waitMs(random.drawInteger(limitMs / 2, limitMs)));
+            yield* waitFor(clock.waitMs(computePauseMs(failures)));
         }
     };
-    void superviseTask(`watch ${table}`, run, {
-        clock,
-        reportFailure: createTaskFailureLogger(log),
-    });
+    startLoop(FailureOwner.Watch, run, options);
     return {
         dispose: () => {
             isStopped = true;
--- a/src/gateway/startWatches.ts
+++ b/src/gateway/startWatches.ts
@@ -3,15 +3,19 @@
  */
 import type http from "node:http";
 import type { Result } from "neverthrow";
+import { waitFor } from "../base/csp";
 import type { Failure } from "../base/failure";
 import type { GatewayConfiguration } from "../model/gateway";
+import type { WatchedRow } from "../ports/watchedTable";
 import type { ClusterTime } from "./createClusterTime";
+import { FailureOwner } from "./createFailureReporter";
 import { createRelayedTables } from "./createRelayedTables";
 import { createRowServer } from "./createRowServer";
 import { createTableSnapshot } from "./createTableSnapshot";
 import type { GatewayComponents } from "./gatewayComponents";
 import type { GatewayPlatform } from "./gatewayPlatform";
 import { loadRolloutRecords } from "./loadRolloutRecords";
+import { startLoop } from "./startLoop";
 import { startTableWatch } from "./startTableWatch";
 
 /** How long the store may delay its answer while a table does not change (long polling). */
@@ -33,13 +37,25 @@
     platform: GatewayPlatform,
     clusterTime: ClusterTime,
 ): http.Server {
-    const { configuration, directory, rollouts, news, clock, random, log, metrics } = components;
+    const { configuration, directory, rollouts, news, clock, random, log, metrics, reportFailure } = components;
     const { configurationTable, endpointTable } = platform;
     const port = createRelayedTables({ store: platform.tables, news, clock, random, log });
     const snapshots = {
         [configurationTable]: createTableSnapshot(clock),
         [endpointTable]: createTableSnapshot(clock),
     };
+    /** Decodes a row; gives `undefined`, as for a malformed one, if that throws. */
+    const decodeRow = <T>(table: string, row: WatchedRow, decode: (row: WatchedRow) => T): T | undefined => {
+        try {
+            return decode(row);
+        } catch (error) {
+            reportFailure(FailureOwner.Row, error, { table, key: row.key });
+            return undefined;
+        }
+    };
+    const loadRecords = function* () {
+        yield* waitFor(loadRolloutRecords(rollouts, platform.rolloutRecords, clock));
+    };
     const handleConfiguration = (decoded: Result<GatewayConfiguration, Failure>) => {
         if (decoded.isOk()) {
             configuration.applyConfiguration(decoded.value);
@@ -60,14 +76,13 @@
         log,
         waitMs: CONFIGURATION_WAIT_MS,
         handleRows: (rows, isWholeTable) => {
-            rows.flatMap(row => platform.decodeConfigurationRow(row) ?? []).forEach(handleConfiguration);
-            rollouts.applyOrders(
-                rows.flatMap(row => platform.decodeRolloutRow(row) ?? []),
-                isWholeTable,
-            );
+            const decode = <T>(decodeWith: (row: WatchedRow) => T | undefined) =>
+                rows.flatMap(row => decodeRow(configurationTable, row, decodeWith) ?? []);
+            decode(platform.decodeConfigurationRow).forEach(handleConfiguration);
+            rollouts.applyOrders(decode(platform.decodeRolloutRow), isWholeTable);
             if (!hasReadOrders) {
                 hasReadOrders = true;
-                void loadRolloutRecords(rollouts, platform.rolloutRecords, clock);
+                startLoop(FailureOwner.Rollout, loadRecords, { clock, reportFailure });
             }
         },
         handleConfirmation: (askedAt, answer) => {
@@ -75,6 +90,7 @@
             rollouts.recordConfirmation(askedAt);
             clusterTime.recordStoreClock(answer.storeNowMs);
         },
+        reportFailure,
         snapshot: snapshots[configurationTable],
     });
     startTableWatch({
@@ -85,7 +101,10 @@
         log,
         waitMs: ENDPOINTS_WAIT_MS,
         handleRows: (rows, isWholeTable, isStoreRecovering) => {
-            const entries = rows.map(row => ({ id: row.key, endpoint: platform.decodeEndpointRow(row) }));
+            const entries = rows.map(row => ({
+                id: row.key,
+                endpoint: decodeRow(endpointTable, row, platform.decodeEndpointRow),
+            }));
             rollouts.recordVersions(
                 entries.flatMap(({ endpoint }) => endpoint ?? []),
                 !directory.isLoaded(),
@@ -97,6 +116,7 @@
             }
         },
         handleConfirmation: (_askedAt, answer) => clusterTime.recordStoreClock(answer.storeNowMs),
+        reportFailure,
         snapshot: snapshots[endpointTable],
     });
     return createRowServer({ snapshots, clusterTime, clock });
