Keep the news between nodes going after an odd datagram or an error

Callers saw: nothing at once. A node without news judges quotas, limits and roll-outs alone, and waits 400 ms at each request's start until its news are loaded. Cause: each step of a period of the news, and each datagram's handler, threw into the process. A datagram or row that names a member with port 99,999 made every later period end at the sending to it, before the sums and views for the others. Evidence: createFleetNews.test.ts, two new cases, red on the code before: an uncaught RangeError [ERR_SOCKET_BAD_PORT] out of exchangeNews, and the planted error uncaught. Fix: createNewsSocket owns sending and receiving; the steps of a period are tried one by one; nodes whose address can't be sent to are no members. Figures: the tests of news, roster and evidence between nodes pass. Conclusion: a port of the news that is taken at the start isn't tried again.

--- a/src/gateway/_testing/createNewsFleet.ts
+++ b/src/gateway/_testing/createNewsFleet.ts
@@ -13,6 +13,7 @@
 const LOOK_PERIOD_MS = 125;
 const LIST_PERIOD_MS = { lost: 5_000, usual: 25_000 };
 const DELAY_MAX_MS = 60;
+const ADDRESS = "127.0.0.1";
 
 /** Size of the fleet, and the faults of its network. */
 export interface NewsFleetOptions {
@@ -76,7 +77,7 @@
         for (let copies = random.drawFraction() < lostShare ? 2 : 1; copies > 0; copies--) {
             if (random.drawFraction() >= lostShare && !isCut(from, to)) {
                 schedule(random.drawFraction() * DELAY_MAX_MS, () => {
-                    sockets.get(to)?.(bytes, { address: "", port: from });
+                    sockets.get(to)?.(bytes, { address: ADDRESS, port: from });
                 });
             }
         }
@@ -122,7 +123,7 @@
     };
     const start = (index: number): FleetNode => {
         const name = `node-${index}`;
-        const identity = { node: name, life: `${name}-${lives++}`, failureDomain: nameDomain(index), address: "" };
+        const identity = { node: name, life: `${name}-${lives++}`, failureDomain: nameDomain(index), address: ADDRESS };
         const self: NodeIdentity = { ...identity, port: index, capacity: 1 };
         const node: FleetNode = {
             identity: self,
@@ -149,6 +150,7 @@
                 limits: { readLimits: () => ({}), mergeLimits: () => undefined },
                 clock: { readMonotonicMs: () => nowMs, readWallMs: () => nowMs, waitMs: () => Promise.resolve() },
                 log: createLog({ write: () => undefined }),
+                reportFailure: () => undefined,
             }),
         };
         const members = [...nodes.values(), node].map(one => one.identity);
--- a/src/gateway/createFleetNews.test.ts
+++ b/src/gateway/createFleetNews.test.ts
@@ -7,9 +7,13 @@
 import { RowRole } from "../decisions/relays/chooseRowSource";
 import type { EndpointActivity, NodeIdentity } from "../decisions/relays/news";
 import { createFleetNews, type FleetNews } from "./createFleetNews";
+import type { FleetNewsOptions } from "./fleetNewsOptions";
 
 const ADDRESS = "127.0.0.1";
-const FIRST_PORT = 17_620;
+/** Another one for each process, since several checkouts may run their tests at once. */
+const FIRST_PORT = 17_620 + 20 * (process.pid % 400);
+/** Longer than a node counts as in touch after its last view. */
+const ODD_NEWS_MS = 4_000;
 
 interface RunningNode {
     readonly identity: NodeIdentity;
@@ -25,7 +29,10 @@
 }
 
 /** Starts nodes that know the members of their failure domain and, as from the store, one node of each other. */
-function startNodes(identities: readonly NodeIdentity[]): readonly RunningNode[] {
+function startNodes(
+    identities: readonly NodeIdentity[],
+    changes: Partial<FleetNewsOptions> = {},
+): readonly RunningNode[] {
     const domains = [...new Set(identities.map(({ failureDomain }) => failureDomain))];
     const nodes = identities.map(identity => {
         const node: RunningNode = {
@@ -49,6 +56,8 @@
                 handleActivity: activity => (node.activity = activity),
                 clock: createSystemClock(),
                 log: createLog({ write: () => undefined }),
+                reportFailure: () => undefined,
+                ...changes,
             }),
         };
         return node;
@@ -123,8 +132,53 @@
         await waitUntil(() => nodes.every(({ news }) => news.readUsage().reachable === 2), "all know of all");
         socket.close();
     });
+
+    // Guards against: one datagram that names a node without a usable port ends each later exchange of a node half-way.
+    it("go on after a datagram that names nodes whose ports or addresses are none", async () => {
+        const nodes = startNodes([0, 1, 2].map(index => makeIdentity(index, "west")));
+        await waitUntil(() => nodes.every(({ news }) => news.readUsage().reachable === 3), "all know of all");
+        const socket = dgram.createSocket("udp4");
+        const odd = [
+            ["127.0.0.1", 99_999],
+            ["127.0.0.1", 1.5],
+            ["127.0.0.1", -1],
+            ["", 17_640],
+            ["no address", 17_641],
+        ];
+        const members = odd.map(([address, port], index) => [`odd-${index}`, `odd-${index}-a`, address, port, 500]);
+        for (const { port } of nodes.map(({ identity }) => identity)) {
+            socket.send(JSON.stringify(["m", "odd-0", "west", members]), port, ADDRESS);
+        }
+        await sleepMs(ODD_NEWS_MS);
+        socket.close();
+        for (const { news } of nodes) {
+            assert.deepEqual([news.isInTouch(), news.readUsage().reachable], [true, 3]);
+        }
+    });
+
+    // Guards against: an error in one period or datagram of the news reaches the process.
+    it("go on after errors of what they are given, which are reported", async () => {
+        const reported: string[] = [];
+        let calls = 0;
+        const handleActivity = () => {
+            if (calls++ < 3) {
+                throw new Error("planted");
+            }
+        };
+        const reportFailure = (owner: string) => void reported.push(owner);
+        const nodes = startNodes(
+            [0, 1].map(index => makeIdentity(index, "west")),
+            { handleActivity, reportFailure },
+        );
+        await waitUntil(() => nodes.every(({ news }) => news.readUsage().reachable === 2), "all know of all");
+        assert.deepEqual(reported, ["news", "news", "news"]);
+    });
 });
 
+function sleepMs(delayMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, delayMs));
+}
+
 /** True if all nodes read rows from this one first. */
 function isFirstChoice(nodes: readonly RunningNode[], identity: NodeIdentity): boolean {
     return nodes
--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -6,7 +6,6 @@
  * Every node can be a relay: it is one while it is among its own choices or other nodes report to it. A relay holds
  * nothing that must last, and the next choice takes over when it falls silent.
  */
-import dgram from "node:dgram";
 import type { Disposable } from "../base/disposableStore";
 import type { DumpSource } from "../base/dump";
 import type { FleetUsage } from "../decisions/gateway/accountQuotas";
@@ -24,9 +23,13 @@
     ServiceLoad,
     SuspectParts,
 } from "../decisions/relays/news";
+import { FailureOwner } from "./createFailureReporter";
+import { createNewsSocket } from "./createNewsSocket";
 import { createRelayRoster } from "./createRelayRoster";
 import type { FleetNewsOptions } from "./fleetNewsOptions";
-import { decodeNews, encodeNews, NewsKind, type NewsMessage } from "./newsCodec";
+import { isSendableAddress } from "./isSendableAddress";
+import { NO_VIEW } from "./noFleetView";
+import { decodeNews, encodeNews, NewsKind, type NewsMessage, type SenderAddress } from "./newsCodec";
 
 /** A node stops acting as a relay when nobody has reported to it for this long. */
 const RELAY_UNUSED_MS = 3_000;
@@ -97,8 +100,7 @@
  * quotas.charge(account, tokens, news.readUsage(), nowMs);
  */
 export function createFleetNews(options: FleetNewsOptions): FleetNews {
-    const { self, clock, log, quotaWindowMs } = options;
-    const socket = dgram.createSocket("udp4");
+    const { self, clock, log, quotaWindowMs, reportFailure } = options;
     const collector = createReportCollector(quotaWindowMs);
     const merger = createSummaryMerger(quotaWindowMs);
     const roster = createRelayRoster(self, clock, log);
@@ -115,7 +117,6 @@
     let wasRelay = false;
 
     const isFresh = (atMs: number, withinMs: number) => clock.readMonotonicMs() - atMs < withinMs;
-    const send = (bytes: Buffer, { address, port }: NodeIdentity) => socket.send(bytes, port, address);
     const isRelay = () =>
         isFresh(askedAtMs, RELAY_UNUSED_MS) || roster.listRelays().some(({ node }) => node === self.node);
     const isInTouch = () => view !== undefined && isFresh(view.atMs, UNREACHABLE_AFTER_MS);
@@ -165,9 +166,9 @@
                 viewers.delete(report.life);
             }
             if (isNew) {
-                send(encodeMembers(), report);
+                socket.send(encodeMembers(), report);
                 if (!isLoading()) {
-                    send(encodeView(mergeView(nowMs)), report);
+                    socket.send(encodeView(mergeView(nowMs)), report);
                 }
             }
         },
@@ -179,7 +180,7 @@
             merger.recordSummary(summary, clock.readMonotonicMs());
             hasHeardLoaded ||= summary.sequence > LOADING_PERIODS_MAX;
             if (isNew && lastSummary !== undefined && isFresh(lastSummary.atMs, UNREACHABLE_AFTER_MS)) {
-                send(lastSummary.bytes, summary.relay);
+                socket.send(lastSummary.bytes, summary.relay);
             }
         },
         [NewsKind.View]: ({ relay, view: content }) => {
@@ -196,7 +197,7 @@
             }
         },
     };
-    const handleDatagram = (bytes: Buffer, from: dgram.RemoteInfo) => {
+    const handleMessage = (bytes: Buffer, from: SenderAddress) => {
         const message = decodeNews(bytes, from);
         if (message !== undefined) {
             (handlers[message.kind] as (message: NewsMessage) => void)(message);
@@ -238,7 +239,7 @@
         collector.recordReport(report, clock.readMonotonicMs());
         for (const [index, relay] of roster.replaceSilentRelay().entries()) {
             if (relay.node !== self.node) {
-                send(encodeNews({ kind: NewsKind.Report, wantsViews: index === 0, report }), relay);
+                socket.send(encodeNews({ kind: NewsKind.Report, wantsViews: index === 0, report }), relay);
             }
         }
     };
@@ -256,7 +257,7 @@
         merger.recordSummary(summary, nowMs);
         const bytes = encodeNews({ kind: NewsKind.Summary, summary });
         lastSummary = { bytes, atMs: nowMs };
-        listSummaryTargets().forEach(target => send(bytes, target));
+        listSummaryTargets().forEach(target => socket.send(bytes, target));
         if (isLoading()) {
             return;
         }
@@ -265,7 +266,7 @@
         const receivers = collector.listReachable(nowMs).filter(({ node }) => node !== self.node);
         const viewBytes = encodeView(merged);
         const listening = receivers.filter(({ life }) => viewers.has(life));
-        listening.forEach(receiver => send(viewBytes, receiver));
+        listening.forEach(receiver => socket.send(viewBytes, receiver));
         viewers.clear();
         listening.forEach(({ life }) => viewers.add(life));
         if (sequence % MEMBERS_EVERY_PERIODS === 0) {
@@ -274,14 +275,24 @@
             collector
                 .listMembers(nowMs)
                 .filter(({ node }) => node !== self.node)
-                .forEach(receiver => send(membersBytes, receiver));
+                .forEach(receiver => socket.send(membersBytes, receiver));
+        }
+    };
+    /** Runs a step of the exchange; an error in one keeps neither the next step nor the next period. */
+    const tryStep = (step: () => void) => {
+        try {
+            step();
+        } catch (error) {
+            reportFailure(FailureOwner.News, error);
         }
     };
     const exchangeNews = () => {
-        if (!hasMembers) {
-            return;
+        if (hasMembers) {
+            tryStep(sendReports);
+            tryStep(relayIfChosen);
         }
-        sendReports();
+    };
+    const relayIfChosen = () => {
         const isRelaying = isRelay();
         if (isRelaying !== wasRelay) {
             log.info(isRelaying ? "relay begins" : "relay ends", {
@@ -320,9 +331,7 @@
         const ofFleet = advanceSuspects(view?.content.suspects ?? {}, clock.readMonotonicMs() - (view?.atMs ?? 0));
         return mergeSuspects([ofFleet, readOwnSuspects()], Math.max);
     };
-    socket.on("message", handleDatagram);
-    socket.on("error", error => log.warn("datagram socket failed", { reason: error.message }));
-    socket.bind(self.port, self.address);
+    const socket = createNewsSocket({ self, handleMessage, log, reportFailure });
     const timer = setInterval(exchangeNews, NEWS_PERIOD_MS);
     return {
         name: "news",
@@ -360,7 +369,7 @@
         },
         addStoredRelays: relays => {
             const listedAtMs = clock.readMonotonicMs();
-            for (const { identity, nodes } of relays) {
+            for (const { identity, nodes } of relays.filter(({ identity: node }) => isSendableAddress(node))) {
                 storedRelays.set(identity.node, { identity, listedAtMs });
                 merger.recordStoredCount(identity.failureDomain, nodes, listedAtMs);
             }
@@ -373,21 +382,7 @@
         },
         dispose: () => {
             clearInterval(timer);
-            socket.close();
+            socket.dispose();
         },
     };
 }
-
-const NO_VIEW: FleetView = {
-    nodes: 1,
-    reachable: 1,
-    countsForMs: 0,
-    usage: {},
-    silentUsage: {},
-    lostUsage: {},
-    loads: {},
-    endpoints: {},
-    suspects: {},
-    rollouts: {},
-    limits: {},
-};
--- a/src/gateway/createRelayRoster.ts
+++ b/src/gateway/createRelayRoster.ts
@@ -6,6 +6,7 @@
 import { chooseRelays, countRelays } from "../decisions/relays/chooseRelays";
 import { MEMBER_TIMEOUT_MS } from "../decisions/relays/constants";
 import type { NodeIdentity } from "../decisions/relays/news";
+import { isSendableAddress } from "./isSendableAddress";
 
 /** A relay from which no view came for this long, while this node reported to it, is replaced for a while. */
 export const RELAY_SILENT_MS = 800;
@@ -13,7 +14,10 @@
 
 /** The members of the failure domain, as one of them knows them. */
 export interface RelayRoster {
-    /** Takes nodes that another node or the store lists; those of other failure domains are ignored. */
+    /**
+     * Takes nodes that another node or the store lists; those of other failure domains, or without an address to send
+     * to, are ignored.
+     */
     addMembers(list: readonly NodeIdentity[]): void;
     hasMember(node: string): boolean;
     /** Records a message of a node, which therefore lives. */
@@ -78,8 +82,8 @@
     return {
         addMembers: list => {
             const listedAtMs = clock.readMonotonicMs();
-            list.filter(({ failureDomain }) => failureDomain === self.failureDomain).forEach(identity =>
-                members.set(identity.node, { identity, listedAtMs }),
+            list.filter(member => member.failureDomain === self.failureDomain && isSendableAddress(member)).forEach(
+                identity => members.set(identity.node, { identity, listedAtMs }),
             );
         },
         hasMember: node => members.has(node),
--- a/src/gateway/fleetNewsOptions.ts
+++ b/src/gateway/fleetNewsOptions.ts
@@ -11,6 +11,7 @@
     RolloutReports,
 } from "../decisions/relays/news";
 import type { PartEvidenceSource } from "./partEvidence";
+import type { FailureReporter } from "./createFailureReporter";
 
 /** What a node knows of the limits that endpoints name. */
 export interface LimitSource {
@@ -50,4 +51,5 @@
     readonly handleActivity: (activity: ReadonlyMap<string, EndpointActivity>) => void;
     readonly clock: Clock;
     readonly log: Log;
+    readonly reportFailure: FailureReporter;
 }
--- /dev/null
+++ b/src/gateway/isSendableAddress.ts
@@ -0,0 +1,19 @@
+/**
+ * @module Which addresses of nodes a datagram can be sent to.
+ */
+import { isIPv4 } from "node:net";
+
+const PORT_MAX = 65_535;
+
+/**
+ * Tells whether a datagram can be sent to an address, whatever a datagram or the store says of a node.
+ *
+ * @param target - Address and port
+ * @returns True for an IPv4 address with a port
+ * @example
+ * isSendableAddress({ address: "127.0.0.1", port: 99_999 }); //=> false
+ */
+export function isSendableAddress(target: { readonly address: string; readonly port: number }): boolean {
+    const { address, port } = target;
+    return isIPv4(address) && Number.isInteger(port) && port >= 1 && port <= PORT_MAX;
+}
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -141,6 +141,7 @@
         handleActivity: directory.recordOthers,
         clock,
         log,
+        reportFailure,
     });
     const membership = createMembership({
         self,
