Answer requests inside the system, and keep settings, whatever throws

Callers saw: a load balancer's question, a reading of the metrics or a node's question for rows without an answer. Cause: the listeners' handlers, the reading of the settings (SIGHUP and each 2 s) and the dump threw into the process; the row server closed the connection, and took the name of a property of every object for a table.

--- a/src/gateway/createMetricsListener.test.ts
+++ b/src/gateway/createMetricsListener.test.ts
@@ -11,6 +11,7 @@
     const released: string[] = [];
     const server = createMetricsListener({
         formatMetrics,
+        reportFailure: () => undefined,
         quarantine: { hasEvidence: part => part === "a1", releasePart: part => void released.push(part) },
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/src/gateway/createMetricsListener.ts
+++ b/src/gateway/createMetricsListener.ts
@@ -1,8 +1,9 @@
 /**
  * @module The listener inside the system that serves metrics and takes orders of operators.
  */
-import http, { type ServerResponse } from "node:http";
+import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import { HttpStatus } from "../adapters/_lib/httpStatus";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 import type { PartQuarantine } from "./createPartQuarantine";
 
 /** What the listener serves. */
@@ -10,6 +11,7 @@
     /** Gives the metrics as text. */
     readonly formatMetrics: () => Promise<string>;
     readonly quarantine: Pick<PartQuarantine, "releasePart" | "hasEvidence">;
+    readonly reportFailure: FailureReporter;
 }
 
 /** The name of the query parameter with the id of a prompt part. */
@@ -22,9 +24,13 @@
  * @param options - What it serves
  * @returns The server
  * @example
- * await startListening(createMetricsListener({ formatMetrics, quarantine }), { address, port });
+ * await startListening(createMetricsListener({ formatMetrics, quarantine, reportFailure }), { address, port });
  */
-export function createMetricsListener({ formatMetrics, quarantine }: MetricsListenerOptions): http.Server {
+export function createMetricsListener({
+    formatMetrics,
+    quarantine,
+    reportFailure,
+}: MetricsListenerOptions): http.Server {
     const releasePart = (part: string, response: ServerResponse) => {
         if (!quarantine.hasEvidence(part)) {
             endWithStatus(response, HttpStatus.NotFound);
@@ -33,17 +39,20 @@
         quarantine.releasePart(part);
         endWithStatus(response, HttpStatus.Ok);
     };
-    return http.createServer((request, response) => {
-        request.resume();
+    const answerRequest = async (request: IncomingMessage, response: ServerResponse) => {
         const [path = "", query] = (request.url ?? "/").split("?");
         if (path === "/quarantine/release" && request.method === "POST") {
             releasePart(new URLSearchParams(query).get(PART_PARAMETER) ?? "", response);
             return;
         }
-        formatMetrics().then(
-            text => response.end(text),
-            () => endWithStatus(response, HttpStatus.InternalServerError),
-        );
+        response.end(await formatMetrics());
+    };
+    return http.createServer((request, response) => {
+        request.resume();
+        answerRequest(request, response).catch((error: unknown) => {
+            reportFailure(FailureOwner.InternalRequest, error);
+            endWithStatus(response, HttpStatus.InternalServerError);
+        });
     });
 }
 
--- a/src/gateway/createRelayedTables.test.ts
+++ b/src/gateway/createRelayedTables.test.ts
@@ -39,7 +39,12 @@
     const snapshot = createTableSnapshot(clock);
     const clusterTime = createClusterTime(clock);
     clusterTime.recordStoreClock(clock.readMonotonicMs() + 1_000);
-    const server = createRowServer({ snapshots: { [TABLE]: snapshot }, clusterTime, clock });
+    const server = createRowServer({
+        snapshots: { [TABLE]: snapshot },
+        clusterTime,
+        clock,
+        reportFailure: () => undefined,
+    });
     await startListening(server, { address: "127.0.0.1", port: 0 });
     stops.push(() => {
         server.closeAllConnections();
--- a/src/gateway/createRowServer.ts
+++ b/src/gateway/createRowServer.ts
@@ -7,6 +7,7 @@
 import { HttpStatus } from "../adapters/_lib/httpStatus";
 import type { Clock } from "../base/clock";
 import type { ClusterTime } from "./createClusterTime";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 import type { TableSnapshot } from "./createTableSnapshot";
 
 /** Path of the rows of a table; its name follows. */
@@ -34,6 +35,7 @@
     readonly snapshots: Readonly<Record<string, TableSnapshot>>;
     readonly clusterTime: ClusterTime;
     readonly clock: Clock;
+    readonly reportFailure: FailureReporter;
 }
 
 /**
@@ -42,13 +44,14 @@
  * @param options - The tables it serves, and dependencies
  * @returns The server
  * @example
- * await startListening(createRowServer({ snapshots, clusterTime, clock }), { address, port });
+ * await startListening(createRowServer({ snapshots, clusterTime, clock, reportFailure }), { address, port });
  */
-export function createRowServer({ snapshots, clusterTime, clock }: RowServerOptions): http.Server {
+export function createRowServer({ snapshots, clusterTime, clock, reportFailure }: RowServerOptions): http.Server {
     const answerRequest = async (request: IncomingMessage, response: ServerResponse) => {
         const arrivedAtMs = clock.readMonotonicMs();
         const url = new URL(request.url ?? "/", "http://node");
-        const snapshot = snapshots[url.pathname.slice(ROWS_PATH.length)];
+        const table = url.pathname.slice(ROWS_PATH.length);
+        const snapshot = Object.hasOwn(snapshots, table) ? snapshots[table] : undefined;
         if (!url.pathname.startsWith(ROWS_PATH) || snapshot === undefined) {
             response.writeHead(HttpStatus.NotFound).end();
             return;
@@ -87,7 +90,14 @@
     const server = http.createServer({ keepAlive: true, noDelay: true }, (request, response) => {
         request.resume();
         response.sendDate = false;
-        answerRequest(request, response).catch(() => response.destroy());
+        answerRequest(request, response).catch((error: unknown) => {
+            reportFailure(FailureOwner.InternalRequest, error);
+            if (response.headersSent) {
+                response.destroy();
+            } else {
+                response.writeHead(HttpStatus.InternalServerError).end();
+            }
+        });
     });
     server.keepAliveTimeout = KEEP_ALIVE_MS;
     return server;
--- a/src/gateway/dumpOnSignal.ts
+++ b/src/gateway/dumpOnSignal.ts
@@ -3,6 +3,7 @@
  */
 import { collectDump } from "../queries/collectDump";
 import { writeDumpOnSignal } from "../serve/writeDumpOnSignal";
+import { FailureOwner } from "./createFailureReporter";
 import type { GatewayComponents } from "./gatewayComponents";
 
 /**
@@ -14,11 +15,19 @@
  * dumpOnSignal(components);
  */
 export function dumpOnSignal(components: GatewayComponents, write?: (line: string) => void): void {
-    const { clock, settings, configuration, directory, news, quarantine, rollouts, limits } = components;
+    const { clock, settings, configuration, directory, news, quarantine, rollouts, limits, reportFailure } = components;
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
         listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits],
     };
-    writeDumpOnSignal(() => collectDump(dependencies), write);
+    const readDump = () => {
+        try {
+            return collectDump(dependencies);
+        } catch (error) {
+            reportFailure(FailureOwner.Dump, error);
+            return {};
+        }
+    };
+    writeDumpOnSignal(readDump, write);
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -68,10 +68,10 @@
     const log = createRateLimitedLog(lifeLog, clock);
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenSignalled = waitForSignal();
-    watchSettings(settings, { readSettings: platformPorts.readSettings, log });
     const metrics = createGatewayMetrics();
     logStrayErrors(log, metrics.countUnhandledError);
     const reportFailure = createFailureReporter(log, metrics);
+    watchSettings(settings, { readSettings: platformPorts.readSettings, log, reportFailure });
     const memory = createBodyMemory(settings.memoryBytesMax);
     const platform = { ...platformPorts, tables: createCountedTables(platformPorts.tables, metrics) };
     const clusterTime = createClusterTime(clock);
@@ -193,7 +193,7 @@
         configuration.readCurrent() !== undefined &&
         directory.isLoaded() &&
         configuration.computeAgeMs() < settings.bounds.revokeMs * READY_SHARE;
-    const readiness = createReadinessListener(isReady);
+    const readiness = createReadinessListener(isReady, reportFailure);
     const metricsListener = createMetricsListener({
         formatMetrics: () => {
             const { nodes, reachable } = news.readUsage();
@@ -204,6 +204,7 @@
             return metrics.formatMetrics();
         },
         quarantine,
+        reportFailure,
     });
     await Promise.all([
         startListening(listener.server, settings.callers),
--- a/src/gateway/startWatches.ts
+++ b/src/gateway/startWatches.ts
@@ -119,5 +119,5 @@
         reportFailure,
         snapshot: snapshots[endpointTable],
     });
-    return createRowServer({ snapshots, clusterTime, clock });
+    return createRowServer({ snapshots, clusterTime, clock, reportFailure });
 }
--- a/src/gateway/watchSettings.ts
+++ b/src/gateway/watchSettings.ts
@@ -5,6 +5,7 @@
 import type { Failure } from "../base/failure";
 import type { Log } from "../base/log/log";
 import type { GatewaySettings } from "../model/gateway";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 
 /** Period of reading the settings file: it may change without a signal, and is small enough to be read each time. */
 const POLL_PERIOD_MS = 2_000;
@@ -19,6 +20,8 @@
 export interface SettingsWatchOptions {
     readonly readSettings: () => Result<GatewaySettings, Failure>;
     readonly log: Log;
+    /** Receives what reading or comparing the settings throws; those in force stay. */
+    readonly reportFailure: FailureReporter;
 }
 
 /** The settings in force, mutable: fields that may change while the process runs are replaced in place. */
@@ -32,10 +35,10 @@
  * @param settings - The settings in force; changed in place
  * @param watch - Where they are read, and the log
  * @example
- * watchSettings(settings, { readSettings, log });
+ * watchSettings(settings, { readSettings, log, reportFailure });
  */
 export function watchSettings(settings: LiveSettings, watch: SettingsWatchOptions): void {
-    const { readSettings, log } = watch;
+    const { readSettings, log, reportFailure } = watch;
     let lastText = JSON.stringify(settings);
     const refresh = (reason: ReloadReason) => {
         const read = readSettings();
@@ -56,8 +59,15 @@
         Object.assign(settings, { bounds, regions });
         log.info("settings reloaded", { reason, needsStart: needsStart.join(",") });
     };
-    process.on("SIGHUP", () => refresh(ReloadReason.Signal));
-    setInterval(() => refresh(ReloadReason.Changed), POLL_PERIOD_MS).unref();
+    const tryRefresh = (reason: ReloadReason) => {
+        try {
+            refresh(reason);
+        } catch (error) {
+            reportFailure(FailureOwner.Settings, error);
+        }
+    };
+    process.on("SIGHUP", () => tryRefresh(ReloadReason.Signal));
+    setInterval(() => tryRefresh(ReloadReason.Changed), POLL_PERIOD_MS).unref();
 }
 
 /** Lists the names of the settings that differ. */
