Refuse promises without an owner in the gateway by the linter

Cause: no-floating-promises was on, but takes a promise behind void for handled, which leaves its failure to the process. Change: ignoreVoid is false in src/gateway, without tests. No test plants a throw in the record of an attempt.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -56,6 +56,12 @@
             ],
         },
     },
+    {
+        files: ["src/gateway/**/*.ts"],
+        ignores: ["**/*.test.ts", "**/_testing/**"],
+        // Each promise has an owner that handles its failure; `void` would leave it to the process.
+        rules: { "@typescript-eslint/no-floating-promises": ["error", { ignoreVoid: false }] },
+    },
     {
         files: ["platform/**/*.ts"],
         ignores: ["**/*.test.ts"],
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -149,6 +149,7 @@
     const countedAccounts: string[] = [];
     const metrics = createGatewayMetrics();
     const rollouts = createRollouts({
+        reportFailure: () => undefined,
         nodeName: settings.nodeName,
         bounds: settings.bounds,
         directory,
--- a/src/gateway/createFailureReporter.ts
+++ b/src/gateway/createFailureReporter.ts
@@ -23,7 +23,7 @@
     Duty = "duty",
     /** The agreement on the cluster time. */
     ClusterTime = "cluster time",
-    /** The reading of stored roll-outs. */
+    /** The reading of stored roll-outs, or the record of an attempt at a version. */
     Rollout = "roll-out",
     /** The reading of the settings. */
     Settings = "settings",
--- a/src/gateway/createRollouts.test.ts
+++ b/src/gateway/createRollouts.test.ts
@@ -39,6 +39,7 @@
     });
     const createNode = () =>
         createRollouts({
+            reportFailure: () => undefined,
             nodeName: "n-1",
             bounds: { exposureShare: 0.1, exposureSlack: 50 },
             directory: { findEndpoint: () => undefined },
--- a/src/gateway/createRollouts.ts
+++ b/src/gateway/createRollouts.ts
@@ -16,6 +16,7 @@
 import type { VersionAlarm } from "../decisions/versions/versionEvidence";
 import { type RolloutOrder, RolloutPhase } from "../model/gateway";
 import { createCrashWatch, type CrashWatchOptions } from "./createCrashWatch";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 import { createRolloutEvidence, type RolloutEvidence } from "./createRolloutEvidence";
 import type { GatewayMetrics } from "./createGatewayMetrics";
 import type { EndpointRecord } from "./endpointRecord";
@@ -31,6 +32,7 @@
     /** Counts the nodes of the fleet, this one included. */
     readonly readNodeCount: () => number;
     readonly clock: Clock;
+    readonly reportFailure: FailureReporter;
     readonly metrics: Pick<GatewayMetrics, "countVersionAttempt" | "setRolloutPhase">;
     readonly log: Log;
 }
@@ -308,7 +310,9 @@
                         metrics.countVersionAttempt(service, version, result.end);
                     }
                     if (!wasCold) {
-                        void recordEnd(record, route, result, slowness);
+                        recordEnd(record, route, result, slowness).catch((error: unknown) =>
+                            options.reportFailure(FailureOwner.Rollout, error),
+                        );
                     }
                 },
             };
--- a/src/gateway/createTableSnapshot.ts
+++ b/src/gateway/createTableSnapshot.ts
@@ -109,7 +109,7 @@
                     resolve();
                 };
                 waiters.add(finish);
-                void clock.waitMs(waitMs).then(finish);
+                clock.waitMs(waitMs).then(finish, finish);
             }),
     };
 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -108,6 +108,7 @@
         bounds: settings.bounds,
         directory,
         isInTouch: () => news.isInTouch(),
+        reportFailure,
         readNodeCount: () => news.readUsage().nodes,
         clock,
         metrics,
--- a/src/gateway/startLoop.ts
+++ b/src/gateway/startLoop.ts
@@ -23,8 +23,8 @@
  */
 export function startLoop(owner: FailureOwner, body: () => TaskGenerator<void>, options: LoopOptions): void {
     const { clock, reportFailure } = options;
-    void superviseTask(owner, body, {
+    superviseTask(owner, body, {
         clock,
         reportFailure: (_name, failure) => reportFailure(owner, new FailureError(failure)),
-    });
+    }).catch((error: unknown) => reportFailure(owner, error));
 }
