--- a/src/gateway/dumpOnSignal.ts
+++ b/src/gateway/dumpOnSignal.ts
@@ -5,6 +5,7 @@
 import type { ProcessSignals } from "../base/processSignals";
 import { collectDump } from "../queries/collectDump";
 import { writeDumpOnSignal } from "../serve/writeDumpOnSignal";
+import { FailureOwner } from "./createFailureReporter";
 import type { GatewayComponents } from "./gatewayComponents";
 
 /**
@@ -24,11 +25,19 @@
     signals: Pick<ProcessSignals, "setHandler">,
     write?: (line: string) => void,
 ): void {
-    const { clock, settings, configuration, directory, news, quarantine, rollouts, limits } = components;
+    const { clock, settings, configuration, directory, news, quarantine, rollouts, limits, reportFailure } = components;
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
         listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits, listeners],
     };
-    writeDumpOnSignal(signals, () => collectDump(dependencies), write);
+    const readDump = () => {
+        try {
+            return collectDump(dependencies);
+        } catch (error) {
+            reportFailure(FailureOwner.Dump, error);
+            return {};
+        }
+    };
+    writeDumpOnSignal(signals, readDump, write);
 }
--- a/src/gateway/openDatagramPort.ts
+++ b/src/gateway/openDatagramPort.ts
@@ -15,7 +15,7 @@
 
 /** Options of a datagram port. */
 export interface DatagramPortOptions extends DatagramAddress {
-    readonly handleDatagram: (bytes: Buffer, from: dgram.RemoteInfo) => void;
+    readonly handleDatagram: (bytes: Buffer, from: DatagramAddress) => void;
     readonly log: Log;
 }
 
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -18,6 +18,7 @@
 import { createDemandMeter } from "./createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "./createEndpointDirectory";
 import { createEndpointLimits } from "./createEndpointLimits";
+import { createFailureReporter } from "./createFailureReporter";
 import { createFleetNews } from "./createFleetNews";
 import { createForwarder } from "./createForwarder";
 import { createGatewayListener } from "./createGatewayListener";
@@ -35,7 +36,7 @@
 import { dumpOnSignal } from "./dumpOnSignal";
 import type { GatewayComponents } from "./gatewayComponents";
 import type { GatewayPlatform } from "./gatewayPlatform";
-import { resolveClusterTime } from "./resolveClusterTime";
+import { startClusterTime } from "./startClusterTime";
 import { startDuties } from "./startDuties";
 import { startListeners } from "./startListeners";
 import { startWatches } from "./startWatches";
@@ -102,9 +103,10 @@
         signalsMs: Math.round(signals.handledAfterMs),
     });
     const whenSignalled = signals.takeStop();
-    watchSettings(settings, { readSettings: platformPorts.readSettings, signals, log });
-    logStrayErrors(log);
     const metrics = createGatewayMetrics();
+    logStrayErrors(log, metrics.countUnhandledError);
+    const reportFailure = createFailureReporter(log, metrics);
+    watchSettings(settings, { readSettings: platformPorts.readSettings, signals, log, reportFailure });
     const memory = createBodyMemory(settings.memoryBytesMax);
     const platform = { ...platformPorts, tables: createCountedTables(platformPorts.tables, metrics) };
     const clusterTime = createClusterTime(clock);
@@ -141,6 +143,7 @@
         bounds: settings.bounds,
         directory,
         isInTouch: () => news.isInTouch(),
+        reportFailure,
         readNodeCount: () => news.readUsage().nodes,
         clock,
         metrics,
@@ -174,6 +177,7 @@
         handleActivity: directory.recordOthers,
         clock,
         log,
+        reportFailure,
     });
     const membership = createMembership({
         self,
@@ -185,6 +189,7 @@
         clock,
         random,
         log,
+        reportFailure,
     });
     const components: GatewayComponents = {
         settings,
@@ -203,10 +208,11 @@
         rollouts,
         limits,
         memory,
+        reportFailure,
     };
     const loopMonitor = createLoopMonitor(log);
     const rowServer = startWatches(components, platform, clusterTime);
-    void resolveClusterTime(platform.tables, clusterTime, clock.waitMs, log);
+    startClusterTime({ table: platform.tables, clusterTime, clock, log, reportFailure });
     const duties = startDuties({
         components,
         cloud: platform.cloud,
@@ -223,7 +229,7 @@
         configuration.readCurrent() !== undefined &&
         directory.isLoaded() &&
         configuration.computeAgeMs() < settings.bounds.revokeMs * READY_SHARE;
-    const readiness = createReadinessListener(isReady);
+    const readiness = createReadinessListener(isReady, reportFailure);
     const metricsListener = createMetricsListener({
         formatMetrics: () => {
             const { nodes, reachable } = news.readUsage();
@@ -234,6 +240,7 @@
             return metrics.formatMetrics();
         },
         quarantine,
+        reportFailure,
     });
     const retries = new AbortController();
     const listeners = startListeners(
--- a/src/gateway/watchSettings.ts
+++ b/src/gateway/watchSettings.ts
@@ -6,6 +6,7 @@
 import type { Log } from "../base/log/log";
 import { ControlSignal, type ProcessSignals } from "../base/processSignals";
 import type { GatewaySettings } from "../model/gateway";
+import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 
 /** Period of reading the settings file: it may change without a signal, and is small enough to be read each time. */
 const POLL_PERIOD_MS = 2_000;
@@ -21,6 +22,8 @@
     readonly readSettings: () => Result<GatewaySettings, Failure>;
     readonly signals: Pick<ProcessSignals, "setHandler">;
     readonly log: Log;
+    /** Receives what reading or comparing the settings throws; those in force stay. */
+    readonly reportFailure: FailureReporter;
 }
 
 /** The settings in force, mutable: fields that may change while the process runs are replaced in place. */
@@ -34,10 +37,10 @@
  * @param settings - The settings in force; changed in place
  * @param watch - Where they are read, the signals, and the log
  * @example
- * watchSettings(settings, { readSettings, signals, log });
+ * watchSettings(settings, { readSettings, signals, log, reportFailure });
  */
 export function watchSettings(settings: LiveSettings, watch: SettingsWatchOptions): void {
-    const { readSettings, signals, log } = watch;
+    const { readSettings, signals, log, reportFailure } = watch;
     let lastText = JSON.stringify(settings);
     const refresh = (reason: ReloadReason) => {
         const read = readSettings();
@@ -58,8 +61,15 @@
         Object.assign(settings, { bounds, regions });
         log.info("settings reloaded", { reason, needsStart: needsStart.join(",") });
     };
-    signals.setHandler(ControlSignal.HangUp, () => refresh(ReloadReason.Signal));
-    setInterval(() => refresh(ReloadReason.Changed), POLL_PERIOD_MS).unref();
+    const tryRefresh = (reason: ReloadReason) => {
+        try {
+            refresh(reason);
+        } catch (error) {
+            reportFailure(FailureOwner.Settings, error);
+        }
+    };
+    signals.setHandler(ControlSignal.HangUp, () => tryRefresh(ReloadReason.Signal));
+    setInterval(() => tryRefresh(ReloadReason.Changed), POLL_PERIOD_MS).unref();
 }
 
 /** Lists the names of the settings that differ. */
--- a/src/serve/runServe.ts
+++ b/src/serve/runServe.ts
@@ -7,6 +7,7 @@
 import type { Log } from "../base/log/log";
 import { chooseExitCode, ExitCode } from "../cli/exitCode";
 import { ControlSignal, type ProcessSignals, type StopSignal } from "../base/processSignals";
+import { Metric, MetricTag } from "../base/metrics/metric";
 import { createNodeParts } from "../createNodeParts";
 import type { Settings } from "../settings/settings";
 import { type RunningNode, wireNode } from "../wire";
@@ -35,7 +36,7 @@
     const [firstStop, secondStop] = [signals.takeStop(), signals.takeStop()];
     const parts = createNodeParts(settings);
     const { log } = parts;
-    logStrayErrors(log);
+    logStrayErrors(log, origin => parts.metrics.count(Metric.UnhandledErrors, { [MetricTag.Origin]: origin }));
     signals.setHandler(ControlSignal.HangUp, () => log.info("a signal changes nothing", { signal: "SIGHUP" }));
     const start = new AbortController();
     void firstStop.then(() => start.abort());
