Close the longest idle connection for a new caller

Callers saw: 500 idle connections at a process with 1,024 descriptors, and every post of a new caller got 503 for as long as they lasted.

Cause: the limit on connections counted them and not what they do; who came first stayed, and each further one was refused.

Change: beyond seven eighths of the limit a new connection closes the two longest idle ones, half first; of its own address if that holds more than the mean. After these, one that is silent within a head is refused as not run. Never one with an open request, nor one whose last event is under 200 ms old. Closing connections may hold 5 % of the limit more, then the longest closing is cut. A refused new connection is read for a moment, so that a reset doesn't take its answer. Lists in order of time find the longest idle; one that has sent bytes is put back when it is looked at, so the work is constant for each connection and received piece. The answers to what isn't valid HTTP move to a file of their own, unchanged.

Conclusion: idle connections don't keep callers out. A request whose body has stopped is kept until idleTimeoutMs.

--- a/src/gateway/createCallerConnections.ts
+++ b/src/gateway/createCallerConnections.ts
@@ -23,6 +23,8 @@
      * false if that answer closed the connection: then the request must not be handled.
      */
     waitForTurn(request: IncomingMessage, response: ServerResponse): Promise<boolean>;
+    /** Closes a connection half first, after an answer if there is one; a request that arrives then isn't handled. */
+    closeConnection(socket: Socket, lastAnswer?: string): void;
     /** Closes the idle connections. */
     closeIdle(): void;
     /** Writes an answer to each connection that has received a part of a head, and closes it. */
@@ -90,6 +92,12 @@
         });
     });
     return {
+        closeConnection: (socket, lastAnswer) => {
+            const state = states.get(socket);
+            if (state !== undefined) {
+                closeGently(socket, state, lastAnswer);
+            }
+        },
         closeIdle: () => {
             const nowMs = clock.readMonotonicMs();
             [...states]
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -11,7 +11,7 @@
 import { isServableBeforeStop } from "../decisions/gateway/isServableBeforeStop";
 import { findRoute } from "../decisions/gateway/routeTable";
 import { formatRawFailure } from "../http/formatRawFailure";
-import { installConnectionLimit } from "../http/installConnectionLimit";
+import { installConnectionLimit, type LimitAction } from "../http/installConnectionLimit";
 import { readBody } from "../http/readBody";
 import { sendFailure } from "../http/sendFailure";
 import type { CallerRequestHead } from "../ports/forwardingCodec";
@@ -22,6 +22,7 @@
 import { type AdmittedRequest, buildExchange } from "./buildExchange";
 import type { CallerCounts } from "./callerCounts";
 import { computeRequestTimes } from "./computeRequestTimes";
+import { createLimitReport } from "./createLimitReport";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
 import type { GatewayComponents } from "./gatewayComponents";
@@ -54,6 +55,8 @@
     /** Counts the requests without a final answer, those included whose head has not arrived whole. */
     countOpen(): number;
     countCallers(): CallerCounts;
+    /** Counts what was done to keep the connections within their limit. */
+    countLimitActions(): Readonly<Record<LimitAction, number>>;
     /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
     /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
@@ -302,7 +305,11 @@
         handleRequest,
     );
     const connections: CallerConnections = createCallerConnections(server, clock);
-    installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS));
+    const limited = installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS), {
+        clock,
+        closeConnection: connections.closeConnection,
+        reportAction: createLimitReport(components, () => limited.count()),
+    });
     configuration.watchConfiguration(({ configuration: { limits } }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
         server.headersTimeout = limits.headerTimeoutMs;
@@ -316,6 +323,7 @@
             phases: openRequests.countPhases(),
             ends: openRequests.countEnds(),
         }),
+        countLimitActions: limited.countActions,
         beginDrain: times => {
             stop = { times, signalledAtMs: clock.readMonotonicMs() };
             openRequests
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/createGatewayMetrics.ts
@@ -3,6 +3,7 @@
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { RolloutPhase } from "../model/gateway";
+import type { LimitAction } from "../http/installConnectionLimit";
 import type { BodyMemory } from "./createBodyMemory";
 import type { CallerCounts } from "./callerCounts";
 import type { LoopDelays } from "./createLoopMonitor";
@@ -44,6 +45,8 @@
     setNewsState(state: NewsState): void;
     /** Sets the numbers of the callers' connections and requests. */
     setCallers(counts: CallerCounts): void;
+    /** Sets what was done to keep the callers' connections within their limit. */
+    setLimitActions(actions: Readonly<Record<LimitAction, number>>): void;
     /** Sets the bytes held by bodies. */
     setBodyMemory(memory: BodyMemory): void;
     /** Sets the delays of the event loop. */
@@ -146,6 +149,12 @@
         labelNames: ["state"],
         registers,
     });
+    const limitActions = new Gauge({
+        name: "redwinglift_connection_limit_actions",
+        help: "What was done since the start to keep callers' connections within their limit.",
+        labelNames: ["action"],
+        registers,
+    });
     const openRequests = new Gauge({
         name: "redwinglift_open_requests",
         help: "Requests without a final answer by phase.",
@@ -198,6 +207,8 @@
             Object.entries(phases).forEach(([phase, count]) => openRequests.set({ phase }, count));
             Object.entries(ends).forEach(([end, count]) => endedRequests.set({ end }, count));
         },
+        setLimitActions: actions =>
+            Object.entries(actions).forEach(([action, count]) => limitActions.set({ action }, count)),
         setBodyMemory: ({ requests: ofRequests, answers }) => {
             bodyBytes.set({ of: "requests" }, ofRequests.countBytes());
             bodyBytes.set({ of: "answers" }, answers.countBytes());
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -194,6 +194,7 @@
             const { nodes, reachable } = news.readUsage();
             metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
             metrics.setCallers(listener.countCallers());
+            metrics.setLimitActions(listener.countLimitActions());
             metrics.setBodyMemory(memory);
             metrics.setLoopDelays(loopMonitor.takeDelays());
             return metrics.formatMetrics();
--- a/src/http/installConnectionLimit.ts
+++ b/src/http/installConnectionLimit.ts
@@ -1,132 +1,190 @@
 /**
- * @module Limits the connections of a server, and answers requests that are not valid HTTP with a failure body.
+ * @module Limits the connections of a server.
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import https from "node:https";
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
+import type { Clock } from "../base/clock";
 import { createFailure } from "../base/createFailure";
-import { type Failure, FailureKind } from "../base/failure";
+import { createOrderedSet } from "../base/createOrderedSet";
+import { createSystemClock } from "../base/createSystemClock";
+import { FailureKind } from "../base/failure";
+import { createIdleConnections, type IdleCandidate } from "./createIdleConnections";
+import { dropFurtherBytes } from "./dropFurtherBytes";
 import { formatRawFailure } from "./formatRawFailure";
+import { installErrorResponses } from "./installErrorResponses";
+
+/** What was done to keep the connections of a server within their limit. */
+export enum LimitAction {
+    /** An idle connection was closed. */
+    IdleClosed = "idleClosed",
+    /** A connection within a head was answered with 503 and closed. */
+    UnfinishedRefused = "unfinishedRefused",
+    /** A connection that had been closed from this side was not read until its caller closes it too. */
+    ClosingCut = "closingCut",
+    /** A new connection was answered with 503 and closed. */
+    NewRefused = "newRefused",
+}
 
 /** The open connections of a server. */
 export interface ConnectionCounter {
     readonly sockets: ReadonlySet<Socket>;
     count(): number;
+    /** Counts what was done because of the limit since the start. */
+    countActions(): Readonly<Record<LimitAction, number>>;
 }
 
-/** A response that is written to the socket directly, as there is no parsed request to respond to. */
-interface RawFailureResponse {
-    readonly statusLine: string;
-    readonly failure: Failure;
+/** How the limit is kept. */
+export interface ConnectionLimitOptions {
+    /** Measures idle time; default: the system's clock. */
+    readonly clock?: Clock;
+    /** Closes a connection from this side, after an answer if there is one; default: it is not read any more. */
+    readonly closeConnection?: (socket: Socket, lastAnswer: string | undefined) => void;
+    /** Called after each action. */
+    readonly reportAction?: (action: LimitAction) => void;
 }
 
-/** A connection with the responses that are still open on it. */
-interface AnsweredConnection {
-    readonly socket: Socket;
-    readonly responses: Set<ServerResponse>;
-    /** Set once the connection is no longer read; it is sent after the open responses. */
-    lastResponse: RawFailureResponse | undefined;
-}
-
-/** Code of Node's `clientError` event when the caller closes its side in the middle of a request. */
-const CLOSED_BY_CALLER = "HPE_INVALID_EOF_STATE";
-
-/** Responses by error code of Node's `clientError` event. */
-const RESPONSES_BY_ERROR_CODE: Readonly<Record<string, RawFailureResponse>> = {
-    HPE_HEADER_OVERFLOW: {
-        statusLine: "431 Request Header Fields Too Large",
-        failure: createFailure(FailureKind.InvalidRequest, "The request headers are too large."),
-    },
-    ERR_HTTP_REQUEST_TIMEOUT: {
-        statusLine: "408 Request Timeout",
-        failure: createFailure(FailureKind.CallerTooSlow, "The request took too long to arrive."),
-    },
-};
-
-const MALFORMED_REQUEST_RESPONSE: RawFailureResponse = {
-    statusLine: "400 Bad Request",
-    failure: createFailure(FailureKind.InvalidRequest, "The request is not valid HTTP."),
-};
+/** Share of the limit beyond which idle connections are closed, so that there is room while they close. */
+const IDLE_SHARE = 0.875;
+/** Most connections that are closed for a new one: after a burst there is room again soon. */
+const CLOSED_PER_NEW = 2;
+/** Connections beyond the limit that may be closing, as a share of it; beyond that the longest closing is cut. */
+const CLOSING_SHARE = 0.05;
+/** A connection that was closed from this side is read for at most this long, until the caller closes it too. */
+const LINGER_MS = 300;
 
-const TOO_MANY_CONNECTIONS_RESPONSE: RawFailureResponse = {
-    statusLine: "503 Service Unavailable",
-    failure: createFailure(FailureKind.TooManyConnections, "This node has too many connections.", {
-        retryAfterMs: 1_000,
-    }),
-};
+const TOO_MANY_CONNECTIONS_ANSWER = formatRawFailure(
+    "503 Service Unavailable",
+    createFailure(FailureKind.TooManyConnections, "This node has too many connections.", { retryAfterMs: 1_000 }),
+);
 
 /**
- * Installs a limit on connections and the handling of malformed requests on a server.
+ * Installs a limit on connections and the handling of malformed requests on a server. Beyond a share of the limit, each
+ * new connection closes the longest idle ones. Connections with an open request are never closed.
  *
  * @param server - The server
- * @param limit - Maximum number of open connections; a further one is answered with 503 and closed
+ * @param limit - Maximum number of open connections; a further one for which none can be closed is answered with 503
+ * @param options - How the limit is kept
  * @returns The counter of open connections
  * @example
  * const connections = installConnectionLimit(server, 10_000);
  */
-export function installConnectionLimit(server: Server, limit: number): ConnectionCounter {
+export function installConnectionLimit(
+    server: Server,
+    limit: number,
+    options: ConnectionLimitOptions = {},
+): ConnectionCounter {
+    const { clock = createSystemClock(), closeConnection = closeUnread, reportAction = () => undefined } = options;
     const sockets = new Set<Socket>();
-    const countConnection = (socket: Socket) => {
-        sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
-        if (sockets.size > limit) {
-            socket.on("error", () => undefined);
-            sendRawFailure(socket, TOO_MANY_CONNECTIONS_RESPONSE);
+    const closing = createOrderedSet<Socket>();
+    const idleConnections = createIdleConnections<TrackedConnection>(clock);
+    const connections = new WeakMap<Socket, TrackedConnection>();
+    const actions = {
+        [LimitAction.IdleClosed]: 0,
+        [LimitAction.UnfinishedRefused]: 0,
+        [LimitAction.ClosingCut]: 0,
+        [LimitAction.NewRefused]: 0,
+    };
+    const recordAction = (action: LimitAction) => {
+        actions[action]++;
+        reportAction(action);
+    };
+    const close = (socket: Socket, action: LimitAction) => {
+        closing.add(socket);
+        closeConnection(socket, action === LimitAction.IdleClosed ? undefined : TOO_MANY_CONNECTIONS_ANSWER);
+        recordAction(action);
+    };
+    const closeLongestIdle = (newcomer: TrackedConnection) => {
+        const chosen = idleConnections.chooseLongestIdle(newcomer.address);
+        if (chosen !== undefined) {
+            const { candidate, isUnfinished } = chosen;
+            idleConnections.removeIdle(candidate);
+            close(candidate.socket, isUnfinished ? LimitAction.UnfinishedRefused : LimitAction.IdleClosed);
         }
     };
-    server.on(server instanceof https.Server ? "secureConnection" : "connection", countConnection);
-    installErrorResponses(server);
-    return { sockets, count: () => sockets.size };
-}
-
-/** Answers what is not valid HTTP or arrives too slowly, after the responses that are open on its connection. */
-function installErrorResponses(server: Server): void {
-    const connections = new WeakMap<Duplex, AnsweredConnection>();
-    server.on("request", ({ socket }: IncomingMessage, response: ServerResponse) => {
-        const connection = connections.get(socket) ?? { socket, responses: new Set(), lastResponse: undefined };
+    const cutLongestClosing = () => {
+        const socket = closing.getFirst();
+        if (socket !== undefined) {
+            closing.remove(socket);
+            sockets.delete(socket);
+            socket.destroy();
+            recordAction(LimitAction.ClosingCut);
+        }
+    };
+    const countOpen = () => sockets.size - closing.count();
+    const handleConnection = (socket: Socket) => {
+        const connection = createTrackedConnection(socket);
+        sockets.add(socket);
         connections.set(socket, connection);
-        connection.responses.add(response);
-        response.once("close", () => {
-            connection.responses.delete(response);
-            if (connection.lastResponse !== undefined && !isAnswering(connection) && socket.writable) {
-                const { statusLine, failure } = connection.lastResponse;
-                socket.write(formatRawFailure(statusLine, failure));
-                socket.destroySoon();
-            }
+        socket.once("close", () => {
+            sockets.delete(socket);
+            closing.remove(socket);
+            idleConnections.removeIdle(connection);
         });
-    });
-    server.on("clientError", (error: NodeJS.ErrnoException, socket: Duplex) => {
-        if (error.code === "ECONNRESET" || !socket.writable) {
-            socket.destroy();
-            return;
+        for (let count = 0; count < CLOSED_PER_NEW && countOpen() > limit * IDLE_SHARE; count++) {
+            closeLongestIdle(connection);
+        }
+        if (countOpen() > limit) {
+            close(socket, LimitAction.NewRefused);
+        } else {
+            idleConnections.addIdle(connection);
         }
-        const response = RESPONSES_BY_ERROR_CODE[error.code ?? ""] ?? MALFORMED_REQUEST_RESPONSE;
-        const connection = connections.get(socket);
-        if (connection === undefined || !isAnswering(connection)) {
-            sendRawFailure(socket, response);
-        } else if (error.code === CLOSED_BY_CALLER) {
-            // As Node does for a caller that closes its side between two requests.
-            socket.end();
-        } else if (connection.lastResponse === undefined) {
-            connection.lastResponse = response;
-            dropFurtherBytes(connection.socket);
+        if (sockets.size > limit * (1 + CLOSING_SHARE) + 1) {
+            cutLongestClosing();
+        }
+    };
+    server.on(server instanceof https.Server ? "secureConnection" : "connection", handleConnection);
+    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+        const connection = connections.get(request.socket);
+        if (connection !== undefined) {
+            idleConnections.removeIdle(connection);
+            connection.beginRequest(request);
+            response.once("close", () => {
+                if (connection.endRequest() && !request.socket.destroyed && !closing.has(request.socket)) {
+                    idleConnections.addIdle(connection);
+                }
+            });
         }
     });
+    installErrorResponses(server);
+    return { sockets, count: () => sockets.size, countActions: () => ({ ...actions }) };
 }
 
-/** Tells whether a response is open to a request that arrived whole, or has begun. */
-function isAnswering({ responses }: AnsweredConnection): boolean {
-    return [...responses].some(response => response.req.complete || response.headersSent);
+/** A connection with what tells whether it is idle. */
+interface TrackedConnection extends IdleCandidate {
+    readonly socket: Socket;
+    /** Records a request whose head has arrived. */
+    beginRequest(request: IncomingMessage): void;
+    /** Records the end of an answer; gives true if no request is open any more. */
+    endRequest(): boolean;
 }
 
-/** Takes the connection from the parser, so that no further request is read; its end is still noticed. */
-function dropFurtherBytes(socket: Socket): void {
-    socket.removeAllListeners("data");
-    socket.on("data", () => undefined);
-    socket.resume();
+function createTrackedConnection(socket: Socket): TrackedConnection {
+    let openRequests = 0;
+    let isReceivingBody = false;
+    let bytesOfRequests = socket.bytesRead;
+    return {
+        socket,
+        address: socket.remoteAddress ?? "",
+        countUnfinishedBytes: () => (isReceivingBody ? 0 : socket.bytesRead - bytesOfRequests),
+        beginRequest: request => {
+            openRequests++;
+            isReceivingBody = true;
+            request.once("end", () => {
+                isReceivingBody = false;
+                bytesOfRequests = socket.bytesRead;
+            });
+        },
+        endRequest: () => --openRequests === 0,
+    };
 }
 
-function sendRawFailure(socket: Duplex, response: RawFailureResponse): void {
-    socket.end(formatRawFailure(response.statusLine, response.failure), () => socket.destroy());
+/** Closes a connection from this side first, since one that is closed with unread bytes is reset. */
+function closeUnread(socket: Socket, lastAnswer: string | undefined): void {
+    dropFurtherBytes(socket);
+    socket.on("error", () => undefined);
+    socket.end(lastAnswer ?? "", () => {
+        const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+        socket.once("close", () => clearTimeout(timer));
+    });
 }
