Limit connections by the kernel's descriptors too

Callers saw (read off the code, not played on a process): with more descriptors in the settings than the kernel allows, the kernel runs out of them before the limit on connections is reached, and new connections are closed without an answer.

Cause: the limit was derived from the settings alone.

Change: the fewer of the settings' descriptors and the soft limit of /proc/self/limits; without that file, the settings'. The computation is a function of its own.

Conclusion: the limit holds below what the process really has.

--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -1,6 +1,7 @@
 /**
  * @module The HTTP listener for callers: admits requests, and sends failures as answers.
  */
+import fs from "node:fs";
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import net from "node:net";
 import { createFailure } from "../base/createFailure";
@@ -21,6 +22,7 @@
 import { abandonAnswer } from "./abandonAnswer";
 import { type AdmittedRequest, buildExchange } from "./buildExchange";
 import type { CallerCounts } from "./callerCounts";
+import { computeConnectionLimit } from "./computeConnectionLimit";
 import { computeRequestTimes } from "./computeRequestTimes";
 import { createLimitReport } from "./createLimitReport";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
@@ -30,13 +32,12 @@
 
 /** Subtracted from `revokeMs`, for the time between the check of a key and the sending of the request. */
 const REVOKE_MARGIN_MS = 250;
-/** File descriptors that are reserved for other connections of the process. */
-const RESERVED_DESCRIPTORS = 700;
 /**
  * Longest wait of a request while the node loads its data after a start: a few round trips to a store in another
  * region.
  */
 const STARTUP_WAIT_MAX_MS = 400;
+const KERNEL_LIMITS_FILE = "/proc/self/limits";
 /** One of this many successful requests is logged. */
 const SUCCESSES_PER_LOG_LINE = 50;
 
@@ -305,7 +306,8 @@
         handleRequest,
     );
     const connections: CallerConnections = createCallerConnections(server, clock);
-    const limited = installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS), {
+    const connectionLimit = computeConnectionLimit(settings.descriptorsMax, readKernelLimits());
+    const limited = installConnectionLimit(server, connectionLimit, {
         clock,
         closeConnection: connections.closeConnection,
         reportAction: createLimitReport(components, () => limited.count()),
@@ -352,6 +354,11 @@
     };
 }
 
+/** Reads the limits of the process; gives an empty text on a system that doesn't show them. */
+function readKernelLimits(): string {
+    return fs.existsSync(KERNEL_LIMITS_FILE) ? fs.readFileSync(KERNEL_LIMITS_FILE, "utf8") : "";
+}
+
 function logSuccess({ log, clock }: GatewayComponents, exchange: GatewayExchange): void {
     log.info("request relayed", {
         requestId: exchange.head.requestId,
