Share the event loop between bodies in tiny pieces

Callers saw: beside 20 answers of endpoints in one-byte chunks, sound posts were answered after up to 21.0 s of a route's timeout of 4 s, beside 20 streams in tiny pieces after up to 5.6 s.

Cause: each chunk is a callback of Node's parser. One connection is read several times in a turn of the event loop (32,600 pieces in one turn measured), and all connections in each turn, so everyone waits for all of them.

Change: createReadTurns counts the pieces of each connection in a turn; one with more than 256 isn't read again before its turn, in order, with 4,096 pieces in all together or one connection. Requests of callers and answers of endpoints. Nothing is refused or cut.

Conclusion: sound posts keep their timeout. Their objective of 500 ms did not hold at this load; a turn is still as long as a read of 64 KiB, the first turn as long as that of all new connections, and 4 MiB in one-byte chunks take as long as before.

--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -13,6 +13,7 @@
 import { findRoute } from "../decisions/gateway/routeTable";
 import { formatRawFailure } from "../http/formatRawFailure";
 import { installConnectionLimit, type LimitAction } from "../http/installConnectionLimit";
+import { PROCESS_READ_TURNS } from "../http/processReadTurns";
 import { readBody } from "../http/readBody";
 import { sendFailure } from "../http/sendFailure";
 import type { CallerRequestHead } from "../ports/forwardingCodec";
@@ -281,6 +282,7 @@
 
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
+        PROCESS_READ_TURNS.trackPieces(request);
         const head = codec.readCallerHead(request.headers);
         const open = openRequests.addRequest(request, response, head);
         if (stop !== undefined) {
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -9,6 +9,7 @@
 import { readWholeAnswer } from "../adapters/_lib/readWholeAnswer";
 import { trackSentBytes } from "../adapters/_lib/trackSentBytes";
 import type { MemoryLease } from "../base/createMemoryBudget";
+import { PROCESS_READ_TURNS } from "../http/processReadTurns";
 import { readContentLength } from "../http/readContentLength";
 import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
 import type { ResponseHead, ForwardingCodec } from "../ports/forwardingCodec";
@@ -173,6 +174,7 @@
         });
         request.on("response", response => {
             answer = response;
+            PROCESS_READ_TURNS.trackPieces(response);
             waitBound.endWait();
             const isFirst = !request.reusedSocket;
             handleResponse(options, response, isFirst, settle, beginWait);
