--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -1,6 +1,7 @@
 /**
  * @module The HTTP listener for callers: admits requests, and sends failures as answers.
  */
+import fs from "node:fs";
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import net from "node:net";
 import { createFailure } from "../base/createFailure";
@@ -11,7 +12,8 @@
 import { isServableBeforeStop } from "../decisions/gateway/isServableBeforeStop";
 import { findRoute } from "../decisions/gateway/routeTable";
 import { formatRawFailure } from "../http/formatRawFailure";
-import { installConnectionLimit } from "../http/installConnectionLimit";
+import { installConnectionLimit, type LimitAction } from "../http/installConnectionLimit";
+import { PROCESS_READ_TURNS } from "../http/processReadTurns";
 import { readBody } from "../http/readBody";
 import { sendFailure } from "../http/sendFailure";
 import type { CallerRequestHead } from "../ports/forwardingCodec";
@@ -22,7 +24,9 @@
 import { abandonAnswer } from "./abandonAnswer";
 import { type AdmittedRequest, buildExchange } from "./buildExchange";
 import type { CallerCounts } from "./callerCounts";
+import { computeConnectionLimit } from "./computeConnectionLimit";
 import { computeRequestTimes } from "./computeRequestTimes";
+import { createLimitReport } from "./createLimitReport";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
 import { LATE_NODE_FAILURE, NODE_FAILURE } from "./forwardingOutcome";
@@ -31,13 +35,12 @@
 
 /** Subtracted from `revokeMs`, for the time between the check of a key and the sending of the request. */
 const REVOKE_MARGIN_MS = 250;
-/** File descriptors that are reserved for other connections of the process. */
-const RESERVED_DESCRIPTORS = 700;
 /**
  * Longest wait of a request while the node loads its data after a start: a few round trips to a store in another
  * region.
  */
 const STARTUP_WAIT_MAX_MS = 400;
+const KERNEL_LIMITS_FILE = "/proc/self/limits";
 /** One of this many successful requests is logged. */
 const SUCCESSES_PER_LOG_LINE = 50;
 
@@ -68,6 +71,8 @@
     /** Counts the requests without a final answer, those included whose head has not arrived whole. */
     countOpen(): number;
     countCallers(): CallerCounts;
+    /** Counts what was done to keep the connections within their limit. */
+    countLimitActions(): Readonly<Record<LimitAction, number>>;
     /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
     /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
@@ -321,6 +326,7 @@
 
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
+        PROCESS_READ_TURNS.trackPieces(request);
         const { head, error: headError } = readHead(request);
         const open = openRequests.addRequest(request, response, head);
         if (stop !== undefined) {
@@ -339,7 +345,12 @@
         handleRequest,
     );
     const connections: CallerConnections = createCallerConnections(server, clock);
-    installConnectionLimit(server, Math.max(100, settings.descriptorsMax - RESERVED_DESCRIPTORS));
+    const connectionLimit = computeConnectionLimit(settings.descriptorsMax, readKernelLimits());
+    const limited = installConnectionLimit(server, connectionLimit, {
+        clock,
+        closeConnection: connections.closeConnection,
+        reportAction: createLimitReport(components, () => limited.count()),
+    });
     configuration.watchConfiguration(({ configuration: { limits } }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
         server.headersTimeout = limits.headerTimeoutMs;
@@ -353,6 +364,7 @@
             phases: openRequests.countPhases(),
             ends: openRequests.countEnds(),
         }),
+        countLimitActions: limited.countActions,
         beginDrain: times => {
             stop = { times, signalledAtMs: clock.readMonotonicMs() };
             openRequests
@@ -381,6 +393,11 @@
     };
 }
 
+/** Reads the limits of the process; gives an empty text on a system that doesn't show them. */
+function readKernelLimits(): string {
+    return fs.existsSync(KERNEL_LIMITS_FILE) ? fs.readFileSync(KERNEL_LIMITS_FILE, "utf8") : "";
+}
+
 function logSuccess({ log, clock }: GatewayComponents, exchange: GatewayExchange): void {
     log.info("request relayed", {
         requestId: exchange.head.requestId,
