Split runGateway by job

Cause: runGateway.ts created the parts, the servers and their addresses, and ran start and stop: 280 lines, no test beside it.

--- /dev/null
+++ b/src/gateway/createGatewayParts.ts
@@ -0,0 +1,165 @@
+/**
+ * @module Creates the components of a gateway, and what they are built on.
+ */
+import { ulid } from "ulid";
+import { createEntropySeededRandom } from "../base/createEntropySeededRandom";
+import { createSystemClock } from "../base/createSystemClock";
+import type { Log } from "../base/log/log";
+import { type AccountQuotas, createAccountQuotas } from "../decisions/gateway/accountQuotas";
+import type { GatewaySettings } from "../model/gateway";
+import { createBodyMemory } from "./createBodyMemory";
+import { type ClusterTime, createClusterTime } from "./createClusterTime";
+import { createConfigurationHolder } from "./createConfigurationHolder";
+import { createCountedTables } from "./createCountedTables";
+import { createDemandMeter } from "./createDemandMeter";
+import { createEndpointDirectory, type EndpointDirectory } from "./createEndpointDirectory";
+import { createEndpointLimits } from "./createEndpointLimits";
+import { createFleetNews } from "./createFleetNews";
+import { createGatewayMetrics } from "./createGatewayMetrics";
+import { createMembership, type Membership } from "./createMembership";
+import { createPartQuarantine } from "./createPartQuarantine";
+import { createRollouts } from "./createRollouts";
+import { createServiceSpeeds } from "./createServiceSpeeds";
+import { createUsageMeter } from "./createUsageMeter";
+import type { GatewayComponents } from "./gatewayComponents";
+import type { GatewayPlatform } from "./gatewayPlatform";
+
+/** Number of usage windows in a report, the newest ones. */
+const REPORTED_WINDOWS = 2;
+
+/** The parts of a gateway that its watches, duties and listeners need. */
+export interface GatewayParts {
+    readonly components: GatewayComponents;
+    /** The adapters of the platform; calls to the tables are counted. */
+    readonly platform: GatewayPlatform;
+    readonly clusterTime: ClusterTime;
+    readonly quotas: AccountQuotas;
+    readonly membership: Membership;
+}
+
+/**
+ * Creates the parts. They open no sockets by themselves.
+ *
+ * @param settings - The settings of the gateway
+ * @param platformPorts - The adapters of the platform
+ * @param log - The log of all parts
+ * @returns The parts
+ * @example
+ * const { components, quotas } = createGatewayParts(settings, platform, log);
+ */
+export function createGatewayParts(settings: GatewaySettings, platformPorts: GatewayPlatform, log: Log): GatewayParts {
+    const clock = createSystemClock();
+    const random = createEntropySeededRandom();
+    const metrics = createGatewayMetrics();
+    const memory = createBodyMemory(settings.memoryBytesMax);
+    const platform = { ...platformPorts, tables: createCountedTables(platformPorts.tables, metrics) };
+    const clusterTime = createClusterTime(clock);
+    const configuration = createConfigurationHolder(clock, log);
+    const directory = createEndpointDirectory(settings, clock, log);
+    const speeds = createServiceSpeeds();
+    const demand = createDemandMeter(clock);
+    const usage = createUsageMeter(clusterTime, settings.bounds.usageWindowMs);
+    configuration.watchConfiguration(view => metrics.setConfigurationVersion(view.configuration.version));
+    const quotas = createAccountQuotas(
+        settings.bounds,
+        settings.isFirstStart ? undefined : clock.readMonotonicMs(),
+        random,
+    );
+    const [internalPort] = settings.internalPorts;
+    const self = {
+        node: settings.nodeName,
+        life: ulid(),
+        failureDomain: settings.failureDomain,
+        address: settings.address,
+        port: internalPort,
+        capacity: settings.processorShare,
+    };
+    const quarantine = createPartQuarantine({
+        nodeName: settings.nodeName,
+        directory,
+        readNodeCount: () => news.readUsage().nodes,
+        clock,
+        metrics,
+        log,
+    });
+    const rollouts = createRollouts({
+        nodeName: settings.nodeName,
+        bounds: settings.bounds,
+        directory,
+        isInTouch: () => news.isInTouch(),
+        readNodeCount: () => news.readUsage().nodes,
+        clock,
+        metrics,
+        log,
+    });
+    const limits = createEndpointLimits({
+        nodeName: settings.nodeName,
+        directory,
+        clusterTime,
+        readFleet: () => news.readUsage(),
+        clock,
+        log,
+    });
+    const news = createFleetNews({
+        self,
+        failureDomains: Object.keys(settings.regions),
+        quotaWindowMs: settings.bounds.quotaWindowMs,
+        readOwnNews: () => ({
+            ...quotas.describeUsage(clock.readMonotonicMs()),
+            loads: demand.readLoads(),
+            endpoints: directory.readActivity(),
+        }),
+        readCounts: () =>
+            clusterTime.hasAgreedOffset()
+                ? { atMs: Math.round(clusterTime.readClusterMs()), windows: usage.readWindows(REPORTED_WINDOWS) }
+                : undefined,
+        isNearEndpoint: createNearEndpointCheck(settings, directory),
+        evidence: quarantine,
+        rollouts,
+        limits,
+        handleActivity: directory.recordOthers,
+        clock,
+        log,
+    });
+    const membership = createMembership({
+        self,
+        windowMs: settings.bounds.usageWindowMs,
+        news,
+        table: platform.tables,
+        clusterTime,
+        usage,
+        clock,
+        random,
+        log,
+    });
+    const components: GatewayComponents = {
+        settings,
+        clock,
+        random,
+        log,
+        metrics,
+        codec: platform.codec,
+        configuration,
+        directory,
+        speeds,
+        usage,
+        demand,
+        news,
+        quarantine,
+        rollouts,
+        limits,
+        memory,
+    };
+    return { components, platform, clusterTime, quotas, membership };
+}
+
+/** Creates the check whether an endpoint is in the region of this node. */
+function createNearEndpointCheck(
+    { regions, failureDomain }: GatewaySettings,
+    directory: EndpointDirectory,
+): (endpointId: string) => boolean {
+    return endpointId => {
+        const record = directory.findEndpoint(endpointId);
+        return record !== undefined && regions[record.endpoint.failureDomain] === regions[failureDomain];
+    };
+}
--- /dev/null
+++ b/src/gateway/createGatewayServers.ts
@@ -0,0 +1,68 @@
+/**
+ * @module Creates the servers of a gateway, with the addresses that they listen on.
+ */
+import type http from "node:http";
+import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
+import { createForwarder } from "./createForwarder";
+import { createGatewayListener, type GatewayListener } from "./createGatewayListener";
+import { createLoopMonitor } from "./createLoopMonitor";
+import { createMetricsListener } from "./createMetricsListener";
+import { createReadinessListener } from "./createReadinessListener";
+import type { GatewayComponents } from "./gatewayComponents";
+import type { GatewayListenerTarget } from "./startListeners";
+
+/** Dependencies of the servers. */
+export interface GatewayServersOptions {
+    readonly components: GatewayComponents;
+    readonly quotas: AccountQuotas;
+    /** The server of the rows for other nodes. */
+    readonly rowServer: http.Server;
+    /** Port of the metrics, on the node's address. */
+    readonly metricsPort: number;
+    readonly isReady: () => boolean;
+}
+
+/** The servers of a gateway. */
+export interface GatewayServers {
+    /** The one for callers. */
+    readonly listener: GatewayListener;
+    readonly targets: readonly GatewayListenerTarget[];
+}
+
+/**
+ * Creates the servers; they do not listen yet.
+ *
+ * @param options - Their dependencies
+ * @returns The servers
+ * @example
+ * const { listener, targets } = createGatewayServers({ components, quotas, rowServer, metricsPort, isReady });
+ * startListeners(targets, supervision);
+ */
+export function createGatewayServers(options: GatewayServersOptions): GatewayServers {
+    const { components, quotas, rowServer, metricsPort, isReady } = options;
+    const { settings, metrics, memory, news, quarantine, log } = components;
+    const { address, callers, readiness } = settings;
+    const [internalPort] = settings.internalPorts;
+    const loopMonitor = createLoopMonitor(log);
+    const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
+    const metricsServer = createMetricsListener({
+        formatMetrics: () => {
+            const { nodes, reachable } = news.readUsage();
+            metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
+            metrics.setCallers(listener.countCallers());
+            metrics.setBodyMemory(memory);
+            metrics.setLoopDelays(loopMonitor.takeDelays());
+            return metrics.formatMetrics();
+        },
+        quarantine,
+    });
+    return {
+        listener,
+        targets: [
+            { name: "callers", server: listener.server, ...callers, isNeeded: true },
+            { name: "readiness", server: createReadinessListener(isReady), ...readiness, isNeeded: true },
+            { name: "rows", server: rowServer, address, port: internalPort, isNeeded: true },
+            { name: "metrics", server: metricsServer, address, port: metricsPort, isNeeded: false },
+        ],
+    };
+}
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -1,5 +1,5 @@
 /**
- * @module The components of a gateway that its modules share. `runGateway` creates them.
+ * @module The components of a gateway that its modules share. `createGatewayParts` creates them.
  */
 import type { Clock } from "../base/clock";
 import type { Log } from "../base/log/log";
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -1,43 +1,22 @@
 /**
- * @module Runs a gateway as a process, and connects its components.
+ * @module Runs a gateway as a process: its start, and its stop at a signal.
  */
-import { ulid } from "ulid";
-import { createEntropySeededRandom } from "../base/createEntropySeededRandom";
 import { createSystemClock } from "../base/createSystemClock";
 import { createLog } from "../base/log/createLog";
 import { type Log, LogFormat } from "../base/log/log";
-import { chooseExitCode, ExitCode } from "../cli/exitCode";
-import { createAccountQuotas } from "../decisions/gateway/accountQuotas";
-import type { GatewaySettings } from "../model/gateway";
+import { ExitCode } from "../cli/exitCode";
 import { logStrayErrors } from "../serve/logStrayErrors";
-import { createBodyMemory } from "./createBodyMemory";
-import { createCountedTables } from "./createCountedTables";
-import { createClusterTime } from "./createClusterTime";
-import { createConfigurationHolder } from "./createConfigurationHolder";
-import { createDemandMeter } from "./createDemandMeter";
-import { createEndpointDirectory, type EndpointDirectory } from "./createEndpointDirectory";
-import { createEndpointLimits } from "./createEndpointLimits";
-import { createFleetNews } from "./createFleetNews";
-import { createForwarder } from "./createForwarder";
-import { createGatewayListener } from "./createGatewayListener";
-import { createGatewayMetrics } from "./createGatewayMetrics";
-import { createLoopMonitor } from "./createLoopMonitor";
-import { createPartQuarantine } from "./createPartQuarantine";
-import { createMembership } from "./createMembership";
-import { createMetricsListener } from "./createMetricsListener";
+import { createGatewayParts } from "./createGatewayParts";
+import { createGatewayServers } from "./createGatewayServers";
 import { createRateLimitedLog } from "./createRateLimitedLog";
-import { createReadinessListener } from "./createReadinessListener";
-import { createRollouts } from "./createRollouts";
-import { createServiceSpeeds } from "./createServiceSpeeds";
-import { createUsageMeter } from "./createUsageMeter";
 import { drainGateway } from "./drainGateway";
 import { dumpOnSignal } from "./dumpOnSignal";
-import type { GatewayComponents } from "./gatewayComponents";
 import type { GatewayPlatform } from "./gatewayPlatform";
 import { resolveClusterTime } from "./resolveClusterTime";
 import { startDuties } from "./startDuties";
 import { startListeners } from "./startListeners";
 import { startWatches } from "./startWatches";
+import { waitForEnd } from "./waitForEnd";
 import { type LiveSettings, watchSettings } from "./watchSettings";
 
 /**
@@ -46,8 +25,6 @@
 const READY_SHARE = 0.6;
 /** A former process may hold an address for the grace time of its stop; so long after that, the start has failed. */
 const LISTEN_MARGIN_MS = 5_000;
-/** Number of usage windows in a report, the newest ones. */
-const REPORTED_WINDOWS = 2;
 
 /**
  * Runs a gateway until a signal ends it, or until it can't go on.
@@ -80,114 +57,13 @@
     metricsPort: number,
     lifeLog: Log,
 ): Promise<number> {
-    const clock = createSystemClock();
-    const random = createEntropySeededRandom();
-    const log = createRateLimitedLog(lifeLog, clock);
+    const log = createRateLimitedLog(lifeLog, createSystemClock());
     log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenSignalled = waitForSignal();
     watchSettings(settings, { readSettings: platformPorts.readSettings, log });
     logStrayErrors(log);
-    const metrics = createGatewayMetrics();
-    const memory = createBodyMemory(settings.memoryBytesMax);
-    const platform = { ...platformPorts, tables: createCountedTables(platformPorts.tables, metrics) };
-    const clusterTime = createClusterTime(clock);
-    const configuration = createConfigurationHolder(clock, log);
-    const directory = createEndpointDirectory(settings, clock, log);
-    const speeds = createServiceSpeeds();
-    const demand = createDemandMeter(clock);
-    const usage = createUsageMeter(clusterTime, settings.bounds.usageWindowMs);
-    configuration.watchConfiguration(view => metrics.setConfigurationVersion(view.configuration.version));
-    const quotas = createAccountQuotas(
-        settings.bounds,
-        settings.isFirstStart ? undefined : clock.readMonotonicMs(),
-        random,
-    );
-    const [internalPort] = settings.internalPorts;
-    const self = {
-        node: settings.nodeName,
-        life: ulid(),
-        failureDomain: settings.failureDomain,
-        address: settings.address,
-        port: internalPort,
-        capacity: settings.processorShare,
-    };
-    const quarantine = createPartQuarantine({
-        nodeName: settings.nodeName,
-        directory,
-        readNodeCount: () => news.readUsage().nodes,
-        clock,
-        metrics,
-        log,
-    });
-    const rollouts = createRollouts({
-        nodeName: settings.nodeName,
-        bounds: settings.bounds,
-        directory,
-        isInTouch: () => news.isInTouch(),
-        readNodeCount: () => news.readUsage().nodes,
-        clock,
-        metrics,
-        log,
-    });
-    const limits = createEndpointLimits({
-        nodeName: settings.nodeName,
-        directory,
-        clusterTime,
-        readFleet: () => news.readUsage(),
-        clock,
-        log,
-    });
-    const news = createFleetNews({
-        self,
-        failureDomains: Object.keys(settings.regions),
-        quotaWindowMs: settings.bounds.quotaWindowMs,
-        readOwnNews: () => ({
-            ...quotas.describeUsage(clock.readMonotonicMs()),
-            loads: demand.readLoads(),
-            endpoints: directory.readActivity(),
-        }),
-        readCounts: () =>
-            clusterTime.hasAgreedOffset()
-                ? { atMs: Math.round(clusterTime.readClusterMs()), windows: usage.readWindows(REPORTED_WINDOWS) }
-                : undefined,
-        isNearEndpoint: createNearEndpointCheck(settings, directory),
-        evidence: quarantine,
-        rollouts,
-        limits,
-        handleActivity: directory.recordOthers,
-        clock,
-        log,
-    });
-    const membership = createMembership({
-        self,
-        windowMs: settings.bounds.usageWindowMs,
-        news,
-        table: platform.tables,
-        clusterTime,
-        usage,
-        clock,
-        random,
-        log,
-    });
-    const components: GatewayComponents = {
-        settings,
-        clock,
-        random,
-        log,
-        metrics,
-        codec: platform.codec,
-        configuration,
-        directory,
-        speeds,
-        usage,
-        demand,
-        news,
-        quarantine,
-        rollouts,
-        limits,
-        memory,
-    };
-    const loopMonitor = createLoopMonitor(log);
+    const { components, platform, clusterTime, quotas, membership } = createGatewayParts(settings, platformPorts, log);
+    const { clock, configuration, directory } = components;
     const rowServer = startWatches(components, platform, clusterTime);
     void resolveClusterTime(platform.tables, clusterTime, clock.waitMs, log);
     const duties = startDuties({
@@ -198,7 +74,6 @@
         clusterTime,
         rolloutRecords: platform.rolloutRecords,
     });
-    const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
     let isLeaving = false;
     const isReady = () =>
         !isLeaving &&
@@ -206,65 +81,22 @@
         configuration.readCurrent() !== undefined &&
         directory.isLoaded() &&
         configuration.computeAgeMs() < settings.bounds.revokeMs * READY_SHARE;
-    const readiness = createReadinessListener(isReady);
-    const metricsListener = createMetricsListener({
-        formatMetrics: () => {
-            const { nodes, reachable } = news.readUsage();
-            metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
-            metrics.setCallers(listener.countCallers());
-            metrics.setBodyMemory(memory);
-            metrics.setLoopDelays(loopMonitor.takeDelays());
-            return metrics.formatMetrics();
-        },
-        quarantine,
-    });
+    const { listener, targets } = createGatewayServers({ components, quotas, rowServer, metricsPort, isReady });
     const retries = new AbortController();
-    const listeners = startListeners(
-        [
-            { name: "callers", server: listener.server, ...settings.callers, isNeeded: true },
-            { name: "readiness", server: readiness, ...settings.readiness, isNeeded: true },
-            { name: "rows", server: rowServer, address: settings.address, port: internalPort, isNeeded: true },
-            { name: "metrics", server: metricsListener, address: settings.address, port: metricsPort, isNeeded: false },
-        ],
-        {
-            clock,
-            log: lifeLog,
-            limitMs: settings.bounds.graceMs + LISTEN_MARGIN_MS,
-            signal: retries.signal,
-        },
-    );
+    const limitMs = settings.bounds.graceMs + LISTEN_MARGIN_MS;
+    const listeners = startListeners(targets, { clock, log: lifeLog, limitMs, signal: retries.signal });
     dumpOnSignal(components, listeners);
-    const started = await Promise.race([listeners.whenStarted, whenSignalled.then(() => undefined)]);
-    if (started?.isOk()) {
-        lifeLog.info("gateway listens", { startMs: Math.round(process.uptime() * 1_000) });
-    }
-    const failure = started?.isErr() ? started.error : undefined;
-    const reason = failure === undefined ? await whenSignalled : failure.kind;
-    const failedExitCode = failure === undefined ? undefined : chooseExitCode(failure);
-    if (failure !== undefined) {
-        lifeLog.error("gateway failed", { reason: failure.message, exitCode: failedExitCode });
-    }
+    const { reason, failedExitCode } = await waitForEnd(listeners, whenSignalled, lifeLog);
     isLeaving = true;
     retries.abort();
     duties.leave();
-    if (failure !== undefined && !listener.server.listening) {
-        return chooseExitCode(failure);
+    if (failedExitCode !== undefined && !listener.server.listening) {
+        return failedExitCode;
     }
     const exitCode = await drainGateway({ clock, settings, log: lifeLog }, listener, reason);
     return failedExitCode ?? exitCode;
 }
 
-/** Creates the check whether an endpoint is in the region of this node. */
-function createNearEndpointCheck(
-    { regions, failureDomain }: GatewaySettings,
-    directory: EndpointDirectory,
-): (endpointId: string) => boolean {
-    return endpointId => {
-        const record = directory.findEndpoint(endpointId);
-        return record !== undefined && regions[record.endpoint.failureDomain] === regions[failureDomain];
-    };
-}
-
 /** Creates the log on the standard output. If its reader goes away, lines are lost, and the process keeps running. */
 function createProcessLog(): Log {
     process.stdout.on("error", () => undefined);
