Install the handlers of signals before the first log line

What operators saw: a SIGTERM right after `gateway started` ended the process by the signal.

Cause: the line was written before the handlers were installed; on a busy machine a parent that waits for it may send its signal in between.

Change: the handlers first.

--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -58,8 +58,8 @@
     lifeLog: Log,
 ): Promise<number> {
     const log = createRateLimitedLog(lifeLog, createSystemClock());
-    log.info("gateway started", { isFirstStart: settings.isFirstStart });
     const whenSignalled = waitForSignal();
+    log.info("gateway started", { isFirstStart: settings.isFirstStart });
     watchSettings(settings, { readSettings: platformPorts.readSettings, log });
     logStrayErrors(log);
     const { components, platform, clusterTime, quotas, membership } = createGatewayParts(settings, platformPorts, log);
