--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -1,7 +1,6 @@
 /**
  * @module The HTTP listener for callers: admits requests, and sends failures as answers.
  */
-import fs from "node:fs";
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import net from "node:net";
 import { createFailure } from "../base/createFailure";
@@ -31,6 +30,7 @@
 import type { GatewayExchange } from "./exchange";
 import { LATE_NODE_FAILURE, NODE_FAILURE } from "./forwardingOutcome";
 import type { GatewayComponents } from "./gatewayComponents";
+import { readKernelLimits } from "./readKernelLimits";
 import { waitUntilLoaded } from "./waitUntilLoaded";
 
 /** Subtracted from `revokeMs`, for the time between the check of a key and the sending of the request. */
@@ -40,7 +40,6 @@
  * region.
  */
 const STARTUP_WAIT_MAX_MS = 400;
-const KERNEL_LIMITS_FILE = "/proc/self/limits";
 /** One of this many successful requests is logged. */
 const SUCCESSES_PER_LOG_LINE = 50;
 
@@ -393,11 +392,6 @@
     };
 }
 
-/** Reads the limits of the process; gives an empty text on a system that doesn't show them. */
-function readKernelLimits(): string {
-    return fs.existsSync(KERNEL_LIMITS_FILE) ? fs.readFileSync(KERNEL_LIMITS_FILE, "utf8") : "";
-}
-
 function logSuccess({ log, clock }: GatewayComponents, exchange: GatewayExchange): void {
     log.info("request relayed", {
         requestId: exchange.head.requestId,
--- a/src/gateway/createLimitReport.ts
+++ b/src/gateway/createLimitReport.ts
@@ -22,19 +22,23 @@
 ): (action: LimitAction) => void {
     const counts = new Map<LimitAction, number>();
     let isScheduled = false;
+    const resetSchedule = () => {
+        isScheduled = false;
+    };
+    const writeLine = () => {
+        resetSchedule();
+        log.warn("caller connections near their limit", {
+            connections: countConnections(),
+            ...Object.fromEntries(counts),
+        });
+        counts.clear();
+    };
     return action => {
         counts.set(action, (counts.get(action) ?? 0) + 1);
         if (isScheduled) {
             return;
         }
         isScheduled = true;
-        void clock.waitMs(LINE_INTERVAL_MS).then(() => {
-            isScheduled = false;
-            log.warn("caller connections near their limit", {
-                connections: countConnections(),
-                ...Object.fromEntries(counts),
-            });
-            counts.clear();
-        });
+        clock.waitMs(LINE_INTERVAL_MS).then(writeLine, resetSchedule);
     };
 }
