--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -30,6 +30,7 @@
 import type { GatewayExchange } from "./exchange";
 import { LATE_NODE_FAILURE, NODE_FAILURE } from "./forwardingOutcome";
 import type { GatewayComponents } from "./gatewayComponents";
+import { logSuccess } from "./logSuccess";
 import { readKernelLimits } from "./readKernelLimits";
 import { waitUntilLoaded } from "./waitUntilLoaded";
 
@@ -391,13 +392,3 @@
         },
     };
 }
-
-function logSuccess({ log, clock }: GatewayComponents, exchange: GatewayExchange): void {
-    log.info("request relayed", {
-        requestId: exchange.head.requestId,
-        route: exchange.route.name,
-        service: exchange.service,
-        durationMs: Math.round(clock.readMonotonicMs() - exchange.receivedAtMs),
-        configurationVersion: exchange.configurationVersion,
-    });
-}
