Leave requests time to move after a late shift

Change: a late shift begins up to halfway between the end and the deadline and completes at three quarters.

--- a/src/decisions/versions/decideRolloutPhase.ts
+++ b/src/decisions/versions/decideRolloutPhase.ts
@@ -10,6 +10,8 @@
     readonly durationMs: number;
     /** Time since the order, in milliseconds. */
     readonly elapsedMs: number;
+    /** Time since the phase began, in milliseconds. */
+    readonly phaseForMs: number;
     /** What is missing before the target counts as good. */
     readonly missing: readonly string[];
     /** True if endpoints of the target can serve requests. */
@@ -25,6 +27,8 @@
     readonly reason?: string;
 }
 
+const COMPLETION: RolloutStep = { phase: RolloutPhase.Completed, reason: "No fault was shown by the deadline." };
+
 /**
  * Decides the phase. A move that is undecided at its end is rolled back, also while no endpoint of the old version is
  * there: those may come back, and a bad version must not get their requests. A good version whose shift comes late is
@@ -37,21 +41,27 @@
  */
 export function decideRolloutPhase(facts: RolloutFacts): RolloutStep {
     const { phase, elapsedMs, missing, hasTargets, isInUse } = facts;
-    const { shiftMs, endMs } = planRollout(facts.durationMs);
+    const { shiftMs, endMs, lateShiftMs, lateEndMs } = planRollout(facts.durationMs);
     if (phase >= RolloutPhase.RolledBack || elapsedMs < shiftMs) {
         return { phase };
     }
-    if (elapsedMs >= endMs && (phase === RolloutPhase.Shifting || (hasTargets && isInUse))) {
-        return { phase: RolloutPhase.Completed, reason: "No fault was shown by the deadline." };
+    if (phase === RolloutPhase.Shifting) {
+        const isLate = elapsedMs - facts.phaseForMs >= endMs;
+        return elapsedMs >= (isLate ? lateEndMs : endMs) ? COMPLETION : { phase };
+    }
+    if (elapsedMs >= endMs && hasTargets && isInUse) {
+        return COMPLETION;
     }
     const canShift = hasTargets && (missing.length === 0 || isInUse);
-    if (phase === RolloutPhase.Trial && canShift && elapsedMs < facts.durationMs) {
+    if (canShift && elapsedMs < lateShiftMs) {
         const reason = isInUse ? "No other version was in use." : "No fault was shown.";
         return { phase: RolloutPhase.Shifting, reason };
     }
     if (elapsedMs < endMs) {
         return { phase };
     }
-    const undecided = hasTargets ? missing.join("; ") : "no endpoint of the new version";
+    const undecided = hasTargets
+        ? missing.join("; ") || "proved, but too late for a shift"
+        : "no endpoint of the new version";
     return { phase: RolloutPhase.RolledBack, reason: `Undecided at the deadline: ${undecided}.` };
 }
--- a/src/gateway/createRolloutDuty.ts
+++ b/src/gateway/createRolloutDuty.ts
@@ -90,6 +90,7 @@
             phase: move.phase,
             durationMs: order.durationMs,
             elapsedMs: computeElapsedMs(move),
+            phaseForMs: move.phaseForMs,
             missing: move.missing,
             hasTargets: usable.some(({ endpoint }) => endpoint.version === order.target),
             isInUse: move.isInUse,
--- a/src/gateway/createRollouts.ts
+++ b/src/gateway/createRollouts.ts
@@ -250,6 +250,7 @@
                           phase: move.phase,
                           isInUse: move.isInUse,
                           knownForMs: clock.readMonotonicMs() - move.knownSinceMs,
+                          phaseForMs: clock.readMonotonicMs() - move.advancedAtMs,
                           missing: listMissingEvidence(evidence.listFleet()),
                       },
                   ],
--- a/src/gateway/loadRolloutRecords.test.ts
+++ b/src/gateway/loadRolloutRecords.test.ts
@@ -19,6 +19,7 @@
 const MOVE: RolloutMove = {
     order: { service: "chat", target: "v2", durationMs: 15_000, revision: 7 },
     phase: RolloutPhase.Trial,
+    phaseForMs: 0,
     knownForMs: 0,
     isInUse: false,
     missing: [],
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts.ts
@@ -22,6 +22,8 @@
     readonly phase: RolloutPhase;
     /** Time for which this node has known the order. */
     readonly knownForMs: number;
+    /** Time since its phase began. */
+    readonly phaseForMs: number;
     /** True if the target was the service's only version when it was ordered. */
     readonly isInUse: boolean;
     /** What is missing before the target counts as good, by the attempts at all nodes. */
