Ask for the rows again if the confirmation of an answer throws

Seen by the review: the revision advanced before the confirmation, so that the rows of a failed answer were never asked for again, and other nodes got a whole table with one row. Change: the revision advances last.

--- a/src/gateway/failingLoops.test.ts
+++ b/src/gateway/failingLoops.test.ts
@@ -84,6 +84,47 @@
     });
 });
 
+describe("a watch whose confirmation throws", () => {
+    // Guards against: the rows of an answer that failed are never asked for again, and other nodes get a table with holes.
+    it("asks for the same rows again, and passes them on whole", async () => {
+        const clock = createManualClock();
+        const { reportFailure } = createReports();
+        const passedOn: { rows: number; isWholeTable: boolean }[] = [];
+        let confirmations = 0;
+        const rows = ["x", "y"].map(key => ({ key, value: "1", version: 10 }));
+        const port: WatchedTablePort = {
+            readTable: () => Promise.resolve(ok({ rows, revision: 10, storeNowMs: 0 })),
+            waitForChanges: async () => {
+                await clock.waitMs(100);
+                return ok({ rows: [{ key: "z", value: "1", version: 11 }], revision: 11, storeNowMs: 0 });
+            },
+        };
+        const watch = startTableWatch({
+            table: "servers",
+            port,
+            clock,
+            random: createRandom(1),
+            log: LOG,
+            waitMs: 900,
+            handleRows: () => undefined,
+            handleConfirmation: () => (confirmations++ === 0 ? throwPlanted() : undefined),
+            snapshot: {
+                recordAnswer: (answer, { isWholeTable }) => {
+                    passedOn.push({ rows: answer.rows.length, isWholeTable });
+                },
+                recordFailure: () => undefined,
+            },
+            reportFailure,
+        });
+        await runClock(clock, 5_000);
+        watch.dispose();
+        assert.deepEqual(passedOn.slice(0, 2), [
+            { rows: 2, isWholeTable: true },
+            { rows: 1, isWholeTable: false },
+        ]);
+    });
+});
+
 describe("a row whose decoder throws", () => {
     let harness: GatewayHarness;
     afterEach(() => harness.dispose());
--- a/src/gateway/startTableWatch.ts
+++ b/src/gateway/startTableWatch.ts
@@ -66,10 +66,11 @@
         if (isWholeTable || answer.rows.length > 0) {
             options.handleRows(answer.rows, isWholeTable, isStoreRecovering);
         }
-        revision = Math.max(revision ?? answer.revision, answer.revision);
         const askedAt = moveInstant(sentAt, answer.askedAfterMs ?? 0);
         options.handleConfirmation(askedAt, answer);
         options.snapshot?.recordAnswer(answer, { askedAt, isWholeTable, isStoreRecovering });
+        // Last: if any of these throws, the same rows are asked for again.
+        revision = Math.max(revision ?? answer.revision, answer.revision);
     };
     /** Handles an answer; gives false if that fails. Its rows count as unknown then. */
     const tryAnswer = (answer: TableRows, sentAt: Instant, isWholeTable: boolean): boolean => {
