Take only the time of a standstill off a relay's silence

Change: the gap is taken off. Evidence: the new test of the roster, with a gap in every third period.

--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/createFleetNews.ts
@@ -291,8 +291,11 @@
     };
     const exchangeNews = () => {
         const nowMs = clock.readMonotonicMs();
-        if (socket.isDeaf() || nowMs - exchangedAtMs > STANDSTILL_MS) {
-            roster.recordStandstill();
+        const gapMs = nowMs - exchangedAtMs;
+        if (socket.isDeaf()) {
+            roster.recordStandstill(gapMs);
+        } else if (gapMs > STANDSTILL_MS) {
+            roster.recordStandstill(gapMs - NEWS_PERIOD_MS);
         }
         exchangedAtMs = nowMs;
         if (hasMembers && !socket.isDeaf()) {
--- a/src/gateway/createRelayRoster.test.ts
+++ b/src/gateway/createRelayRoster.test.ts
@@ -45,12 +45,29 @@
         const { clock, roster, relays, listNames } = createRoster();
         listNames();
         clock.advanceMs(5_000);
-        roster.recordStandstill();
+        roster.recordStandstill(5_000);
         assert.equal(listNames()[0], relays[0]);
         clock.advanceMs(850);
         assert.equal(listNames()[0], relays[1]);
     });
 
+    // Guards against: a node that often stands still for a moment never replaces a relay that is gone.
+    it("change soon after the first falls silent, although this node often stands still for a moment", () => {
+        const { clock, roster, relays, listNames } = createRoster();
+        listNames();
+        let heardMs = 0;
+        for (let round = 0; heardMs < 850; round++) {
+            const isGap = round % 3 === 2;
+            clock.advanceMs(isGap ? 520 : 250);
+            roster.recordStandstill(isGap ? 270 : 0);
+            heardMs += 250;
+            if (heardMs < 800) {
+                assert.equal(listNames()[0], relays[0]);
+            }
+        }
+        assert.equal(listNames()[0], relays[1]);
+    });
+
     it("are this node alone once nobody lists the others any more", () => {
         const { clock, listNames } = createRoster();
         clock.advanceMs(9_500);
--- a/src/gateway/createRelayRoster.ts
+++ b/src/gateway/createRelayRoster.ts
@@ -24,8 +24,8 @@
     recordLife(node: string): void;
     /** Records a view of the fleet by a relay. */
     recordView(relay: string): void;
-    /** Records that this node could hear nobody for a while: that time doesn't count as silence of its relay. */
-    recordStandstill(): void;
+    /** Records that this node could hear nobody for some time, which doesn't count as silence of its relay. */
+    recordStandstill(durationMs: number): void;
     /** Lists the chosen relays, the first choice first; this node itself may be among them. */
     listRelays(): readonly NodeIdentity[];
     /** Passes over the first choice for a while if it sends no views; gives the relays that then are chosen. */
@@ -96,8 +96,10 @@
                 primary.heardAtMs = clock.readMonotonicMs();
             }
         },
-        recordStandstill: () => {
-            primary = undefined;
+        recordStandstill: durationMs => {
+            if (primary !== undefined) {
+                primary.heardAtMs += durationMs;
+            }
         },
         listRelays,
         replaceSilentRelay,
