Wait in a test of the news until it has gone on after the errors

The view counts before its handler throws, so the third error may come later: the test now waits for the call after the third. Its assertion is unchanged.

--- a/src/gateway/createFleetNews.test.ts
+++ b/src/gateway/createFleetNews.test.ts
@@ -192,6 +192,7 @@
             [0, 1].map(index => makeIdentity(index, "west")),
             { handleActivity, reportFailure },
         );
+        await waitUntil(() => calls > 3, "it goes on after the errors");
         await waitUntil(() => nodes.every(({ news }) => news.readUsage().reachable === 2), "all know of all");
         assert.deepEqual(reported, ["news", "news", "news"]);
     });
