Close idle connections of others too, and none used lately while there is room

Seen by the review of: callers behind one busy address were refused while idle connections of others stayed; kept connections in turn were each closed before their next request beyond 7/8 of the limit; a caller that still read its answer was reset after 300 ms. Change: the longest idle of all if none of the own address is quiet; 5 s of quiet below 97 % of the limit; 5 s to read after the close.

--- a/src/gateway/createCallerConnections.ts
+++ b/src/gateway/createCallerConnections.ts
@@ -34,6 +34,8 @@
 
 /** After its last answer a connection is read for at most this long, until the caller closes it too. */
 const LINGER_MS = 300;
+/** The same for one that is closed to make room, while its caller may still read its last answer. */
+const PRESSED_LINGER_MS = 5_000;
 /** A connection without a request for a shorter time may have one on the way, and is not closed as idle. */
 const QUIET_MS = 200;
 
@@ -64,13 +66,13 @@
 export function createCallerConnections(server: Server, clock: Clock): CallerConnections {
     const states = new Map<Socket, ConnectionState>();
     let closedUnfinished = 0;
-    const closeGently = (socket: Socket, state: ConnectionState, lastAnswer?: string) => {
+    const closeGently = (socket: Socket, state: ConnectionState, lastAnswer?: string, lingerMs = LINGER_MS) => {
         if (state.isClosing) {
             return;
         }
         state.isClosing = true;
         socket.end(lastAnswer ?? "", () => {
-            const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+            const timer = setTimeout(() => socket.destroy(), lingerMs);
             socket.once("close", () => clearTimeout(timer));
         });
     };
@@ -95,7 +97,7 @@
         closeConnection: (socket, lastAnswer) => {
             const state = states.get(socket);
             if (state !== undefined) {
-                closeGently(socket, state, lastAnswer);
+                closeGently(socket, state, lastAnswer, PRESSED_LINGER_MS);
             }
         },
         closeIdle: () => {
--- a/src/http/connectionLimit.test.ts
+++ b/src/http/connectionLimit.test.ts
@@ -81,6 +81,17 @@
         assert.equal(connections.countActions()[LimitAction.NewRefused], 0);
     });
 
+    // Guards against: callers that use their kept connections in turn lose each one before its next request.
+    it("closes none that was used lately while there are places left", async () => {
+        await connectMany(LIMIT - 2, REQUEST);
+        await waitMs(50);
+        responses.forEach(response => response.end());
+        await waitMs(QUIET_MS);
+        await connect();
+        assert.equal(connections.countActions()[LimitAction.IdleClosed], 0);
+        assert.equal(connections.count(), LIMIT - 1);
+    });
+
     it("keeps each that has an open request, and refuses a new caller if all have", async () => {
         await connectMany(LIMIT, REQUEST);
         await waitMs(QUIET_MS);
--- a/src/http/createIdleConnections.test.ts
+++ b/src/http/createIdleConnections.test.ts
@@ -1,9 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createManualClock } from "../base/createManualClock";
-import { createIdleConnections } from "./createIdleConnections";
-
-const QUIET_MS = 200;
+import { createIdleConnections, QUIET_MS } from "./createIdleConnections";
 
 interface Connection {
     readonly name: string;
@@ -36,8 +34,8 @@
         return connection;
     };
     /** Closes what is chosen for a new connection; gives its name. */
-    const close = (address = "10.0.0.9") => {
-        const chosen = record.chooseLongestIdle(address);
+    const close = (address = "10.0.0.9", quietMs = QUIET_MS) => {
+        const chosen = record.chooseLongestIdle(address, quietMs);
         if (chosen !== undefined) {
             record.removeIdle(chosen.candidate);
         }
@@ -95,6 +93,25 @@
         assert.equal(close("10.0.0.1"), "sound");
     });
 
+    // Guards against: callers behind one busy address are refused while idle connections of others hold the places.
+    it("is the longest idle of all if none of the same address is quiet", () => {
+        const { clock, add, close } = createRecord();
+        ["10.0.0.1", "10.0.0.2", "10.0.0.3"].forEach(address => add(makeConnection(`idle ${address}`, address)));
+        clock.advanceMs(QUIET_MS);
+        Array.from({ length: 5 }, (_, index) => add(makeConnection(`busy ${index}`, "10.0.0.4")));
+        assert.equal(close("10.0.0.4"), "idle 10.0.0.1");
+    });
+
+    // Guards against: callers that use their kept connections in turn lose each one before its next request.
+    it("is none that was used within the given time", () => {
+        const { clock, add, close } = createRecord();
+        add(makeConnection("kept"));
+        clock.advanceMs(4_900);
+        assert.equal(close("10.0.0.9", 5_000), undefined);
+        clock.advanceMs(100);
+        assert.equal(close("10.0.0.9", 5_000), "kept");
+    });
+
     // Guards against: each accepted connection looks at all others, and a flood of them holds the process.
     it("is found by a number of looks that doesn't grow with the connections", () => {
         const { clock, add, close } = createRecord();
--- a/src/http/createIdleConnections.ts
+++ b/src/http/createIdleConnections.ts
@@ -5,7 +5,7 @@
 import { createOrderedSet, type OrderedSet } from "../base/createOrderedSet";
 
 /** A connection with a younger last event may have a request on the way. */
-const QUIET_MS = 200;
+export const QUIET_MS = 200;
 
 /** What decides about a connection. */
 export interface IdleCandidate {
@@ -30,10 +30,10 @@
     removeIdle(candidate: Candidate): void;
     /**
      * Chooses the connection that is closed for a new one: the longest idle first, and after all of these the one that has
-     * waited longest within a head. If the address of the new one holds more than the mean of all addresses, it is one of
-     * its own. Gives `undefined` if each may have a request on the way.
+     * waited longest within a head. If the address of the new one holds more than the mean of all addresses, one of its own
+     * goes before those of others. Gives `undefined` if none has been quiet for long enough.
      */
-    chooseLongestIdle(newcomerAddress: string): ChosenConnection<Candidate> | undefined;
+    chooseLongestIdle(newcomerAddress: string, quietMs: number): ChosenConnection<Candidate> | undefined;
 }
 
 /** The state of a connection within a head when it was last looked at. */
@@ -49,7 +49,7 @@
  * @param clock - Measures idle time
  * @returns The record
  * @example
- * const chosen = idleConnections.chooseLongestIdle(socket.remoteAddress);
+ * const chosen = idleConnections.chooseLongestIdle(socket.remoteAddress, QUIET_MS);
  */
 export function createIdleConnections<Candidate extends IdleCandidate>(clock: Clock): IdleConnections<Candidate> {
     const idle = createOrderedSet<Candidate>();
@@ -80,22 +80,22 @@
         unfinished.add(candidate);
         unfinishedStates.set(candidate, { bytes, sinceMs: clock.readMonotonicMs() });
     };
-    const isQuiet = (sinceMs: number | undefined) =>
-        sinceMs !== undefined && clock.readMonotonicMs() - sinceMs >= QUIET_MS;
+    const isQuiet = (sinceMs: number | undefined, quietMs: number) =>
+        sinceMs !== undefined && clock.readMonotonicMs() - sinceMs >= quietMs;
 
     /** Finds the first that is still without a byte of a request; those with some are recorded as unfinished. */
-    const findIdle = (candidates: OrderedSet<Candidate>): Candidate | undefined => {
+    const findIdle = (candidates: OrderedSet<Candidate>, quietMs: number): Candidate | undefined => {
         for (let candidate = candidates.getFirst(); candidate !== undefined; candidate = candidates.getFirst()) {
             const bytes = candidate.countUnfinishedBytes();
             if (bytes === 0) {
-                return isQuiet(idleSinceMs.get(candidate)) ? candidate : undefined;
+                return isQuiet(idleSinceMs.get(candidate), quietMs) ? candidate : undefined;
             }
             recordUnfinished(candidate, bytes);
         }
         return undefined;
     };
     /** Finds the first that has sent nothing since it was last looked at; those that have are put last. */
-    const findUnfinished = (): Candidate | undefined => {
+    const findUnfinished = (quietMs: number): Candidate | undefined => {
         for (let left = unfinished.count(); left > 0; left--) {
             const candidate = unfinished.getFirst();
             const state = candidate === undefined ? undefined : unfinishedStates.get(candidate);
@@ -104,7 +104,7 @@
             }
             const bytes = candidate.countUnfinishedBytes();
             if (bytes === state.bytes) {
-                return isQuiet(state.sinceMs) ? candidate : undefined;
+                return isQuiet(state.sinceMs, quietMs) ? candidate : undefined;
             }
             recordUnfinished(candidate, bytes);
         }
@@ -113,14 +113,15 @@
     return {
         addIdle,
         removeIdle,
-        chooseLongestIdle: newcomerAddress => {
+        chooseLongestIdle: (newcomerAddress, quietMs) => {
             const own = idleByAddress.get(newcomerAddress);
             const isOverMean = own !== undefined && own.count() * idleByAddress.size > idle.count();
-            const longestIdle = isOverMean ? findIdle(own) : findIdle(idle);
+            const longestOwn = isOverMean ? findIdle(own, quietMs) : undefined;
+            const longestIdle = longestOwn ?? findIdle(idle, quietMs);
             if (longestIdle !== undefined) {
                 return { candidate: longestIdle, isUnfinished: false };
             }
-            const longestUnfinished = findUnfinished();
+            const longestUnfinished = findUnfinished(quietMs);
             return longestUnfinished && { candidate: longestUnfinished, isUnfinished: true };
         },
     };
--- a/src/http/installConnectionLimit.ts
+++ b/src/http/installConnectionLimit.ts
@@ -9,7 +9,7 @@
 import { createOrderedSet } from "../base/createOrderedSet";
 import { createSystemClock } from "../base/createSystemClock";
 import { FailureKind } from "../base/failure";
-import { createIdleConnections, type IdleCandidate } from "./createIdleConnections";
+import { createIdleConnections, type IdleCandidate, QUIET_MS } from "./createIdleConnections";
 import { dropFurtherBytes } from "./dropFurtherBytes";
 import { formatRawFailure } from "./formatRawFailure";
 import { installErrorResponses } from "./installErrorResponses";
@@ -44,14 +44,17 @@
     readonly reportAction?: (action: LimitAction) => void;
 }
 
-/** Share of the limit beyond which idle connections are closed, so that there is room while they close. */
-const IDLE_SHARE = 0.875;
+/** Share of the limit beyond which connections that callers have not used for long are closed. */
+const ROOM_SHARE = 0.875;
+const LONG_IDLE_MS = 5_000;
+/** Share of the limit beyond which any idle connection is closed, so that there is room while it closes. */
+const NEAR_SHARE = 0.97;
 /** Most connections that are closed for a new one: after a burst there is room again soon. */
 const CLOSED_PER_NEW = 2;
 /** Connections beyond the limit that may be closing, as a share of it; beyond that the longest closing is cut. */
 const CLOSING_SHARE = 0.05;
-/** A connection that was closed from this side is read for at most this long, until the caller closes it too. */
-const LINGER_MS = 300;
+/** A connection that was closed from this side is read for at most this long: the caller may still read its answer. */
+const LINGER_MS = 5_000;
 
 const TOO_MANY_CONNECTIONS_ANSWER = formatRawFailure(
     "503 Service Unavailable",
@@ -94,8 +97,10 @@
         closeConnection(socket, action === LimitAction.IdleClosed ? undefined : TOO_MANY_CONNECTIONS_ANSWER);
         recordAction(action);
     };
+    const countOpen = () => sockets.size - closing.count();
     const closeLongestIdle = (newcomer: TrackedConnection) => {
-        const chosen = idleConnections.chooseLongestIdle(newcomer.address);
+        const quietMs = countOpen() > limit * NEAR_SHARE ? QUIET_MS : LONG_IDLE_MS;
+        const chosen = idleConnections.chooseLongestIdle(newcomer.address, quietMs);
         if (chosen !== undefined) {
             const { candidate, isUnfinished } = chosen;
             idleConnections.removeIdle(candidate);
@@ -111,7 +116,6 @@
             recordAction(LimitAction.ClosingCut);
         }
     };
-    const countOpen = () => sockets.size - closing.count();
     const handleConnection = (socket: Socket) => {
         const connection = createTrackedConnection(socket);
         sockets.add(socket);
@@ -121,7 +125,7 @@
             closing.remove(socket);
             idleConnections.removeIdle(connection);
         });
-        for (let count = 0; count < CLOSED_PER_NEW && countOpen() > limit * IDLE_SHARE; count++) {
+        for (let count = 0; count < CLOSED_PER_NEW && countOpen() > limit * ROOM_SHARE; count++) {
             closeLongestIdle(connection);
         }
         if (countOpen() > limit) {
