Answer all others if one request's error meets the end of a stop, and raise no counter for good

Seen by the review: an error in one request's last answer rejected the planned stop, and the process ended with all others cut; an error in the record of an attempt left the endpoint's counters raised; a quota was charged before an error and not given back. Change: each answer at the end of a stop has its own owner; records come before counters; the charge comes last.

--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/createForwarder.ts
@@ -195,11 +195,11 @@
             components.demand.recordArrival(service, uncachedTokens);
         }
         components.limits.chargeAttempt(record);
-        record.ownInFlight++;
-        record.pendingTokens += pendingTokens;
-        recordCachedParts(record, request.promptParts, sentAtMs);
         const followed = components.quarantine.beginAttempt(record, state.sharedParts);
         const compared = components.rollouts.beginAttempt(record, route.name, state.sends === 1);
+        recordCachedParts(record, request.promptParts, sentAtMs);
+        record.ownInFlight++;
+        record.pendingTokens += pendingTokens;
         const isBounded = isRepeatable(route) && state.executions + 1 < route.attemptsMax;
         state.isSending = true;
         const result = await sendAttempt({
--- a/src/gateway/createGatewayListener.ts
+++ b/src/gateway/createGatewayListener.ts
@@ -31,6 +31,7 @@
 import { LATE_NODE_FAILURE, NODE_FAILURE } from "./forwardingOutcome";
 import type { GatewayComponents } from "./gatewayComponents";
 import { logSuccess } from "./logSuccess";
+import { readHead } from "./readHead";
 import { readKernelLimits } from "./readKernelLimits";
 import { waitUntilLoaded } from "./waitUntilLoaded";
 
@@ -53,18 +54,6 @@
 });
 const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
-/** Stands for the head of a request whose headers can't be read. */
-const UNREADABLE_HEAD: CallerRequestHead = {
-    requestId: undefined,
-    model: undefined,
-    deadlineMs: undefined,
-    promptTokens: undefined,
-    outputTokensMax: undefined,
-    promptParts: [],
-    key: undefined,
-    lastEventId: undefined,
-};
-
 /** The HTTP listener for callers. */
 export interface GatewayListener {
     readonly server: http.Server;
@@ -220,20 +209,22 @@
             sendFailureAnswer(open, SHUTTING_DOWN_FAILURE);
             return;
         }
+        const answerMemory = memory.answers.openLease();
+        response.once("close", answerMemory.release);
+        const received = { request, response, head, receivedAtMs, body: body.value, answerMemory };
+        const exchange = buildExchange(current, received, components.random);
         const charged = chargeQuota(current, head);
         if ("kind" in charged) {
             sendFailureAnswer(open, charged);
             return;
         }
-        const answerMemory = memory.answers.openLease();
-        response.once("close", answerMemory.release);
-        const received = { request, response, head, receivedAtMs, body: body.value, answerMemory };
-        await forwardAdmitted(open, buildExchange(current, received, components.random), charged.amount);
+        await forwardAdmitted(open, exchange, charged.amount);
         requestMemory.release();
     };
 
     const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, amount: number) => {
         const { response, service } = exchange;
+        metrics.recordOverhead(clock.readMonotonicMs() - exchange.receivedAtMs);
         open.phase = RequestPhase.Forwarded;
         const ended = new AbortController();
         const timer = setTimeout(
@@ -244,7 +235,6 @@
         const handleClose = () => ended.abort(AttemptOutcome.CallerGone);
         response.once("close", handleClose);
         demand.recordInFlight(service, 1);
-        metrics.recordOverhead(clock.readMonotonicMs() - exchange.receivedAtMs);
         const end = await forwarder.forwardRequest(exchange, ended.signal).finally(() => {
             demand.recordInFlight(service, -1);
             clearTimeout(timer);
@@ -297,6 +287,15 @@
         open.request.resume();
     };
 
+    /** Gives a request its answer at the end of a stop; an error concerns this request alone. */
+    const endRequest = (open: OpenRequest) => {
+        try {
+            (open.abort ?? (() => sendFailureAnswer(open, SHUTTING_DOWN_FAILURE)))();
+        } catch (error) {
+            handleFailure(open, error);
+        }
+    };
+
     /** Answers a request that an error inside the node has ended, unless its answer is on the way. */
     const handleFailure = (open: OpenRequest, error: unknown) => {
         const { response, head, phase } = open;
@@ -316,18 +315,10 @@
         abandonAnswer(response);
     };
 
-    const readHead = (request: IncomingMessage): { head: CallerRequestHead; error?: unknown } => {
-        try {
-            return { head: codec.readCallerHead(request.headers) };
-        } catch (error) {
-            return { head: UNREADABLE_HEAD, error };
-        }
-    };
-
     const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
         const receivedAtMs = clock.readMonotonicMs();
         PROCESS_READ_TURNS.trackPieces(request);
-        const { head, error: headError } = readHead(request);
+        const { head, error: headError } = readHead(codec, request);
         const open = openRequests.addRequest(request, response, head);
         if (stop !== undefined) {
             response.setHeader("connection", "close");
@@ -376,7 +367,7 @@
             openRequests
                 .list()
                 .filter(({ response, phase }) => !response.headersSent && phase !== RequestPhase.Queued)
-                .forEach(open => (open.abort ?? (() => sendFailureAnswer(open, SHUTTING_DOWN_FAILURE)))());
+                .forEach(open => endRequest(open));
             connections.answerUnfinished(SHUTTING_DOWN_ANSWER);
         },
         abandonRequests: () =>
--- a/src/gateway/internalFailures.test.ts
+++ b/src/gateway/internalFailures.test.ts
@@ -1,8 +1,10 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
+import { waitUntil } from "../adapters/contracts/waitUntil";
 import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
 import { type GatewayRoute, RouteKind } from "../model/gateway";
 import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
+import { formatRequest, openCaller } from "./_testing/openCaller";
 import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
 import type { GatewayComponents } from "./gatewayComponents";
 
@@ -74,6 +76,20 @@
         status: 503,
         execution: "not_run",
     },
+    "the record of an attempt that begins": {
+        route: ONCE,
+        script: answerWhole,
+        replace: ({ rollouts }) => ({ rollouts: { ...rollouts, beginAttempt: failOnce(rollouts.beginAttempt) } }),
+        status: 503,
+        execution: "not_run",
+    },
+    "the count of the time before the first attempt": {
+        route: ONCE,
+        script: answerWhole,
+        replace: ({ metrics }) => ({ metrics: { ...metrics, recordOverhead: failOnce(metrics.recordOverhead) } }),
+        status: 503,
+        execution: "not_run",
+    },
     "the headers for the endpoint": {
         route: ONCE,
         script: answerWhole,
@@ -172,6 +188,24 @@
         });
     }
 
+    // Guards against: an error that concerns one request ends a planned stop, which cuts all others.
+    it("leaves the other requests their answers at the end of a stop", async () => {
+        harness = await createGatewayHarness(ONCE, [() => undefined], {
+            replace: ({ metrics }) => ({ metrics: { ...metrics, countRequest: failOnce(metrics.countRequest) } }),
+        });
+        const { endpoints, listener, port } = harness;
+        const sending = openCaller(port);
+        sending.write(formatRequest("sending", { body: "half", bodyBytes: 8 }));
+        await waitUntil(() => listener.countCallers().phases.body === 1, "a body is on its way");
+        const forwarded = harness.send();
+        await waitUntil(() => endpoints[0]?.listRequests().length === 1, "a request is forwarded");
+        listener.endRequests();
+        const { status, isComplete } = await forwarded;
+        assert.deepEqual([status, isComplete], [504, true]);
+        await waitUntil(() => listener.countOpen() === 0, "both are answered");
+        assert.match(sending.readReceived(), /^HTTP\/1\.1 503 [^]*"not_run"/);
+    });
+
     // Guards against: the answer to a request is cut although it was whole, since something after it failed.
     it("leaves an answer whole that its endpoint has given, if the configuration has an odd idle timeout", async () => {
         const text = "x".repeat(4_000_000);
