--- a/src/base/csp/startTask.ts
+++ b/src/base/csp/startTask.ts
@@ -7,6 +7,7 @@
 import type { DisposableStore } from "../disposableStore";
 import { type Failure, FailureKind } from "../failure";
 import { FailureError } from "../failureError";
+import { formatError } from "../formatError";
 import type { TaskGenerator } from "./channel";
 import { jsCsp } from "./jsCsp";
 
@@ -57,6 +58,5 @@
     if (error instanceof FailureError) {
         return error.failure;
     }
-    const message = error instanceof Error ? (error.stack ?? error.message) : String(error);
-    return createFailure(FailureKind.TaskFailed, `Task ${name} failed: ${message}`);
+    return createFailure(FailureKind.TaskFailed, `Task ${name} failed: ${formatError(error)}`);
 }
--- a/src/gateway/createCallerConnections.ts
+++ b/src/gateway/createCallerConnections.ts
@@ -4,6 +4,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../base/clock";
+import { QUIET_MS } from "../http/createIdleConnections";
+import { endConnection, ROOM_LINGER_MS } from "../http/endConnection";
 
 /** Numbers of connections. */
 export interface ConnectionCounts {
@@ -34,10 +36,6 @@
 
 /** After its last answer a connection is read for at most this long, until the caller closes it too. */
 const LINGER_MS = 300;
-/** The same for one that is closed to make room, while its caller may still read its last answer. */
-const PRESSED_LINGER_MS = 5_000;
-/** A connection without a request for a shorter time may have one on the way, and is not closed as idle. */
-const QUIET_MS = 200;
 
 interface ConnectionState {
     openRequests: number;
@@ -71,10 +69,7 @@
             return;
         }
         state.isClosing = true;
-        socket.end(lastAnswer ?? "", () => {
-            const timer = setTimeout(() => socket.destroy(), lingerMs);
-            socket.once("close", () => clearTimeout(timer));
-        });
+        endConnection(socket, lastAnswer ?? "", lingerMs);
     };
     server.on("connection", (socket: Socket) => {
         const state: ConnectionState = {
@@ -97,7 +92,7 @@
         closeConnection: (socket, lastAnswer) => {
             const state = states.get(socket);
             if (state !== undefined) {
-                closeGently(socket, state, lastAnswer, PRESSED_LINGER_MS);
+                closeGently(socket, state, lastAnswer, ROOM_LINGER_MS);
             }
         },
         closeIdle: () => {
--- a/src/http/installConnectionLimit.ts
+++ b/src/http/installConnectionLimit.ts
@@ -11,6 +11,7 @@
 import { FailureKind } from "../base/failure";
 import { createIdleConnections, type IdleCandidate, QUIET_MS } from "./createIdleConnections";
 import { dropFurtherBytes } from "./dropFurtherBytes";
+import { endConnection, ROOM_LINGER_MS } from "./endConnection";
 import { formatRawFailure } from "./formatRawFailure";
 import { installErrorResponses } from "./installErrorResponses";
 
@@ -53,8 +54,6 @@
 const CLOSED_PER_NEW = 2;
 /** Connections beyond the limit that may be closing, as a share of it; beyond that the longest closing is cut. */
 const CLOSING_SHARE = 0.05;
-/** A connection that was closed from this side is read for at most this long: the caller may still read its answer. */
-const LINGER_MS = 5_000;
 
 const TOO_MANY_CONNECTIONS_ANSWER = formatRawFailure(
     "503 Service Unavailable",
@@ -183,12 +182,9 @@
     };
 }
 
-/** Closes a connection from this side first, since one that is closed with unread bytes is reset. */
+/** Closes a connection whose requests nothing else drops. */
 function closeUnread(socket: Socket, lastAnswer: string | undefined): void {
     dropFurtherBytes(socket);
     socket.on("error", () => undefined);
-    socket.end(lastAnswer ?? "", () => {
-        const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-        socket.once("close", () => clearTimeout(timer));
-    });
+    endConnection(socket, lastAnswer ?? "", ROOM_LINGER_MS);
 }
