--- a/src/gateway/createCallerConnections.ts
+++ b/src/gateway/createCallerConnections.ts
@@ -5,6 +5,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../base/clock";
 import { QUIET_MS } from "../http/createIdleConnections";
+import { createRequestTracker, type RequestTracker } from "../http/createRequestTracker";
 import { endConnection, ROOM_LINGER_MS } from "../http/endConnection";
 
 /** Numbers of connections. */
@@ -38,11 +39,7 @@
 const LINGER_MS = 300;
 
 interface ConnectionState {
-    openRequests: number;
-    /** True while the last request's body is being received; it may have been answered before. */
-    isReceiving: boolean;
-    /** Bytes received up to the end of the last request that has arrived whole. */
-    bytesOfRequests: number;
+    readonly requests: RequestTracker;
     /** Monotonic time at which the connection was opened, or its last request ended. */
     quietSinceMs: number;
     /** True once the last answer was sent: what arrives later is dropped. */
@@ -73,9 +70,7 @@
     };
     server.on("connection", (socket: Socket) => {
         const state: ConnectionState = {
-            openRequests: 0,
-            isReceiving: false,
-            bytesOfRequests: 0,
+            requests: createRequestTracker(socket),
             quietSinceMs: clock.readMonotonicMs(),
             isClosing: false,
             lastResponse: undefined,
@@ -85,7 +80,7 @@
         socket.destroySoon = () => closeGently(socket, state);
         socket.once("close", () => {
             states.delete(socket);
-            closedUnfinished += isUnfinished(socket, state) ? 1 : 0;
+            closedUnfinished += isUnfinished(state) ? 1 : 0;
         });
     });
     return {
@@ -98,12 +93,12 @@
         closeIdle: () => {
             const nowMs = clock.readMonotonicMs();
             [...states]
-                .filter(([socket, state]) => isIdle(socket, state) && nowMs - state.quietSinceMs >= QUIET_MS)
+                .filter(([, state]) => isIdle(state) && nowMs - state.quietSinceMs >= QUIET_MS)
                 .forEach(([socket, state]) => closeGently(socket, state));
         },
         answerUnfinished: answer =>
             [...states]
-                .filter(([socket, state]) => isUnfinished(socket, state))
+                .filter(([, state]) => isUnfinished(state))
                 .forEach(([socket, state]) => closeGently(socket, state, answer)),
         waitForTurn: async (request, response) => {
             const { socket } = request;
@@ -111,18 +106,13 @@
             if (state === undefined) {
                 return false;
             }
-            const previous = state.openRequests > 0 ? state.lastResponse : undefined;
-            state.openRequests++;
-            state.isReceiving = true;
+            const previous = state.requests.hasOpenRequests() ? state.lastResponse : undefined;
+            state.requests.beginRequest(request);
             state.lastResponse = response;
             response.once("close", () => {
-                state.openRequests--;
+                state.requests.endRequest();
                 state.quietSinceMs = clock.readMonotonicMs();
             });
-            request.once("end", () => {
-                state.isReceiving = false;
-                state.bytesOfRequests = socket.bytesRead;
-            });
             if (previous !== undefined) {
                 // A response that waits behind one that closes the connection is never closed itself.
                 await new Promise<void>(resolve => {
@@ -136,22 +126,21 @@
             return socket.writable && !state.isClosing;
         },
         countConnections: () => {
-            const entries = [...states];
+            const all = [...states.values()];
             return {
-                connections: entries.length,
-                idle: entries.filter(([socket, state]) => isIdle(socket, state)).length,
-                unfinished: entries.filter(([socket, state]) => isUnfinished(socket, state)).length,
+                connections: all.length,
+                idle: all.filter(isIdle).length,
+                unfinished: all.filter(isUnfinished).length,
                 closedUnfinished,
             };
         },
     };
 }
 
-function isUnfinished({ bytesRead }: Socket, state: ConnectionState): boolean {
-    const { openRequests, isClosing, isReceiving, bytesOfRequests } = state;
-    return openRequests === 0 && !isClosing && !isReceiving && bytesRead > bytesOfRequests;
+function isUnfinished({ requests, isClosing }: ConnectionState): boolean {
+    return !requests.hasOpenRequests() && !isClosing && requests.countUnfinishedBytes() > 0;
 }
 
-function isIdle({ bytesRead }: Socket, { openRequests, isReceiving, bytesOfRequests }: ConnectionState): boolean {
-    return openRequests === 0 && (isReceiving || bytesRead === bytesOfRequests);
+function isIdle({ requests }: ConnectionState): boolean {
+    return !requests.hasOpenRequests() && requests.countUnfinishedBytes() === 0;
 }
--- a/src/gateway/failingLoops.test.ts
+++ b/src/gateway/failingLoops.test.ts
@@ -36,6 +36,14 @@
     return { owners, reportFailure: (owner: string) => void owners.push(owner) };
 }
 
+/** Creates what a part that uses the store needs. */
+function createStoreParts() {
+    const clock = createManualClock();
+    const clusterTime = createClusterTime(clock);
+    clusterTime.recordStoreClock(500);
+    return { clock, clusterTime, table: createFakeTable().createClient(clock), ...createReports() };
+}
+
 describe("a watch whose handler throws", () => {
     // Guards against: after some errors of its handlers, a watch begins again only 5 s after the next one, for good.
     it("handles the rows soon after, however often that has happened before", async () => {
@@ -212,11 +220,7 @@
 describe("what is read once at the start", () => {
     // Guards against: one error ends the agreement on the cluster time, without which no usage is ever reported.
     it("is read again after an error: the cluster time", async () => {
-        const clock = createManualClock();
-        const { owners, reportFailure } = createReports();
-        const table = createFakeTable().createClient(clock);
-        const clusterTime = createClusterTime(clock);
-        clusterTime.recordStoreClock(500);
+        const { clock, owners, reportFailure, table, clusterTime } = createStoreParts();
         let calls = 0;
         startClusterTime({
             table: { ...table, readRow: key => (calls++ === 0 ? throwPlanted() : table.readRow(key)) },
@@ -234,11 +238,7 @@
 describe("the rows of nodes", () => {
     // Guards against: one error of a call to the store ends the membership of a node, or delays it for seconds.
     it("are written and read again soon after an error", async () => {
-        const clock = createManualClock();
-        const { owners, reportFailure } = createReports();
-        const table = createFakeTable().createClient(clock);
-        const clusterTime = createClusterTime(clock);
-        clusterTime.recordStoreClock(500);
+        const { clock, owners, reportFailure, table, clusterTime } = createStoreParts();
         clusterTime.setAgreedOffset(1_000_000);
         let lists = 0;
         const membership = createMembership({
--- a/src/gateway/isSendableAddress.ts
+++ b/src/gateway/isSendableAddress.ts
@@ -1,12 +1,12 @@
 /**
- * @module Which addresses of nodes a datagram can be sent to.
+ * @module Which addresses of nodes and endpoints can be used.
  */
 import { isIPv4 } from "node:net";
 
 const PORT_MAX = 65_535;
 
 /**
- * Tells whether a datagram can be sent to an address, whatever a datagram or the store says of a node.
+ * Tells whether something can be sent to an address, whatever a datagram or the store says of it.
  *
  * @param target - Address and port
  * @returns True for an IPv4 address with a port
--- a/src/http/installConnectionLimit.ts
+++ b/src/http/installConnectionLimit.ts
@@ -10,6 +10,7 @@
 import { createSystemClock } from "../base/createSystemClock";
 import { FailureKind } from "../base/failure";
 import { createIdleConnections, type IdleCandidate, QUIET_MS } from "./createIdleConnections";
+import { createRequestTracker, type RequestTracker } from "./createRequestTracker";
 import { dropFurtherBytes } from "./dropFurtherBytes";
 import { endConnection, ROOM_LINGER_MS } from "./endConnection";
 import { formatRawFailure } from "./formatRawFailure";
@@ -143,7 +144,9 @@
             idleConnections.removeIdle(connection);
             connection.beginRequest(request);
             response.once("close", () => {
-                if (connection.endRequest() && !request.socket.destroyed && !closing.has(request.socket)) {
+                connection.endRequest();
+                const isKept = !request.socket.destroyed && !closing.has(request.socket);
+                if (isKept && !connection.hasOpenRequests()) {
                     idleConnections.addIdle(connection);
                 }
             });
@@ -154,32 +157,12 @@
 }
 
 /** A connection with what tells whether it is idle. */
-interface TrackedConnection extends IdleCandidate {
+interface TrackedConnection extends IdleCandidate, RequestTracker {
     readonly socket: Socket;
-    /** Records a request whose head has arrived. */
-    beginRequest(request: IncomingMessage): void;
-    /** Records the end of an answer; gives true if no request is open any more. */
-    endRequest(): boolean;
 }
 
 function createTrackedConnection(socket: Socket): TrackedConnection {
-    let openRequests = 0;
-    let isReceivingBody = false;
-    let bytesOfRequests = socket.bytesRead;
-    return {
-        socket,
-        address: socket.remoteAddress ?? "",
-        countUnfinishedBytes: () => (isReceivingBody ? 0 : socket.bytesRead - bytesOfRequests),
-        beginRequest: request => {
-            openRequests++;
-            isReceivingBody = true;
-            request.once("end", () => {
-                isReceivingBody = false;
-                bytesOfRequests = socket.bytesRead;
-            });
-        },
-        endRequest: () => --openRequests === 0,
-    };
+    return { socket, address: socket.remoteAddress ?? "", ...createRequestTracker(socket) };
 }
 
 /** Closes a connection whose requests nothing else drops. */
