--- a/src/decisions/relays/relays.test.ts
+++ b/src/decisions/relays/relays.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { encodeNews, NewsKind } from "../../gateway/newsCodec";
+import { encodeNews, NewsKind } from "../../gateway/news/newsCodec";
 import { makeReport } from "./_testing/makeReport";
 import { chooseRelays, countRelays } from "./chooseRelays";
 import { chooseRowSource, RowRole, STORE_SOURCE } from "./chooseRowSource";
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -17,19 +17,19 @@
     GatewayRoute,
     GatewaySettings,
 } from "../../model/gateway";
-import { createBodyMemory } from "../createBodyMemory";
-import { createConfigurationHolder, type ConfigurationHolder } from "../createConfigurationHolder";
-import { createDemandMeter } from "../createDemandMeter";
-import { createEndpointDirectory, type EndpointDirectory } from "../createEndpointDirectory";
-import { createEndpointLimits } from "../createEndpointLimits";
-import { createFailureReporter } from "../createFailureReporter";
-import { createForwarder } from "../createForwarder";
-import { createGatewayListener, type GatewayListener } from "../createGatewayListener";
-import { createGatewayMetrics } from "../createGatewayMetrics";
-import { createPartQuarantine } from "../createPartQuarantine";
-import { createRollouts } from "../createRollouts";
-import { createServiceSpeeds } from "../createServiceSpeeds";
-import { drainGateway } from "../drainGateway";
+import { createBodyMemory } from "../callers/createBodyMemory";
+import { createConfigurationHolder, type ConfigurationHolder } from "../tables/createConfigurationHolder";
+import { createDemandMeter } from "../duties/createDemandMeter";
+import { createEndpointDirectory, type EndpointDirectory } from "../endpoints/createEndpointDirectory";
+import { createEndpointLimits } from "../endpoints/createEndpointLimits";
+import { createFailureReporter } from "../process/createFailureReporter";
+import { createForwarder } from "../forwarding/createForwarder";
+import { createGatewayListener, type GatewayListener } from "../callers/createGatewayListener";
+import { createGatewayMetrics } from "../process/createGatewayMetrics";
+import { createPartQuarantine } from "../quarantine/createPartQuarantine";
+import { createRollouts } from "../rollouts/createRollouts";
+import { createServiceSpeeds } from "../forwarding/createServiceSpeeds";
+import { drainGateway } from "../process/drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
 import { makeEndpoint } from "./makeEndpoint";
 import { makeNews } from "./makeNews";
--- a/src/gateway/_testing/createNewsFleet.ts
+++ b/src/gateway/_testing/createNewsFleet.ts
@@ -7,7 +7,7 @@
 import { createLog } from "../../base/log/createLog";
 import { advanceSuspects, mergeSuspects } from "../../decisions/relays/mergeSuspects";
 import type { NodeIdentity, SuspectParts } from "../../decisions/relays/news";
-import { createFleetNews, type FleetNews } from "../createFleetNews";
+import { createFleetNews, type FleetNews } from "../news/createFleetNews";
 
 /** Time between two looks of a relay into the store's rows, and between two lists if it hears all failure domains. */
 const LOOK_PERIOD_MS = 125;
--- a/src/gateway/_testing/makeNews.ts
+++ b/src/gateway/_testing/makeNews.ts
@@ -3,7 +3,7 @@
  */
 import { makeFleetUsage } from "../../decisions/gateway/_testing/makeFleetUsage";
 import { RowRole } from "../../decisions/relays/chooseRowSource";
-import type { FleetNews } from "../createFleetNews";
+import type { FleetNews } from "../news/createFleetNews";
 
 /** Makes news that is loaded, of a node that is its own relay; `changes` replace single functions. */
 export function makeNews(changes: Partial<FleetNews> = {}): FleetNews {
--- a/src/gateway/_testing/runAttempt.ts
+++ b/src/gateway/_testing/runAttempt.ts
@@ -7,9 +7,9 @@
 import type { HttpTarget } from "../../adapters/_lib/httpTarget";
 import { createSystemClock } from "../../base/createSystemClock";
 import { createMemoryBudget } from "../../base/createMemoryBudget";
-import { createStreamRelay } from "../createStreamRelay";
-import { createEndpointRecord, type EndpointRecord } from "../endpointRecord";
-import { type AttemptOptions, type AttemptResult, sendAttempt } from "../sendAttempt";
+import { createStreamRelay } from "../forwarding/createStreamRelay";
+import { createEndpointRecord, type EndpointRecord } from "../endpoints/endpointRecord";
+import { type AttemptOptions, type AttemptResult, sendAttempt } from "../forwarding/sendAttempt";
 import { makeEndpoint } from "./makeEndpoint";
 
 /** The result of an attempt, and what the caller received. */
--- a/src/gateway/_testing/simulateLimit.ts
+++ b/src/gateway/_testing/simulateLimit.ts
@@ -7,8 +7,8 @@
 import { mergeLimits } from "../../decisions/relays/mergeLimits";
 import type { LimitReports } from "../../decisions/relays/news";
 import type { ResponseHead } from "../../ports/forwardingCodec";
-import { createEndpointLimits, type EndpointLimits } from "../createEndpointLimits";
-import { createEndpointRecord } from "../endpointRecord";
+import { createEndpointLimits, type EndpointLimits } from "../endpoints/createEndpointLimits";
+import { createEndpointRecord } from "../endpoints/endpointRecord";
 import { makeEndpoint } from "./makeEndpoint";
 
 /** What is simulated. */
--- a/src/gateway/_testing/simulateQuarantine.ts
+++ b/src/gateway/_testing/simulateQuarantine.ts
@@ -8,9 +8,9 @@
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
 import { mergeSuspects, sumClearances } from "../../decisions/relays/mergeSuspects";
 import type { SuspectParts } from "../../decisions/relays/news";
-import { createPartQuarantine, type FollowedAttempt, type PartQuarantine } from "../createPartQuarantine";
-import { createEndpointRecord, type EndpointRecord } from "../endpointRecord";
-import { ConnectionEnd } from "../sendAttempt";
+import { createPartQuarantine, type FollowedAttempt, type PartQuarantine } from "../quarantine/createPartQuarantine";
+import { createEndpointRecord, type EndpointRecord } from "../endpoints/endpointRecord";
+import { ConnectionEnd } from "../forwarding/sendAttempt";
 import { makeEndpoint } from "./makeEndpoint";
 
 /** What is simulated. */
--- a/src/gateway/buildExchange.ts
+++ b/src/gateway/callers/buildExchange.ts
@@ -1,10 +1,10 @@
 /**
  * @module Builds the exchange of a request that passed the checks.
  */
-import type { Random } from "../base/random";
-import type { GatewayAccount, GatewayRoute } from "../model/gateway";
+import type { Random } from "../../base/random";
+import type { GatewayAccount, GatewayRoute } from "../../model/gateway";
 import { computeRequestTimes } from "./computeRequestTimes";
-import type { ConfigurationView } from "./createConfigurationHolder";
+import type { ConfigurationView } from "../tables/createConfigurationHolder";
 import type { GatewayExchange } from "./exchange";
 
 /** The route and account that a request matched, and the configuration by which it did. */
--- a/src/gateway/computeRequestTimes.ts
+++ b/src/gateway/callers/computeRequestTimes.ts
@@ -1,8 +1,8 @@
 /**
  * @module The times at which a request ends without an answer.
  */
-import type { GatewayRoute } from "../model/gateway";
-import type { CallerRequestHead } from "../ports/forwardingCodec";
+import type { GatewayRoute } from "../../model/gateway";
+import type { CallerRequestHead } from "../../ports/forwardingCodec";
 
 /** Upper limit of the deadline that a caller may state: one day. */
 const DEADLINE_MAX_MS = 86_400_000;
--- a/src/gateway/createBodyMemory.test.ts
+++ b/src/gateway/callers/createBodyMemory.test.ts
@@ -2,11 +2,11 @@
 import http from "node:http";
 import { afterEach, describe, it } from "node:test";
 import { setTimeout as waitMs } from "node:timers/promises";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { RouteKind } from "../model/gateway";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { formatRequest, openCaller } from "./_testing/openCaller";
-import { formatAnswer } from "./_testing/startScriptedEndpoint";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { RouteKind } from "../../model/gateway";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { formatRequest, openCaller } from "../_testing/openCaller";
+import { formatAnswer } from "../_testing/startScriptedEndpoint";
 
 const MEBIBYTE = 1_048_576;
 const BODY_BYTES = 4 * MEBIBYTE;
--- a/src/gateway/createBodyMemory.ts
+++ b/src/gateway/callers/createBodyMemory.ts
@@ -1,7 +1,7 @@
 /**
  * @module The memory of a gateway for the bodies of all its requests and answers together.
  */
-import { createMemoryBudget, type MemoryBudget } from "../base/createMemoryBudget";
+import { createMemoryBudget, type MemoryBudget } from "../../base/createMemoryBudget";
 
 /** Shares of the memory of the process; the rest is for the program, its heap and its connections. */
 const REQUEST_SHARE = 0.35;
--- a/src/gateway/createCallerConnections.ts
+++ b/src/gateway/callers/createCallerConnections.ts
@@ -3,10 +3,10 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "../base/clock";
-import { QUIET_MS } from "../http/createIdleConnections";
-import { createRequestTracker, type RequestTracker } from "../http/createRequestTracker";
-import { endConnection, ROOM_LINGER_MS } from "../http/endConnection";
+import type { Clock } from "../../base/clock";
+import { QUIET_MS } from "../../http/createIdleConnections";
+import { createRequestTracker, type RequestTracker } from "../../http/createRequestTracker";
+import { endConnection, ROOM_LINGER_MS } from "../../http/endConnection";
 
 /** Numbers of connections. */
 export interface ConnectionCounts {
--- a/src/gateway/createLimitReport.ts
+++ b/src/gateway/callers/createLimitReport.ts
@@ -1,8 +1,8 @@
 /**
  * @module Log lines about callers' connections that are closed or refused because of their limit.
  */
-import type { LimitAction } from "../http/installConnectionLimit";
-import type { GatewayComponents } from "./gatewayComponents";
+import type { LimitAction } from "../../http/installConnectionLimit";
+import type { GatewayComponents } from "../gatewayComponents";
 
 /** At most one line is written in this time; it counts what happened since the one before. */
 const LINE_INTERVAL_MS = 1_000;
--- a/src/gateway/createOpenRequests.ts
+++ b/src/gateway/callers/createOpenRequests.ts
@@ -2,7 +2,7 @@
  * @module The requests that have no final answer yet, by phase, and how those before them ended.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { CallerRequestHead } from "../ports/forwardingCodec";
+import type { CallerRequestHead } from "../../ports/forwardingCodec";
 
 /** How far a request without a final answer has got. The values appear in log lines and metrics. */
 export enum RequestPhase {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -2,9 +2,9 @@
  * @module The request of a caller together with its response.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { MemoryLease } from "../base/createMemoryBudget";
-import type { GatewayRoute } from "../model/gateway";
-import type { CallerRequestHead } from "../ports/forwardingCodec";
+import type { MemoryLease } from "../../base/createMemoryBudget";
+import type { GatewayRoute } from "../../model/gateway";
+import type { CallerRequestHead } from "../../ports/forwardingCodec";
 
 /** An admitted request, from its headers to the last byte of the response. */
 export interface GatewayExchange {
--- a/src/gateway/logSuccess.ts
+++ b/src/gateway/callers/logSuccess.ts
@@ -2,7 +2,7 @@
  * @module The log line of a request whose answer was relayed.
  */
 import type { GatewayExchange } from "./exchange";
-import type { GatewayComponents } from "./gatewayComponents";
+import type { GatewayComponents } from "../gatewayComponents";
 
 /**
  * Logs a request whose answer was relayed.
--- a/src/gateway/readHead.ts
+++ b/src/gateway/callers/readHead.ts
@@ -2,7 +2,7 @@
  * @module Reads the head of a caller's request, whatever its headers hold.
  */
 import type { IncomingMessage } from "node:http";
-import type { CallerRequestHead, ForwardingCodec } from "../ports/forwardingCodec";
+import type { CallerRequestHead, ForwardingCodec } from "../../ports/forwardingCodec";
 
 /** Stands for the head of a request whose headers can't be read. */
 const UNREADABLE_HEAD: CallerRequestHead = {
--- a/src/gateway/waitUntilLoaded.ts
+++ b/src/gateway/callers/waitUntilLoaded.ts
@@ -1,7 +1,7 @@
 /**
  * @module The wait of a node that has just started for what it has to load before it can forward requests.
  */
-import type { GatewayComponents } from "./gatewayComponents";
+import type { GatewayComponents } from "../gatewayComponents";
 
 const CHECK_PERIOD_MS = 10;
 
--- a/src/gateway/control.test.ts
+++ b/src/gateway/control.test.ts
@@ -13,16 +13,16 @@
 import type { TableRows, WatchedTablePort } from "../ports/watchedTable";
 import { makeSettings } from "./_testing/createGatewayHarness";
 import { makeEndpoint } from "./_testing/makeEndpoint";
-import { createRateLimitedLog } from "./createRateLimitedLog";
-import { createEndpointDirectory } from "./createEndpointDirectory";
-import { createMembership } from "./createMembership";
-import { createClusterTime } from "./createClusterTime";
-import { createUsageDuty } from "./createUsageDuty";
-import { createUsageLedger } from "./createUsageLedger";
-import { createUsageMeter } from "./createUsageMeter";
+import { createRateLimitedLog } from "./process/createRateLimitedLog";
+import { createEndpointDirectory } from "./endpoints/createEndpointDirectory";
+import { createMembership } from "./news/createMembership";
+import { createClusterTime } from "./tables/createClusterTime";
+import { createUsageDuty } from "./duties/createUsageDuty";
+import { createUsageLedger } from "./duties/createUsageLedger";
+import { createUsageMeter } from "./duties/createUsageMeter";
 import { makeNews } from "./_testing/makeNews";
-import { startDutyHolder } from "./startDutyHolder";
-import { startTableWatch } from "./startTableWatch";
+import { startDutyHolder } from "./duties/startDutyHolder";
+import { startTableWatch } from "./tables/startTableWatch";
 
 const SILENT_LOG = createLog({ write: () => undefined });
 
--- a/src/gateway/createGatewayServers.ts
+++ b/src/gateway/createGatewayServers.ts
@@ -3,13 +3,13 @@
  */
 import type http from "node:http";
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
-import { createForwarder } from "./createForwarder";
-import { createGatewayListener, type GatewayListener } from "./createGatewayListener";
-import { createLoopMonitor } from "./createLoopMonitor";
-import { createMetricsListener } from "./createMetricsListener";
-import { createReadinessListener } from "./createReadinessListener";
+import { createForwarder } from "./forwarding/createForwarder";
+import { createGatewayListener, type GatewayListener } from "./callers/createGatewayListener";
+import { createLoopMonitor } from "./process/createLoopMonitor";
+import { createMetricsListener } from "./process/createMetricsListener";
+import { createReadinessListener } from "./process/createReadinessListener";
 import type { GatewayComponents } from "./gatewayComponents";
-import type { GatewayListenerTarget } from "./startListeners";
+import type { GatewayListenerTarget } from "./process/startListeners";
 
 /** Dependencies of the servers. */
 export interface GatewayServersOptions {
--- a/src/gateway/createDemandMeter.ts
+++ b/src/gateway/duties/createDemandMeter.ts
@@ -1,9 +1,9 @@
 /**
  * @module Measures the load that this node puts on each service.
  */
-import type { Clock } from "../base/clock";
-import { createSlidingWindowCounter, type SlidingWindowCounter } from "../decisions/gateway/slidingWindowCounter";
-import type { ServiceLoad } from "../decisions/relays/news";
+import type { Clock } from "../../base/clock";
+import { createSlidingWindowCounter, type SlidingWindowCounter } from "../../decisions/gateway/slidingWindowCounter";
+import type { ServiceLoad } from "../../decisions/relays/news";
 
 const WINDOW_MS = 4_000;
 const MS_PER_S = 1_000;
--- a/src/gateway/createFleetDuty.test.ts
+++ b/src/gateway/duties/createFleetDuty.test.ts
@@ -1,16 +1,16 @@
 import assert from "node:assert/strict";
 import { ok } from "neverthrow";
 import { describe, it } from "node:test";
-import { createManualClock } from "../base/createManualClock";
-import { createLog } from "../base/log/createLog";
-import type { DutyPort, FleetSize } from "../ports/duties";
-import { makeSettings } from "./_testing/createGatewayHarness";
-import { makeEndpoint } from "./_testing/makeEndpoint";
-import { makeNews } from "./_testing/makeNews";
-import { createConfigurationHolder } from "./createConfigurationHolder";
-import { createEndpointDirectory } from "./createEndpointDirectory";
+import { createManualClock } from "../../base/createManualClock";
+import { createLog } from "../../base/log/createLog";
+import type { DutyPort, FleetSize } from "../../ports/duties";
+import { makeSettings } from "../_testing/createGatewayHarness";
+import { makeEndpoint } from "../_testing/makeEndpoint";
+import { makeNews } from "../_testing/makeNews";
+import { createConfigurationHolder } from "../tables/createConfigurationHolder";
+import { createEndpointDirectory } from "../endpoints/createEndpointDirectory";
 import { createFleetDuty } from "./createFleetDuty";
-import { createServiceSpeeds } from "./createServiceSpeeds";
+import { createServiceSpeeds } from "../forwarding/createServiceSpeeds";
 
 const FLEET = {
     perDomainMin: 1,
--- a/src/gateway/createFleetDuty.ts
+++ b/src/gateway/duties/createFleetDuty.ts
@@ -1,17 +1,17 @@
 /**
  * @module The duty to order endpoints for the services that the gateway scales.
  */
-import type { Clock } from "../base/clock";
-import { FailureKind } from "../base/failure";
-import type { Log } from "../base/log/log";
-import { computeRequiredEndpoints, type DomainFleet, planGatewayFleet } from "../decisions/gateway/planGatewayFleet";
-import type { FleetBounds, GatewayService } from "../model/gateway";
-import type { DutyPort, FleetSize } from "../ports/duties";
-import type { ConfigurationHolder } from "./createConfigurationHolder";
-import type { EndpointDirectory } from "./createEndpointDirectory";
-import type { FleetNews } from "./createFleetNews";
-import type { Rollouts } from "./rollouts";
-import type { ServiceSpeeds } from "./createServiceSpeeds";
+import type { Clock } from "../../base/clock";
+import { FailureKind } from "../../base/failure";
+import type { Log } from "../../base/log/log";
+import { computeRequiredEndpoints, type DomainFleet, planGatewayFleet } from "../../decisions/gateway/planGatewayFleet";
+import type { FleetBounds, GatewayService } from "../../model/gateway";
+import type { DutyPort, FleetSize } from "../../ports/duties";
+import type { ConfigurationHolder } from "../tables/createConfigurationHolder";
+import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
+import type { FleetNews } from "../news/createFleetNews";
+import type { Rollouts } from "../rollouts/rollouts";
+import type { ServiceSpeeds } from "../forwarding/createServiceSpeeds";
 import type { CheckHolder, Duty } from "./startDutyHolder";
 
 const PLAN_PERIOD_MS = 500;
--- a/src/gateway/createUsageDuty.ts
+++ b/src/gateway/duties/createUsageDuty.ts
@@ -3,13 +3,13 @@
  * are sent, so that every holder of the duties sends the same ones.
  */
 import { ulid } from "ulid";
-import { parseAnswer } from "../adapters/_lib/parseAnswer";
-import { FailureKind } from "../base/failure";
-import type { Log } from "../base/log/log";
-import type { DutyPort, UsageReport } from "../ports/duties";
-import type { TablePort } from "../ports/table";
-import type { Membership, StoredCounts } from "./createMembership";
-import type { ClusterTime } from "./createClusterTime";
+import { parseAnswer } from "../../adapters/_lib/parseAnswer";
+import { FailureKind } from "../../base/failure";
+import type { Log } from "../../base/log/log";
+import type { DutyPort, UsageReport } from "../../ports/duties";
+import type { TablePort } from "../../ports/table";
+import type { Membership, StoredCounts } from "../news/createMembership";
+import type { ClusterTime } from "../tables/createClusterTime";
 import type { UsageLedger } from "./createUsageLedger";
 import { USAGE_COUNTS_SCHEMA, type UsageCounts } from "./createUsageMeter";
 import type { CheckHolder, Duty } from "./startDutyHolder";
--- a/src/gateway/createUsageMeter.ts
+++ b/src/gateway/duties/createUsageMeter.ts
@@ -3,7 +3,7 @@
  * the Unix epoch in cluster time.
  */
 import { z } from "zod";
-import type { ClusterTime } from "./createClusterTime";
+import type { ClusterTime } from "../tables/createClusterTime";
 
 /** Number of windows kept; the counts of a window are never read later than this. */
 const WINDOWS_KEPT_MAX = 6;
--- a/src/gateway/startDuties.ts
+++ b/src/gateway/duties/startDuties.ts
@@ -1,17 +1,17 @@
 /**
  * @module Starts the participation of a node in the duties.
  */
-import { DutyKind } from "../model/gateway";
-import type { DutyPort } from "../ports/duties";
-import type { RolloutRecordsPort } from "../ports/rolloutRecords";
-import type { TablePort } from "../ports/table";
-import type { ClusterTime } from "./createClusterTime";
+import { DutyKind } from "../../model/gateway";
+import type { DutyPort } from "../../ports/duties";
+import type { RolloutRecordsPort } from "../../ports/rolloutRecords";
+import type { TablePort } from "../../ports/table";
+import type { ClusterTime } from "../tables/createClusterTime";
 import { createFleetDuty } from "./createFleetDuty";
-import type { Membership } from "./createMembership";
-import { createRolloutDuty } from "./createRolloutDuty";
+import type { Membership } from "../news/createMembership";
+import { createRolloutDuty } from "../rollouts/createRolloutDuty";
 import { createUsageDuty } from "./createUsageDuty";
 import { createUsageLedger } from "./createUsageLedger";
-import type { GatewayComponents } from "./gatewayComponents";
+import type { GatewayComponents } from "../gatewayComponents";
 import { type DutyHandle, startDutyHolder } from "./startDutyHolder";
 
 /** Dependencies of the duties. */
--- a/src/gateway/startDutyHolder.ts
+++ b/src/gateway/duties/startDutyHolder.ts
@@ -1,17 +1,17 @@
 /**
  * @module Election of the node that carries out the duties: one node at a time reports usage and orders endpoints.
  */
-import type { Clock } from "../base/clock";
-import { type TaskGenerator, waitFor } from "../base/csp";
-import { computeElapsedMs, readInstant } from "../base/instant";
-import type { Log } from "../base/log/log";
-import type { TablePort } from "../ports/table";
-import type { DutyHolder } from "../ports/duties";
-import { createLeaseTask } from "../tasks/leases/createLeaseTask";
-import type { LeaseClient, LeaseHandle } from "../tasks/leases/leaseClient";
-import { FailureOwner, type FailureReporter } from "./createFailureReporter";
-import type { FleetNews } from "./createFleetNews";
-import { startLoop } from "./startLoop";
+import type { Clock } from "../../base/clock";
+import { type TaskGenerator, waitFor } from "../../base/csp/index";
+import { computeElapsedMs, readInstant } from "../../base/instant";
+import type { Log } from "../../base/log/log";
+import type { TablePort } from "../../ports/table";
+import type { DutyHolder } from "../../ports/duties";
+import { createLeaseTask } from "../../tasks/leases/createLeaseTask";
+import type { LeaseClient, LeaseHandle } from "../../tasks/leases/leaseClient";
+import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
+import type { FleetNews } from "../news/createFleetNews";
+import { startLoop } from "../process/startLoop";
 
 const LEASE_NAME = "duties";
 /** Added to the length of the lease, so that two nodes never act within one lease length. */
--- a/src/gateway/createEndpointConnections.ts
+++ b/src/gateway/endpoints/createEndpointConnections.ts
@@ -3,10 +3,10 @@
  */
 import http from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "../base/clock";
-import type { Disposable } from "../base/disposableStore";
-import { computeElapsedMs, type Instant, readInstant } from "../base/instant";
-import { DEFAULT_IDLE_TIMEOUT_MS, IDLE_CLOSE_MARGIN_MS } from "./constants";
+import type { Clock } from "../../base/clock";
+import type { Disposable } from "../../base/disposableStore";
+import { computeElapsedMs, type Instant, readInstant } from "../../base/instant";
+import { DEFAULT_IDLE_TIMEOUT_MS, IDLE_CLOSE_MARGIN_MS } from "../constants";
 
 /** Connections to one endpoint. Disposal closes the idle ones at once, and those in use after their answer. */
 export interface EndpointConnections extends Disposable {
--- a/src/gateway/createEndpointDirectory.ts
+++ b/src/gateway/endpoints/createEndpointDirectory.ts
@@ -1,13 +1,13 @@
 /**
  * @module The endpoints that this node knows and may send requests to.
  */
-import type { Clock } from "../base/clock";
-import type { Disposable } from "../base/disposableStore";
-import type { DumpSource } from "../base/dump";
-import type { Log } from "../base/log/log";
-import type { GatewayEndpoint, GatewaySettings } from "../model/gateway";
-import { OTHER_REGION_RTT_MS, STORE_RECOVERY_GRACE_MS, SAME_REGION_RTT_MS } from "./constants";
-import type { EndpointActivity } from "../decisions/relays/news";
+import type { Clock } from "../../base/clock";
+import type { Disposable } from "../../base/disposableStore";
+import type { DumpSource } from "../../base/dump";
+import type { Log } from "../../base/log/log";
+import type { GatewayEndpoint, GatewaySettings } from "../../model/gateway";
+import { OTHER_REGION_RTT_MS, STORE_RECOVERY_GRACE_MS, SAME_REGION_RTT_MS } from "../constants";
+import type { EndpointActivity } from "../../decisions/relays/news";
 import { createEndpointRecord, type EndpointRecord, recordOthers } from "./endpointRecord";
 
 /** Cost of choosing an endpoint in another failure domain or region, in milliseconds of expected time. */
--- a/src/gateway/createEndpointLimits.test.ts
+++ b/src/gateway/endpoints/createEndpointLimits.test.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { PLATFORM_CODEC } from "../../platform/forwardingCodec";
-import { createManualClock } from "../base/createManualClock";
-import { createLog } from "../base/log/createLog";
-import type { ResponseHead } from "../ports/forwardingCodec";
-import { makeEndpoint } from "./_testing/makeEndpoint";
-import { LIMIT_WINDOW_MS, simulateLimit } from "./_testing/simulateLimit";
+import { PLATFORM_CODEC } from "../../../platform/forwardingCodec";
+import { createManualClock } from "../../base/createManualClock";
+import { createLog } from "../../base/log/createLog";
+import type { ResponseHead } from "../../ports/forwardingCodec";
+import { makeEndpoint } from "../_testing/makeEndpoint";
+import { LIMIT_WINDOW_MS, simulateLimit } from "../_testing/simulateLimit";
 import { createEndpointLimits } from "./createEndpointLimits";
 import { createEndpointRecord } from "./endpointRecord";
 import { decodeLimits, encodeLimits } from "./limitsCodec";
--- a/src/gateway/createEndpointLimits.ts
+++ b/src/gateway/endpoints/createEndpointLimits.ts
@@ -5,15 +5,15 @@
  * requests, so that what arrives in a short time stays near the limit however many nodes there are. A node that has just
  * learnt of a limit has sent its room already.
  */
-import type { Clock } from "../base/clock";
-import type { DumpSource } from "../base/dump";
-import type { Log } from "../base/log/log";
-import type { LimitReport } from "../decisions/relays/news";
-import type { ResponseHead } from "../ports/forwardingCodec";
-import type { ClusterTime } from "./createClusterTime";
+import type { Clock } from "../../base/clock";
+import type { DumpSource } from "../../base/dump";
+import type { Log } from "../../base/log/log";
+import type { LimitReport } from "../../decisions/relays/news";
+import type { ResponseHead } from "../../ports/forwardingCodec";
+import type { ClusterTime } from "../tables/createClusterTime";
 import type { EndpointDirectory } from "./createEndpointDirectory";
 import type { EndpointRecord } from "./endpointRecord";
-import type { LimitSource } from "./fleetNewsOptions";
+import type { LimitSource } from "../news/fleetNewsOptions";
 
 /** The limits of all endpoints. */
 export interface EndpointLimits extends LimitSource, DumpSource {
--- a/src/gateway/endpointRecord.test.ts
+++ b/src/gateway/endpoints/endpointRecord.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createManualClock } from "../base/createManualClock";
-import { makeEndpoint } from "./_testing/makeEndpoint";
+import { createManualClock } from "../../base/createManualClock";
+import { makeEndpoint } from "../_testing/makeEndpoint";
 import { buildEndpointView, createEndpointRecord, recordLoad, recordOthers } from "./endpointRecord";
 
 describe("the record of an endpoint", () => {
--- a/src/gateway/endpointRecord.ts
+++ b/src/gateway/endpoints/endpointRecord.ts
@@ -2,12 +2,12 @@
  * @module The state that a node keeps about one endpoint. Only the directory, the forwarder and the handler of
  * announced prompts change it.
  */
-import type { Clock } from "../base/clock";
-import type { EndpointView } from "../decisions/gateway/chooseEndpoint";
-import { UNREACHABLE_AFTER_MS } from "../decisions/relays/constants";
-import type { EndpointActivity } from "../decisions/relays/news";
-import type { GatewayEndpoint } from "../model/gateway";
-import type { ReportedLoad, PromptPart } from "../ports/forwardingCodec";
+import type { Clock } from "../../base/clock";
+import type { EndpointView } from "../../decisions/gateway/chooseEndpoint";
+import { UNREACHABLE_AFTER_MS } from "../../decisions/relays/constants";
+import type { EndpointActivity } from "../../decisions/relays/news";
+import type { GatewayEndpoint } from "../../model/gateway";
+import type { ReportedLoad, PromptPart } from "../../ports/forwardingCodec";
 import {
     BIAS_HALF_LIFE_MS,
     BIAS_MAX_MS,
@@ -18,7 +18,7 @@
     FAILURE_WEIGHT,
     SUSPECT_INITIAL_MS,
     SUSPECT_MAX_MS,
-} from "./constants";
+} from "../constants";
 import { createEndpointConnections, type EndpointConnections } from "./createEndpointConnections";
 
 /** Half-life of the reported load by other nodes, whose requests are assumed to end at this rate. */
--- a/src/gateway/limitsCodec.ts
+++ b/src/gateway/endpoints/limitsCodec.ts
@@ -2,7 +2,7 @@
  * @module Encodes reports on the limits that endpoints name, as lists.
  */
 import { z } from "zod";
-import type { LimitReport, LimitReports } from "../decisions/relays/news";
+import type { LimitReport, LimitReports } from "../../decisions/relays/news";
 
 /** Most endpoints, and most senders of one, that are decoded. */
 const ENTRIES_MAX = 64;
--- a/src/gateway/answersWithoutBody.test.ts
+++ b/src/gateway/forwarding/answersWithoutBody.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import http from "node:http";
 import { afterEach, describe, it } from "node:test";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { RouteKind } from "../model/gateway";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { RouteKind } from "../../model/gateway";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
 
 /** Longer than an answer takes, and shorter than the route's timeout. */
 const PROMPT_MS = 1_000;
--- a/src/gateway/applyAttemptOutcome.ts
+++ b/src/gateway/forwarding/applyAttemptOutcome.ts
@@ -1,9 +1,9 @@
 /**
  * @module Records in the state of an endpoint what an attempt tells about it.
  */
-import { AttemptOutcome, isFailedStatus } from "../decisions/gateway/decideNextAction";
-import type { ResponseHead } from "../ports/forwardingCodec";
-import { type EndpointRecord, recordAttemptOutcome, recordLoad, recordUnreachable } from "./endpointRecord";
+import { AttemptOutcome, isFailedStatus } from "../../decisions/gateway/decideNextAction";
+import type { ResponseHead } from "../../ports/forwardingCodec";
+import { type EndpointRecord, recordAttemptOutcome, recordLoad, recordUnreachable } from "../endpoints/endpointRecord";
 import type { AttemptResult } from "./sendAttempt";
 
 /**
--- a/src/gateway/createEventSplitter.test.ts
+++ b/src/gateway/forwarding/createEventSplitter.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { measureWork } from "../base/_testing/measureWork";
+import { measureWork } from "../../base/_testing/measureWork";
 import { createEventSplitter } from "./createEventSplitter";
 
 const UNFINISHED_BYTES = 20_000;
--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/forwarding/createEventSplitter.ts
@@ -1,7 +1,7 @@
 /**
  * @module Splits a stream of server-sent events into whole events.
  */
-import { createByteAccumulator } from "../base/createByteAccumulator";
+import { createByteAccumulator } from "../../base/createByteAccumulator";
 
 const LF = 0x0a;
 const CR = 0x0d;
--- a/src/gateway/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -6,28 +6,28 @@
     type EndpointView,
     estimateFirstPartMs,
     estimateResponseMs,
-} from "../decisions/gateway/chooseEndpoint";
-import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../decisions/gateway/decideNextAction";
-import { computeStallTimeoutMs } from "../decisions/gateway/computeStallTimeoutMs";
-import { decideGiveUp } from "../decisions/gateway/decideGiveUp";
-import { filterServable } from "../decisions/gateway/filterServable";
-import { PartVerdict } from "../decisions/gateway/evaluatePart";
-import { listSharedParts } from "../decisions/gateway/listSharedParts";
-import { createServiceRetryBudget, type ServiceRetryBudget } from "../decisions/gateway/serviceRetryBudget";
-import { type GatewayRoute, RouteKind } from "../model/gateway";
+} from "../../decisions/gateway/chooseEndpoint";
+import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../../decisions/gateway/decideNextAction";
+import { computeStallTimeoutMs } from "../../decisions/gateway/computeStallTimeoutMs";
+import { decideGiveUp } from "../../decisions/gateway/decideGiveUp";
+import { filterServable } from "../../decisions/gateway/filterServable";
+import { PartVerdict } from "../../decisions/gateway/evaluatePart";
+import { listSharedParts } from "../../decisions/gateway/listSharedParts";
+import { createServiceRetryBudget, type ServiceRetryBudget } from "../../decisions/gateway/serviceRetryBudget";
+import { type GatewayRoute, RouteKind } from "../../model/gateway";
 import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
-import { NON_REPEATABLE_IDLE_MAX_MS } from "./constants";
+import { NON_REPEATABLE_IDLE_MAX_MS } from "../constants";
 import { createStreamRelay } from "./createStreamRelay";
-import { describePartRefusal } from "./describePartRefusal";
+import { describePartRefusal } from "../quarantine/describePartRefusal";
 import {
     buildEndpointView,
     type EndpointRecord,
     recordAnswerTime,
     recordCachedParts,
     recordConnectionBreak,
-} from "./endpointRecord";
-import { type GatewayExchange, hasBodyHeader } from "./exchange";
-import { FailureOwner } from "./createFailureReporter";
+} from "../endpoints/endpointRecord";
+import { type GatewayExchange, hasBodyHeader } from "../callers/exchange";
+import { FailureOwner } from "../process/createFailureReporter";
 import {
     describeFailure,
     describeNodeFailure,
@@ -35,7 +35,7 @@
     type ForwardingOutcome,
     NO_ENDPOINT_FAILURE,
 } from "./forwardingOutcome";
-import type { GatewayComponents } from "./gatewayComponents";
+import type { GatewayComponents } from "../gatewayComponents";
 import type { EndedAttempt, ForwardingState } from "./forwardingState";
 import { logAttempt } from "./logAttempt";
 import { type AttemptOptions, type AttemptResult, ConnectionEnd, sendAttempt } from "./sendAttempt";
--- a/src/gateway/createServiceSpeeds.ts
+++ b/src/gateway/forwarding/createServiceSpeeds.ts
@@ -1,7 +1,7 @@
 /**
  * @module Estimates the speed of each service from the answer times that the node observes.
  */
-import type { ServiceSpeed } from "../decisions/gateway/chooseEndpoint";
+import type { ServiceSpeed } from "../../decisions/gateway/chooseEndpoint";
 
 const INITIAL_TOKENS_PER_MS = 40;
 const INITIAL_SERVICE_MS = 30;
--- a/src/gateway/cutHeads.test.ts
+++ b/src/gateway/forwarding/cutHeads.test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { sendHttpCall } from "../adapters/_lib/sendHttpCall";
-import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
-import { makeEndpointRecord, runAttempt } from "./_testing/runAttempt";
-import { type EndpointScript, formatAnswer, startScriptedEndpoint } from "./_testing/startScriptedEndpoint";
+import { sendHttpCall } from "../../adapters/_lib/sendHttpCall";
+import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import { makeEndpointRecord, runAttempt } from "../_testing/runAttempt";
+import { type EndpointScript, formatAnswer, startScriptedEndpoint } from "../_testing/startScriptedEndpoint";
 
 const ID = "Redwinglift-Attempt-Id: attempt-1";
 const STREAM = "Content-Type: text/event-stream";
--- a/src/gateway/endlessAnswers.test.ts
+++ b/src/gateway/forwarding/endlessAnswers.test.ts
@@ -2,9 +2,9 @@
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { setTimeout as waitMs } from "node:timers/promises";
-import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
-import { makeEndpointRecord, runAttempt } from "./_testing/runAttempt";
-import { formatAnswer, startScriptedEndpoint } from "./_testing/startScriptedEndpoint";
+import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import { makeEndpointRecord, runAttempt } from "../_testing/runAttempt";
+import { formatAnswer, startScriptedEndpoint } from "../_testing/startScriptedEndpoint";
 
 const ATTEMPT_ID = "Redwinglift-Attempt-Id: attempt-1";
 const MEGABYTE = 1_048_576;
--- a/src/gateway/endpointNotices.test.ts
+++ b/src/gateway/forwarding/endpointNotices.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { type EndpointScript, formatAnswer } from "../_testing/startScriptedEndpoint";
 
 let harness: GatewayHarness;
 afterEach(() => harness.dispose());
--- a/src/gateway/forwardingOutcome.ts
+++ b/src/gateway/forwarding/forwardingOutcome.ts
@@ -1,10 +1,10 @@
 /**
  * @module How a forwarded request ends, and the failures of those that end without an answer.
  */
-import { createFailure } from "../base/createFailure";
-import { Execution, type Failure, FailureKind } from "../base/failure";
-import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
-import { RETRY_AFTER_MS } from "./constants";
+import { createFailure } from "../../base/createFailure";
+import { Execution, type Failure, FailureKind } from "../../base/failure";
+import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import { RETRY_AFTER_MS } from "../constants";
 import type { StreamRelay } from "./createStreamRelay";
 import type { AttemptResult } from "./sendAttempt";
 
--- a/src/gateway/forwardingState.ts
+++ b/src/gateway/forwarding/forwardingState.ts
@@ -1,9 +1,9 @@
 /**
  * @module The state of a request while it is forwarded.
  */
-import type { PlacementRequest } from "../decisions/gateway/chooseEndpoint";
+import type { PlacementRequest } from "../../decisions/gateway/chooseEndpoint";
 import type { StreamRelay } from "./createStreamRelay";
-import type { GatewayExchange } from "./exchange";
+import type { GatewayExchange } from "../callers/exchange";
 import type { AttemptResult } from "./sendAttempt";
 
 /** How an attempt ended, with what else is known at its end about the answer and the endpoint. */
--- a/src/gateway/framings.test.ts
+++ b/src/gateway/forwarding/framings.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import net, { type AddressInfo, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { RouteKind } from "../model/gateway";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { RouteKind } from "../../model/gateway";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
 
 enum Framing {
     Length = "a length",
--- a/src/gateway/logAttempt.ts
+++ b/src/gateway/forwarding/logAttempt.ts
@@ -1,9 +1,9 @@
 /**
  * @module The log line of an attempt.
  */
-import type { Log } from "../base/log/log";
-import type { NextAction } from "../decisions/gateway/decideNextAction";
-import type { EndpointRecord } from "./endpointRecord";
+import type { Log } from "../../base/log/log";
+import type { NextAction } from "../../decisions/gateway/decideNextAction";
+import type { EndpointRecord } from "../endpoints/endpointRecord";
 import type { EndedAttempt, ForwardingState } from "./forwardingState";
 
 /**
--- a/src/gateway/repeatedRefusals.test.ts
+++ b/src/gateway/forwarding/repeatedRefusals.test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { RouteKind } from "../model/gateway";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { RouteKind } from "../../model/gateway";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { type EndpointScript, formatAnswer } from "../_testing/startScriptedEndpoint";
 
 const ROUTE = makeRoute({ kind: RouteKind.NonIdempotent, attemptsMax: 1 });
 const IDS = ["attempt-1", "attempt-2", "attempt-3"];
--- a/src/gateway/sendAttempt.test.ts
+++ b/src/gateway/forwarding/sendAttempt.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
-import { makeEndpointRecord, runAttempt } from "./_testing/runAttempt";
-import { type EndpointScript, formatAnswer, startScriptedEndpoint } from "./_testing/startScriptedEndpoint";
+import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import { makeEndpointRecord, runAttempt } from "../_testing/runAttempt";
+import { type EndpointScript, formatAnswer, startScriptedEndpoint } from "../_testing/startScriptedEndpoint";
 import { type AttemptOptions, ConnectionEnd } from "./sendAttempt";
 
 const ATTEMPT_ID = "Redwinglift-Attempt-Id: attempt-1";
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/forwarding/sendAttempt.ts
@@ -2,23 +2,23 @@
  * @module One attempt to have a request executed by an endpoint.
  */
 import http from "node:http";
-import { createCompletionCheck } from "../adapters/_lib/createCompletionCheck";
-import { createWaitBound } from "../adapters/_lib/createWaitBound";
-import { describeError } from "../adapters/_lib/describeError";
-import { HttpStatus } from "../adapters/_lib/httpStatus";
-import { readWholeAnswer } from "../adapters/_lib/readWholeAnswer";
-import { trackSentBytes } from "../adapters/_lib/trackSentBytes";
-import type { MemoryLease } from "../base/createMemoryBudget";
-import { PROCESS_READ_TURNS } from "../http/processReadTurns";
-import { readContentLength } from "../http/readContentLength";
-import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
-import type { ResponseHead, ForwardingCodec } from "../ports/forwardingCodec";
-import { CONNECT_TIMEOUT_MS } from "./constants";
+import { createCompletionCheck } from "../../adapters/_lib/createCompletionCheck";
+import { createWaitBound } from "../../adapters/_lib/createWaitBound";
+import { describeError } from "../../adapters/_lib/describeError";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
+import { readWholeAnswer } from "../../adapters/_lib/readWholeAnswer";
+import { trackSentBytes } from "../../adapters/_lib/trackSentBytes";
+import type { MemoryLease } from "../../base/createMemoryBudget";
+import { PROCESS_READ_TURNS } from "../../http/processReadTurns";
+import { readContentLength } from "../../http/readContentLength";
+import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import type { ResponseHead, ForwardingCodec } from "../../ports/forwardingCodec";
+import { CONNECT_TIMEOUT_MS } from "../constants";
 import { createEventSplitter } from "./createEventSplitter";
-import { FailureOwner, type FailureReporter } from "./createFailureReporter";
+import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import type { RelayedHead, StreamRelay } from "./createStreamRelay";
 import { dropAnswer } from "./dropAnswer";
-import type { EndpointRecord } from "./endpointRecord";
+import type { EndpointRecord } from "../endpoints/endpointRecord";
 
 /** The request, its endpoint and time limits, and the handlers of its progress. */
 export interface AttemptOptions {
--- a/src/gateway/sendWholeAnswer.ts
+++ b/src/gateway/forwarding/sendWholeAnswer.ts
@@ -1,9 +1,9 @@
 /**
  * @module Sends an answer that was received whole to the caller.
  */
-import { hasBody } from "../adapters/_lib/hasBody";
-import { HttpStatus } from "../adapters/_lib/httpStatus";
-import type { GatewayExchange } from "./exchange";
+import { hasBody } from "../../adapters/_lib/hasBody";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
+import type { GatewayExchange } from "../callers/exchange";
 import type { WholeAnswer } from "./sendAttempt";
 
 /**
--- a/src/gateway/waitingAttempts.test.ts
+++ b/src/gateway/forwarding/waitingAttempts.test.ts
@@ -2,10 +2,10 @@
 import http from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { type GatewayRoute, RouteKind } from "../model/gateway";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { type GatewayRoute, RouteKind } from "../../model/gateway";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { type EndpointScript, formatAnswer } from "../_testing/startScriptedEndpoint";
 
 const ATTEMPT_ID = "Redwinglift-Attempt-Id: attempt-1";
 const STREAM_HEAD = formatAnswer("", { headers: [ATTEMPT_ID, "Content-Type: text/event-stream"], length: "chunked" });
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -6,18 +6,18 @@
 import type { Random } from "../base/random";
 import type { GatewaySettings } from "../model/gateway";
 import type { ForwardingCodec } from "../ports/forwardingCodec";
-import type { ConfigurationHolder } from "./createConfigurationHolder";
-import type { DemandMeter } from "./createDemandMeter";
-import type { EndpointDirectory } from "./createEndpointDirectory";
-import type { EndpointLimits } from "./createEndpointLimits";
-import type { GatewayMetrics } from "./createGatewayMetrics";
-import type { PartQuarantine } from "./createPartQuarantine";
-import type { Rollouts } from "./rollouts";
-import type { ServiceSpeeds } from "./createServiceSpeeds";
-import type { UsageMeter } from "./createUsageMeter";
-import type { FailureReporter } from "./createFailureReporter";
-import type { FleetNews } from "./createFleetNews";
-import type { BodyMemory } from "./createBodyMemory";
+import type { ConfigurationHolder } from "./tables/createConfigurationHolder";
+import type { DemandMeter } from "./duties/createDemandMeter";
+import type { EndpointDirectory } from "./endpoints/createEndpointDirectory";
+import type { EndpointLimits } from "./endpoints/createEndpointLimits";
+import type { GatewayMetrics } from "./process/createGatewayMetrics";
+import type { PartQuarantine } from "./quarantine/createPartQuarantine";
+import type { Rollouts } from "./rollouts/rollouts";
+import type { ServiceSpeeds } from "./forwarding/createServiceSpeeds";
+import type { UsageMeter } from "./duties/createUsageMeter";
+import type { FailureReporter } from "./process/createFailureReporter";
+import type { FleetNews } from "./news/createFleetNews";
+import type { BodyMemory } from "./callers/createBodyMemory";
 
 /** The components that take part in handling a request. */
 export interface GatewayComponents {
--- a/src/gateway/gatewayPlatform.ts
+++ b/src/gateway/gatewayPlatform.ts
@@ -9,7 +9,7 @@
 import type { RolloutRecordsPort } from "../ports/rolloutRecords";
 import type { TablePort } from "../ports/table";
 import type { WatchedRow, WatchedTablePort } from "../ports/watchedTable";
-import type { OrderChange } from "./rollouts";
+import type { OrderChange } from "./rollouts/rollouts";
 
 /** The adapters and table names that `platform/` provides. */
 export interface GatewayPlatform {
--- a/src/gateway/createFleetNews.test.ts
+++ b/src/gateway/news/createFleetNews.test.ts
@@ -2,12 +2,12 @@
 import { afterEach, describe, it } from "node:test";
 import dgram from "node:dgram";
 import { once } from "node:events";
-import { waitUntil } from "../adapters/contracts/waitUntil";
-import { createSystemClock } from "../base/createSystemClock";
-import { createLog } from "../base/log/createLog";
-import { chooseRelays } from "../decisions/relays/chooseRelays";
-import { RowRole } from "../decisions/relays/chooseRowSource";
-import type { EndpointActivity, NodeIdentity } from "../decisions/relays/news";
+import { waitUntil } from "../../adapters/contracts/waitUntil";
+import { createSystemClock } from "../../base/createSystemClock";
+import { createLog } from "../../base/log/createLog";
+import { chooseRelays } from "../../decisions/relays/chooseRelays";
+import { RowRole } from "../../decisions/relays/chooseRowSource";
+import type { EndpointActivity, NodeIdentity } from "../../decisions/relays/news";
 import { createFleetNews, type FleetNews } from "./createFleetNews";
 import type { FleetNewsOptions } from "./fleetNewsOptions";
 
--- a/src/gateway/createFleetNews.ts
+++ b/src/gateway/news/createFleetNews.ts
@@ -6,15 +6,15 @@
  * Every node can be a relay: it is one while it is among its own choices or other nodes report to it. A relay holds
  * nothing that must last, and the next choice takes over when it falls silent.
  */
-import type { Disposable } from "../base/disposableStore";
-import type { DumpSource } from "../base/dump";
-import type { FleetUsage } from "../decisions/gateway/accountQuotas";
-import { chooseRelays } from "../decisions/relays/chooseRelays";
-import { RowRole } from "../decisions/relays/chooseRowSource";
-import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "../decisions/relays/constants";
-import { createReportCollector, type ReportedCounts } from "../decisions/relays/createReportCollector";
-import { createSummaryMerger } from "../decisions/relays/createSummaryMerger";
-import { advanceSuspects, mergeSuspects, sumClearances } from "../decisions/relays/mergeSuspects";
+import type { Disposable } from "../../base/disposableStore";
+import type { DumpSource } from "../../base/dump";
+import type { FleetUsage } from "../../decisions/gateway/accountQuotas";
+import { chooseRelays } from "../../decisions/relays/chooseRelays";
+import { RowRole } from "../../decisions/relays/chooseRowSource";
+import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "../../decisions/relays/constants";
+import { createReportCollector, type ReportedCounts } from "../../decisions/relays/createReportCollector";
+import { createSummaryMerger } from "../../decisions/relays/createSummaryMerger";
+import { advanceSuspects, mergeSuspects, sumClearances } from "../../decisions/relays/mergeSuspects";
 import type {
     EndpointActivity,
     FleetView,
@@ -22,8 +22,8 @@
     NodeReport,
     ServiceLoad,
     SuspectParts,
-} from "../decisions/relays/news";
-import { FailureOwner } from "./createFailureReporter";
+} from "../../decisions/relays/news";
+import { FailureOwner } from "../process/createFailureReporter";
 import { createNewsSocket } from "./createNewsSocket";
 import { createRelayRoster } from "./createRelayRoster";
 import type { FleetNewsOptions } from "./fleetNewsOptions";
--- a/src/gateway/createMembership.test.ts
+++ b/src/gateway/news/createMembership.test.ts
@@ -1,16 +1,16 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createManualClock } from "../base/createManualClock";
-import { createRandom } from "../base/createRandom";
-import { createLog } from "../base/log/createLog";
-import { RowRole } from "../decisions/relays/chooseRowSource";
-import { createFakeTable } from "../nodes/_testing/createFakeTable";
-import { runClock } from "../nodes/_testing/runClock";
-import { makeNews } from "./_testing/makeNews";
-import { createClusterTime } from "./createClusterTime";
+import { createManualClock } from "../../base/createManualClock";
+import { createRandom } from "../../base/createRandom";
+import { createLog } from "../../base/log/createLog";
+import { RowRole } from "../../decisions/relays/chooseRowSource";
+import { createFakeTable } from "../../nodes/_testing/createFakeTable";
+import { runClock } from "../../nodes/_testing/runClock";
+import { makeNews } from "../_testing/makeNews";
+import { createClusterTime } from "../tables/createClusterTime";
 import type { FleetNews } from "./createFleetNews";
 import { createMembership } from "./createMembership";
-import { createUsageMeter } from "./createUsageMeter";
+import { createUsageMeter } from "../duties/createUsageMeter";
 import { decodeMember, decodeRelay, encodeRelay } from "./memberRecord";
 
 const SILENT_LOG = createLog({ write: () => undefined });
--- a/src/gateway/createMembership.ts
+++ b/src/gateway/news/createMembership.ts
@@ -3,22 +3,22 @@
  * and the usage counts of dead nodes are kept.
  */
 import { ulid } from "ulid";
-import type { Clock } from "../base/clock";
-import { type TaskGenerator, waitFor } from "../base/csp";
-import type { Disposable } from "../base/disposableStore";
-import type { Log } from "../base/log/log";
-import type { Random } from "../base/random";
-import { RowRole } from "../decisions/relays/chooseRowSource";
-import { CRASH_RETENTION_MS, MEMBER_TIMEOUT_MS } from "../decisions/relays/constants";
-import type { ReportedCounts } from "../decisions/relays/createReportCollector";
-import { advanceSuspects, mergeSuspects } from "../decisions/relays/mergeSuspects";
-import type { NodeIdentity } from "../decisions/relays/news";
-import type { RowWrite, TablePort, TableRow } from "../ports/table";
-import type { ClusterTime } from "./createClusterTime";
-import { FailureOwner, type FailureReporter } from "./createFailureReporter";
+import type { Clock } from "../../base/clock";
+import { type TaskGenerator, waitFor } from "../../base/csp/index";
+import type { Disposable } from "../../base/disposableStore";
+import type { Log } from "../../base/log/log";
+import type { Random } from "../../base/random";
+import { RowRole } from "../../decisions/relays/chooseRowSource";
+import { CRASH_RETENTION_MS, MEMBER_TIMEOUT_MS } from "../../decisions/relays/constants";
+import type { ReportedCounts } from "../../decisions/relays/createReportCollector";
+import { advanceSuspects, mergeSuspects } from "../../decisions/relays/mergeSuspects";
+import type { NodeIdentity } from "../../decisions/relays/news";
+import type { RowWrite, TablePort, TableRow } from "../../ports/table";
+import type { ClusterTime } from "../tables/createClusterTime";
+import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import type { FleetNews } from "./createFleetNews";
-import { startLoop } from "./startLoop";
-import type { UsageMeter } from "./createUsageMeter";
+import { startLoop } from "../process/startLoop";
+import type { UsageMeter } from "../duties/createUsageMeter";
 import {
     buildMemberKey,
     buildRelayKey,
--- a/src/gateway/createNewsSocket.ts
+++ b/src/gateway/news/createNewsSocket.ts
@@ -1,9 +1,9 @@
 /**
  * @module The datagram socket of the news between nodes.
  */
-import type { Log } from "../base/log/log";
-import type { NodeIdentity } from "../decisions/relays/news";
-import { FailureOwner, type FailureReporter } from "./createFailureReporter";
+import type { Log } from "../../base/log/log";
+import type { NodeIdentity } from "../../decisions/relays/news";
+import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import { type DatagramPort, openDatagramPort } from "./openDatagramPort";
 
 /** Address and port of a node. */
--- a/src/gateway/createRelayRoster.test.ts
+++ b/src/gateway/news/createRelayRoster.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createManualClock } from "../base/createManualClock";
-import { createLog } from "../base/log/createLog";
-import { makeReport } from "../decisions/relays/_testing/makeReport";
+import { createManualClock } from "../../base/createManualClock";
+import { createLog } from "../../base/log/createLog";
+import { makeReport } from "../../decisions/relays/_testing/makeReport";
 import { createRelayRoster } from "./createRelayRoster";
 
 const MEMBERS = Array.from({ length: 8 }, (_unused, index) => makeReport(`west-${index}`));
--- a/src/gateway/createRelayRoster.ts
+++ b/src/gateway/news/createRelayRoster.ts
@@ -1,11 +1,11 @@
 /**
  * @module The nodes of this node's failure domain, and which of them are its relays.
  */
-import type { Clock } from "../base/clock";
-import type { Log } from "../base/log/log";
-import { chooseRelays, countRelays } from "../decisions/relays/chooseRelays";
-import { MEMBER_TIMEOUT_MS } from "../decisions/relays/constants";
-import type { NodeIdentity } from "../decisions/relays/news";
+import type { Clock } from "../../base/clock";
+import type { Log } from "../../base/log/log";
+import { chooseRelays, countRelays } from "../../decisions/relays/chooseRelays";
+import { MEMBER_TIMEOUT_MS } from "../../decisions/relays/constants";
+import type { NodeIdentity } from "../../decisions/relays/news";
 import { isSendableAddress } from "./isSendableAddress";
 
 /** A relay from which no view came for this long, while this node reported to it, is replaced for a while. */
--- a/src/gateway/evidenceNews.test.ts
+++ b/src/gateway/news/evidenceNews.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createRandom } from "../base/createRandom";
-import { NEWS_DELAY_MAX_MS, NEWS_PERIOD_MS } from "../decisions/relays/constants";
-import { createNewsFleet, type FleetNode, type NewsFleet } from "./_testing/createNewsFleet";
+import { createRandom } from "../../base/createRandom";
+import { NEWS_DELAY_MAX_MS, NEWS_PERIOD_MS } from "../../decisions/relays/constants";
+import { createNewsFleet, type FleetNode, type NewsFleet } from "../_testing/createNewsFleet";
 import { RELAY_SILENT_MS } from "./createRelayRoster";
 
 const CONTACT_MS = 4_000;
--- a/src/gateway/fleetNewsOptions.ts
+++ b/src/gateway/news/fleetNewsOptions.ts
@@ -1,17 +1,17 @@
 /**
  * @module What the exchange of news between nodes is started with.
  */
-import type { Clock } from "../base/clock";
-import type { Log } from "../base/log/log";
+import type { Clock } from "../../base/clock";
+import type { Log } from "../../base/log/log";
 import type {
     EndpointActivity,
     LimitReports,
     NodeIdentity,
     NodeReport,
     RolloutReports,
-} from "../decisions/relays/news";
-import type { PartEvidenceSource } from "./partEvidence";
-import type { FailureReporter } from "./createFailureReporter";
+} from "../../decisions/relays/news";
+import type { PartEvidenceSource } from "../quarantine/partEvidence";
+import type { FailureReporter } from "../process/createFailureReporter";
 
 /** What a node knows of the limits that endpoints name. */
 export interface LimitSource {
--- a/src/gateway/memberRecord.ts
+++ b/src/gateway/news/memberRecord.ts
@@ -5,11 +5,11 @@
  * counts. A node without a relay writes the longer row about itself.
  */
 import { z } from "zod";
-import { parseAnswer } from "../adapters/_lib/parseAnswer";
-import type { ReportedCounts } from "../decisions/relays/createReportCollector";
-import type { NodeIdentity, SuspectParts } from "../decisions/relays/news";
-import { USAGE_COUNTS_SCHEMA } from "./createUsageMeter";
-import { decodeSuspects, encodeSuspects } from "./suspectsCodec";
+import { parseAnswer } from "../../adapters/_lib/parseAnswer";
+import type { ReportedCounts } from "../../decisions/relays/createReportCollector";
+import type { NodeIdentity, SuspectParts } from "../../decisions/relays/news";
+import { USAGE_COUNTS_SCHEMA } from "../duties/createUsageMeter";
+import { decodeSuspects, encodeSuspects } from "../quarantine/suspectsCodec";
 
 /** Key prefixes of the rows. */
 export const MEMBER_PREFIX = "member/";
--- a/src/gateway/newsCodec.ts
+++ b/src/gateway/news/newsCodec.ts
@@ -3,7 +3,7 @@
  * several times a second.
  */
 import { z } from "zod";
-import { parseAnswer } from "../adapters/_lib/parseAnswer";
+import { parseAnswer } from "../../adapters/_lib/parseAnswer";
 import type {
     DomainSummary,
     EndpointActivity,
@@ -11,10 +11,10 @@
     NewsSums,
     NodeIdentity,
     NodeReport,
-} from "../decisions/relays/news";
-import { decodeLimits, encodeLimits } from "./limitsCodec";
-import { decodeRollouts, encodeRollouts } from "./rolloutsCodec";
-import { decodeSuspects, encodeSuspects } from "./suspectsCodec";
+} from "../../decisions/relays/news";
+import { decodeLimits, encodeLimits } from "../endpoints/limitsCodec";
+import { decodeRollouts, encodeRollouts } from "../rollouts/rolloutsCodec";
+import { decodeSuspects, encodeSuspects } from "../quarantine/suspectsCodec";
 
 /** Kinds of datagrams. */
 export enum NewsKind {
--- a/src/gateway/noFleetView.ts
+++ b/src/gateway/news/noFleetView.ts
@@ -1,7 +1,7 @@
 /**
  * @module The view of a node that has heard of no other.
  */
-import type { FleetView } from "../decisions/relays/news";
+import type { FleetView } from "../../decisions/relays/news";
 
 /** A fleet of one node, about which nothing is known. */
 export const NO_VIEW: FleetView = {
--- a/src/gateway/openDatagramPort.test.ts
+++ b/src/gateway/news/openDatagramPort.test.ts
@@ -2,8 +2,8 @@
 import dgram from "node:dgram";
 import { once } from "node:events";
 import { afterEach, describe, it } from "node:test";
-import { waitUntil } from "../adapters/contracts/waitUntil";
-import { createLog } from "../base/log/createLog";
+import { waitUntil } from "../../adapters/contracts/waitUntil";
+import { createLog } from "../../base/log/createLog";
 import { type DatagramPort, openDatagramPort } from "./openDatagramPort";
 
 const ADDRESS = "127.0.0.1";
--- a/src/gateway/openDatagramPort.ts
+++ b/src/gateway/news/openDatagramPort.ts
@@ -2,8 +2,8 @@
  * @module Keeps a datagram port open, and owns the errors of its socket.
  */
 import dgram from "node:dgram";
-import type { Disposable } from "../base/disposableStore";
-import type { Log } from "../base/log/log";
+import type { Disposable } from "../../base/disposableStore";
+import type { Log } from "../../base/log/log";
 
 const RETRY_PERIOD_MS = 200;
 
--- a/src/gateway/createFailureReporter.ts
+++ b/src/gateway/process/createFailureReporter.ts
@@ -1,8 +1,8 @@
 /**
  * @module Reports errors inside the node to whoever operates it.
  */
-import { formatError } from "../base/formatError";
-import type { Log, LogFields } from "../base/log/log";
+import { formatError } from "../../base/formatError";
+import type { Log, LogFields } from "../../base/log/log";
 import type { GatewayMetrics } from "./createGatewayMetrics";
 
 /** The part of the gateway that has caught an error and goes on. The values appear in log lines and metrics. */
--- a/src/gateway/createGatewayMetrics.ts
+++ b/src/gateway/process/createGatewayMetrics.ts
@@ -2,10 +2,10 @@
  * @module Counters and latency histograms of a gateway, in the Prometheus text format.
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { RolloutPhase } from "../model/gateway";
-import type { LimitAction } from "../http/installConnectionLimit";
-import type { BodyMemory } from "./createBodyMemory";
-import type { CallerCounts } from "./callerCounts";
+import type { RolloutPhase } from "../../model/gateway";
+import type { LimitAction } from "../../http/installConnectionLimit";
+import type { BodyMemory } from "../callers/createBodyMemory";
+import type { CallerCounts } from "../callers/callerCounts";
 import type { LoopDelays } from "./createLoopMonitor";
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
--- a/src/gateway/createLoopMonitor.test.ts
+++ b/src/gateway/process/createLoopMonitor.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { setTimeout as waitMs } from "node:timers/promises";
-import { createLog } from "../base/log/createLog";
+import { createLog } from "../../base/log/createLog";
 import { createLoopMonitor } from "./createLoopMonitor";
 
 const STANDSTILL_MS = 900;
--- a/src/gateway/createLoopMonitor.ts
+++ b/src/gateway/process/createLoopMonitor.ts
@@ -2,8 +2,8 @@
  * @module Watches for how long the event loop stands still.
  */
 import { monitorEventLoopDelay } from "node:perf_hooks";
-import type { Disposable } from "../base/disposableStore";
-import type { Log } from "../base/log/log";
+import type { Disposable } from "../../base/disposableStore";
+import type { Log } from "../../base/log/log";
 
 const SAMPLE_MS = 100;
 const CHECK_INTERVAL_MS = 1_000;
--- a/src/gateway/createMetricsListener.ts
+++ b/src/gateway/process/createMetricsListener.ts
@@ -2,9 +2,9 @@
  * @module The listener inside the system that serves metrics and takes orders of operators.
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
-import { HttpStatus } from "../adapters/_lib/httpStatus";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 import { FailureOwner, type FailureReporter } from "./createFailureReporter";
-import type { PartQuarantine } from "./createPartQuarantine";
+import type { PartQuarantine } from "../quarantine/createPartQuarantine";
 
 /** What the listener serves. */
 export interface MetricsListenerOptions {
--- a/src/gateway/createRateLimitedLog.ts
+++ b/src/gateway/process/createRateLimitedLog.ts
@@ -1,8 +1,8 @@
 /**
  * @module A log with a rate limit, so that logging does not slow down requests under overload.
  */
-import type { Clock } from "../base/clock";
-import type { Log, LogFields } from "../base/log/log";
+import type { Clock } from "../../base/clock";
+import type { Log, LogFields } from "../../base/log/log";
 
 const PERIOD_MS = 1_000;
 /** Most lines in a period. Warnings and errors may use all of them, other lines half. */
--- a/src/gateway/createReadinessListener.ts
+++ b/src/gateway/process/createReadinessListener.ts
@@ -2,7 +2,7 @@
  * @module The listener that tells the load balancer whether this node accepts new connections.
  */
 import http from "node:http";
-import { HttpStatus } from "../adapters/_lib/httpStatus";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
 import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 
 /**
--- a/src/gateway/drainGateway.test.ts
+++ b/src/gateway/process/drainGateway.test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { after, describe, it } from "node:test";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { type GatewayRoute, RouteKind } from "../model/gateway";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { formatRequest, openCaller } from "./_testing/openCaller";
-import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { type GatewayRoute, RouteKind } from "../../model/gateway";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { formatRequest, openCaller } from "../_testing/openCaller";
+import { type EndpointScript, formatAnswer } from "../_testing/startScriptedEndpoint";
 
 const ONCE = makeRoute({ kind: RouteKind.NonIdempotent, attemptsMax: 1, timeoutMs: 8_000 });
 const STREAM = makeRoute({ kind: RouteKind.Streaming, attemptsMax: 1, gapTargetMs: 400, timeoutMs: 8_000 });
--- a/src/gateway/drainGateway.ts
+++ b/src/gateway/process/drainGateway.ts
@@ -1,11 +1,11 @@
 /**
  * @module The end of a gateway after a signal.
  */
-import type { LogFields } from "../base/log/log";
-import { computeStopTimes } from "../decisions/gateway/computeStopTimes";
-import type { CallerCounts } from "./callerCounts";
-import type { GatewayListener } from "./createGatewayListener";
-import type { GatewayComponents } from "./gatewayComponents";
+import type { LogFields } from "../../base/log/log";
+import { computeStopTimes } from "../../decisions/gateway/computeStopTimes";
+import type { CallerCounts } from "../callers/callerCounts";
+import type { GatewayListener } from "../callers/createGatewayListener";
+import type { GatewayComponents } from "../gatewayComponents";
 
 const DRAIN_CHECK_PERIOD_MS = 20;
 /** Time between two log lines that show how far the drain has got. */
--- a/src/gateway/dumpOnSignal.test.ts
+++ b/src/gateway/process/dumpOnSignal.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { installSignalHandlers } from "../base/installSignalHandlers";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { createGatewayHarness } from "./_testing/createGatewayHarness";
+import { installSignalHandlers } from "../../base/installSignalHandlers";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { createGatewayHarness } from "../_testing/createGatewayHarness";
 import { dumpOnSignal } from "./dumpOnSignal";
 
 describe("a dump of a gateway", () => {
--- a/src/gateway/dumpOnSignal.ts
+++ b/src/gateway/process/dumpOnSignal.ts
@@ -1,12 +1,12 @@
 /**
  * @module Dumps the state of a gateway on a signal.
  */
-import type { DumpSource } from "../base/dump";
-import type { ProcessSignals } from "../base/processSignals";
-import { collectDump } from "../queries/collectDump";
-import { writeDumpOnSignal } from "../serve/writeDumpOnSignal";
+import type { DumpSource } from "../../base/dump";
+import type { ProcessSignals } from "../../base/processSignals";
+import { collectDump } from "../../queries/collectDump";
+import { writeDumpOnSignal } from "../../serve/writeDumpOnSignal";
 import { FailureOwner } from "./createFailureReporter";
-import type { GatewayComponents } from "./gatewayComponents";
+import type { GatewayComponents } from "../gatewayComponents";
 
 /**
  * Installs a handler that writes a dump of the configuration, the endpoints, the news, the quarantine and the listeners at
--- a/src/gateway/internalFailures.test.ts
+++ b/src/gateway/process/internalFailures.test.ts
@@ -1,12 +1,12 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { waitUntil } from "../adapters/contracts/waitUntil";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { type GatewayRoute, RouteKind } from "../model/gateway";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { formatRequest, openCaller } from "./_testing/openCaller";
-import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
-import type { GatewayComponents } from "./gatewayComponents";
+import { waitUntil } from "../../adapters/contracts/waitUntil";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { type GatewayRoute, RouteKind } from "../../model/gateway";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { formatRequest, openCaller } from "../_testing/openCaller";
+import { type EndpointScript, formatAnswer } from "../_testing/startScriptedEndpoint";
+import type { GatewayComponents } from "../gatewayComponents";
 
 const ATTEMPT_ID = "Redwinglift-Attempt-Id: attempt-1";
 const ONCE = makeRoute({ kind: RouteKind.NonIdempotent, attemptsMax: 1 });
--- a/src/gateway/startListeners.test.ts
+++ b/src/gateway/process/startListeners.test.ts
@@ -3,10 +3,10 @@
 import http from "node:http";
 import net, { type AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { createSystemClock } from "../base/createSystemClock";
-import { createLog } from "../base/log/createLog";
-import { LogFormat } from "../base/log/log";
-import type { ListenerState } from "../http/superviseListener";
+import { createSystemClock } from "../../base/createSystemClock";
+import { createLog } from "../../base/log/createLog";
+import { LogFormat } from "../../base/log/log";
+import type { ListenerState } from "../../http/superviseListener";
 import { startListeners } from "./startListeners";
 
 const ADDRESS = "127.0.0.1";
--- a/src/gateway/startListeners.ts
+++ b/src/gateway/process/startListeners.ts
@@ -2,10 +2,10 @@
  * @module Starts the listeners of a gateway.
  */
 import { Result } from "neverthrow";
-import type { DumpSource } from "../base/dump";
-import type { Failure } from "../base/failure";
-import type { ListenerSupervision } from "../http/retryListening";
-import { type ListenerTarget, superviseListener } from "../http/superviseListener";
+import type { DumpSource } from "../../base/dump";
+import type { Failure } from "../../base/failure";
+import type { ListenerSupervision } from "../../http/retryListening";
+import { type ListenerTarget, superviseListener } from "../../http/superviseListener";
 
 /** A listener of a gateway. */
 export interface GatewayListenerTarget extends ListenerTarget {
--- a/src/gateway/startLoop.ts
+++ b/src/gateway/process/startLoop.ts
@@ -1,9 +1,9 @@
 /**
  * @module The loops of a gateway, which last as long as its process.
  */
-import type { Clock } from "../base/clock";
-import { superviseTask, type TaskGenerator } from "../base/csp";
-import { FailureError } from "../base/failureError";
+import type { Clock } from "../../base/clock";
+import { superviseTask, type TaskGenerator } from "../../base/csp/index";
+import { FailureError } from "../../base/failureError";
 import type { FailureOwner, FailureReporter } from "./createFailureReporter";
 
 /** The clock of the pauses, and who learns of errors. */
--- a/src/gateway/waitForEnd.test.ts
+++ b/src/gateway/process/waitForEnd.test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { err, ok } from "neverthrow";
-import { createFailure } from "../base/createFailure";
-import { FailureKind } from "../base/failure";
-import { createLog } from "../base/log/createLog";
-import { LogFormat } from "../base/log/log";
-import { ExitCode } from "../cli/exitCode";
+import { createFailure } from "../../base/createFailure";
+import { FailureKind } from "../../base/failure";
+import { createLog } from "../../base/log/createLog";
+import { LogFormat } from "../../base/log/log";
+import { ExitCode } from "../../cli/exitCode";
 import { waitForEnd } from "./waitForEnd";
 
 /** Waits for the end; gives it with the messages that were logged. */
--- a/src/gateway/waitForEnd.ts
+++ b/src/gateway/process/waitForEnd.ts
@@ -1,8 +1,8 @@
 /**
  * @module Waits until a gateway has to end.
  */
-import type { Log } from "../base/log/log";
-import { chooseExitCode } from "../cli/exitCode";
+import type { Log } from "../../base/log/log";
+import { chooseExitCode } from "../../cli/exitCode";
 import type { GatewayListeners } from "./startListeners";
 
 /** Why a gateway ends. */
--- a/src/gateway/waitForSettings.test.ts
+++ b/src/gateway/process/waitForSettings.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { err, ok, type Result } from "neverthrow";
-import { createManualClock } from "../base/createManualClock";
-import { runClock } from "../nodes/_testing/runClock";
+import { createManualClock } from "../../base/createManualClock";
+import { runClock } from "../../nodes/_testing/runClock";
 import { waitForSettings } from "./waitForSettings";
 
 describe("the settings of a process that starts", () => {
--- a/src/gateway/waitForSettings.ts
+++ b/src/gateway/process/waitForSettings.ts
@@ -3,7 +3,7 @@
  */
 import { setTimeout as waitMs } from "node:timers/promises";
 import type { Result } from "neverthrow";
-import type { Clock } from "../base/clock";
+import type { Clock } from "../../base/clock";
 
 const RETRY_PERIOD_MS = 100;
 /** Whoever writes the file may be in the middle of it. */
--- a/src/gateway/watchSettings.ts
+++ b/src/gateway/process/watchSettings.ts
@@ -2,10 +2,10 @@
  * @module Applies changed settings while the process runs.
  */
 import type { Result } from "neverthrow";
-import type { Failure } from "../base/failure";
-import type { Log } from "../base/log/log";
-import { ControlSignal, type ProcessSignals } from "../base/processSignals";
-import type { GatewaySettings } from "../model/gateway";
+import type { Failure } from "../../base/failure";
+import type { Log } from "../../base/log/log";
+import { ControlSignal, type ProcessSignals } from "../../base/processSignals";
+import type { GatewaySettings } from "../../model/gateway";
 import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 
 /** Period of reading the settings file: it may change without a signal, and is small enough to be read each time. */
--- a/src/gateway/createCrashWatch.ts
+++ b/src/gateway/quarantine/createCrashWatch.ts
@@ -2,12 +2,12 @@
  * @module Recognizes crashes of endpoints among the ends of attempts.
  */
 import net from "node:net";
-import type { HttpTarget } from "../adapters/_lib/httpTarget";
-import type { Clock } from "../base/clock";
-import { hashText } from "../base/hashText";
-import { CONNECT_TIMEOUT_MS } from "./constants";
-import type { EndpointDirectory } from "./createEndpointDirectory";
-import type { EndpointRecord } from "./endpointRecord";
+import type { HttpTarget } from "../../adapters/_lib/httpTarget";
+import type { Clock } from "../../base/clock";
+import { hashText } from "../../base/hashText";
+import { CONNECT_TIMEOUT_MS } from "../constants";
+import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
+import type { EndpointRecord } from "../endpoints/endpointRecord";
 
 /** A request that was in progress at an endpoint when its connection broke. */
 export interface BrokenAttempt {
--- a/src/gateway/createPartQuarantine.test.ts
+++ b/src/gateway/quarantine/createPartQuarantine.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { makeEndpoint } from "./_testing/makeEndpoint";
-import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { makeEndpoint } from "../_testing/makeEndpoint";
+import { type EndpointScript, formatAnswer } from "../_testing/startScriptedEndpoint";
 
 const ENDPOINTS = 6;
 const BACK_AFTER_MS = 400;
--- a/src/gateway/createPartQuarantine.ts
+++ b/src/gateway/quarantine/createPartQuarantine.ts
@@ -1,19 +1,19 @@
 /**
  * @module The quarantine of prompt parts that crash endpoints: asked before each attempt, and told how each one ends.
  */
-import { HttpStatus } from "../adapters/_lib/httpStatus";
-import type { Clock } from "../base/clock";
-import type { DumpSource } from "../base/dump";
-import { hashText } from "../base/hashText";
-import type { Log } from "../base/log/log";
-import { createPartEvidence, type PartEvidenceBook } from "../decisions/gateway/createPartEvidence";
-import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
-import { evaluatePart, type PartDecision, PartVerdict } from "../decisions/gateway/evaluatePart";
-import type { PartEvidence } from "../decisions/relays/news";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
+import type { Clock } from "../../base/clock";
+import type { DumpSource } from "../../base/dump";
+import { hashText } from "../../base/hashText";
+import type { Log } from "../../base/log/log";
+import { createPartEvidence, type PartEvidenceBook } from "../../decisions/gateway/createPartEvidence";
+import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import { evaluatePart, type PartDecision, PartVerdict } from "../../decisions/gateway/evaluatePart";
+import type { PartEvidence } from "../../decisions/relays/news";
 import { createCrashWatch, type CrashWatchOptions } from "./createCrashWatch";
-import type { GatewayMetrics } from "./createGatewayMetrics";
-import type { EndpointRecord } from "./endpointRecord";
-import { type AttemptResult, ConnectionEnd } from "./sendAttempt";
+import type { GatewayMetrics } from "../process/createGatewayMetrics";
+import type { EndpointRecord } from "../endpoints/endpointRecord";
+import { type AttemptResult, ConnectionEnd } from "../forwarding/sendAttempt";
 
 /** Whether an attempt may be made. */
 export interface AttemptAdmission {
--- a/src/gateway/describePartRefusal.ts
+++ b/src/gateway/quarantine/describePartRefusal.ts
@@ -1,9 +1,9 @@
 /**
  * @module The failure of a request that is not sent on because of a part of its prompt.
  */
-import { createFailure } from "../base/createFailure";
-import { Execution, type Failure, FailureKind } from "../base/failure";
-import { RETRY_AFTER_MS } from "./constants";
+import { createFailure } from "../../base/createFailure";
+import { Execution, type Failure, FailureKind } from "../../base/failure";
+import { RETRY_AFTER_MS } from "../constants";
 
 /**
  * Describes why a request is not sent, or not sent again.
--- a/src/gateway/partEvidence.ts
+++ b/src/gateway/quarantine/partEvidence.ts
@@ -1,7 +1,7 @@
 /**
  * @module What this node knows of prompt parts that crash endpoints, as it is exchanged with the other nodes.
  */
-import type { SuspectParts } from "../decisions/relays/news";
+import type { SuspectParts } from "../../decisions/relays/news";
 
 /** The evidence of this node. */
 export interface PartEvidenceSource {
--- a/src/gateway/quarantineFleet.test.ts
+++ b/src/gateway/quarantine/quarantineFleet.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type QuarantineSimulation, simulateQuarantine } from "./_testing/simulateQuarantine";
+import { type QuarantineSimulation, simulateQuarantine } from "../_testing/simulateQuarantine";
 
 const CALM: QuarantineSimulation = {
     seed: 1,
--- a/src/gateway/quarantineLimits.test.ts
+++ b/src/gateway/quarantine/quarantineLimits.test.ts
@@ -1,15 +1,15 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { makeReport } from "../decisions/relays/_testing/makeReport";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { createPartEvidence } from "../decisions/gateway/createPartEvidence";
-import { mergeSuspects, sumClearances } from "../decisions/relays/mergeSuspects";
-import { PLATFORM_CODEC } from "../../platform/forwardingCodec";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
+import { makeReport } from "../../decisions/relays/_testing/makeReport";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { createPartEvidence } from "../../decisions/gateway/createPartEvidence";
+import { mergeSuspects, sumClearances } from "../../decisions/relays/mergeSuspects";
+import { PLATFORM_CODEC } from "../../../platform/forwardingCodec";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { type EndpointScript, formatAnswer } from "../_testing/startScriptedEndpoint";
 import { createPartQuarantine } from "./createPartQuarantine";
-import { encodeNews, NewsKind } from "./newsCodec";
-import { listSharedParts } from "../decisions/gateway/listSharedParts";
+import { encodeNews, NewsKind } from "../news/newsCodec";
+import { listSharedParts } from "../../decisions/gateway/listSharedParts";
 
 const BYTES_MAX = 65_507;
 let harness: GatewayHarness | undefined;
--- a/src/gateway/suspectsCodec.test.ts
+++ b/src/gateway/quarantine/suspectsCodec.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { makeReport } from "../decisions/relays/_testing/makeReport";
-import { CRASHES_PER_PART_MAX, SUSPECTS_MAX } from "../decisions/relays/constants";
-import { decodeNews, encodeNews, NewsKind } from "./newsCodec";
+import { makeReport } from "../../decisions/relays/_testing/makeReport";
+import { CRASHES_PER_PART_MAX, SUSPECTS_MAX } from "../../decisions/relays/constants";
+import { decodeNews, encodeNews, NewsKind } from "../news/newsCodec";
 import { decodeSuspects, encodeSuspects } from "./suspectsCodec";
 
 const SUSPECTS = {
--- a/src/gateway/suspectsCodec.ts
+++ b/src/gateway/quarantine/suspectsCodec.ts
@@ -2,8 +2,8 @@
  * @module The wire form of evidence on prompt parts. Each crash is named once, since one crash concerns many parts.
  */
 import { z } from "zod";
-import { CRASHES_PER_PART_MAX, SUSPECTS_MAX } from "../decisions/relays/constants";
-import type { SuspectParts } from "../decisions/relays/news";
+import { CRASHES_PER_PART_MAX, SUSPECTS_MAX } from "../../decisions/relays/constants";
+import type { SuspectParts } from "../../decisions/relays/news";
 
 /** Names of crashes and parts that are longer than this are not taken. */
 const NAME_LENGTH_MAX = 200;
--- a/src/gateway/createRolloutDuty.test.ts
+++ b/src/gateway/rollouts/createRolloutDuty.test.ts
@@ -1,18 +1,18 @@
 import assert from "node:assert/strict";
 import { err, ok, type Result } from "neverthrow";
 import { beforeEach, describe, it } from "node:test";
-import { createFailure } from "../base/createFailure";
-import { createManualClock } from "../base/createManualClock";
-import { type Failure, FailureKind } from "../base/failure";
-import { createLog } from "../base/log/createLog";
-import { planRollout } from "../decisions/versions/planRollout";
-import { type RolloutOrder, RolloutPhase } from "../model/gateway";
-import type { RolloutRecord, RolloutRecordsPort, StoredRolloutRecord } from "../ports/rolloutRecords";
-import { makeEndpoint } from "./_testing/makeEndpoint";
+import { createFailure } from "../../base/createFailure";
+import { createManualClock } from "../../base/createManualClock";
+import { type Failure, FailureKind } from "../../base/failure";
+import { createLog } from "../../base/log/createLog";
+import { planRollout } from "../../decisions/versions/planRollout";
+import { type RolloutOrder, RolloutPhase } from "../../model/gateway";
+import type { RolloutRecord, RolloutRecordsPort, StoredRolloutRecord } from "../../ports/rolloutRecords";
+import { makeEndpoint } from "../_testing/makeEndpoint";
 import { createRolloutDuty } from "./createRolloutDuty";
 import type { RolloutMove } from "./rollouts";
-import { createEndpointRecord } from "./endpointRecord";
-import type { Duty } from "./startDutyHolder";
+import { createEndpointRecord } from "../endpoints/endpointRecord";
+import type { Duty } from "../duties/startDutyHolder";
 
 const ORDER: RolloutOrder = { service: "chat", target: "v2", durationMs: 15_000, revision: 7 };
 const { shiftMs, endMs } = planRollout(ORDER.durationMs);
--- a/src/gateway/createRolloutDuty.ts
+++ b/src/gateway/rollouts/createRolloutDuty.ts
@@ -1,17 +1,17 @@
 /**
  * @module The duty to end each ordered move of a service by its deadline, and to store its state for the operator.
  */
-import type { Clock } from "../base/clock";
-import { FailureKind } from "../base/failure";
-import type { Log } from "../base/log/log";
-import { computeNextStepMs } from "../decisions/versions/computeNextStepMs";
-import { decideRolloutPhase } from "../decisions/versions/decideRolloutPhase";
-import { RolloutPhase } from "../model/gateway";
-import type { RolloutRecordsPort, StoredRolloutRecord } from "../ports/rolloutRecords";
-import type { ClusterTime } from "./createClusterTime";
-import type { EndpointDirectory } from "./createEndpointDirectory";
+import type { Clock } from "../../base/clock";
+import { FailureKind } from "../../base/failure";
+import type { Log } from "../../base/log/log";
+import { computeNextStepMs } from "../../decisions/versions/computeNextStepMs";
+import { decideRolloutPhase } from "../../decisions/versions/decideRolloutPhase";
+import { RolloutPhase } from "../../model/gateway";
+import type { RolloutRecordsPort, StoredRolloutRecord } from "../../ports/rolloutRecords";
+import type { ClusterTime } from "../tables/createClusterTime";
+import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
 import type { RolloutMove, Rollouts } from "./rollouts";
-import type { CheckHolder, Duty } from "./startDutyHolder";
+import type { CheckHolder, Duty } from "../duties/startDutyHolder";
 
 /** Time between two attempts to read or write the records while the store fails. */
 const RETRY_MS = 400;
--- a/src/gateway/createRolloutEvidence.test.ts
+++ b/src/gateway/rollouts/createRolloutEvidence.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ALL_ROUTES, listMissingEvidence } from "../decisions/versions/listMissingEvidence";
-import { Measure } from "../decisions/versions/versionEvidence";
+import { ALL_ROUTES, listMissingEvidence } from "../../decisions/versions/listMissingEvidence";
+import { Measure } from "../../decisions/versions/versionEvidence";
 import { createRolloutEvidence, type RolloutEvidence, type VersionAttempt } from "./createRolloutEvidence";
 
 const ATTEMPT: VersionAttempt = { route: "r", isNewVersion: false, hasFailed: false, slowness: 1 };
--- a/src/gateway/createRolloutEvidence.ts
+++ b/src/gateway/rollouts/createRolloutEvidence.ts
@@ -4,14 +4,14 @@
  * Answer times are judged relative to what was expected of them, so that endpoints with different loads and caches can
  * be compared, and counted for their route and for all routes together.
  */
-import { buildCellKey } from "../decisions/versions/buildCellKey";
-import { createEvidenceCell } from "../decisions/versions/createEvidenceCell";
-import { createMoveEvidence } from "../decisions/versions/createMoveEvidence";
-import { ALL_ROUTES } from "../decisions/versions/listMissingEvidence";
-import { listOwnCounts } from "../decisions/versions/listOwnCounts";
-import { mergeReports } from "../decisions/versions/mergeReports";
-import { recordObservation } from "../decisions/versions/recordObservation";
-import { updatePooledScores } from "../decisions/versions/updatePooledScores";
+import { buildCellKey } from "../../decisions/versions/buildCellKey";
+import { createEvidenceCell } from "../../decisions/versions/createEvidenceCell";
+import { createMoveEvidence } from "../../decisions/versions/createMoveEvidence";
+import { ALL_ROUTES } from "../../decisions/versions/listMissingEvidence";
+import { listOwnCounts } from "../../decisions/versions/listOwnCounts";
+import { mergeReports } from "../../decisions/versions/mergeReports";
+import { recordObservation } from "../../decisions/versions/recordObservation";
+import { updatePooledScores } from "../../decisions/versions/updatePooledScores";
 import {
     type CellCounts,
     LoadLevel,
@@ -19,7 +19,7 @@
     type MoveEvidence,
     type SlowRule,
     type VersionAlarm,
-} from "../decisions/versions/versionEvidence";
+} from "../../decisions/versions/versionEvidence";
 
 /** The two sides of a comparison, whatever the versions are called. */
 const OLD_VERSION = "old";
--- a/src/gateway/createRollouts.test.ts
+++ b/src/gateway/rollouts/createRollouts.test.ts
@@ -1,16 +1,16 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
-import { createManualClock } from "../base/createManualClock";
-import { createLog } from "../base/log/createLog";
-import { AttemptOutcome } from "../decisions/gateway/decideNextAction";
-import type { RolloutReports } from "../decisions/relays/news";
-import { RolloutPhase } from "../model/gateway";
-import { makeEndpoint } from "./_testing/makeEndpoint";
-import { createGatewayMetrics } from "./createGatewayMetrics";
+import { createManualClock } from "../../base/createManualClock";
+import { createLog } from "../../base/log/createLog";
+import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import type { RolloutReports } from "../../decisions/relays/news";
+import { RolloutPhase } from "../../model/gateway";
+import { makeEndpoint } from "../_testing/makeEndpoint";
+import { createGatewayMetrics } from "../process/createGatewayMetrics";
 import { createRollouts } from "./createRollouts";
 import type { Rollouts } from "./rollouts";
-import { createEndpointRecord, type EndpointRecord } from "./endpointRecord";
-import type { AttemptResult } from "./sendAttempt";
+import { createEndpointRecord, type EndpointRecord } from "../endpoints/endpointRecord";
+import type { AttemptResult } from "../forwarding/sendAttempt";
 
 const SERVICE = "chat";
 const ROUTE = "r";
--- a/src/gateway/createRollouts.ts
+++ b/src/gateway/rollouts/createRollouts.ts
@@ -5,23 +5,23 @@
  * The target of an order gets a bounded share of the requests until the move is completed, and nothing once it has been
  * rolled back or while it is unknown whether it has.
  */
-import type { Clock } from "../base/clock";
-import type { Log } from "../base/log/log";
-import { AttemptOutcome, isFailedStatus } from "../decisions/gateway/decideNextAction";
-import type { RolloutReport, RolloutReports } from "../decisions/relays/news";
-import { chooseCanaries } from "../decisions/versions/chooseCanaries";
-import { computeCanaryAllowance, type ExposureBounds } from "../decisions/versions/computeCanaryAllowance";
-import { describeAlarm } from "../decisions/versions/describeAlarm";
-import { listMissingEvidence } from "../decisions/versions/listMissingEvidence";
-import type { VersionAlarm } from "../decisions/versions/versionEvidence";
-import { type RolloutOrder, RolloutPhase } from "../model/gateway";
-import { createCrashWatch, type CrashWatchOptions } from "./createCrashWatch";
-import { FailureOwner, type FailureReporter } from "./createFailureReporter";
+import type { Clock } from "../../base/clock";
+import type { Log } from "../../base/log/log";
+import { AttemptOutcome, isFailedStatus } from "../../decisions/gateway/decideNextAction";
+import type { RolloutReport, RolloutReports } from "../../decisions/relays/news";
+import { chooseCanaries } from "../../decisions/versions/chooseCanaries";
+import { computeCanaryAllowance, type ExposureBounds } from "../../decisions/versions/computeCanaryAllowance";
+import { describeAlarm } from "../../decisions/versions/describeAlarm";
+import { listMissingEvidence } from "../../decisions/versions/listMissingEvidence";
+import type { VersionAlarm } from "../../decisions/versions/versionEvidence";
+import { type RolloutOrder, RolloutPhase } from "../../model/gateway";
+import { createCrashWatch, type CrashWatchOptions } from "../quarantine/createCrashWatch";
+import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import { createRolloutEvidence, type RolloutEvidence } from "./createRolloutEvidence";
-import type { GatewayMetrics } from "./createGatewayMetrics";
-import type { EndpointRecord } from "./endpointRecord";
+import type { GatewayMetrics } from "../process/createGatewayMetrics";
+import type { EndpointRecord } from "../endpoints/endpointRecord";
 import type { OrderChange, RolloutMove, Rollouts } from "./rollouts";
-import { type AttemptResult, ConnectionEnd } from "./sendAttempt";
+import { type AttemptResult, ConnectionEnd } from "../forwarding/sendAttempt";
 
 /** What the moves depend on. */
 export interface RolloutsOptions extends Pick<CrashWatchOptions, "directory" | "isRefusing"> {
--- a/src/gateway/loadRolloutRecords.test.ts
+++ b/src/gateway/rollouts/loadRolloutRecords.test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { err, ok } from "neverthrow";
 import { describe, it } from "node:test";
-import { createFailure } from "../base/createFailure";
-import { FailureKind } from "../base/failure";
-import { RolloutPhase } from "../model/gateway";
-import type { RolloutRecord, RolloutRecordsPort } from "../ports/rolloutRecords";
+import { createFailure } from "../../base/createFailure";
+import { FailureKind } from "../../base/failure";
+import { RolloutPhase } from "../../model/gateway";
+import type { RolloutRecord, RolloutRecordsPort } from "../../ports/rolloutRecords";
 import type { RolloutMove } from "./rollouts";
 import { loadRolloutRecords } from "./loadRolloutRecords";
 
--- a/src/gateway/loadRolloutRecords.ts
+++ b/src/gateway/rollouts/loadRolloutRecords.ts
@@ -1,8 +1,8 @@
 /**
  * @module Reads what the store has of ordered moves when a node starts: the fleet may have lost it with all its nodes.
  */
-import type { Clock } from "../base/clock";
-import type { RolloutRecordsPort } from "../ports/rolloutRecords";
+import type { Clock } from "../../base/clock";
+import type { RolloutRecordsPort } from "../../ports/rolloutRecords";
 import type { Rollouts } from "./rollouts";
 
 const RETRY_MS = 400;
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts/rollouts.ts
@@ -1,13 +1,13 @@
 /**
  * @module The moves of services to other versions, as the other modules of the gateway see them.
  */
-import type { DumpSource } from "../base/dump";
-import type { Instant } from "../base/instant";
-import type { GatewayEndpoint, RolloutOrder, RolloutPhase } from "../model/gateway";
-import type { RolloutRecord } from "../ports/rolloutRecords";
-import type { EndpointRecord } from "./endpointRecord";
-import type { RolloutSource } from "./fleetNewsOptions";
-import type { AttemptResult } from "./sendAttempt";
+import type { DumpSource } from "../../base/dump";
+import type { Instant } from "../../base/instant";
+import type { GatewayEndpoint, RolloutOrder, RolloutPhase } from "../../model/gateway";
+import type { RolloutRecord } from "../../ports/rolloutRecords";
+import type { EndpointRecord } from "../endpoints/endpointRecord";
+import type { RolloutSource } from "../news/fleetNewsOptions";
+import type { AttemptResult } from "../forwarding/sendAttempt";
 
 /** A new or removed order for a service. */
 export interface OrderChange {
--- a/src/gateway/rolloutsCodec.test.ts
+++ b/src/gateway/rollouts/rolloutsCodec.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EMPTY_COUNTS } from "../decisions/versions/emptyCounts";
-import { LoadLevel, Measure } from "../decisions/versions/versionEvidence";
-import { RolloutPhase } from "../model/gateway";
+import { EMPTY_COUNTS } from "../../decisions/versions/emptyCounts";
+import { LoadLevel, Measure } from "../../decisions/versions/versionEvidence";
+import { RolloutPhase } from "../../model/gateway";
 import { decodeRollouts, encodeRollouts } from "./rolloutsCodec";
 
 const CELL = {
--- a/src/gateway/rolloutsCodec.ts
+++ b/src/gateway/rollouts/rolloutsCodec.ts
@@ -2,10 +2,10 @@
  * @module Encodes reports on moves of services to other versions, as lists of numbers.
  */
 import { z } from "zod";
-import type { RolloutReport, RolloutReports } from "../decisions/relays/news";
-import { EMPTY_COUNTS } from "../decisions/versions/emptyCounts";
-import { type CellCounts, LoadLevel, Measure, type MeasureCounts } from "../decisions/versions/versionEvidence";
-import { RolloutPhase } from "../model/gateway";
+import type { RolloutReport, RolloutReports } from "../../decisions/relays/news";
+import { EMPTY_COUNTS } from "../../decisions/versions/emptyCounts";
+import { type CellCounts, LoadLevel, Measure, type MeasureCounts } from "../../decisions/versions/versionEvidence";
+import { RolloutPhase } from "../../model/gateway";
 
 /** Most services and most routes of a service that are decoded. */
 const SERVICES_MAX = 64;
--- a/src/gateway/trialEndpoints.test.ts
+++ b/src/gateway/rollouts/trialEndpoints.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { makeRoute } from "../decisions/gateway/_testing/makeRoute";
-import { RouteKind } from "../model/gateway";
-import { createGatewayHarness, type GatewayHarness } from "./_testing/createGatewayHarness";
-import { type EndpointScript, formatAnswer } from "./_testing/startScriptedEndpoint";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { RouteKind } from "../../model/gateway";
+import { createGatewayHarness, type GatewayHarness } from "../_testing/createGatewayHarness";
+import { type EndpointScript, formatAnswer } from "../_testing/startScriptedEndpoint";
 
 const REQUESTS = 120;
 let harness: GatewayHarness;
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -7,20 +7,20 @@
 import type { ProcessSignals } from "../base/processSignals";
 import { ExitCode } from "../cli/exitCode";
 import { logStrayErrors } from "../serve/logStrayErrors";
-import { createFailureReporter } from "./createFailureReporter";
-import { createGatewayMetrics } from "./createGatewayMetrics";
+import { createFailureReporter } from "./process/createFailureReporter";
+import { createGatewayMetrics } from "./process/createGatewayMetrics";
 import { createGatewayParts } from "./createGatewayParts";
 import { createGatewayServers } from "./createGatewayServers";
-import { createRateLimitedLog } from "./createRateLimitedLog";
-import { drainGateway } from "./drainGateway";
-import { dumpOnSignal } from "./dumpOnSignal";
+import { createRateLimitedLog } from "./process/createRateLimitedLog";
+import { drainGateway } from "./process/drainGateway";
+import { dumpOnSignal } from "./process/dumpOnSignal";
 import type { GatewayPlatform } from "./gatewayPlatform";
-import { startClusterTime } from "./startClusterTime";
-import { startDuties } from "./startDuties";
-import { startListeners } from "./startListeners";
-import { startWatches } from "./startWatches";
-import { waitForEnd } from "./waitForEnd";
-import { type LiveSettings, watchSettings } from "./watchSettings";
+import { startClusterTime } from "./tables/startClusterTime";
+import { startDuties } from "./duties/startDuties";
+import { startListeners } from "./process/startListeners";
+import { startWatches } from "./tables/startWatches";
+import { waitForEnd } from "./process/waitForEnd";
+import { type LiveSettings, watchSettings } from "./process/watchSettings";
 
 /**
  * Share of `revokeMs` after which a node that can't reach the store reports to the load balancer that it is not ready.
--- a/src/gateway/createClusterTime.ts
+++ b/src/gateway/tables/createClusterTime.ts
@@ -4,7 +4,7 @@
  * The wall clock of a machine may be set at any time, but the store's clock is monotonic. The nodes agree once on the
  * offset between Unix time and the store's clock; from then on each node derives the time from the store's clock.
  */
-import type { Clock } from "../base/clock";
+import type { Clock } from "../../base/clock";
 
 /** Number of recent answers of the store among which the one with the least network delay is used. */
 const SAMPLE_COUNT = 16;
--- a/src/gateway/createConfigurationHolder.ts
+++ b/src/gateway/tables/createConfigurationHolder.ts
@@ -1,12 +1,12 @@
 /**
  * @module The configuration in force at this node, and the time since the store last confirmed it.
  */
-import type { Clock } from "../base/clock";
-import type { DumpSource } from "../base/dump";
-import { computeElapsedMs, type Instant, readInstant } from "../base/instant";
-import type { Log } from "../base/log/log";
-import { buildRouteTable, type RouteTable } from "../decisions/gateway/routeTable";
-import type { GatewayAccount, GatewayConfiguration, GatewayService } from "../model/gateway";
+import type { Clock } from "../../base/clock";
+import type { DumpSource } from "../../base/dump";
+import { computeElapsedMs, type Instant, readInstant } from "../../base/instant";
+import type { Log } from "../../base/log/log";
+import { buildRouteTable, type RouteTable } from "../../decisions/gateway/routeTable";
+import type { GatewayAccount, GatewayConfiguration, GatewayService } from "../../model/gateway";
 
 /** A configuration with its lookup tables. */
 export interface ConfigurationView {
--- a/src/gateway/createCountedTables.test.ts
+++ b/src/gateway/tables/createCountedTables.test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createManualClock } from "../base/createManualClock";
-import { createFakeTable } from "../nodes/_testing/createFakeTable";
-import type { WatchedTablePort } from "../ports/watchedTable";
+import { createManualClock } from "../../base/createManualClock";
+import { createFakeTable } from "../../nodes/_testing/createFakeTable";
+import type { WatchedTablePort } from "../../ports/watchedTable";
 import { createCountedTables } from "./createCountedTables";
-import { createGatewayMetrics } from "./createGatewayMetrics";
+import { createGatewayMetrics } from "../process/createGatewayMetrics";
 
 describe("counted tables", () => {
     it("count each call by its kind and outcome", async () => {
--- a/src/gateway/createCountedTables.ts
+++ b/src/gateway/tables/createCountedTables.ts
@@ -2,10 +2,10 @@
  * @module Counts the calls of a node to the platform's store, which are limited and priced.
  */
 import type { Result } from "neverthrow";
-import type { Failure } from "../base/failure";
-import type { TablePort } from "../ports/table";
-import type { WatchedTablePort } from "../ports/watchedTable";
-import type { GatewayMetrics } from "./createGatewayMetrics";
+import type { Failure } from "../../base/failure";
+import type { TablePort } from "../../ports/table";
+import type { WatchedTablePort } from "../../ports/watchedTable";
+import type { GatewayMetrics } from "../process/createGatewayMetrics";
 
 /**
  * Wraps tables so that each call is counted by its kind and outcome.
--- a/src/gateway/createRelayedTables.ts
+++ b/src/gateway/tables/createRelayedTables.ts
@@ -2,19 +2,19 @@
  * @module Reads watched tables from a relay where there is one, and from the store otherwise.
  */
 import { err, ok, type Result } from "neverthrow";
-import { createConnectionPool } from "../adapters/_lib/createConnectionPool";
-import { HttpStatus } from "../adapters/_lib/httpStatus";
-import { sendHttpCall } from "../adapters/_lib/sendHttpCall";
-import type { Clock } from "../base/clock";
-import { createFailure } from "../base/createFailure";
-import type { Disposable } from "../base/disposableStore";
-import { type Failure, FailureKind } from "../base/failure";
-import type { Log } from "../base/log/log";
-import type { Random } from "../base/random";
-import { chooseRowSource, RowRole, STORE_SOURCE } from "../decisions/relays/chooseRowSource";
-import type { NodeIdentity } from "../decisions/relays/news";
-import type { TableRows, WatchedTablePort } from "../ports/watchedTable";
-import type { FleetNews } from "./createFleetNews";
+import { createConnectionPool } from "../../adapters/_lib/createConnectionPool";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
+import { sendHttpCall } from "../../adapters/_lib/sendHttpCall";
+import type { Clock } from "../../base/clock";
+import { createFailure } from "../../base/createFailure";
+import type { Disposable } from "../../base/disposableStore";
+import { type Failure, FailureKind } from "../../base/failure";
+import type { Log } from "../../base/log/log";
+import type { Random } from "../../base/random";
+import { chooseRowSource, RowRole, STORE_SOURCE } from "../../decisions/relays/chooseRowSource";
+import type { NodeIdentity } from "../../decisions/relays/news";
+import type { TableRows, WatchedTablePort } from "../../ports/watchedTable";
+import type { FleetNews } from "../news/createFleetNews";
 import { decodeRowsAnswer, ROWS_PATH } from "./createRowServer";
 
 /** Changes of a table that follow each other within this time are read by one call. */
--- a/src/gateway/createRowServer.ts
+++ b/src/gateway/tables/createRowServer.ts
@@ -3,11 +3,11 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import { z } from "zod";
-import { parseAnswer } from "../adapters/_lib/parseAnswer";
-import { HttpStatus } from "../adapters/_lib/httpStatus";
-import type { Clock } from "../base/clock";
+import { parseAnswer } from "../../adapters/_lib/parseAnswer";
+import { HttpStatus } from "../../adapters/_lib/httpStatus";
+import type { Clock } from "../../base/clock";
 import type { ClusterTime } from "./createClusterTime";
-import { FailureOwner, type FailureReporter } from "./createFailureReporter";
+import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import type { TableSnapshot } from "./createTableSnapshot";
 
 /** Path of the rows of a table; its name follows. */
--- a/src/gateway/createTableSnapshot.ts
+++ b/src/gateway/tables/createTableSnapshot.ts
@@ -1,9 +1,9 @@
 /**
  * @module The rows of a watched table as this node knows them, for other nodes that read them from it.
  */
-import type { Clock } from "../base/clock";
-import { computeElapsedMs, type Instant, readInstant } from "../base/instant";
-import type { TableRows, WatchedRow } from "../ports/watchedTable";
+import type { Clock } from "../../base/clock";
+import { computeElapsedMs, type Instant, readInstant } from "../../base/instant";
+import type { TableRows, WatchedRow } from "../../ports/watchedTable";
 
 /** Time for which removed rows are kept, so that a reader that was away for a while needs no whole table. */
 const REMOVED_ROW_RETENTION_MS = 30_000;
--- a/src/gateway/resolveClusterTime.ts
+++ b/src/gateway/tables/resolveClusterTime.ts
@@ -2,8 +2,8 @@
  * @module The agreement of the nodes on the offset of the cluster time.
  */
 import { ulid } from "ulid";
-import type { Log } from "../base/log/log";
-import type { TablePort } from "../ports/table";
+import type { Log } from "../../base/log/log";
+import type { TablePort } from "../../ports/table";
 import type { ClusterTime } from "./createClusterTime";
 
 /** Key of the row that holds the offset between Unix time and the store's clock. */
--- a/src/gateway/startClusterTime.ts
+++ b/src/gateway/tables/startClusterTime.ts
@@ -1,14 +1,14 @@
 /**
  * @module Starts the agreement of the nodes on the offset of the cluster time.
  */
-import type { Clock } from "../base/clock";
-import { waitFor } from "../base/csp";
-import type { Log } from "../base/log/log";
-import type { TablePort } from "../ports/table";
+import type { Clock } from "../../base/clock";
+import { waitFor } from "../../base/csp/index";
+import type { Log } from "../../base/log/log";
+import type { TablePort } from "../../ports/table";
 import type { ClusterTime } from "./createClusterTime";
-import { FailureOwner, type FailureReporter } from "./createFailureReporter";
+import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import { resolveClusterTime } from "./resolveClusterTime";
-import { startLoop } from "./startLoop";
+import { startLoop } from "../process/startLoop";
 
 /** Dependencies of the agreement. */
 export interface ClusterTimeOptions {
--- a/src/gateway/startTableWatch.ts
+++ b/src/gateway/tables/startTableWatch.ts
@@ -1,18 +1,18 @@
 /**
  * @module A task that watches a table of the store.
  */
-import type { Clock } from "../base/clock";
-import { type TaskGenerator, waitFor } from "../base/csp";
-import type { Disposable } from "../base/disposableStore";
-import { FailureKind } from "../base/failure";
-import { type Instant, readInstant, moveInstant } from "../base/instant";
-import type { Log } from "../base/log/log";
-import type { Random } from "../base/random";
-import type { TableRows, WatchedRow, WatchedTablePort } from "../ports/watchedTable";
-import { STORE_RECOVERY_GRACE_MS } from "./constants";
-import { FailureOwner, type FailureReporter } from "./createFailureReporter";
+import type { Clock } from "../../base/clock";
+import { type TaskGenerator, waitFor } from "../../base/csp/index";
+import type { Disposable } from "../../base/disposableStore";
+import { FailureKind } from "../../base/failure";
+import { type Instant, readInstant, moveInstant } from "../../base/instant";
+import type { Log } from "../../base/log/log";
+import type { Random } from "../../base/random";
+import type { TableRows, WatchedRow, WatchedTablePort } from "../../ports/watchedTable";
+import { STORE_RECOVERY_GRACE_MS } from "../constants";
+import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import type { TableSnapshot } from "./createTableSnapshot";
-import { startLoop } from "./startLoop";
+import { startLoop } from "../process/startLoop";
 
 const RETRY_INITIAL_MS = 50;
 const RETRY_MAX_MS = 500;
--- a/src/gateway/startWatches.ts
+++ b/src/gateway/tables/startWatches.ts
@@ -3,19 +3,19 @@
  */
 import type http from "node:http";
 import type { Result } from "neverthrow";
-import { waitFor } from "../base/csp";
-import type { Failure } from "../base/failure";
-import type { GatewayConfiguration } from "../model/gateway";
-import type { WatchedRow } from "../ports/watchedTable";
+import { waitFor } from "../../base/csp/index";
+import type { Failure } from "../../base/failure";
+import type { GatewayConfiguration } from "../../model/gateway";
+import type { WatchedRow } from "../../ports/watchedTable";
 import type { ClusterTime } from "./createClusterTime";
-import { FailureOwner } from "./createFailureReporter";
+import { FailureOwner } from "../process/createFailureReporter";
 import { createRelayedTables } from "./createRelayedTables";
 import { createRowServer } from "./createRowServer";
 import { createTableSnapshot } from "./createTableSnapshot";
-import type { GatewayComponents } from "./gatewayComponents";
-import type { GatewayPlatform } from "./gatewayPlatform";
-import { loadRolloutRecords } from "./loadRolloutRecords";
-import { startLoop } from "./startLoop";
+import type { GatewayComponents } from "../gatewayComponents";
+import type { GatewayPlatform } from "../gatewayPlatform";
+import { loadRolloutRecords } from "../rollouts/loadRolloutRecords";
+import { startLoop } from "../process/startLoop";
 import { startTableWatch } from "./startTableWatch";
 
 /** How long the store may delay its answer while a table does not change (long polling). */
--- a/src/serve/logStrayErrors.test.ts
+++ b/src/serve/logStrayErrors.test.ts
@@ -4,8 +4,8 @@
 import { formatError } from "../base/formatError";
 import { createLog } from "../base/log/createLog";
 import { LogFormat } from "../base/log/log";
-import { createGatewayMetrics } from "../gateway/createGatewayMetrics";
-import { createRateLimitedLog } from "../gateway/createRateLimitedLog";
+import { createGatewayMetrics } from "../gateway/process/createGatewayMetrics";
+import { createRateLimitedLog } from "../gateway/process/createRateLimitedLog";
 import { logStrayErrors } from "./logStrayErrors";
 
 const EVENTS = ["unhandledRejection", "uncaughtException"] as const;
