Refuse every key where the configuration has no list of accounts

Callers saw: after a version without `tenants`, requests with a key that the version before it had held still ran, and so did those with a key that no version ever held, without an account and without a quota (CONFIG, ROUTE). Change: without a list a request needs no key, but one that sends a key gets 401: it is a revoked or an unknown one. Routes that are anonymous, and callers without a key, are served as before.

--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -114,7 +114,9 @@
         if (route === undefined) {
             return createFailure(FailureKind.NotFound, "No route matches the host and path.");
         }
-        if (route.isAnonymous || view.configuration.accounts === undefined) {
+        // Without a list of accounts no key is needed, but one that is sent can only be a revoked or an unknown one.
+        const needsNoKey = view.configuration.accounts === undefined && head.key === undefined;
+        if (route.isAnonymous || needsNoKey) {
             return { route, account: undefined, view };
         }
         const stale = checkConfirmation();
