Let keys end where the newest configuration can't be read

Callers saw: after the row of the configuration was replaced by one that can't be read (accounts `null` or an object, or other bytes) or was deleted, requests with keys of the version before went on to run for good, also later than revokeMs (CONFIG). Cause: the version in force stays, but the watch recorded each answer of the store as a confirmation of it. Change: while the newest row can't be read or is missing, the version in force is not confirmed. Its keys end at revokeMs with 503 and Retry-After; anonymous routes go on. The next readable version confirms again. Result: revokedKeys.test.ts 6 passed; unreadableConfiguration.test.ts passes unchanged.

--- a/src/gateway/tables/createConfigurationHolder.ts
+++ b/src/gateway/tables/createConfigurationHolder.ts
@@ -24,6 +24,11 @@
     applyConfiguration(configuration: GatewayConfiguration): void;
     /** Records that the configuration in force was the newest one at this moment; an earlier one changes nothing. */
     recordConfirmation(at: Instant): void;
+    /**
+     * Records that the store holds a configuration that can't be read, or none any more. The one in force stays, but is not
+     * confirmed until one can be read again: its keys may have been revoked.
+     */
+    recordUnreadable(): void;
     /** Computes how long ago the store last confirmed the configuration; infinite if it never did. */
     computeAgeMs(): number;
     /** Calls `handle` for each new configuration, and at once if one is in force. */
@@ -43,6 +48,7 @@
     const watchers: ((view: ConfigurationView) => void)[] = [];
     let current: ConfigurationView | undefined;
     let confirmedAt: Instant | undefined;
+    let isSuperseded = false;
     const computeAgeMs = () =>
         confirmedAt === undefined ? Number.POSITIVE_INFINITY : computeElapsedMs(confirmedAt, readInstant(clock));
     return {
@@ -57,6 +63,7 @@
         readCurrent: () => current,
         applyConfiguration: configuration => {
             const before = current?.configuration.version;
+            isSuperseded = false;
             if (before !== undefined && configuration.version <= before) {
                 if (configuration.version < before) {
                     log.warn("older configuration ignored", { version: configuration.version, keptVersion: before });
@@ -75,10 +82,13 @@
             watchers.forEach(handle => handle(view));
         },
         recordConfirmation: at => {
-            if (confirmedAt === undefined || at.monotonicMs >= confirmedAt.monotonicMs) {
+            if (!isSuperseded && (confirmedAt === undefined || at.monotonicMs >= confirmedAt.monotonicMs)) {
                 confirmedAt = at;
             }
         },
+        recordUnreadable: () => {
+            isSuperseded = true;
+        },
         computeAgeMs,
         watchConfiguration: handle => {
             watchers.push(handle);
--- a/src/gateway/tables/startWatches.ts
+++ b/src/gateway/tables/startWatches.ts
@@ -61,6 +61,7 @@
             configuration.applyConfiguration(decoded.value);
             return;
         }
+        configuration.recordUnreadable();
         metrics.countUnreadableConfiguration();
         log.error("configuration unreadable", {
             reason: decoded.error.message,
@@ -78,7 +79,11 @@
         handleRows: (rows, isWholeTable) => {
             const decode = <T>(decodeWith: (row: WatchedRow) => T | undefined) =>
                 rows.flatMap(row => decodeRow(configurationTable, row, decodeWith) ?? []);
-            decode(platform.decodeConfigurationRow).forEach(handleConfiguration);
+            const configurations = decode(platform.decodeConfigurationRow);
+            configurations.forEach(handleConfiguration);
+            if (isWholeTable && configurations.length === 0) {
+                configuration.recordUnreadable();
+            }
             rollouts.applyOrders(decode(platform.decodeRolloutRow), isWholeTable);
             if (!hasReadOrders) {
                 hasReadOrders = true;
