Keep requests in the home regions of their route and account

Cause: nothing in the configuration kept a request inside a region. Change: routes and accounts have homeRegions. The filter is where the candidates of every attempt are listed, so that retries and resumed streams keep to it. Requests without an endpoint left are refused as not run, with the reason in the log and in redwinglift_placement_refusals_total.

--- a/src/gateway/callers/buildExchange.ts
+++ b/src/gateway/callers/buildExchange.ts
@@ -2,6 +2,7 @@
  * @module Builds the exchange of a request that passed the checks.
  */
 import type { Random } from "../../base/random";
+import { resolveHomeRegions } from "../../decisions/gateway/resolveHomeRegions";
 import type { GatewayAccount, GatewayRoute } from "../../model/gateway";
 import { computeRequestTimes } from "./computeRequestTimes";
 import type { ConfigurationView } from "../tables/createConfigurationHolder";
@@ -39,6 +40,7 @@
         service: chooseService(route, random.drawFraction()),
         account: account?.name,
         priority: account?.priority ?? route.priority,
+        homeRegions: resolveHomeRegions(route.homeRegions, account?.homeRegions),
         configurationVersion: view.configuration.version,
     };
 }
--- a/src/gateway/callers/exchange.ts
+++ b/src/gateway/callers/exchange.ts
@@ -19,6 +19,8 @@
     readonly account: string | undefined;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** Regions whose endpoints may get the request; `undefined`: all. An empty list allows none. */
+    readonly homeRegions: readonly string[] | undefined;
     readonly body: Buffer;
     /** Where the bytes of its answer are held until they are sent. */
     readonly answerMemory: MemoryLease;
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -10,6 +10,7 @@
 import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../../decisions/gateway/decideNextAction";
 import { computeStallTimeoutMs } from "../../decisions/gateway/computeStallTimeoutMs";
 import { decideGiveUp } from "../../decisions/gateway/decideGiveUp";
+import { explainPlacement, filterPlaceable, type PlacementBar } from "../../decisions/gateway/filterPlaceable";
 import { filterServable } from "../../decisions/gateway/filterServable";
 import { PartVerdict } from "../../decisions/gateway/evaluatePart";
 import { listSharedParts } from "../../decisions/gateway/listSharedParts";
@@ -63,6 +64,14 @@
     readonly view: EndpointView;
 }
 
+/** That no endpoint takes the request now. */
+interface NoCandidate {
+    /** Time until one may, which may be infinite. */
+    readonly waitMs: number;
+    /** Why their place leaves all endpoints out; `undefined` if it doesn't. */
+    readonly bar: PlacementBar | undefined;
+}
+
 /**
  * Creates the forwarder of a node.
  *
@@ -89,7 +98,9 @@
         const { exchange, triedEndpoints } = state;
         const { rollouts, limits } = components;
         const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
-        const untried = usable.filter(record => !triedEndpoints.has(record.endpoint.id));
+        const rules = { homeRegions: exchange.homeRegions, regions: settings.regions };
+        const placeable = filterPlaceable(usable, rules);
+        const untried = placeable.filter(record => !triedEndpoints.has(record.endpoint.id));
         const waitsMs = new Map(untried.map(record => [record, computeWaitMs(record, nowMs)]));
         const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
         const open = rollouts.filterEligible(
@@ -102,6 +113,8 @@
         return {
             open,
             reachable: open.filter(record => record.suspectUntilMs <= nowMs),
+            /** Why no endpoint is left, if its place bars each of them. */
+            bar: placeable.length === 0 && usable[0] ? explainPlacement(usable[0].endpoint, rules) : undefined,
             leastWaitMs: Math.min(...eligible.map(record => waitsMs.get(record) ?? 0)),
         };
     };
@@ -139,10 +152,10 @@
     };
 
     /** Picks an endpoint; if none takes the request now, gives the time until one may, which may be infinite. */
-    const pickCandidate = (state: ForwardingState): Candidate | { readonly waitMs: number } => {
+    const pickCandidate = (state: ForwardingState): Candidate | NoCandidate => {
         const { request, exchange } = state;
         const nowMs = clock.readMonotonicMs();
-        const { open, reachable, leastWaitMs } = listOpen(state, nowMs);
+        const { open, reachable, leastWaitMs, bar } = listOpen(state, nowMs);
         const speed = speeds.readSpeed(exchange.service);
         const all = (reachable.length > 0 ? reachable : open).map(record => ({
             record,
@@ -152,7 +165,7 @@
         const candidates = state.isCareful ? all.filter(({ view }) => view.occupancy <= leastOccupancy) : all;
         const views = candidates.map(candidate => candidate.view);
         const id = chooseEndpoint(views, request, speed, components.random);
-        return candidates.find(candidate => candidate.view.id === id) ?? { waitMs: leastWaitMs };
+        return candidates.find(candidate => candidate.view.id === id) ?? { waitMs: leastWaitMs, bar };
     };
 
     const runAttempt = async (state: ForwardingState, { record, view }: Candidate): Promise<EndedAttempt> => {
@@ -295,7 +308,10 @@
             state.isCareful = admission.verdict !== PartVerdict.Free;
             const candidate = pickCandidate(state);
             if ("waitMs" in candidate) {
-                return describeWithoutEndpoint(state, candidate.waitMs);
+                if (candidate.bar !== undefined) {
+                    components.metrics.countPlacementRefusal(exchange.service, candidate.bar);
+                }
+                return describeWithoutEndpoint(state, candidate.waitMs, candidate.bar);
             }
             state.triedEndpoints.add(candidate.view.id);
             state.sends++;
--- a/src/gateway/forwarding/forwardingOutcome.ts
+++ b/src/gateway/forwarding/forwardingOutcome.ts
@@ -4,6 +4,7 @@
 import { createFailure } from "../../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../../base/failure";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import type { PlacementBar } from "../../decisions/gateway/filterPlaceable";
 import { RETRY_AFTER_MS } from "../constants";
 import type { StreamRelay } from "./createStreamRelay";
 import type { AttemptResult } from "./sendAttempt";
@@ -37,8 +38,9 @@
 /** The failure of a request that no endpoint took. */
 export const NO_ENDPOINT_FAILURE = createNoEndpointFailure(RETRY_AFTER_MS);
 
-function createNoEndpointFailure(retryAfterMs: number): Failure {
-    return createFailure(FailureKind.NoEndpoint, "No endpoint took the request.", { retryAfterMs });
+function createNoEndpointFailure(retryAfterMs: number, bar?: PlacementBar): Failure {
+    const message = bar === undefined ? "No endpoint took the request." : `No endpoint may get the request: ${bar}.`;
+    return createFailure(FailureKind.NoEndpoint, message, { retryAfterMs });
 }
 
 /** Describes the failure of a request that may have been executed, by its last attempt. */
@@ -62,15 +64,16 @@
 
 /**
  * Describes the end if no endpoint is left to try: the request was not executed unless an earlier attempt may have
- * been. `waitMs` is the time until an endpoint may take one; infinite if that is unknown.
+ * been. `waitMs` is the time until an endpoint may take one; infinite if that is unknown. `bar` tells why their place
+ * leaves all endpoints out, if it does.
  */
-export function describeWithoutEndpoint(state: UnansweredState, waitMs: number): ForwardingOutcome {
+export function describeWithoutEndpoint(state: UnansweredState, waitMs: number, bar?: PlacementBar): ForwardingOutcome {
     if (state.relay.hasBegun()) {
         return { isRelayed: false, failure: undefined };
     }
     const failure =
         state.executions === 0
-            ? createNoEndpointFailure(Number.isFinite(waitMs) ? Math.max(RETRY_AFTER_MS, waitMs) : RETRY_AFTER_MS)
+            ? createNoEndpointFailure(Number.isFinite(waitMs) ? Math.max(RETRY_AFTER_MS, waitMs) : RETRY_AFTER_MS, bar)
             : createFailure(FailureKind.OutcomeUnknown, "No other endpoint is left to try.", {
                   execution: Execution.Unknown,
               });
--- a/src/gateway/process/createGatewayMetrics.ts
+++ b/src/gateway/process/createGatewayMetrics.ts
@@ -30,6 +30,8 @@
     countConnectionEnd(service: string, connection: string, hasAnswerBegun: boolean): void;
     /** Counts an attempt that was not made because of a prompt part that crashes endpoints. */
     countPromptRefusal(verdict: string): void;
+    /** Counts a request that is refused because its place or state bars each endpoint, by the reason. */
+    countPlacementRefusal(service: string, reason: string): void;
     /** Sets how many prompt parts are suspected and quarantined. */
     setPromptParts(parts: { readonly suspected: number; readonly quarantined: number }): void;
     /** Records the time from receiving a request to the first part of its answer. */
@@ -105,6 +107,12 @@
         labelNames: ["verdict"],
         registers,
     });
+    const placementRefusals = new Counter({
+        name: "redwinglift_placement_refusals_total",
+        help: "Requests refused because each endpoint is left out by its place, by reason.",
+        labelNames: ["service", "reason"],
+        registers,
+    });
     const promptParts = new Gauge({
         name: "redwinglift_prompt_parts",
         help: "Prompt parts that are suspected, and those in quarantine.",
@@ -202,6 +210,7 @@
         countConnectionEnd: (service, connection, hasAnswerBegun) =>
             connectionEnds.inc({ service, connection, answer: hasAnswerBegun ? "begun" : "waiting" }),
         countPromptRefusal: verdict => promptRefusals.inc({ verdict }),
+        countPlacementRefusal: (service, reason) => placementRefusals.inc({ service, reason }),
         setPromptParts: ({ suspected, quarantined }) => {
             promptParts.set({ state: "suspected" }, suspected);
             promptParts.set({ state: "quarantined" }, quarantined);
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -41,6 +41,8 @@
     readonly isResumable: boolean;
     /** Latency objective between two events of a stream, in milliseconds; 0 if there is none. */
     readonly gapTargetMs: number;
+    /** Regions whose endpoints may get its requests; absent or empty: all. */
+    readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** Properties of the engines of a service with model runners. */
@@ -89,6 +91,8 @@
     readonly countsTokens: boolean;
     /** Tokens charged for a request that states no token counts. */
     readonly defaultTokens: number;
+    /** Regions whose endpoints may get its requests; absent or empty: all. */
+    readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** Limits on what callers may send. */
