Evacuate a failure domain by a row of the operator's table

Cause: an operator had no way to keep requests out of a failure domain. Change: rows evacuate/ZONE are applied from the watch that reads the configuration; the filter of all attempts leaves the endpoints of these domains out. After the row is deleted, they count as cold for coldStartS until newer word of them.

--- a/src/decisions/gateway/filterPlaceable.ts
+++ b/src/decisions/gateway/filterPlaceable.ts
@@ -5,6 +5,8 @@
 
 /** Why an endpoint is left out. */
 export enum PlacementBar {
+    /** The operator evacuates its failure domain. */
+    Evacuated = "evacuated",
     /** It isn't in a home region of the request. */
     OutsideHomeRegions = "outside_home_regions",
 }
@@ -13,6 +15,8 @@
 export interface PlacementRules {
     /** Regions whose endpoints may get the request; `undefined`: all. An empty list allows none. */
     readonly homeRegions: readonly string[] | undefined;
+    /** Failure domains that are evacuated. */
+    readonly evacuated: ReadonlySet<string>;
     /** Region of each failure domain. */
     readonly regions: Readonly<Record<string, string>>;
 }
@@ -27,13 +31,13 @@
  * @param rules - What decides where the request may go
  * @returns Those that may get the request; the same list if nothing restricts it
  * @example
- * filterPlaceable(records, { homeRegions: ["east"], regions: { "east-1": "east" } });
+ * filterPlaceable(records, { homeRegions: ["east"], evacuated: new Set(), regions: { "east-1": "east" } });
  */
 export function filterPlaceable<T extends { readonly endpoint: PlacedEndpoint }>(
     records: readonly T[],
     rules: PlacementRules,
 ): readonly T[] {
-    return rules.homeRegions === undefined
+    return rules.homeRegions === undefined && rules.evacuated.size === 0
         ? records
         : records.filter(({ endpoint }) => explainPlacement(endpoint, rules) === undefined);
 }
@@ -48,7 +52,7 @@
  * explainPlacement(endpoint, rules); //=> PlacementBar.OutsideHomeRegions
  */
 export function explainPlacement(endpoint: PlacedEndpoint, rules: PlacementRules): PlacementBar | undefined {
-    const { homeRegions, regions } = rules;
+    const { homeRegions, evacuated, regions } = rules;
     if (homeRegions !== undefined) {
         // An unknown failure domain is in no region, so it is outside.
         const region = Object.hasOwn(regions, endpoint.failureDomain) ? regions[endpoint.failureDomain] : undefined;
@@ -56,5 +60,5 @@
             return PlacementBar.OutsideHomeRegions;
         }
     }
-    return undefined;
+    return evacuated.has(endpoint.failureDomain) ? PlacementBar.Evacuated : undefined;
 }
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -21,6 +21,7 @@
 import { createConfigurationHolder, type ConfigurationHolder } from "../tables/createConfigurationHolder";
 import { createDemandMeter } from "../duties/createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "../endpoints/createEndpointDirectory";
+import { createEvacuations } from "../endpoints/createEvacuations";
 import { createEndpointLimits } from "../endpoints/createEndpointLimits";
 import { createFailureReporter } from "../process/createFailureReporter";
 import { createForwarder } from "../forwarding/createForwarder";
@@ -184,6 +185,7 @@
             log,
         }),
         rollouts,
+        evacuations: createEvacuations({ handleCancelled: () => undefined, metrics, log }),
         memory: createBodyMemory(settings.memoryBytesMax),
         reportFailure: createFailureReporter(log, metrics),
         limits: createEndpointLimits({
--- a/src/gateway/createGatewayParts.ts
+++ b/src/gateway/createGatewayParts.ts
@@ -9,10 +9,11 @@
 import type { GatewaySettings } from "../model/gateway";
 import { createBodyMemory } from "./callers/createBodyMemory";
 import { type ClusterTime, createClusterTime } from "./tables/createClusterTime";
-import { createConfigurationHolder } from "./tables/createConfigurationHolder";
+import { type ConfigurationHolder, createConfigurationHolder } from "./tables/createConfigurationHolder";
 import { createCountedTables } from "./tables/createCountedTables";
 import { createDemandMeter } from "./duties/createDemandMeter";
 import { createEndpointDirectory, type EndpointDirectory } from "./endpoints/createEndpointDirectory";
+import { createEvacuations } from "./endpoints/createEvacuations";
 import { createEndpointLimits } from "./endpoints/createEndpointLimits";
 import type { FailureReporter } from "./process/createFailureReporter";
 import { createFleetNews } from "./news/createFleetNews";
@@ -112,6 +113,11 @@
         clock,
         log,
     });
+    const evacuations = createEvacuations({
+        handleCancelled: domain => directory.recordReturn(domain, service => readColdStartMs(configuration, service)),
+        metrics,
+        log,
+    });
     const news = createFleetNews({
         self,
         failureDomains: Object.keys(settings.regions),
@@ -162,12 +168,18 @@
         quarantine,
         rollouts,
         limits,
+        evacuations,
         memory,
         reportFailure,
     };
     return { components, platform, clusterTime, quotas, membership };
 }
 
+/** Reads how long an endpoint of a service is cold after its start; 0 if it never is or the service isn't known. */
+function readColdStartMs(configuration: ConfigurationHolder, service: string): number {
+    return configuration.readCurrent()?.services.get(service)?.coldStartMs ?? 0;
+}
+
 /** Creates the check whether an endpoint is in the region of this node. */
 function createNearEndpointCheck(
     { regions, failureDomain }: GatewaySettings,
--- a/src/gateway/endpoints/createEndpointDirectory.ts
+++ b/src/gateway/endpoints/createEndpointDirectory.ts
@@ -38,6 +38,11 @@
     readActivity(): Readonly<Record<string, EndpointActivity>>;
     /** Records what the other nodes do at the endpoints; nothing at those that are absent. */
     recordOthers(activity: ReadonlyMap<string, EndpointActivity>): void;
+    /**
+     * Records that the endpoints of a failure domain may have been restarted: they count as cold until that time is over, or
+     * until an entry or answer from then on says otherwise.
+     */
+    recordReturn(failureDomain: string, readColdStartMs: (service: string) => number): void;
     /** True once a complete list was read. */
     isLoaded(): boolean;
 }
@@ -80,6 +85,7 @@
                 Object.assign(record, {
                     endpoint,
                     coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs,
+                    presumedColdUntilMs: isNewerColdTime(record, endpoint) ? 0 : record.presumedColdUntilMs,
                     missingSinceMs: undefined,
                 }),
             );
@@ -150,6 +156,16 @@
                 }
             }
         },
+        recordReturn: (failureDomain, readColdStartMs) => {
+            const nowMs = clock.readMonotonicMs();
+            for (const record of records.values()) {
+                const coldMs =
+                    record.endpoint.failureDomain === failureDomain ? readColdStartMs(record.endpoint.service) : 0;
+                if (coldMs > 0) {
+                    record.presumedColdUntilMs = nowMs + coldMs;
+                }
+            }
+        },
         isLoaded: () => hasCompleteList,
         dumpState: () =>
             [...records.values()].map(({ endpoint, ownInFlight, bias, failures, suspectUntilMs, load }) => ({
@@ -169,6 +185,11 @@
     return !endpoint.isDraining && !isMisdirected && !isLeaving;
 }
 
+/** Tells whether an entry states a cold time that it didn't state before; an entry that is read again tells nothing new. */
+function isNewerColdTime({ endpoint: before }: EndpointRecord, after: GatewayEndpoint): boolean {
+    return after.hasColdTime === true && JSON.stringify(before) !== JSON.stringify(after);
+}
+
 /** Tells whether two entries describe the same start of an endpoint. */
 function isSameInstance(before: GatewayEndpoint, after: GatewayEndpoint): boolean {
     return (
--- a/src/gateway/endpoints/endpointRecord.ts
+++ b/src/gateway/endpoints/endpointRecord.ts
@@ -44,6 +44,8 @@
     readonly distancePenaltyMs: number;
     /** Monotonic time until which the endpoint is slow after its start. */
     coldUntilMs: number;
+    /** Monotonic time until which it counts as cold since it may have restarted, whatever its entry says; else 0. */
+    presumedColdUntilMs: number;
     /** Monotonic time at which the entry disappeared after a store outage; absent while the entry exists. */
     missingSinceMs: number | undefined;
     /** True once a different endpoint has answered at this address. */
@@ -86,6 +88,7 @@
         roundTripMs: distance.roundTripMs,
         distancePenaltyMs: distance.penaltyMs,
         coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs,
+        presumedColdUntilMs: 0,
         missingSinceMs: undefined,
         isMisdirected: false,
         isLeaving: false,
@@ -115,12 +118,23 @@
         occupancy: record.ownInFlight + others.inFlight,
         pendingTokens: record.pendingTokens + others.pendingTokens,
         biasMs: computeDecayed(record.bias, BIAS_HALF_LIFE_MS, nowMs),
-        coldMs: Math.max(0, record.coldUntilMs - nowMs),
+        coldMs: computeColdMs(record, nowMs),
         failureRate: computeDecayed(record.failures, FAILURE_HALF_LIFE_MS, nowMs),
         cachedTokens: countCachedTokens(record, parts, nowMs),
     };
 }
 
+/** Computes how long the endpoint is still slow after a start, or after what may have been one. */
+export function computeColdMs({ coldUntilMs, presumedColdUntilMs }: EndpointRecord, nowMs: number): number {
+    return Math.max(0, coldUntilMs - nowMs, presumedColdUntilMs - nowMs);
+}
+
+/** Records how long the endpoint itself says that it stays cold, which ends any presumption. */
+export function recordColdTime(record: EndpointRecord, coldForMs: number, nowMs: number): void {
+    record.coldUntilMs = nowMs + coldForMs;
+    record.presumedColdUntilMs = 0;
+}
+
 /** Records what the other nodes do at the endpoint. */
 export function recordOthers(record: EndpointRecord, activity: EndpointActivity, nowMs: number): void {
     record.others = { ...activity, atMs: nowMs };
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -98,7 +98,8 @@
         const { exchange, triedEndpoints } = state;
         const { rollouts, limits } = components;
         const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
-        const rules = { homeRegions: exchange.homeRegions, regions: settings.regions };
+        const evacuated = components.evacuations.readDomains();
+        const rules = { homeRegions: exchange.homeRegions, evacuated, regions: settings.regions };
         const placeable = filterPlaceable(usable, rules);
         const untried = placeable.filter(record => !triedEndpoints.has(record.endpoint.id));
         const waitsMs = new Map(untried.map(record => [record, computeWaitMs(record, nowMs)]));
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationHolder } from "./tables/createConfigurationHolder";
 import type { DemandMeter } from "./duties/createDemandMeter";
 import type { EndpointDirectory } from "./endpoints/createEndpointDirectory";
+import type { Evacuations } from "./endpoints/createEvacuations";
 import type { EndpointLimits } from "./endpoints/createEndpointLimits";
 import type { GatewayMetrics } from "./process/createGatewayMetrics";
 import type { PartQuarantine } from "./quarantine/createPartQuarantine";
@@ -36,6 +37,7 @@
     readonly quarantine: PartQuarantine;
     readonly rollouts: Rollouts;
     readonly limits: EndpointLimits;
+    readonly evacuations: Evacuations;
     readonly memory: BodyMemory;
     readonly reportFailure: FailureReporter;
 }
--- a/src/gateway/gatewayPlatform.ts
+++ b/src/gateway/gatewayPlatform.ts
@@ -3,7 +3,7 @@
  */
 import type { Result } from "neverthrow";
 import type { Failure } from "../base/failure";
-import type { GatewayConfiguration, GatewayEndpoint, GatewaySettings } from "../model/gateway";
+import type { EvacuationChange, GatewayConfiguration, GatewayEndpoint, GatewaySettings } from "../model/gateway";
 import type { DutyPort } from "../ports/duties";
 import type { ForwardingCodec } from "../ports/forwardingCodec";
 import type { RolloutRecordsPort } from "../ports/rolloutRecords";
@@ -26,5 +26,7 @@
     readonly decodeConfigurationRow: (row: WatchedRow) => Result<GatewayConfiguration, Failure> | undefined;
     /** Gives the order for a service, or its removal; `undefined` for any other row, and for a malformed one. */
     readonly decodeRolloutRow: (row: WatchedRow) => OrderChange | undefined;
+    /** Gives the order to evacuate a failure domain, or its cancellation; `undefined` for any other row. */
+    readonly decodeEvacuationRow: (row: WatchedRow) => EvacuationChange | undefined;
     readonly decodeEndpointRow: (row: WatchedRow) => GatewayEndpoint | undefined;
 }
--- a/src/gateway/process/createGatewayMetrics.ts
+++ b/src/gateway/process/createGatewayMetrics.ts
@@ -32,6 +32,8 @@
     countPromptRefusal(verdict: string): void;
     /** Counts a request that is refused because its place or state bars each endpoint, by the reason. */
     countPlacementRefusal(service: string, reason: string): void;
+    /** Sets whether a failure domain is evacuated. */
+    setEvacuated(failureDomain: string, isEvacuated: boolean): void;
     /** Sets how many prompt parts are suspected and quarantined. */
     setPromptParts(parts: { readonly suspected: number; readonly quarantined: number }): void;
     /** Records the time from receiving a request to the first part of its answer. */
@@ -113,6 +115,12 @@
         labelNames: ["service", "reason"],
         registers,
     });
+    const evacuated = new Gauge({
+        name: "redwinglift_evacuated",
+        help: "1 while a failure domain is evacuated, 0 after that.",
+        labelNames: ["failure_domain"],
+        registers,
+    });
     const promptParts = new Gauge({
         name: "redwinglift_prompt_parts",
         help: "Prompt parts that are suspected, and those in quarantine.",
@@ -211,6 +219,7 @@
             connectionEnds.inc({ service, connection, answer: hasAnswerBegun ? "begun" : "waiting" }),
         countPromptRefusal: verdict => promptRefusals.inc({ verdict }),
         countPlacementRefusal: (service, reason) => placementRefusals.inc({ service, reason }),
+        setEvacuated: (domain, isEvacuated) => evacuated.set({ failure_domain: domain }, isEvacuated ? 1 : 0),
         setPromptParts: ({ suspected, quarantined }) => {
             promptParts.set({ state: "suspected" }, suspected);
             promptParts.set({ state: "quarantined" }, quarantined);
--- a/src/gateway/process/dumpOnSignal.ts
+++ b/src/gateway/process/dumpOnSignal.ts
@@ -25,11 +25,22 @@
     signals: Pick<ProcessSignals, "setHandler">,
     write?: (line: string) => void,
 ): void {
-    const { clock, settings, configuration, directory, news, quarantine, rollouts, limits, reportFailure } = components;
+    const {
+        clock,
+        settings,
+        configuration,
+        directory,
+        news,
+        quarantine,
+        rollouts,
+        limits,
+        evacuations,
+        reportFailure,
+    } = components;
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
-        listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits, listeners],
+        listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits, evacuations, listeners],
     };
     const readDump = () => {
         try {
--- a/src/gateway/rollouts/createRollouts.ts
+++ b/src/gateway/rollouts/createRollouts.ts
@@ -19,7 +19,7 @@
 import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import { createRolloutEvidence, type RolloutEvidence } from "./createRolloutEvidence";
 import type { GatewayMetrics } from "../process/createGatewayMetrics";
-import type { EndpointRecord } from "../endpoints/endpointRecord";
+import { computeColdMs, type EndpointRecord } from "../endpoints/endpointRecord";
 import type { OrderChange, RolloutMove, Rollouts } from "./rollouts";
 import { type AttemptResult, ConnectionEnd } from "../forwarding/sendAttempt";
 
@@ -200,9 +200,7 @@
             return others;
         }
         const nowMs = clock.readMonotonicMs();
-        const warm = targets.filter(
-            ({ coldUntilMs, suspectUntilMs }) => coldUntilMs <= nowMs && suspectUntilMs <= nowMs,
-        );
+        const warm = targets.filter(record => computeColdMs(record, nowMs) === 0 && record.suspectUntilMs <= nowMs);
         const chosen = chooseCanaries(
             warm.map(({ endpoint }) => endpoint.id),
             others.length,
@@ -300,7 +298,7 @@
                 move.requests += isFirst ? 1 : 0;
                 move.canaries += version === move.order.target ? 1 : 0;
             }
-            const wasCold = record.coldUntilMs > clock.readMonotonicMs();
+            const wasCold = computeColdMs(record, clock.readMonotonicMs()) > 0;
             let slowness: number | undefined;
             return {
                 recordFirstPart: value => {
--- a/src/gateway/tables/startWatches.ts
+++ b/src/gateway/tables/startWatches.ts
@@ -37,7 +37,8 @@
     platform: GatewayPlatform,
     clusterTime: ClusterTime,
 ): http.Server {
-    const { configuration, directory, rollouts, news, clock, random, log, metrics, reportFailure } = components;
+    const { configuration, directory, evacuations, rollouts, news, clock, random, log, metrics, reportFailure } =
+        components;
     const { configurationTable, endpointTable } = platform;
     const port = createRelayedTables({ store: platform.tables, news, clock, random, log });
     const snapshots = {
@@ -79,6 +80,8 @@
         handleRows: (rows, isWholeTable) => {
             const decode = <T>(decodeWith: (row: WatchedRow) => T | undefined) =>
                 rows.flatMap(row => decodeRow(configurationTable, row, decodeWith) ?? []);
+            // Before the configuration: a node that starts must not serve by it without knowing of these orders.
+            evacuations.applyChanges(decode(platform.decodeEvacuationRow), isWholeTable);
             const configurations = decode(platform.decodeConfigurationRow);
             configurations.forEach(handleConfiguration);
             if (isWholeTable && configurations.length === 0) {
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -74,6 +74,8 @@
     readonly engine: EngineTraits | undefined;
     /** `undefined` if this system doesn't scale the service. */
     readonly fleet: FleetBounds | undefined;
+    /** Time for which an endpoint is cold after its start, in milliseconds; absent or 0 if it never is. */
+    readonly coldStartMs?: number | undefined;
 }
 
 /** A client account. */
@@ -134,6 +136,8 @@
     readonly loadedModels: readonly string[] | undefined;
     /** Time for which it stays slow after its start, in milliseconds, when the entry was written. */
     readonly coldForMs: number;
+    /** True if the entry states `coldForMs`; without it, 0 stands for an unknown time. */
+    readonly hasColdTime?: boolean | undefined;
     /** Epoch milliseconds of its start, which distinguish two starts with the same id; `undefined` if not reported. */
     readonly startedAtMs: number | undefined;
 }
@@ -149,6 +153,12 @@
     readonly revision: number;
 }
 
+/** An operator's order to evacuate a failure domain, or its cancellation. */
+export interface EvacuationChange {
+    readonly failureDomain: string;
+    readonly isEvacuated: boolean;
+}
+
 /** How far an ordered move is. Phases only advance; `Completed` is entered only once it is in the store. */
 export enum RolloutPhase {
     /** The target gets a small share of the requests. */
@@ -176,6 +186,8 @@
     /** Requests that a version on trial may get: `exposureShare` of those to its service plus `exposureSlack`. */
     readonly exposureShare: number;
     readonly exposureSlack: number;
+    /** Time from the operator's order to evacuate a failure domain until no request reaches it, in milliseconds. */
+    readonly evacuateMs?: number | undefined;
     /** Duration of the lease for a duty, in milliseconds. */
     readonly leaseMs: number;
     /** Length of the window that a usage report covers, in milliseconds. */
