Parse a caller's requests as their turn comes, and bound what is held for it

Cause: Node's parser makes a request and a response of every head in a received chunk, thousands of them, and each became an open request. Unread responses of refusals and ended streams had no bound over all connections. Change: installRequestLimits bounds a server. createRequestGate passes a chunk to the parser head by head; at four open requests the rest goes back to the socket, which isn't read until a response is closed. What was not parsed can't have run; a queued request whose connection is closed counts as dropped, as before.

--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -12,6 +12,7 @@
 import { findRoute } from "../../decisions/gateway/routeTable";
 import { formatRawFailure } from "../../http/formatRawFailure";
 import { installConnectionLimit, type LimitAction } from "../../http/installConnectionLimit";
+import { installRequestLimits, type RequestLimitCounter } from "../../http/installRequestLimits";
 import { PROCESS_READ_TURNS } from "../../http/processReadTurns";
 import { readBody } from "../../http/readBody";
 import { sendFailure } from "../../http/sendFailure";
@@ -24,8 +25,9 @@
 import { type AdmittedRequest, buildExchange } from "./buildExchange";
 import type { CallerCounts } from "./callerCounts";
 import { computeConnectionLimit } from "./computeConnectionLimit";
+import { computeRequestLimits } from "./computeRequestLimits";
 import { computeRequestTimes } from "./computeRequestTimes";
-import { createLimitReport } from "./createLimitReport";
+import { CONNECTIONS_LIMITED, createLimitReport, REQUESTS_LIMITED } from "./createLimitReport";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
 import { LATE_NODE_FAILURE, NODE_FAILURE } from "../forwarding/forwardingOutcome";
@@ -62,6 +64,8 @@
     countCallers(): CallerCounts;
     /** Counts what was done to keep the connections within their limit. */
     countLimitActions(): Readonly<Record<LimitAction, number>>;
+    /** What was done because callers sent requests ahead or read no responses. */
+    readonly requestLimits: RequestLimitCounter;
     /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
     /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
@@ -337,12 +341,16 @@
         { keepAlive: true, noDelay: true, connectionsCheckingInterval: 1_000 },
         handleRequest,
     );
+    const requestLimits = installRequestLimits(server, {
+        ...computeRequestLimits(settings.memoryBytesMax),
+        reportAction: createLimitReport(components, REQUESTS_LIMITED, () => limited.count()),
+    });
     const connections: CallerConnections = createCallerConnections(server, clock);
     const connectionLimit = computeConnectionLimit(settings.descriptorsMax, readKernelLimits());
     const limited = installConnectionLimit(server, connectionLimit, {
         clock,
         closeConnection: connections.closeConnection,
-        reportAction: createLimitReport(components, () => limited.count()),
+        reportAction: createLimitReport(components, CONNECTIONS_LIMITED, () => limited.count()),
     });
     configuration.watchConfiguration(({ configuration: { limits } }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -358,6 +366,7 @@
             ends: openRequests.countEnds(),
         }),
         countLimitActions: limited.countActions,
+        requestLimits,
         beginDrain: times => {
             stop = { times, signalledAtMs: clock.readMonotonicMs() };
             openRequests
--- a/src/gateway/constants.ts
+++ b/src/gateway/constants.ts
@@ -4,6 +4,8 @@
 
 /** Longest wait for a new connection to an endpoint; covers several round trips between regions. */
 export const CONNECT_TIMEOUT_MS = 350;
+/** Largest answer that is read whole before it is relayed. */
+export const WHOLE_ANSWER_BYTES_MAX = 8 * 1_048_576;
 /** Idle connections are closed this long before the endpoint would close them, so that none closes under a request. */
 export const IDLE_CLOSE_MARGIN_MS = 1_000;
 /** Idle time after which a connection is closed if the endpoint states no idle timeout. */
--- a/src/gateway/forwarding/sendAttempt.ts
+++ b/src/gateway/forwarding/sendAttempt.ts
@@ -13,7 +13,7 @@
 import { readContentLength } from "../../http/readContentLength";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
 import type { ResponseHead, ForwardingCodec } from "../../ports/forwardingCodec";
-import { CONNECT_TIMEOUT_MS } from "../constants";
+import { CONNECT_TIMEOUT_MS, WHOLE_ANSWER_BYTES_MAX } from "../constants";
 import { createEventSplitter } from "./createEventSplitter";
 import { FailureOwner, type FailureReporter } from "../process/createFailureReporter";
 import type { RelayedHead, StreamRelay } from "./createStreamRelay";
@@ -78,8 +78,6 @@
     readonly reason: string;
 }
 
-/** Largest answer that is read whole before it is relayed. */
-const WHOLE_ANSWER_BYTES_MAX = 8 * 1_048_576;
 /** Larger events count as held memory while they aren't whole. */
 const SMALL_EVENT_BYTES_MAX = 65_536;
 /** Time after which it is asked again whether an attempt is given up. */
