Limit requests and connections at readiness, rows and metrics

The metrics are formatted once in a turn of the event loop. Gauges redwinglift_listener_limit_actions and redwinglift_listener_held_bytes show all listeners, that of callers included.

--- a/src/gateway/callers/computeRequestLimits.ts
+++ b/src/gateway/callers/computeRequestLimits.ts
@@ -14,9 +14,9 @@
 const UNREAD_SHARE = 0.1875;
 /** The budget of whole answers is exceeded by one in each of its two parts, and by one that is exempt. */
 const ANSWERS_OVER_BUDGET = 3;
-/** Each of the three servers inside the system. */
+/** Each of the three servers inside the system. Rows are whole tables, which many nodes may read after a start. */
 const INTERNAL_READ_AHEAD_SHARE = 0.015625;
-const INTERNAL_UNREAD_SHARE = 0.03125;
+const INTERNAL_UNREAD_SHARE = 0.09375;
 /** A server has at least this, so that a few connections with one large response or chunk don't close each other. */
 const BYTES_MIN = 1_048_576;
 
--- a/src/gateway/createGatewayServers.ts
+++ b/src/gateway/createGatewayServers.ts
@@ -5,6 +5,7 @@
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
 import { createForwarder } from "./forwarding/createForwarder";
 import { createGatewayListener, type GatewayListener } from "./callers/createGatewayListener";
+import { installInternalLimits } from "./process/installInternalLimits";
 import { createLoopMonitor } from "./process/createLoopMonitor";
 import { createMetricsListener } from "./process/createMetricsListener";
 import { createReadinessListener } from "./process/createReadinessListener";
@@ -51,6 +52,12 @@
             metrics.setNewsState({ isRelay: news.isRelay(), nodes, reachable });
             metrics.setCallers(listener.countCallers());
             metrics.setLimitActions(listener.countLimitActions());
+            metrics.setListenerLimits("callers", {
+                actions: listener.requestLimits.countActions(),
+                readAheadBytes: listener.requestLimits.countReadAheadBytes(),
+                unreadBytes: listener.requestLimits.countUnreadBytes(),
+            });
+            internalServers.forEach(({ name, readLimits }) => metrics.setListenerLimits(name, readLimits()));
             metrics.setBodyMemory(memory);
             metrics.setLoopDelays(loopMonitor.takeDelays());
             return metrics.formatMetrics();
@@ -58,16 +65,15 @@
         quarantine,
         reportFailure,
     });
+    const readinessServer = createReadinessListener(isReady, reportFailure);
+    const internalServers = Object.entries({ readiness: readinessServer, rows: rowServer, metrics: metricsServer }).map(
+        ([name, server]) => ({ name, readLimits: installInternalLimits(server, name, components) }),
+    );
     return {
         listener,
         targets: [
             { name: "callers", server: listener.server, ...callers, isNeeded: true },
-            {
-                name: "readiness",
-                server: createReadinessListener(isReady, reportFailure),
-                ...readiness,
-                isNeeded: true,
-            },
+            { name: "readiness", server: readinessServer, ...readiness, isNeeded: true },
             { name: "rows", server: rowServer, address, port: internalPort, isNeeded: true },
             { name: "metrics", server: metricsServer, address, port: metricsPort, isNeeded: false },
         ],
--- a/src/gateway/process/createGatewayMetrics.ts
+++ b/src/gateway/process/createGatewayMetrics.ts
@@ -18,6 +18,13 @@
     readonly reachable: number;
 }
 
+/** What the limits of a listener have done, and the bytes that count against them. */
+export interface ListenerLimits {
+    readonly actions: Readonly<Record<string, number>>;
+    readonly readAheadBytes: number;
+    readonly unreadBytes: number;
+}
+
 /** The metrics of a gateway. */
 export interface GatewayMetrics {
     countRequest(service: string, outcome: string): void;
@@ -51,6 +58,8 @@
     setCallers(counts: CallerCounts): void;
     /** Sets what was done to keep the callers' connections within their limit. */
     setLimitActions(actions: Readonly<Record<LimitAction, number>>): void;
+    /** Sets what a listener's limits have done about requests sent ahead and unread responses. */
+    setListenerLimits(listener: string, limits: ListenerLimits): void;
     /** Sets the bytes held by bodies. */
     setBodyMemory(memory: BodyMemory): void;
     /** Sets the delays of the event loop. */
@@ -183,6 +192,18 @@
         labelNames: ["end"],
         registers,
     });
+    const listenerActions = new Gauge({
+        name: "redwinglift_listener_limit_actions",
+        help: "What was done since the start because of a listener's limits.",
+        labelNames: ["listener", "action"],
+        registers,
+    });
+    const listenerBytes = new Gauge({
+        name: "redwinglift_listener_held_bytes",
+        help: "Bytes read ahead on connections whose reading has stopped, and of whole responses that are not read.",
+        labelNames: ["listener", "of"],
+        registers,
+    });
     const bodyBytes = new Gauge({
         name: "redwinglift_body_bytes",
         help: "Bytes held by the bodies of all requests, and of all answers.",
@@ -227,6 +248,11 @@
         },
         setLimitActions: actions =>
             Object.entries(actions).forEach(([action, count]) => limitActions.set({ action }, count)),
+        setListenerLimits: (listener, { actions, readAheadBytes, unreadBytes }) => {
+            Object.entries(actions).forEach(([action, count]) => listenerActions.set({ listener, action }, count));
+            listenerBytes.set({ listener, of: "read_ahead" }, readAheadBytes);
+            listenerBytes.set({ listener, of: "unread" }, unreadBytes);
+        },
         setBodyMemory: ({ requests: ofRequests, answers }) => {
             bodyBytes.set({ of: "requests" }, ofRequests.countBytes());
             bodyBytes.set({ of: "answers" }, answers.countBytes());
--- a/src/gateway/process/createMetricsListener.ts
+++ b/src/gateway/process/createMetricsListener.ts
@@ -39,13 +39,22 @@
         quarantine.releasePart(part);
         endWithStatus(response, HttpStatus.Ok);
     };
+    let current: Promise<string> | undefined;
+    /** Gives the same text to all requests of one turn of the event loop, since it takes milliseconds to format. */
+    const formatOncePerTurn = () => {
+        if (current === undefined) {
+            setImmediate(() => (current = undefined));
+            current = formatMetrics();
+        }
+        return current;
+    };
     const answerRequest = async (request: IncomingMessage, response: ServerResponse) => {
         const [path = "", query] = (request.url ?? "/").split("?");
         if (path === "/quarantine/release" && request.method === "POST") {
             releasePart(new URLSearchParams(query).get(PART_PARAMETER) ?? "", response);
             return;
         }
-        response.end(await formatMetrics());
+        response.end(await formatOncePerTurn());
     };
     return http.createServer((request, response) => {
         request.resume();
