Count work at an endpoint at the pace that it reports, and avoid herding

Cause: the fourth figure of Redwinglift-Instance-Load was dropped, and nodes with the same old sums all chose the same endpoint until the next report.

Change: the figure is decoded, aged to the endpoint's average and then to 100, and multiplies the work in the estimate. The bias and the measured speed are taken at the pace that the answer reported. Where endpoints report a pace, the choice is a draw by weight, of two draws the lower pace. Endpoints that report three figures are treated as before: the same arithmetic and the same random draws.

--- a/src/decisions/gateway/chooseEndpoint.test.ts
+++ b/src/decisions/gateway/chooseEndpoint.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createRandom } from "../../base/createRandom";
-import { chooseEndpoint, type EndpointView } from "./chooseEndpoint";
+import { chooseEndpoint, estimateFirstPartMs, type EndpointView } from "./chooseEndpoint";
 
 const SPEED = { tokensPerMs: 60, serviceMs: 20 };
 const PARTS = [
@@ -74,6 +74,24 @@
         assert.equal(new Set(choices).size, 1);
     });
 
+    it("counts all work at an endpoint at its pace, and the round trip not", () => {
+        const view = makeView("a", { roundTripMs: 10, occupancy: 12, pendingTokens: 600 });
+        const usualMs = estimateFirstPartMs(view, NO_PROMPT, SPEED) - 10;
+        assert.equal(estimateFirstPartMs({ ...view, pace: 200 }, NO_PROMPT, SPEED), 10 + 2 * usualMs);
+        assert.equal(estimateFirstPartMs({ ...view, pace: 100 }, NO_PROMPT, SPEED), 10 + usualMs);
+    });
+
+    it("gives an endpoint with a high pace fewer requests, and keeps the cached prefix before an equal pace", () => {
+        const random = createRandom(1);
+        const paced = ["a", "b"].map(id => makeView(id, { pace: 100, othersInFlight: 4 }));
+        const views = [...paced, makeView("slow", { pace: 400, othersInFlight: 4 })];
+        const choices = Array.from({ length: 300 }, () => chooseEndpoint(views, NO_PROMPT, SPEED, random));
+        assert.ok(choices.filter(id => id === "slow").length < 30);
+        assert.ok(choices.filter(id => id === "a").length > 100);
+        const caching = [...paced, makeView("caching", { pace: 100, othersInFlight: 4, cachedTokens: 5_000 })];
+        assert.equal(chooseEndpoint(caching, { promptTokens: 6_000, promptParts: PARTS }, SPEED, random), "caching");
+    });
+
     it("spreads requests over equally good endpoints", () => {
         const random = createRandom(1);
         const choices = Array.from({ length: 60 }, () =>
--- a/src/decisions/gateway/chooseEndpoint.ts
+++ b/src/decisions/gateway/chooseEndpoint.ts
@@ -4,6 +4,8 @@
 import { hashText } from "../../base/hashText";
 import type { Random } from "../../base/random";
 import type { PromptPart } from "../../ports/forwardingCodec";
+import { drawPacedEndpoint } from "./drawPacedEndpoint";
+import { USUAL_PACE } from "./endpointPace";
 
 /** The state of an endpoint, as far as this node knows it. */
 export interface EndpointView {
@@ -26,6 +28,10 @@
     readonly failureRate: number;
     /** Leading tokens of the prompt that are expected to be in its prefix cache. */
     readonly cachedTokens: number;
+    /** How long work takes there, 100 as usual and 200 twice as long; absent if the endpoint reports no pace. */
+    readonly pace?: number;
+    /** Requests in progress there that other nodes have sent, by their last reports; absent without a pace. */
+    readonly othersInFlight?: number;
 }
 
 /** The request for which an endpoint is chosen. */
@@ -58,8 +64,11 @@
  */
 const TIE_RANGE_MS = 4;
 
+const IDLE = { occupancy: 0, pendingTokens: 0, biasMs: 0, pace: USUAL_PACE };
+
 /**
- * Chooses the endpoint with the lowest estimate, at random among those within a few milliseconds of it.
+ * Chooses the endpoint with the lowest estimate, at random among those within a few milliseconds of it; where endpoints
+ * report their pace, by `drawPacedEndpoint`.
  *
  * @param views - The candidates
  * @param request - The request
@@ -77,12 +86,20 @@
 ): string | undefined {
     const preferred = findPreferred(views, request.promptParts);
     const scored = views.map(view => ({
-        id: view.id,
-        ms: estimateResponseMs(view, request, speed, view.id === preferred),
+        view,
+        estimateMs: estimateResponseMs(view, request, speed, view.id === preferred),
     }));
-    const bestMs = Math.min(...scored.map(({ ms }) => ms));
-    const tied = scored.filter(({ ms }) => ms <= bestMs + TIE_RANGE_MS);
-    return tied[random.drawInteger(0, Math.max(0, tied.length - 1))]?.id;
+    if (views.some(({ pace }) => pace !== undefined)) {
+        const candidates = scored.map(({ view, estimateMs }) => ({
+            view,
+            estimateMs,
+            idleMs: estimateResponseMs({ ...view, ...IDLE }, request, speed, view.id === preferred),
+        }));
+        return drawPacedEndpoint(candidates, TIE_RANGE_MS, random);
+    }
+    const bestMs = Math.min(...scored.map(({ estimateMs }) => estimateMs));
+    const tied = scored.filter(({ estimateMs }) => estimateMs <= bestMs + TIE_RANGE_MS);
+    return tied[random.drawInteger(0, Math.max(0, tied.length - 1))]?.view.id;
 }
 
 /**
@@ -126,7 +143,7 @@
  * estimateFirstPartMs(view, request, speed);
  */
 export function estimateFirstPartMs(
-    view: Pick<EndpointView, "roundTripMs" | "slots" | "occupancy" | "pendingTokens" | "cachedTokens">,
+    view: Pick<EndpointView, "roundTripMs" | "slots" | "occupancy" | "pendingTokens" | "cachedTokens" | "pace">,
     request: PlacementRequest,
     speed: ServiceSpeed,
 ): number {
@@ -135,7 +152,10 @@
     const utilization = (view.occupancy + 1) / Math.max(1, view.slots);
     const slowdownMs = speed.serviceMs * Math.max(0, utilization - SLOWDOWN_THRESHOLD);
     const queueMs = speed.serviceMs * 2 * Math.max(0, utilization - 1);
-    return view.roundTripMs + speed.serviceMs + prefillMs + slowdownMs + queueMs;
+    const stretch = (view.pace ?? USUAL_PACE) / USUAL_PACE;
+    return (
+        view.roundTripMs + stretch * speed.serviceMs + stretch * prefillMs + stretch * slowdownMs + stretch * queueMs
+    );
 }
 
 /**
--- a/src/gateway/endpoints/endpointRecord.test.ts
+++ b/src/gateway/endpoints/endpointRecord.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { createManualClock } from "../../base/createManualClock";
 import { makeEndpoint } from "../_testing/makeEndpoint";
-import { buildEndpointView, createEndpointRecord, recordLoad, recordOthers } from "./endpointRecord";
+import { buildEndpointView, createEndpointRecord, readPaceSince, recordLoad, recordOthers } from "./endpointRecord";
 
 describe("the record of an endpoint", () => {
     const create = () =>
@@ -26,4 +26,15 @@
         recordOthers(record, { inFlight: 1, pendingTokens: 0 }, 0);
         assert.equal(buildEndpointView(record, [], 0).occupancy, 1);
     });
+
+    it("has a pace only while the endpoint reports one", () => {
+        const record = create();
+        recordLoad(record, { running: 1, waiting: 0, slots: 12 }, 0);
+        assert.ok(!("pace" in buildEndpointView(record, [], 0)));
+        recordLoad(record, { running: 1, waiting: 0, slots: 12, pace: 250 }, 10);
+        assert.equal(buildEndpointView(record, [], 10).pace, 250);
+        assert.deepEqual([readPaceSince(record, 5), readPaceSince(record, 20)], [250, undefined]);
+        recordLoad(record, { running: 1, waiting: 0, slots: 12 }, 30);
+        assert.ok(!("pace" in buildEndpointView(record, [], 30)));
+    });
 });
--- a/src/gateway/endpoints/endpointRecord.ts
+++ b/src/gateway/endpoints/endpointRecord.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "../../base/clock";
 import type { EndpointView } from "../../decisions/gateway/chooseEndpoint";
+import { type EndpointPace, estimatePace, updatePace } from "../../decisions/gateway/endpointPace";
 import { UNREACHABLE_AFTER_MS } from "../../decisions/relays/constants";
 import type { EndpointActivity } from "../../decisions/relays/news";
 import type { GatewayEndpoint } from "../../model/gateway";
@@ -60,6 +61,8 @@
     others: (EndpointActivity & { readonly atMs: number }) | undefined;
     /** The load that the endpoint last reported, with the state of this node at that time. */
     load: (ReportedLoad & { readonly atMs: number; readonly ownInFlight: number }) | undefined;
+    /** What its reports say of its pace; `undefined` if it reports none. */
+    pace: EndpointPace | undefined;
     /** Average time by which answers took longer than estimated, in milliseconds. */
     bias: DecayingValue;
     /** Average share of failed attempts. */
@@ -94,6 +97,7 @@
         pendingTokens: 0,
         others: undefined,
         load: undefined,
+        pace: undefined,
         bias: { value: 0, atMs: 0 },
         failures: { value: 0, atMs: 0 },
         suspectUntilMs: 0,
@@ -118,6 +122,9 @@
         coldMs: Math.max(0, record.coldUntilMs - nowMs),
         failureRate: computeDecayed(record.failures, FAILURE_HALF_LIFE_MS, nowMs),
         cachedTokens: countCachedTokens(record, parts, nowMs),
+        ...(record.pace === undefined
+            ? {}
+            : { pace: estimatePace(record.pace, nowMs), othersInFlight: others.inFlight }),
     };
 }
 
@@ -173,6 +180,17 @@
 /** Records the load that the endpoint reported. */
 export function recordLoad(record: EndpointRecord, load: ReportedLoad, nowMs: number): void {
     record.load = { ...load, atMs: nowMs, ownInFlight: record.ownInFlight };
+    // The answer was sent half a round trip ago.
+    record.pace =
+        load.pace === undefined ? undefined : updatePace(record.pace, load.pace, nowMs - record.roundTripMs / 2);
+}
+
+/**
+ * Gives the pace that the endpoint has reported since a request was sent there, by which the time to its answer is
+ * explained. The bias and the measured speed of the service then hold only what the pace doesn't explain.
+ */
+export function readPaceSince(record: EndpointRecord, sentAtMs: number): number | undefined {
+    return record.pace !== undefined && record.pace.atMs >= sentAtMs ? record.pace.reported : undefined;
 }
 
 /** Records that the endpoint processes these prompt parts, and removes the least recently used above the maximum. */
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -12,6 +12,7 @@
 import { decideGiveUp } from "../../decisions/gateway/decideGiveUp";
 import { filterServable } from "../../decisions/gateway/filterServable";
 import { PartVerdict } from "../../decisions/gateway/evaluatePart";
+import { convertToUsualPace } from "../../decisions/gateway/endpointPace";
 import { listSharedParts } from "../../decisions/gateway/listSharedParts";
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../../decisions/gateway/serviceRetryBudget";
 import { type GatewayRoute, RouteKind } from "../../model/gateway";
@@ -22,6 +23,7 @@
 import {
     buildEndpointView,
     type EndpointRecord,
+    readPaceSince,
     recordAnswerTime,
     recordCachedParts,
     recordConnectionBreak,
@@ -174,10 +176,15 @@
             firstPartAtMs = nowMs;
             followed.recordFirstPart();
             releasePending();
-            recordAnswerTime(record, nowMs - sentAtMs, estimatedMs, nowMs);
+            const pace = readPaceSince(record, sentAtMs) ?? view.pace;
+            const explainedMs =
+                estimateResponseMs({ ...view, pace }, request, speeds.readSpeed(service), false) -
+                view.distancePenaltyMs;
+            recordAnswerTime(record, nowMs - sentAtMs, explainedMs, nowMs);
             compared.recordFirstPart((nowMs - sentAtMs) / expectedMs);
             if (components.rollouts.isServing(record.endpoint)) {
-                speeds.recordAnswer(service, { uncachedTokens, firstPartMs: nowMs - sentAtMs - record.roundTripMs });
+                const firstPartMs = nowMs - sentAtMs - record.roundTripMs;
+                speeds.recordAnswer(service, { uncachedTokens, firstPartMs: convertToUsualPace(firstPartMs, pace) });
             }
             components.metrics.recordFirstPart(service, nowMs - exchange.receivedAtMs);
             recordUsage(state);
--- a/src/ports/forwardingCodec.ts
+++ b/src/ports/forwardingCodec.ts
@@ -54,6 +54,8 @@
     readonly waiting: number;
     /** Requests that it processes at once. */
     readonly slots: number;
+    /** How long work takes on its host at this moment, 100 as usual and 200 twice as long; absent if not reported. */
+    readonly pace?: number;
 }
 
 /** The content of the headers of an endpoint's response. */
