Grant a flooding account its quota by a paced rate

Cause: a flooding account got 688 to 748 of 850 in a window. What was left of the limit was handed out over 1 s beside an estimate of 0.8 s of unreported usage, of which only half was taken to expire, so usage settled far below the limit. Change: while an account asks for more than it gets, all nodes together grant it at the rate at which usage leaves the window (samples of the reported usage), corrected over 1.5 s towards a target between the quota and the bound. Nodes admit the share by a credit and not by chance. The hard check stays: nothing beyond the bound by the estimate of unreported usage, which is now higher for usage that has just begun. A node without reports uses its equal share of the quota (not of the bound), also for 0.8 s after the reports come back. The simulation has options for seed, demand, sizes and moving demand; the defaults leave it as it was.

--- a/src/decisions/gateway/_testing/simulateQuotas.ts
+++ b/src/decisions/gateway/_testing/simulateQuotas.ts
@@ -18,8 +18,11 @@
 const RESTART_AFTER_MS = 500;
 const CUT_MS = { from: 12_000, to: 22_000 };
 const REGION_DELAY_MS = 30;
-/** The account asks for so much of its limit in each millisecond: eleven times what it may use. */
-const ASKED_PER_MS = 11 / 8_000;
+/** The account asks for eleven times what it may use. */
+const DEMAND = 11;
+const DEMAND_PERIOD_MS = 8_000;
+const MINIMUM_STEP_MS = 100;
+const FAVORED_SHARE = 0.9;
 const REQUESTS_PER_LIMIT = 250;
 
 /** The simulated fleet, and its failures. */
@@ -30,6 +33,16 @@
     readonly failureDomains: number;
     /** Size of the requests: how many of them fill the limit; default: 250. */
     readonly requestsPerLimit?: number;
+    /** Sizes of the requests in turn, as with `requestsPerLimit`, if they differ. */
+    readonly requestSizes?: readonly number[];
+    /** What the account asks for in 8 s, in multiples of its limit; default: 11. */
+    readonly demand?: number;
+    /** Seed of the random choices; default: 5. */
+    readonly seed?: number;
+    /** From when on the account sends to the last nodes in place of the first ones; default: never. */
+    readonly moveMs?: number;
+    /** How many nodes get nine tenths of the requests; default: none. */
+    readonly favored?: number;
     /** Number of nodes that the account sends to; default: all. */
     readonly senders?: number;
     /** Nodes that receive no news, and whose reports arrive nowhere, from 12 s to 22 s. */
@@ -64,12 +77,16 @@
     readonly maximum: number;
     /** Mean sum in a quota window of the last part of the simulation. */
     readonly perWindow: number;
+    /** Lowest sum in any quota window that begins with the first request or later. */
+    readonly minimum: number;
+    /** Sum of what was refused. */
+    readonly refused: number;
 }
 
 /** Runs the simulation. */
 export function simulateQuotas(simulation: QuotaSimulation): QuotaResult {
     const { account, policy, nodes: nodeCount, failureDomains, cut = [], killed = [], killMs = KILL_MS } = simulation;
-    const random = createRandom(5);
+    const random = createRandom(simulation.seed ?? 5);
     const makeIdentity = (index: number, life: string): NodeIdentity => ({
         node: String(index),
         life,
@@ -146,8 +163,15 @@
     };
 
     const limit = (account.quotaPerSecond * policy.quotaWindowMs) / 1_000 + account.quotaBurst;
-    const amount = limit / (simulation.requestsPerLimit ?? REQUESTS_PER_LIMIT);
+    const { requestSizes = [simulation.requestsPerLimit ?? REQUESTS_PER_LIMIT], favored = 0 } = simulation;
     const senders = simulation.senders ?? nodeCount;
+    const drawSender = (nowMs: number) => {
+        const isFavored = favored > 0 && random.drawFraction() < FAVORED_SHARE;
+        const sender = random.drawInteger(0, (isFavored ? favored : senders) - 1);
+        return nowMs < (simulation.moveMs ?? DURATION_MS) ? sender : nodeCount - 1 - sender;
+    };
+    let sent = 0;
+    let refused = 0;
     const admitted: { readonly atMs: number; readonly amount: number }[] = [];
     for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
         if (nowMs === killMs + RESTART_AFTER_MS) {
@@ -176,21 +200,32 @@
         if (nowMs < FIRST_REQUEST_MS) {
             continue;
         }
-        for (let asked = ASKED_PER_MS * limit * STEP_MS; asked > 0; asked -= amount) {
-            const node = nodes[random.drawInteger(0, senders - 1)];
+        const askedInStep = ((simulation.demand ?? DEMAND) * limit * STEP_MS) / DEMAND_PERIOD_MS;
+        for (let asked = askedInStep; asked > 0;) {
+            const amount = limit / (requestSizes[sent++ % requestSizes.length] ?? REQUESTS_PER_LIMIT);
+            const node = nodes[drawSender(nowMs)];
             const isWhole = asked >= amount || random.drawFraction() < asked / amount;
+            asked -= amount;
             if (node !== undefined && isWhole && !isDead(Number(node.identity.node), nowMs)) {
                 if (node.quotas.charge(account, amount, readFleet(node, nowMs), nowMs)) {
                     admitted.push({ atMs: nowMs, amount });
+                } else {
+                    refused += amount;
                 }
             }
         }
     }
     const windows = admitted.map(({ atMs }) => sumWithin(admitted, atMs - policy.quotaWindowMs, atMs));
+    const endsMs = Array.from(
+        { length: (DURATION_MS - FIRST_REQUEST_MS - policy.quotaWindowMs) / MINIMUM_STEP_MS },
+        (_unused, index) => FIRST_REQUEST_MS + policy.quotaWindowMs + index * MINIMUM_STEP_MS,
+    );
     const lastWindows = Math.floor(DURATION_MS / policy.quotaWindowMs) - 1;
     const lastMs = lastWindows * policy.quotaWindowMs;
     return {
         maximum: Math.max(...windows),
+        minimum: Math.min(...endsMs.map(endMs => sumWithin(admitted, endMs - policy.quotaWindowMs, endMs))),
+        refused,
         perWindow: sumWithin(admitted, DURATION_MS - lastMs, DURATION_MS) / lastWindows,
     };
 }
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -2,15 +2,17 @@
  * @module Account quotas, enforced over all nodes together.
  *
  * Each node knows, with some delay, what all nodes together have charged and were asked for. While an account asks for
- * more than it may still use, each node admits the same share of the requests, so that an account gets what it may use
- * at those nodes that it sends to. What can't have been reported yet is estimated. A group of nodes that receive each
- * other's reports may use a share of the limit in proportion to its size, so that groups on both sides of a network
- * partition stay within the limit together.
+ * more than it may use, all nodes together grant it at the rate at which its usage leaves the window, corrected slowly
+ * towards a target between the quota and the bound; each node admits the same share of what it is asked for, so that an
+ * account gets its quota at those nodes that it sends to. What can't have been reported yet is estimated, and nothing is
+ * granted beyond the bound by that estimate. A group of nodes that receive each other's reports may use a share of the
+ * limit in proportion to its size, so that groups on both sides of a network partition stay within the limit together.
  */
 import type { Random } from "../../base/random";
 import type { GatewayAccount } from "../../model/gateway";
 import { NEWS_DELAY_MAX_MS, RECENT_USAGE_MS } from "../relays/constants";
 import type { FleetView, UsageSums } from "../relays/news";
+import { createUsageHistory, type UsageHistory } from "./usageHistory";
 import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter";
 
 /** The window of the quotas, and the tolerance by which all nodes together may exceed them. */
@@ -44,7 +46,7 @@
  * @param startedAtMs - Start of this process, if other nodes may have charged usage before it: the limits then grow
  * from near zero during the first window, unless a reachable node has been counting for longer. `undefined` at the
  * first start of the whole system
- * @param random - Decides which requests belong to the admitted share
+ * @param random - Decides at which of its requests a node begins with the admitted share
  * @returns The quotas
  * @example
  * quotas.charge(account, 1_460, news.readUsage(), nowMs);
@@ -56,6 +58,8 @@
 ): AccountQuotas {
     const windowMs = policy.quotaWindowMs;
     const states = new Map<string, AccountState>();
+    /** When this node was last without the others' reports, and its share of the quotas then. */
+    let isolated = { atMs: Number.NEGATIVE_INFINITY, share: 0 };
     const readState = (account: string): AccountState => {
         const state = states.get(account) ?? {
             own: createSlidingWindowCounter(windowMs),
@@ -63,6 +67,9 @@
             recent: createSlidingWindowCounter(RECENT_USAGE_MS),
             asked: createSlidingWindowCounter(RECENT_USAGE_MS),
             askedBefore: createSlidingWindowCounter(windowMs),
+            history: createUsageHistory(windowMs),
+            credit: undefined,
+            requestSize: undefined,
         };
         states.set(account, state);
         return state;
@@ -73,19 +80,49 @@
     };
     const computeUptimeMs = (nowMs: number) => (startedAtMs === undefined ? windowMs : nowMs - startedAtMs);
     const hasQuotaLeft = (account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean => {
-        const limit = computeLimit(account, policy, fleet.nodes);
+        const { quota, target, limit } = computeLimits(account, policy);
         const state = readState(account.name);
         const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
         const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
-        const growth = estimateGrowth(sums, state, { amount, reachable: fleet.reachable, windowMs, nowMs });
+        const rampUpShare = computeRampUpShare(countsForMs, windowMs);
+        const reachableShare = computeReachableShare(fleet);
         const known = sums.used + (fleet.silentUsage[account.name] ?? 0) + (fleet.lostUsage[account.name] ?? 0);
-        const unused = Math.min(
-            limit * computeRampUpShare(countsForMs, windowMs) - known,
-            limit * computeReachableShare(fleet) - sums.used,
+        const unused = Math.min(limit * rampUpShare - known, limit * reachableShare - sums.used);
+        if (fleet.nodes > 1 && fleet.reachable <= 1) {
+            isolated = { atMs: nowMs, share: reachableShare };
+        }
+        if (nowMs - isolated.atMs < NEWS_DELAY_MAX_MS) {
+            // Its own usage is known without delay. What the others know of a node without reports may be too low, and
+            // the first views after a partition may leave nodes out, so a node also keeps to its share just after it.
+            const unreported = sums.used > state.own.sum(nowMs) ? state.unreported.sum(nowMs) : 0;
+            return Math.min(unused, quota * isolated.share - state.own.sum(nowMs)) - unreported >= amount;
+        }
+        state.requestSize = estimateRequestSize(state.requestSize, amount);
+        state.history.recordSample(sums.used, sums.recent, nowMs);
+        const noise = Math.sqrt((limit * NEWS_DELAY_MAX_MS * state.requestSize) / windowMs);
+        const ownTarget = Math.min(target, limit - noise) * Math.min(reachableShare, rampUpShare);
+        const leavingRate = Math.min(
+            estimateLeavingRate(sums, state.history, (state.requestSize * windowMs) / limit, { windowMs, nowMs }),
+            (LEAVING_RATE_MAX * ownTarget) / windowMs,
+        );
+        const growth = estimateGrowth(sums, state, { amount, reachable: fleet.reachable, windowMs, nowMs });
+        const isOverAsked = sums.asked > OVER_ASKED_RATIO * sums.recent + OVER_ASKED_REQUESTS * amount;
+        const unreported = estimateUnreported(sums, state, { growth, isOverAsked, nowMs });
+        const remaining = unused + leavingRate * NEWS_DELAY_MAX_MS - unreported;
+        if (remaining < amount) {
+            return false;
+        }
+        const grantedRate = remaining / HAND_OUT_MS + leavingRate;
+        if (!isOverAsked) {
+            return admitShare(state, amount, (grantedRate * RECENT_USAGE_MS) / (growth * sums.asked), random);
+        }
+        const used = known + ((growth * sums.recent) / RECENT_USAGE_MS - leavingRate) * NEWS_DELAY_USUAL_MS;
+        const pacedRate = Math.min(
+            leavingRate + (ownTarget - used) / CORRECTION_MS,
+            (PACED_RATE_MAX * ownTarget) / windowMs,
         );
-        const expired = (EXPIRED_SHARE * sums.used * NEWS_DELAY_MAX_MS) / windowMs;
-        const remaining = unused + expired - estimateUnreported(sums, state, growth, nowMs);
-        return remaining >= amount && random.drawFraction() < computeAdmittedShare(remaining, sums, growth);
+        const rate = Math.max(0, Math.min(pacedRate, grantedRate));
+        return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, random);
     };
     return {
         charge: (account, amount, fleet, nowMs) => {
@@ -119,32 +156,69 @@
     readonly asked: SlidingWindowCounter;
     /** Asked for in the current quota window. */
     readonly askedBefore: SlidingWindowCounter;
+    /** Charged by all nodes. */
+    readonly history: UsageHistory;
+    /** What may be admitted of the admitted share; negative after a request that was greater. */
+    credit: number | undefined;
+    /** Mean size of the requests, weighted by size. */
+    requestSize: number | undefined;
 }
 
 const MS_PER_S = 1_000;
-/** Share of the limit that several nodes use, since the estimate of unreported usage misses some of it. */
-const USABLE_SHARE = 0.915;
+/** Share of the bound that is used; the rest is for what the estimate of unreported usage misses. */
+const USABLE_SHARE = 0.985;
+/** Where between the quota and the bound the usage of an over-asking account is held: 0 is the quota, 1 the bound. */
+const TARGET_POSITION = 0.6;
 /** Head start of the ramp-up, without which the first requests after a restart of all nodes would be refused. */
 const RAMP_UP_HEAD_START_MS = 400;
 /** Length of the ramp-up to the full limit, in windows. Above 1, since usage before the start may have been uneven. */
 const RAMP_UP_WINDOWS = 1.25;
-/** Time over which the remaining amount is handed out; must exceed the delay of the reports, or usage would swing. */
-const HAND_OUT_MS = 1_000;
+/** Time over which the remaining amount is handed out; the reports' longest delay, or usage would swing. */
+const HAND_OUT_MS = NEWS_DELAY_MAX_MS;
+/** Time over which a paced account is brought to its target; well above the delay of the reports, or it would swing. */
+const CORRECTION_MS = 1_500;
+/** Mean time until a report has reached the other nodes: half of the periods on the way. */
+const NEWS_DELAY_USUAL_MS = 400;
+/** An account is paced while it asks for more than this multiple of its recent usage, and some requests in addition. */
+const OVER_ASKED_RATIO = 1.1;
+const OVER_ASKED_REQUESTS = 2;
+/** Highest rate of a paced account, as a multiple of the steady one; so the burst at its begin isn't repeated in full. */
+const PACED_RATE_MAX = 1.5;
+/** Highest rate at which usage is taken to leave the window, as a multiple of the steady one; its time isn't exact. */
+const LEAVING_RATE_MAX = 1.25;
+/** The history's rates count as much more as the usage exceeds them, up to this; samples may be missing. */
+const HISTORY_SCALE_MAX = 1.5;
+/** Number of requests that the leaving rate is averaged over, and the bounds of the time for it. */
+const LEAVING_REQUESTS = 8;
+const LEAVING_SPAN_MS = { least: 400, most: 2_000 };
+/** By how much earlier and later the leaving usage may have been charged, at least. */
+const LEAVING_UNCERTAINTY_MS = 250;
+/** Half of a slice of the counters, which drop usage by whole slices. */
+const COUNTER_DELAY_MS = 130;
+/** Time over which the unreported usage of a paced account is averaged. */
+const PACED_AVERAGE_MS = 1_000;
+/** Recent share of the usage up to which it counts as paced. */
+const PACED_RECENT_SHARE = 0.15;
+/** How much more the recent usage may have grown if all usage is recent: it then began within the recent time. */
+const YOUNG_FACTOR = 1.5;
+/** Weight of a request in the mean size. */
+const SIZE_WEIGHT = 0.1;
 
-/** Share of the mean usage that is assumed to have left the window since the reports; it may have been uneven. */
-const EXPIRED_SHARE = 0.5;
 /** Number of requests of the present size that the estimate of growth assumes in addition to the received ones. */
 const GROWTH_PRIOR_REQUESTS = 1;
 
-/** Computes what all nodes together may charge to an account in a window, including the usable part of the tolerance. */
-function computeLimit(
-    account: GatewayAccount,
-    { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaPolicy,
-    nodes: number,
-): number {
+/** What all nodes together may charge to an account in a window. */
+interface QuotaLimits {
+    readonly quota: number;
+    /** What an over-asking account is held at. */
+    readonly target: number;
+    readonly limit: number;
+}
+
+function computeLimits(account: GatewayAccount, { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaPolicy): QuotaLimits {
     const quota = (account.quotaPerSecond * quotaWindowMs) / MS_PER_S + account.quotaBurst;
-    const slack = account.countsTokens ? quotaSlack : 0;
-    return (quota * (1 + quotaOverrun) + slack) * (nodes > 1 ? USABLE_SHARE : 1);
+    const tolerance = quota * quotaOverrun + (account.countsTokens ? quotaSlack : 0);
+    return { quota, target: quota + TARGET_POSITION * tolerance, limit: (quota + tolerance) * USABLE_SHARE };
 }
 
 function readOwnSums({ own, recent, asked }: AccountState, nowMs: number): UsageSums {
@@ -180,7 +254,9 @@
 ): number {
     const prior = Math.max(sums.asked / Math.max(1, reachable), GROWTH_PRIOR_REQUESTS * amount);
     const usual = (askedBefore.sum(nowMs) * RECENT_USAGE_MS) / windowMs;
-    return Math.max(1, (asked.sum(nowMs) - amount + prior) / (usual + prior));
+    const received = Math.max(0, asked.sum(nowMs) - amount);
+    // Less one standard deviation, or the chance arrival of a few requests would count as growth.
+    return Math.max(1, (received - Math.sqrt(received * amount) + prior) / (usual + prior));
 }
 
 /** The request that is judged, and where. */
@@ -194,18 +270,63 @@
 
 /** Estimates what all nodes have charged and not reported yet. */
 function estimateUnreported(
-    { recent }: UsageSums,
-    { unreported }: AccountState,
-    growth: number,
-    nowMs: number,
+    { used, recent }: UsageSums,
+    { unreported, history }: AccountState,
+    { growth, isOverAsked, nowMs }: { readonly growth: number; readonly isOverAsked: boolean; readonly nowMs: number },
 ): number {
-    return Math.max(unreported.sum(nowMs), (growth * recent * NEWS_DELAY_MAX_MS) / RECENT_USAGE_MS);
+    const isPaced = isOverAsked && recent < PACED_RECENT_SHARE * used;
+    const rate = isPaced
+        ? history.sumUsage(nowMs - PACED_AVERAGE_MS, nowMs) / PACED_AVERAGE_MS
+        : ((1 + (YOUNG_FACTOR * recent) / Math.max(1, used)) * recent) / RECENT_USAGE_MS;
+    return Math.max(unreported.sum(nowMs), growth * rate * NEWS_DELAY_MAX_MS);
 }
 
-/** Computes the share of the requests by which the remaining amount is handed out evenly; 1 while it suffices. */
-function computeAdmittedShare(remaining: number, { asked }: UsageSums, growth: number): number {
-    const expected = (growth * asked * HAND_OUT_MS) / RECENT_USAGE_MS;
-    return expected <= remaining ? 1 : remaining / expected;
+/**
+ * Estimates the rate at which usage leaves the window now. Since the time at which it was charged is known only
+ * roughly, the lowest of three neighbouring rates counts.
+ */
+function estimateLeavingRate(
+    { used }: UsageSums,
+    history: UsageHistory,
+    requestMs: number,
+    { windowMs, nowMs }: Pick<GrowthInput, "windowMs" | "nowMs">,
+): number {
+    const { least, most } = LEAVING_SPAN_MS;
+    const spanMs = Math.min(most, Math.max(least, LEAVING_REQUESTS * requestMs));
+    const uncertaintyMs = Math.max(LEAVING_UNCERTAINTY_MS, spanMs / 2);
+    // A sample is the mean of the recent time, and as late as its report.
+    const sampledMs = nowMs - windowMs - COUNTER_DELAY_MS + NEWS_DELAY_USUAL_MS / 2 + RECENT_USAGE_MS / 2;
+    const sums = [0, uncertaintyMs, -uncertaintyMs].map(offsetMs =>
+        history.sumUsage(sampledMs + offsetMs - spanMs / 2, sampledMs + offsetMs + spanMs / 2),
+    );
+    const scale = used / Math.max(1, history.sumUsage(nowMs - windowMs, nowMs));
+    return (Math.min(HISTORY_SCALE_MAX, scale) * Math.min(...sums)) / spanMs;
+}
+
+/** Estimates the mean size of the requests, each weighted by its size, from the former mean and a request. */
+function estimateRequestSize(mean: number | undefined, amount: number): number {
+    if (mean === undefined || mean <= 0) {
+        return amount;
+    }
+    const weight = (SIZE_WEIGHT * amount) / mean;
+    return mean + (weight * (amount - mean)) / (1 + weight);
+}
+
+/**
+ * Admits a share of what is asked for, evenly: each request adds its part of the share to a credit, and a request that
+ * finds credit is admitted, whatever its size. Chance alone would vary by several hundredths of a quota in a window.
+ */
+function admitShare(state: AccountState, amount: number, share: number, random: Random): boolean {
+    if (!(share < 1)) {
+        return true;
+    }
+    const before = state.credit ?? -random.drawFraction() * amount;
+    state.credit = Math.min(amount, before + share * amount);
+    if (state.credit <= 0) {
+        return false;
+    }
+    state.credit -= amount;
+    return true;
 }
 
 /** Computes the share of the limit that is granted while the usage charged before the start is unknown. */
