Limit requests sent ahead on the product's own listeners

Cause: createCallerListener and createOperatorListener began every request of a received chunk at once. Unread bytes are recorded when a response ends, also behind another one of its connection, for which Node has no event.

--- a/src/base/metrics/metric.ts
+++ b/src/base/metrics/metric.ts
@@ -72,6 +72,7 @@
     TaskFailures = "tasks.failures",
     UnhandledErrors = "errors.unhandled",
     OperatorRequests = "operators.requests",
+    ListenerLimits = "listeners.limited",
     ResidentMemory = "process.resident_memory",
     EventLoopDelay = "process.event_loop_delay",
 }
@@ -151,6 +152,12 @@
         "Errors that no part of the process has handled, by `rejection` or `exception`",
     ),
     [Metric.OperatorRequests]: define(Counter, Count, [Operation, Outcome], "Requests of operators"),
+    [Metric.ListenerLimits]: define(
+        Counter,
+        Count,
+        [Operation, Outcome],
+        "Connections of `callers` or `operators` not read or closed because of what they sent ahead or didn't read",
+    ),
     [Metric.ResidentMemory]: define(Gauge, Bytes, [], "Resident memory of the process"),
     [Metric.EventLoopDelay]: define(Timing, Milliseconds, [], "How late timers of the process fire"),
 };
--- a/src/faces/createCallerListener.ts
+++ b/src/faces/createCallerListener.ts
@@ -12,6 +12,8 @@
 import { createLastAnswers } from "../http/createLastAnswers";
 import { createOpenRequests } from "../http/createOpenRequests";
 import { installConnectionLimit } from "../http/installConnectionLimit";
+import { installRequestLimits, type RequestLimitAction } from "../http/installRequestLimits";
+import { PRODUCT_REQUEST_LIMITS } from "../http/productRequestLimits";
 import { sendJson } from "../http/sendJson";
 import type { Account } from "../model/configuration";
 import { authenticateAccount } from "./authenticateAccount";
@@ -47,6 +49,8 @@
     /** Whether this node may be given callers; asked by `/health/ready`. */
     readonly isReady: () => boolean;
     readonly reportEnd: (summary: ExchangeSummary) => void;
+    /** Called after each action because of requests sent ahead or unread responses. */
+    readonly reportLimit?: (action: RequestLimitAction) => void;
 }
 
 /**
@@ -117,6 +121,7 @@
     };
 
     const server = createServer(options, handleRequest);
+    installRequestLimits(server, { ...PRODUCT_REQUEST_LIMITS, reportAction: options.reportLimit });
     const connections = installConnectionLimit(server, options.limits.connections);
     const { address, supervision } = options;
     const port = await openListener({ name: "callers", server, address, port: options.port }, supervision);
--- a/src/http/installRequestLimits.ts
+++ b/src/http/installRequestLimits.ts
@@ -69,12 +69,16 @@
     }
     const { gate, unread, updateUnread } = connection;
     gate.beginRequest(request, response);
-    response.once("prefinish", () => {
-        if (!response.writableFinished) {
+    // No event tells that a response has ended which waits behind another one of its connection.
+    const end = response.end.bind(response) as (...parameters: unknown[]) => ServerResponse;
+    response.end = (...parameters: unknown[]) => {
+        end(...parameters);
+        if (!response.writableFinished && !response.destroyed) {
             unread.set(response, response.writableLength);
             updateUnread();
         }
-    });
+        return response;
+    };
     response.once("close", () => {
         unread.delete(response);
         updateUnread();
--- a/src/operator/createOperatorListener.test.ts
+++ b/src/operator/createOperatorListener.test.ts
@@ -5,6 +5,8 @@
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import fc from "fast-check";
 import { FailureKind } from "../base/failure";
+import { Metric } from "../base/metrics/metric";
+import type { Metrics } from "../base/metrics/metrics";
 import { createOperatorFakes, OPERATOR_KEY, type OperatorFakes } from "./_testing/createOperatorFakes";
 import { createOperatorListener, type OperatorListener } from "./createOperatorListener";
 
@@ -51,6 +53,28 @@
     afterEach(() => listener.dispose());
     after(() => agent.destroy());
 
+    // Guards against: each request that is sent ahead on a connection is an open request, whose responses nobody reads.
+    it("stops reading a connection with many requests sent ahead", async () => {
+        const outcomes: unknown[] = [];
+        const count: Metrics["count"] = (metric, tags) => {
+            if (metric === Metric.ListenerLimits) {
+                outcomes.push(tags?.["outcome"]);
+            }
+        };
+        const metrics = { ...fakes.options.metrics, count };
+        listener.dispose();
+        listener = await createOperatorListener(fakes.dependencies, { ...fakes.options, metrics });
+        const socket = net.connect(listener.port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        const authorization = `authorization: Bearer ${OPERATOR_KEY}`;
+        socket.write(`GET /operator/v1/nowhere HTTP/1.1\r\nhost: a\r\n${authorization}\r\n\r\n`.repeat(2_000));
+        for (let tries = 0; tries < 500 && outcomes.length === 0; tries++) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        socket.destroy();
+        assert.equal(outcomes[0], "held");
+    });
+
     it("refuses a missing, wrong or malformed key before it looks at the path", async () => {
         for (const authorization of ["", "Bearer wrong", `Basic ${OPERATOR_KEY}`, `Bearer ${OPERATOR_KEY}x`]) {
             const answer = await sendRequest("GET", "/nowhere", undefined, { authorization });
--- a/src/operator/createOperatorListener.ts
+++ b/src/operator/createOperatorListener.ts
@@ -16,6 +16,8 @@
 import { closeConnections } from "../http/closeConnections";
 import { createOpenRequests } from "../http/createOpenRequests";
 import { installConnectionLimit } from "../http/installConnectionLimit";
+import { installRequestLimits } from "../http/installRequestLimits";
+import { PRODUCT_REQUEST_LIMITS } from "../http/productRequestLimits";
 import { parseJson } from "../http/parseJson";
 import { readBody } from "../http/readBody";
 import { sendJson } from "../http/sendJson";
@@ -112,6 +114,10 @@
         void serveExchange(exchange, routes, { ...limits, stopped: openRequests.stopped }, options).then(release);
     };
     const server = createServer(options, limits, handleRequest);
+    installRequestLimits(server, {
+        ...PRODUCT_REQUEST_LIMITS,
+        reportAction: outcome => options.metrics.count(Metric.ListenerLimits, { operation: "operators", outcome }),
+    });
     const connections = installConnectionLimit(server, limits.connections);
     const { address, supervision } = options;
     const port = await openListener({ name: "operators", server, address, port: options.port }, supervision);
--- a/src/wire.ts
+++ b/src/wire.ts
@@ -332,6 +332,7 @@
                 limits: settings.callerLimits,
                 isReady: agreement.readiness.isReady,
                 reportEnd: summary => recordExchange(parts, summary),
+                reportLimit: outcome => parts.metrics.count(Metric.ListenerLimits, { operation: "callers", outcome }),
             },
         ),
     );
