Share the request rate of cold endpoints between failure domains

Cause: an endpoint that has just started crashes at a rate that all nodes together easily send, and nothing limited it. Change: services have coldPerS. Each sending failure domain has a share that follows from settings and configuration; the node that all member lists of the last 6 s have chosen sends it. What is cold follows from entries, from the header Redwinglift-Cold-Ms of any answer, and from connections that broke.

--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -20,6 +20,7 @@
 import { createBodyMemory } from "../callers/createBodyMemory";
 import { createConfigurationHolder, type ConfigurationHolder } from "../tables/createConfigurationHolder";
 import { createDemandMeter } from "../duties/createDemandMeter";
+import { createColdEndpoints } from "../endpoints/createColdEndpoints";
 import { createEndpointDirectory, type EndpointDirectory } from "../endpoints/createEndpointDirectory";
 import { createEvacuations } from "../endpoints/createEvacuations";
 import { createEndpointLimits } from "../endpoints/createEndpointLimits";
@@ -186,6 +187,15 @@
         }),
         rollouts,
         evacuations: createEvacuations({ handleCancelled: () => undefined, metrics, log }),
+        coldEndpoints: createColdEndpoints({
+            settings,
+            readService: name => configuration.readCurrent()?.services.get(name),
+            clusterTime: { readClusterMs: () => clock.readWallMs(), hasAgreedOffset: () => true },
+            countReachable: () => 1,
+            metrics,
+            clock,
+            log,
+        }),
         memory: createBodyMemory(settings.memoryBytesMax),
         reportFailure: createFailureReporter(log, metrics),
         limits: createEndpointLimits({
--- a/src/gateway/createGatewayParts.ts
+++ b/src/gateway/createGatewayParts.ts
@@ -12,6 +12,7 @@
 import { type ConfigurationHolder, createConfigurationHolder } from "./tables/createConfigurationHolder";
 import { createCountedTables } from "./tables/createCountedTables";
 import { createDemandMeter } from "./duties/createDemandMeter";
+import { createColdEndpoints } from "./endpoints/createColdEndpoints";
 import { createEndpointDirectory, type EndpointDirectory } from "./endpoints/createEndpointDirectory";
 import { createEvacuations } from "./endpoints/createEvacuations";
 import { createEndpointLimits } from "./endpoints/createEndpointLimits";
@@ -118,6 +119,15 @@
         metrics,
         log,
     });
+    const coldEndpoints = createColdEndpoints({
+        settings,
+        readService: name => configuration.readCurrent()?.services.get(name),
+        clusterTime,
+        countReachable: () => news.readUsage().reachable,
+        metrics,
+        clock,
+        log,
+    });
     const news = createFleetNews({
         self,
         failureDomains: Object.keys(settings.regions),
@@ -135,6 +145,7 @@
         evidence: quarantine,
         rollouts,
         limits,
+        memberSink: coldEndpoints,
         handleActivity: directory.recordOthers,
         clock,
         log,
@@ -169,6 +180,7 @@
         rollouts,
         limits,
         evacuations,
+        coldEndpoints,
         memory,
         reportFailure,
     };
--- a/src/gateway/endpoints/createEndpointConnections.ts
+++ b/src/gateway/endpoints/createEndpointConnections.ts
@@ -23,11 +23,15 @@
  * request.
  *
  * @param clock - Measures idle time
+ * @param handleIdleEnd - Called when the endpoint ends or resets an idle connection
  * @returns The pool, without open connections
  * @example
  * http.request({ host, port, agent: connections.prepareAgent() });
  */
-export function createEndpointConnections(clock: Clock): EndpointConnections {
+export function createEndpointConnections(
+    clock: Clock,
+    handleIdleEnd: () => void = () => undefined,
+): EndpointConnections {
     const idleSince = new WeakMap<Socket, Instant>();
     let idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
     const closeSocket = function (this: Socket) {
@@ -42,9 +46,11 @@
             idleSince.set(socket, readInstant(clock));
             socket.setTimeout(idleTimeoutMs);
             socket.on("data", closeSocket);
+            socket.on("end", handleIdleEnd);
+            socket.on("error", handleIdleEnd);
             return true;
         },
-        endIdle: socket => void socket.off("data", closeSocket),
+        endIdle: socket => void socket.off("data", closeSocket).off("end", handleIdleEnd).off("error", handleIdleEnd),
     });
     const listIdle = () => Object.values(agent.freeSockets).flatMap(sockets => sockets ?? []);
     const closeIdle = () => listIdle().forEach(socket => socket.destroy());
--- a/src/gateway/endpoints/createEndpointDirectory.ts
+++ b/src/gateway/endpoints/createEndpointDirectory.ts
@@ -14,6 +14,9 @@
 const SAME_REGION_PENALTY_MS = 5;
 const OTHER_REGION_PENALTY_MS = 20;
 
+/** What is known of an endpoint's restart once a new entry says how long it stays cold. */
+const NO_RESTART = { presumedColdUntilMs: 0, mayHaveRestartedAtMs: Number.NEGATIVE_INFINITY };
+
 const NO_ACTIVITY: EndpointActivity = { inFlight: 0, pendingTokens: 0 };
 
 /** An entry of the endpoint table. */
@@ -85,7 +88,7 @@
                 Object.assign(record, {
                     endpoint,
                     coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs,
-                    presumedColdUntilMs: isNewerColdTime(record, endpoint) ? 0 : record.presumedColdUntilMs,
+                    ...(isNewerColdTime(record, endpoint) ? NO_RESTART : {}),
                     missingSinceMs: undefined,
                 }),
             );
--- a/src/gateway/endpoints/endpointRecord.ts
+++ b/src/gateway/endpoints/endpointRecord.ts
@@ -46,6 +46,13 @@
     coldUntilMs: number;
     /** Monotonic time until which it counts as cold since it may have restarted, whatever its entry says; else 0. */
     presumedColdUntilMs: number;
+    /**
+     * Monotonic time at which a connection to it last broke or was refused, since when it may have restarted; infinitely long
+     * ago if no connection broke since it last said how long it stays cold.
+     */
+    mayHaveRestartedAtMs: number;
+    /** True once an answer has said how long it stays cold. */
+    hasStatedColdTime: boolean;
     /** Monotonic time at which the entry disappeared after a store outage; absent while the entry exists. */
     missingSinceMs: number | undefined;
     /** True once a different endpoint has answered at this address. */
@@ -81,14 +88,18 @@
     distance: { readonly roundTripMs: number; readonly penaltyMs: number },
     clock: Clock,
 ): EndpointRecord {
-    return {
+    const record: EndpointRecord = {
         endpoint,
-        connections: createEndpointConnections(clock),
+        connections: createEndpointConnections(clock, () => {
+            record.mayHaveRestartedAtMs = clock.readMonotonicMs();
+        }),
         discoveredAtMs: clock.readMonotonicMs(),
         roundTripMs: distance.roundTripMs,
         distancePenaltyMs: distance.penaltyMs,
         coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs,
         presumedColdUntilMs: 0,
+        mayHaveRestartedAtMs: Number.NEGATIVE_INFINITY,
+        hasStatedColdTime: false,
         missingSinceMs: undefined,
         isMisdirected: false,
         isLeaving: false,
@@ -104,6 +115,7 @@
         recentBreaks: [],
         cachedParts: new Map(),
     };
+    return record;
 }
 
 /** Builds the view of an endpoint by which a request with these prompt parts is placed. */
@@ -133,6 +145,8 @@
 export function recordColdTime(record: EndpointRecord, coldForMs: number, nowMs: number): void {
     record.coldUntilMs = nowMs + coldForMs;
     record.presumedColdUntilMs = 0;
+    record.mayHaveRestartedAtMs = Number.NEGATIVE_INFINITY;
+    record.hasStatedColdTime = true;
 }
 
 /** Records what the other nodes do at the endpoint. */
--- a/src/gateway/forwarding/applyAttemptOutcome.ts
+++ b/src/gateway/forwarding/applyAttemptOutcome.ts
@@ -3,7 +3,13 @@
  */
 import { AttemptOutcome, isFailedStatus } from "../../decisions/gateway/decideNextAction";
 import type { ResponseHead } from "../../ports/forwardingCodec";
-import { type EndpointRecord, recordAttemptOutcome, recordLoad, recordUnreachable } from "../endpoints/endpointRecord";
+import {
+    type EndpointRecord,
+    recordAttemptOutcome,
+    recordColdTime,
+    recordLoad,
+    recordUnreachable,
+} from "../endpoints/endpointRecord";
 import type { AttemptResult } from "./sendAttempt";
 
 /**
@@ -26,6 +32,9 @@
         record.isMisdirected = true;
         return;
     }
+    if (answer.coldForMs !== undefined) {
+        recordColdTime(record, answer.coldForMs, nowMs);
+    }
     if (answer.isLeaving) {
         record.isLeaving = true;
     }
@@ -44,6 +53,9 @@
  * applyOutcome(record, result, clock.readMonotonicMs());
  */
 export function applyOutcome(record: EndpointRecord, result: AttemptResult, nowMs: number): void {
+    if (result.connection !== undefined || result.end === AttemptOutcome.NotSent) {
+        record.mayHaveRestartedAtMs = nowMs;
+    }
     OUTCOME_RECORDERS[result.end]?.(record, nowMs, result);
 }
 
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -92,7 +92,12 @@
 
     /** Computes the time until an endpoint takes a request, by what it has said in its answers. */
     const computeWaitMs = (record: EndpointRecord, nowMs: number): number =>
-        Math.max(0, record.refusedUntilMs - nowMs, components.limits.computeWaitMs(record));
+        Math.max(
+            0,
+            record.refusedUntilMs - nowMs,
+            components.limits.computeWaitMs(record),
+            components.coldEndpoints.computeWaitMs(record),
+        );
     /** Lists the endpoints that take this request now, and gives the least time until one does. */
     const listOpen = (state: ForwardingState, nowMs: number) => {
         const { exchange, triedEndpoints } = state;
@@ -209,6 +214,7 @@
             components.demand.recordArrival(service, uncachedTokens);
         }
         components.limits.chargeAttempt(record);
+        components.coldEndpoints.chargeAttempt(record);
         const followed = components.quarantine.beginAttempt(record, state.sharedParts);
         const compared = components.rollouts.beginAttempt(record, route.name, state.sends === 1);
         recordCachedParts(record, request.promptParts, sentAtMs);
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -8,6 +8,7 @@
 import type { ForwardingCodec } from "../ports/forwardingCodec";
 import type { ConfigurationHolder } from "./tables/createConfigurationHolder";
 import type { DemandMeter } from "./duties/createDemandMeter";
+import type { ColdEndpoints } from "./endpoints/createColdEndpoints";
 import type { EndpointDirectory } from "./endpoints/createEndpointDirectory";
 import type { Evacuations } from "./endpoints/createEvacuations";
 import type { EndpointLimits } from "./endpoints/createEndpointLimits";
@@ -38,6 +39,7 @@
     readonly rollouts: Rollouts;
     readonly limits: EndpointLimits;
     readonly evacuations: Evacuations;
+    readonly coldEndpoints: ColdEndpoints;
     readonly memory: BodyMemory;
     readonly reportFailure: FailureReporter;
 }
--- a/src/gateway/news/createFleetNews.ts
+++ b/src/gateway/news/createFleetNews.ts
@@ -88,11 +88,6 @@
     recordStored(): void;
 }
 
-interface KnownNode {
-    readonly identity: NodeIdentity;
-    readonly listedAtMs: number;
-}
-
 /**
  * Starts the exchange.
  *
@@ -106,7 +101,7 @@
     const collector = createReportCollector(quotaWindowMs);
     const merger = createSummaryMerger(quotaWindowMs);
     const roster = createRelayRoster(self, clock, log);
-    const storedRelays = new Map<string, KnownNode>();
+    const storedRelays = new Map<string, { readonly identity: NodeIdentity; readonly listedAtMs: number }>();
     const viewers = new Set<string>();
     let view: { readonly content: FleetView; readonly atMs: number } | undefined;
     let reported: Readonly<Record<string, EndpointActivity>> = {};
@@ -195,6 +190,7 @@
         [NewsKind.Members]: ({ relay, members: list }) => {
             roster.addMembers(list);
             roster.recordLife(relay);
+            options.memberSink?.recordMembers(list);
             if (list.some(({ life }) => life === self.life)) {
                 countedAtMs = clock.readMonotonicMs();
             }
@@ -274,6 +270,7 @@
         listening.forEach(({ life }) => viewers.add(life));
         if (sequence % MEMBERS_EVERY_PERIODS === 0) {
             const membersBytes = encodeMembers();
+            options.memberSink?.recordMembers(collector.listMembers(nowMs));
             // Nodes that fell silent get it as well: after a network partition they find back by it.
             collector
                 .listMembers(nowMs)
@@ -374,6 +371,7 @@
         listCounts: collector.listCounts,
         addMembers: list => {
             roster.addMembers(list);
+            options.memberSink?.recordKnown(list);
             if (!hasMembers) {
                 hasMembers = true;
                 exchangeNews();
--- a/src/gateway/news/fleetNewsOptions.ts
+++ b/src/gateway/news/fleetNewsOptions.ts
@@ -21,6 +21,14 @@
     mergeLimits(reports: LimitReports): void;
 }
 
+/** Takes the members of this node's failure domain; ignores nodes of others. */
+export interface MemberSink {
+    /** Takes names that the store lists. */
+    recordKnown(nodes: readonly NodeIdentity[]): void;
+    /** Takes a list of a relay, which may be this node. */
+    recordMembers(nodes: readonly NodeIdentity[]): void;
+}
+
 /** What a node knows of moves of services to other versions. */
 export interface RolloutSource {
     /** Gives this node's own counts, and the phase that it knows of each move. */
@@ -47,6 +55,7 @@
     readonly rollouts: RolloutSource;
     /** What this node knows of the limits that endpoints name. */
     readonly limits: LimitSource;
+    readonly memberSink?: MemberSink;
     /** Called with what the other nodes do at endpoints. */
     readonly handleActivity: (activity: ReadonlyMap<string, EndpointActivity>) => void;
     readonly clock: Clock;
--- a/src/gateway/process/createGatewayMetrics.ts
+++ b/src/gateway/process/createGatewayMetrics.ts
@@ -32,6 +32,8 @@
     countPromptRefusal(verdict: string): void;
     /** Counts a request that is refused because its place or state bars each endpoint, by the reason. */
     countPlacementRefusal(service: string, reason: string): void;
+    /** Counts an attempt at a cold endpoint of a service that states a rate for them. */
+    countColdAttempt(service: string): void;
     /** Sets whether a failure domain is evacuated. */
     setEvacuated(failureDomain: string, isEvacuated: boolean): void;
     /** Sets how many prompt parts are suspected and quarantined. */
@@ -115,6 +117,12 @@
         labelNames: ["service", "reason"],
         registers,
     });
+    const coldAttempts = new Counter({
+        name: "redwinglift_cold_attempts_total",
+        help: "Attempts at cold endpoints of services that state a rate for them.",
+        labelNames: ["service"],
+        registers,
+    });
     const evacuated = new Gauge({
         name: "redwinglift_evacuated",
         help: "1 while a failure domain is evacuated, 0 after that.",
@@ -219,6 +227,7 @@
             connectionEnds.inc({ service, connection, answer: hasAnswerBegun ? "begun" : "waiting" }),
         countPromptRefusal: verdict => promptRefusals.inc({ verdict }),
         countPlacementRefusal: (service, reason) => placementRefusals.inc({ service, reason }),
+        countColdAttempt: service => coldAttempts.inc({ service }),
         setEvacuated: (domain, isEvacuated) => evacuated.set({ failure_domain: domain }, isEvacuated ? 1 : 0),
         setPromptParts: ({ suspected, quarantined }) => {
             promptParts.set({ state: "suspected" }, suspected);
--- a/src/gateway/process/dumpOnSignal.ts
+++ b/src/gateway/process/dumpOnSignal.ts
@@ -35,12 +35,23 @@
         rollouts,
         limits,
         evacuations,
+        coldEndpoints,
         reportFailure,
     } = components;
     const dependencies = {
         clock,
         node: { nodeId: settings.nodeName },
-        listDumpSources: () => [configuration, directory, news, quarantine, rollouts, limits, evacuations, listeners],
+        listDumpSources: () => [
+            configuration,
+            directory,
+            news,
+            quarantine,
+            rollouts,
+            limits,
+            evacuations,
+            coldEndpoints,
+            listeners,
+        ],
     };
     const readDump = () => {
         try {
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -76,6 +76,8 @@
     readonly fleet: FleetBounds | undefined;
     /** Time for which an endpoint is cold after its start, in milliseconds; absent or 0 if it never is. */
     readonly coldStartMs?: number | undefined;
+    /** Requests per second that a cold endpoint tolerates from all nodes together; absent or 0: no limit. */
+    readonly coldPerSecond?: number | undefined;
 }
 
 /** A client account. */
@@ -188,6 +190,9 @@
     readonly exposureSlack: number;
     /** Time from the operator's order to evacuate a failure domain until no request reaches it, in milliseconds. */
     readonly evacuateMs?: number | undefined;
+    /** In no second may a cold endpoint get more requests than its rate times `coldOverrun` plus `coldSlack`. */
+    readonly coldOverrun?: number | undefined;
+    readonly coldSlack?: number | undefined;
     /** Duration of the lease for a duty, in milliseconds. */
     readonly leaseMs: number;
     /** Length of the window that a usage report covers, in milliseconds. */
--- a/src/ports/forwardingCodec.ts
+++ b/src/ports/forwardingCodec.ts
@@ -73,6 +73,8 @@
     readonly refusedForMs: number | undefined;
     /** True if the endpoint states that it leaves. */
     readonly isLeaving: boolean;
+    /** Time for which the endpoint stays cold, in milliseconds; absent if it doesn't say. */
+    readonly coldForMs?: number | undefined;
     /** Requests a second that the endpoint takes from all nodes together; `undefined` if it names no limit. */
     readonly requestsPerSecondMax: number | undefined;
     /** Time after which the endpoint closes the idle connection, in milliseconds. */
