Let the test of throwing row decoders have the decoder of evacuations

Cause: its platform lacked decodeEvacuationRow since the evacuation came, so that the call threw for each row. Change: the test's decoder throws for the odd row like the three others; one more failure is expected, one for each decoder.

--- a/src/gateway/process/failingLoops.test.ts
+++ b/src/gateway/process/failingLoops.test.ts
@@ -167,13 +167,14 @@
             decodeConfigurationRow: (row: WatchedRow) =>
                 decode(row) === undefined ? undefined : ok({ ...view, version: 9 }),
             decodeRolloutRow: (row: WatchedRow) => void decode(row),
+            decodeEvacuationRow: (row: WatchedRow) => void decode(row),
             decodeEndpointRow: (row: WatchedRow) => (decode(row) === undefined ? undefined : makeEndpoint(row.key)),
         } as Partial<GatewayPlatform> as GatewayPlatform;
         startWatches(components, platform, createClusterTime(clock));
         await runClock(clock, CHANGE_BOUND_MS);
         assert.equal(harness.configuration.readCurrent()?.configuration.version, 9);
         assert.equal(harness.directory.findEndpoint("i-9")?.endpoint.id, "i-9");
-        assert.deepEqual(owners, ["row", "row", "row"]);
+        assert.deepEqual(owners, ["row", "row", "row", "row"]);
     });
 });
 
