Decide by load which share of requests goes to other failure domains

Cause: the cost of distance is a constant whatever the load, so requests left the own failure domain in waves when it was busy, and were charged by bytes.

Change: where the endpoints of a service report a pace, each node decides the shares of other failure domains from the views that relays already send (no new bytes) and its own observation, with hysteresis, and draws the domain of each request by them. Stale sums: no spillover. Other services are served as before.

--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -18,6 +18,7 @@
 import { type GatewayRoute, RouteKind } from "../../model/gateway";
 import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS } from "../constants";
+import { createSpillover } from "./createSpillover";
 import { createStreamRelay } from "./createStreamRelay";
 import { describePartRefusal } from "../quarantine/describePartRefusal";
 import {
@@ -75,6 +76,7 @@
  */
 export function createForwarder(components: GatewayComponents): Forwarder {
     const { clock, directory, speeds, settings } = components;
+    const spillover = createSpillover(components);
     const allowances = new Map<string, ServiceRetryBudget>();
     const readAllowance = (service: string): ServiceRetryBudget => {
         const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings.bounds;
@@ -146,7 +148,8 @@
         const nowMs = clock.readMonotonicMs();
         const { open, reachable, leastWaitMs } = listOpen(state, nowMs);
         const speed = speeds.readSpeed(exchange.service);
-        const all = (reachable.length > 0 ? reachable : open).map(record => ({
+        const takers = reachable.length > 0 ? reachable : open;
+        const all = spillover.filterDomains(exchange.service, exchange.route.objectiveMs, takers).map(record => ({
             record,
             view: buildEndpointView(record, request.promptParts, nowMs),
         }));
@@ -202,6 +205,7 @@
             components.demand.recordArrival(service, uncachedTokens);
         }
         components.limits.chargeAttempt(record);
+        spillover.recordAttempt(record);
         const followed = components.quarantine.beginAttempt(record, state.sharedParts);
         const compared = components.rollouts.beginAttempt(record, route.name, state.sends === 1);
         recordCachedParts(record, request.promptParts, sentAtMs);
--- a/src/gateway/process/createGatewayMetrics.ts
+++ b/src/gateway/process/createGatewayMetrics.ts
@@ -22,6 +22,10 @@
 export interface GatewayMetrics {
     countRequest(service: string, outcome: string): void;
     countAttempt(service: string, end: string): void;
+    /** Counts an attempt by the distance of its endpoint. */
+    countAttemptDistance(service: string, distance: string): void;
+    /** Sets which share of a service's requests goes to other failure domains. */
+    setSpilloverShare(service: string, share: number): void;
     /** Counts an attempt at an endpoint of a service that an order names, by the endpoint's version. */
     countVersionAttempt(service: string, version: string, end: string): void;
     /** Sets the phase of a service's move to another version. */
@@ -81,6 +85,18 @@
         labelNames: ["service", "end"],
         registers,
     });
+    const distances = new Counter({
+        name: "redwinglift_attempt_distances_total",
+        help: "Attempts by whether the endpoint is in the same failure domain, the same region or another region.",
+        labelNames: ["service", "distance"],
+        registers,
+    });
+    const spilloverShare = new Gauge({
+        name: "redwinglift_spillover_share",
+        help: "Share of the requests that goes to other failure domains, as last decided.",
+        labelNames: ["service"],
+        registers,
+    });
     const versionAttempts = new Counter({
         name: "redwinglift_version_attempts_total",
         help: "Attempts at endpoints of services with an ordered move, by version and how they ended.",
@@ -197,6 +213,8 @@
     return {
         countRequest: (service, outcome) => requests.inc({ service, outcome }),
         countAttempt: (service, end) => attempts.inc({ service, end }),
+        countAttemptDistance: (service, distance) => distances.inc({ service, distance }),
+        setSpilloverShare: (service, share) => spilloverShare.set({ service }, share),
         countVersionAttempt: (service, version, end) => versionAttempts.inc({ service, version, end }),
         setRolloutPhase: (service, phase) => rolloutPhase.set({ service }, phase),
         countConnectionEnd: (service, connection, hasAnswerBegun) =>
