Split the choice of an attempt's endpoint off the forwarder

Cause: createForwarder had 404 lines and two jobs: it lists and picks endpoints, and it makes attempts. Change: createCandidatePicker has the first. Statements are moved, and none differs but for their names.

--- /dev/null
+++ b/src/gateway/forwarding/createCandidatePicker.ts
@@ -0,0 +1,112 @@
+/**
+ * @module Picks the endpoint of an attempt among those that may get it.
+ */
+import { chooseEndpoint, type EndpointView, estimateResponseMs } from "../../decisions/gateway/chooseEndpoint";
+import { explainPlacement, filterPlaceable, type PlacementBar } from "../../decisions/gateway/filterPlaceable";
+import { filterServable } from "../../decisions/gateway/filterServable";
+import { buildEndpointView, type EndpointRecord } from "../endpoints/endpointRecord";
+import type { GatewayComponents } from "../gatewayComponents";
+import type { SpilloverControl } from "./createSpillover";
+import type { ForwardingState } from "./forwardingState";
+
+/** An endpoint that an attempt may be made at. */
+export interface Candidate {
+    readonly record: EndpointRecord;
+    /** The endpoint as it was when it was chosen. */
+    readonly view: EndpointView;
+}
+
+/** That no endpoint takes the request now. */
+export interface NoCandidate {
+    /** Time until one may, which may be infinite. */
+    readonly waitMs: number;
+    /** Why their place leaves all endpoints out; `undefined` if it doesn't. */
+    readonly bar: PlacementBar | undefined;
+}
+
+/** Picks endpoints. */
+export interface CandidatePicker {
+    /** Picks an endpoint; if none takes the request now, gives the time until one may, which may be infinite. */
+    pickCandidate(state: ForwardingState): Candidate | NoCandidate;
+    /** Estimates the least time to a response at the endpoints that were not tried; `undefined` if none takes it now. */
+    estimateLeastMs(state: ForwardingState): number | undefined;
+}
+
+/**
+ * Creates the picker.
+ *
+ * @param components - The components of the gateway
+ * @param spillover - Decides which failure domain an attempt goes to
+ * @returns The picker
+ * @example
+ * const candidate = candidates.pickCandidate(state);
+ */
+export function createCandidatePicker(
+    components: GatewayComponents,
+    spillover: Pick<SpilloverControl, "filterDomains">,
+): CandidatePicker {
+    const { clock, directory, speeds, settings } = components;
+
+    /** Computes the time until an endpoint takes a request, by what it has said in its answers. */
+    const computeWaitMs = (record: EndpointRecord, nowMs: number): number =>
+        Math.max(
+            0,
+            record.refusedUntilMs - nowMs,
+            components.limits.computeWaitMs(record),
+            components.coldEndpoints.computeWaitMs(record),
+        );
+    /** Lists the endpoints that take this request now, and gives the least time until one does. */
+    const listOpen = (state: ForwardingState, nowMs: number) => {
+        const { exchange, triedEndpoints } = state;
+        const { rollouts, limits } = components;
+        const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
+        const evacuated = components.evacuations.readDomains();
+        const rules = { homeRegions: exchange.homeRegions, evacuated, regions: settings.regions };
+        const placeable = filterPlaceable(usable, rules);
+        const untried = placeable.filter(record => !triedEndpoints.has(record.endpoint.id));
+        const waitsMs = new Map(untried.map(record => [record, computeWaitMs(record, nowMs)]));
+        const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
+        const open = rollouts.filterEligible(
+            exchange.service,
+            untried.filter(record => waitsMs.get(record) === 0),
+            isFirst,
+        );
+        const eligible = rollouts.filterEligible(exchange.service, untried, false);
+        eligible.forEach(record => limits.recordDemand(record));
+        return {
+            open,
+            reachable: open.filter(record => record.suspectUntilMs <= nowMs),
+            /** Why no endpoint is left, if its place bars each of them. */
+            bar: placeable.length === 0 && usable[0] ? explainPlacement(usable[0].endpoint, rules) : undefined,
+            leastWaitMs: Math.min(...eligible.map(record => waitsMs.get(record) ?? 0)),
+        };
+    };
+
+    return {
+        pickCandidate: state => {
+            const { request, exchange } = state;
+            const nowMs = clock.readMonotonicMs();
+            const { open, reachable, leastWaitMs, bar } = listOpen(state, nowMs);
+            const speed = speeds.readSpeed(exchange.service);
+            const takers = reachable.length > 0 ? reachable : open;
+            const all = spillover.filterDomains(exchange.service, exchange.route.objectiveMs, takers).map(record => ({
+                record,
+                view: buildEndpointView(record, request.promptParts, nowMs),
+            }));
+            const leastOccupancy = Math.min(...all.map(({ view }) => view.occupancy));
+            const candidates = state.isCareful ? all.filter(({ view }) => view.occupancy <= leastOccupancy) : all;
+            const views = candidates.map(candidate => candidate.view);
+            const id = chooseEndpoint(views, request, speed, components.random);
+            return candidates.find(candidate => candidate.view.id === id) ?? { waitMs: leastWaitMs, bar };
+        },
+        estimateLeastMs: state => {
+            const { request, exchange } = state;
+            const nowMs = clock.readMonotonicMs();
+            const speed = speeds.readSpeed(exchange.service);
+            const estimatesMs = listOpen(state, nowMs).reachable.map(record =>
+                estimateResponseMs(buildEndpointView(record, request.promptParts, nowMs), request, speed, false),
+            );
+            return estimatesMs.length === 0 ? undefined : Math.min(...estimatesMs);
+        },
+    };
+}
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -1,17 +1,10 @@
 /**
  * @module Forwards an admitted request until its final answer, by attempts at one endpoint after the other.
  */
-import {
-    chooseEndpoint,
-    type EndpointView,
-    estimateFirstPartMs,
-    estimateResponseMs,
-} from "../../decisions/gateway/chooseEndpoint";
+import { estimateFirstPartMs, estimateResponseMs } from "../../decisions/gateway/chooseEndpoint";
 import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../../decisions/gateway/decideNextAction";
 import { computeStallTimeoutMs } from "../../decisions/gateway/computeStallTimeoutMs";
 import { decideGiveUp } from "../../decisions/gateway/decideGiveUp";
-import { explainPlacement, filterPlaceable, type PlacementBar } from "../../decisions/gateway/filterPlaceable";
-import { filterServable } from "../../decisions/gateway/filterServable";
 import { PartVerdict } from "../../decisions/gateway/evaluatePart";
 import { convertToUsualPace } from "../../decisions/gateway/endpointPace";
 import { listSharedParts } from "../../decisions/gateway/listSharedParts";
@@ -19,17 +12,11 @@
 import { type GatewayRoute, RouteKind } from "../../model/gateway";
 import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS } from "../constants";
+import { type Candidate, createCandidatePicker } from "./createCandidatePicker";
 import { createSpillover } from "./createSpillover";
 import { createStreamRelay } from "./createStreamRelay";
 import { describePartRefusal } from "../quarantine/describePartRefusal";
-import {
-    buildEndpointView,
-    type EndpointRecord,
-    readPaceSince,
-    recordAnswerTime,
-    recordCachedParts,
-    recordConnectionBreak,
-} from "../endpoints/endpointRecord";
+import { readPaceSince, recordAnswerTime, recordCachedParts, recordConnectionBreak } from "../endpoints/endpointRecord";
 import { type GatewayExchange, hasBodyHeader } from "../callers/exchange";
 import { FailureOwner } from "../process/createFailureReporter";
 import {
@@ -60,21 +47,6 @@
     forwardRequest(exchange: GatewayExchange, ended: AbortSignal): Promise<ForwardingOutcome>;
 }
 
-/** An endpoint that an attempt may be made at. */
-interface Candidate {
-    readonly record: EndpointRecord;
-    /** The endpoint as it was when it was chosen. */
-    readonly view: EndpointView;
-}
-
-/** That no endpoint takes the request now. */
-interface NoCandidate {
-    /** Time until one may, which may be infinite. */
-    readonly waitMs: number;
-    /** Why their place leaves all endpoints out; `undefined` if it doesn't. */
-    readonly bar: PlacementBar | undefined;
-}
-
 /**
  * Creates the forwarder of a node.
  *
@@ -84,8 +56,9 @@
  * const end = await forwarder.forwardRequest(exchange, ended);
  */
 export function createForwarder(components: GatewayComponents): Forwarder {
-    const { clock, directory, speeds, settings } = components;
+    const { clock, speeds, settings } = components;
     const spillover = createSpillover(components);
+    const candidates = createCandidatePicker(components, spillover);
     const allowances = new Map<string, ServiceRetryBudget>();
     const readAllowance = (service: string): ServiceRetryBudget => {
         const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = settings.bounds;
@@ -94,91 +67,26 @@
         return allowance;
     };
 
-    /** Computes the time until an endpoint takes a request, by what it has said in its answers. */
-    const computeWaitMs = (record: EndpointRecord, nowMs: number): number =>
-        Math.max(
-            0,
-            record.refusedUntilMs - nowMs,
-            components.limits.computeWaitMs(record),
-            components.coldEndpoints.computeWaitMs(record),
-        );
-    /** Lists the endpoints that take this request now, and gives the least time until one does. */
-    const listOpen = (state: ForwardingState, nowMs: number) => {
-        const { exchange, triedEndpoints } = state;
-        const { rollouts, limits } = components;
-        const usable = filterServable(directory.listUsable(exchange.service), exchange.head.model);
-        const evacuated = components.evacuations.readDomains();
-        const rules = { homeRegions: exchange.homeRegions, evacuated, regions: settings.regions };
-        const placeable = filterPlaceable(usable, rules);
-        const untried = placeable.filter(record => !triedEndpoints.has(record.endpoint.id));
-        const waitsMs = new Map(untried.map(record => [record, computeWaitMs(record, nowMs)]));
-        const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
-        const open = rollouts.filterEligible(
-            exchange.service,
-            untried.filter(record => waitsMs.get(record) === 0),
-            isFirst,
-        );
-        const eligible = rollouts.filterEligible(exchange.service, untried, false);
-        eligible.forEach(record => limits.recordDemand(record));
-        return {
-            open,
-            reachable: open.filter(record => record.suspectUntilMs <= nowMs),
-            /** Why no endpoint is left, if its place bars each of them. */
-            bar: placeable.length === 0 && usable[0] ? explainPlacement(usable[0].endpoint, rules) : undefined,
-            leastWaitMs: Math.min(...eligible.map(record => waitsMs.get(record) ?? 0)),
-        };
-    };
-
     const chargeRetry = ({ exchange }: ForwardingState, nowMs: number): boolean =>
         readAllowance(exchange.service).chargeRetry(components.news.readUsage().nodes, nowMs);
 
     /** Decides whether the present attempt is given up; the retry is charged then. */
     const canGiveUp = (state: ForwardingState): boolean => {
-        const { exchange, request } = state;
+        const { exchange } = state;
         const nowMs = clock.readMonotonicMs();
-        const speed = speeds.readSpeed(exchange.service);
         const isGivenUp =
             !state.isCareful &&
             decideGiveUp(exchange.route, {
                 executions: state.executions,
                 sends: state.sends,
                 remainingMs: exchange.timeoutAtMs - nowMs - ATTEMPT_TIME_MIN_MS,
-                estimateElsewhereMs: () => {
-                    const { reachable } = listOpen(state, nowMs);
-                    const estimatesMs = reachable.map(record =>
-                        estimateResponseMs(
-                            buildEndpointView(record, request.promptParts, nowMs),
-                            request,
-                            speed,
-                            false,
-                        ),
-                    );
-                    return estimatesMs.length === 0 ? undefined : Math.min(...estimatesMs);
-                },
+                estimateElsewhereMs: () => candidates.estimateLeastMs(state),
                 chargeRetry: () => chargeRetry(state, nowMs),
             });
         state.isRetryCharged ||= isGivenUp;
         return isGivenUp;
     };
 
-    /** Picks an endpoint; if none takes the request now, gives the time until one may, which may be infinite. */
-    const pickCandidate = (state: ForwardingState): Candidate | NoCandidate => {
-        const { request, exchange } = state;
-        const nowMs = clock.readMonotonicMs();
-        const { open, reachable, leastWaitMs, bar } = listOpen(state, nowMs);
-        const speed = speeds.readSpeed(exchange.service);
-        const takers = reachable.length > 0 ? reachable : open;
-        const all = spillover.filterDomains(exchange.service, exchange.route.objectiveMs, takers).map(record => ({
-            record,
-            view: buildEndpointView(record, request.promptParts, nowMs),
-        }));
-        const leastOccupancy = Math.min(...all.map(({ view }) => view.occupancy));
-        const candidates = state.isCareful ? all.filter(({ view }) => view.occupancy <= leastOccupancy) : all;
-        const views = candidates.map(candidate => candidate.view);
-        const id = chooseEndpoint(views, request, speed, components.random);
-        return candidates.find(candidate => candidate.view.id === id) ?? { waitMs: leastWaitMs, bar };
-    };
-
     const runAttempt = async (state: ForwardingState, { record, view }: Candidate): Promise<EndedAttempt> => {
         const { exchange, request } = state;
         const { head, route, service } = exchange;
@@ -324,7 +232,7 @@
                     : { isRelayed: false, failure: describePartRefusal(state.executions, admission.retryAfterMs) };
             }
             state.isCareful = admission.verdict !== PartVerdict.Free;
-            const candidate = pickCandidate(state);
+            const candidate = candidates.pickCandidate(state);
             if ("waitMs" in candidate) {
                 if (candidate.bar !== undefined) {
                     components.metrics.countPlacementRefusal(exchange.service, candidate.bar);
