--- a/src/http/createRequestGate.ts
+++ b/src/http/createRequestGate.ts
@@ -1,12 +1,12 @@
 /**
  * @module Passes the received bytes of a connection to Node's parser request by request.
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { readContentLength } from "./readContentLength";
 
-/** Largest piece of a body that is passed on at once: a body that nobody reads stops the connection after it. */
-const BODY_PIECE_BYTES = 16_384;
+/** Largest piece of a body that nobody reads yet: Node stops the connection once it holds as much of a body. */
+const UNREAD_PIECE_BYTES = 16_384;
 const HEAD_END = "\n\r\n";
 /** Node's parser may accept lines without a carriage return. */
 const BARE_HEAD_END = "\n\n";
@@ -21,8 +21,10 @@
 
 /** The gate of one connection. */
 export interface RequestGate {
-    /** Records a request whose head was parsed; it is open until its response is closed. */
-    beginRequest(request: IncomingMessage, response: ServerResponse): void;
+    /** Records a request whose head was parsed. */
+    beginRequest(request: IncomingMessage): void;
+    /** Records that the response to a request is closed. */
+    endRequest(): void;
 }
 
 /** The request that was parsed last. */
@@ -63,7 +65,11 @@
 
     const findPieceBytes = (bytes: Buffer): number => {
         const left = isInBody() ? last?.bodyBytesLeft : undefined;
-        return left === undefined || left <= 0 ? findHeadEnd(bytes) : Math.min(bytes.length, left, BODY_PIECE_BYTES);
+        if (left === undefined || left <= 0) {
+            return findHeadEnd(bytes);
+        }
+        const isRead = last?.request.readableFlowing === true;
+        return Math.min(bytes.length, left, isRead ? bytes.length : UNREAD_PIECE_BYTES);
     };
     const parsePiece = (piece: Buffer) => {
         const before = last;
@@ -145,13 +151,13 @@
     socket.once("close", () => isHeld && handleHeld(0));
     socket.once("finish", () => isHeld && dropRest());
     return {
-        beginRequest: (request, response) => {
+        beginRequest: request => {
             openRequests++;
             last = { request, bodyBytesLeft: readContentLength(request.headers) };
-            response.once("close", () => {
-                openRequests--;
-                scheduleReading();
-            });
+        },
+        endRequest: () => {
+            openRequests--;
+            scheduleReading();
         },
     };
 }
--- a/src/http/installRequestLimits.ts
+++ b/src/http/installRequestLimits.ts
@@ -68,7 +68,7 @@
         return;
     }
     const { gate, unread, updateUnread } = connection;
-    gate.beginRequest(request, response);
+    gate.beginRequest(request);
     // No event tells that a response has ended which waits behind another one of its connection.
     const end = response.end.bind(response) as (...parameters: unknown[]) => ServerResponse;
     response.end = (...parameters: unknown[]) => {
@@ -79,9 +79,12 @@
         }
         return response;
     };
+    // The listeners of a request's handlers may be as many as Node expects at most.
+    response.setMaxListeners(response.getMaxListeners() + 1);
     response.once("close", () => {
         unread.delete(response);
         updateUnread();
+        gate.endRequest();
     });
 });
 
