--- /dev/null
+++ b/src/decisions/gateway/accountQuotas.test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { GatewayAccount } from "../../model/gateway";
+import { type QuotaSimulation, simulateQuotas } from "./_testing/simulateQuotas";
+
+const ACCOUNT: GatewayAccount = {
+    name: "county",
+    keys: ["k"],
+    priority: undefined,
+    quotaPerSecond: 100,
+    quotaBurst: 50,
+    countsTokens: true,
+    defaultTokens: 1,
+};
+const POLICY = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 45 };
+const QUOTA = 850;
+const BOUND = QUOTA * 1.1 + 45;
+const GRANTED_SHARE = 0.95;
+const SEVEN = { account: ACCOUNT, policy: POLICY, nodes: 7, failureDomains: 3 };
+const THIRTY = { ...SEVEN, nodes: 30, failureDomains: 6 };
+/** Sizes from a thousandth to a twentieth of the quota, in turn. */
+const MIXED_SIZES = [1_000, 1_000, 1_000, 1_000, 20, 250, 250, 1_000, 100];
+
+/** Runs a simulation with several seeds; gives the least that was granted and the most that was admitted. */
+function simulateSeeds(simulation: QuotaSimulation, seeds: number) {
+    const results = Array.from({ length: seeds }, (_unused, seed) => simulateQuotas({ ...simulation, seed }));
+    return {
+        granted: Math.min(...results.map(({ perWindow }) => perWindow)),
+        maximum: Math.max(...results.map(({ maximum }) => maximum)),
+        refused: Math.max(...results.map(({ refused }) => refused)),
+    };
+}
+
+describe("the quota of a flooding account", () => {
+    // Guards against a pace that depends on where the demand is, or on one order of events.
+    const flooded: Readonly<Record<string, { readonly simulation: QuotaSimulation; readonly seeds: number }>> = {
+        "one node": { simulation: { ...SEVEN, nodes: 1, failureDomains: 1 }, seeds: 5 },
+        "3 nodes": { simulation: { ...SEVEN, nodes: 3 }, seeds: 20 },
+        "7 nodes": { simulation: SEVEN, seeds: 20 },
+        "3 of 30 nodes with nine tenths of the demand": { simulation: { ...THIRTY, favored: 3 }, seeds: 4 },
+        "30 nodes at one and a half times the quota": { simulation: { ...THIRTY, demand: 1.5 }, seeds: 4 },
+        "7 nodes with requests of a thousandth of it": { simulation: { ...SEVEN, requestsPerLimit: 1_000 }, seeds: 4 },
+    };
+    for (const [name, { simulation, seeds }] of Object.entries(flooded)) {
+        it(`is granted and never exceeded at ${name}`, () => {
+            const { granted, maximum } = simulateSeeds(simulation, seeds);
+            assert.ok(granted >= GRANTED_SHARE * QUOTA, `${granted} granted of ${QUOTA}`);
+            assert.ok(maximum <= BOUND, `${maximum} admitted of ${BOUND}`);
+        });
+    }
+
+    // Guards against many nodes that each grant one request before they know of each other's.
+    const held: Readonly<Record<string, QuotaSimulation>> = {
+        "requests of a twentieth of it at 7 nodes": { ...SEVEN, requestsPerLimit: 20 },
+        "requests of a twentieth of it at 30 nodes": { ...THIRTY, requestsPerLimit: 20 },
+        "requests of very different sizes": { ...SEVEN, requestSizes: MIXED_SIZES },
+        "demand that moves to other nodes": { ...SEVEN, senders: 3, moveMs: 14_000 },
+        "demand that moves between a few of 30 nodes": { ...THIRTY, senders: 5, moveMs: 14_000 },
+    };
+    for (const [name, simulation] of Object.entries(held)) {
+        it(`is never exceeded with ${name}`, () => {
+            const { maximum } = simulateSeeds(simulation, 8);
+            assert.ok(maximum <= BOUND, `${maximum} admitted of ${BOUND}`);
+        });
+    }
+
+    it("is not refused while the account stays below it", () => {
+        const { refused } = simulateSeeds({ ...THIRTY, demand: 0.8 }, 8);
+        assert.equal(refused, 0);
+    });
+});
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -108,8 +108,9 @@
         const growth = estimateGrowth(sums, state, { amount, reachable: fleet.reachable, windowMs, nowMs });
         const isOverAsked = sums.asked > OVER_ASKED_RATIO * sums.recent + OVER_ASKED_REQUESTS * amount;
         const unreported = estimateUnreported(sums, state, { growth, isOverAsked, nowMs });
-        const remaining = unused + leavingRate * NEWS_DELAY_MAX_MS - unreported;
-        if (remaining < amount) {
+        const margin = fleet.nodes > 1 ? NOISE_SHARE * noise : 0;
+        const remaining = unused + leavingRate * NEWS_DELAY_MAX_MS - unreported - margin;
+        if (remaining < amount * (fleet.nodes > 1 ? REMAINING_REQUESTS : 1)) {
             return false;
         }
         const grantedRate = remaining / HAND_OUT_MS + leavingRate;
@@ -201,6 +202,10 @@
 const PACED_RECENT_SHARE = 0.15;
 /** How much more the recent usage may have grown if all usage is recent: it then began within the recent time. */
 const YOUNG_FACTOR = 1.5;
+/** Remaining amount, in requests of this size, without which several nodes admit none: others may admit one each. */
+const REMAINING_REQUESTS = 3;
+/** Share of the noise of unreported usage, which grows with the size of the requests, that several nodes keep free. */
+const NOISE_SHARE = 0.5;
 /** Weight of a request in the mean size. */
 const SIZE_WEIGHT = 0.1;
 
