Send requests out of a failure domain whose endpoints fail, and survive errors of the choice

Cause: where endpoints report a pace, a request went to the drawn failure domain, or else the own one, whatever its endpoints did. A domain with one endpoint that fails would have kept all its callers' requests there; the penalty for failures no longer counted across domains. An error in the choice would have failed the request. Change: endpoints with a tenth of failed attempts or more get nothing while sound ones take requests anywhere, as their penalty had it before. An error is reported, and all endpoints are candidates.

--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -12,6 +12,7 @@
 import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
 import { buildEndpointView, type EndpointRecord } from "../endpoints/endpointRecord";
 import type { GatewayComponents } from "../gatewayComponents";
+import { FailureOwner } from "../process/createFailureReporter";
 import type { FleetNews } from "../news/createFleetNews";
 import type { GatewayMetrics } from "../process/createGatewayMetrics";
 
@@ -28,8 +29,14 @@
     OtherRegion = "other_region",
 }
 
+/** Share of failed attempts from which an endpoint gets no requests while sound ones take them in any failure domain. */
+const FAILING_SHARE = 0.1;
+
 /** What the spillover needs of the gateway. */
-export interface SpilloverOptions extends Pick<GatewayComponents, "settings" | "clock" | "random" | "log" | "speeds"> {
+export interface SpilloverOptions extends Pick<
+    GatewayComponents,
+    "settings" | "clock" | "random" | "log" | "speeds" | "reportFailure"
+> {
     readonly directory: Pick<EndpointDirectory, "listUsable">;
     readonly news: Pick<FleetNews, "isInTouch" | "readLoad" | "readUsage">;
     readonly metrics: Pick<GatewayMetrics, "countAttemptDistance" | "setSpilloverShare">;
@@ -40,6 +47,7 @@
     /**
      * Filters the endpoints of the failure domain that one request goes to. All are given if the endpoints of the
      * service report no pace, or if neither that failure domain nor the own one has an endpoint that takes the request.
+     * Endpoints that have failed lately count only if no others take it. An error gives all: it must not cost the request.
      */
     filterDomains(service: string, objectiveMs: number, takers: readonly EndpointRecord[]): readonly EndpointRecord[];
     /** Counts an attempt by the distance of its endpoint. */
@@ -145,15 +153,25 @@
         }
         return settings.failureDomain;
     };
+    const filterDrawnDomain = (service: string, objectiveMs: number, takers: readonly EndpointRecord[]) => {
+        const nowMs = clock.readMonotonicMs();
+        const sound = takers.filter(record => buildEndpointView(record, [], nowMs).failureRate < FAILING_SHARE);
+        const usable = sound.length > 0 ? sound : takers;
+        const drawn = drawDomain(updateState(service, objectiveMs));
+        const listIn = (domain: string) => usable.filter(({ endpoint }) => endpoint.failureDomain === domain);
+        return [listIn(drawn), listIn(settings.failureDomain)].find(list => list.length > 0) ?? usable;
+    };
     return {
         filterDomains: (service, objectiveMs, takers) => {
             if (!takers.some(({ pace }) => pace !== undefined)) {
                 return takers;
             }
-            const drawn = drawDomain(updateState(service, objectiveMs));
-            const listIn = (domain: string) => takers.filter(({ endpoint }) => endpoint.failureDomain === domain);
-            const chosen = [listIn(drawn), listIn(settings.failureDomain)].find(list => list.length > 0);
-            return chosen ?? takers;
+            try {
+                return filterDrawnDomain(service, objectiveMs, takers);
+            } catch (error) {
+                options.reportFailure(FailureOwner.Request, error, { service });
+                return takers;
+            }
         },
         recordAttempt: ({ endpoint }) =>
             metrics.countAttemptDistance(endpoint.service, findDistance(endpoint.failureDomain)),
