Refuse the requests of a route that can't be read

Cause: only the entry as a whole was kept or dropped. Change: such a route keeps its host and path prefix, and its requests get 503, not run, with Retry-After.

--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -9,7 +9,6 @@
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
 import type { StopTimes } from "../../decisions/gateway/computeStopTimes";
 import { isServableBeforeStop } from "../../decisions/gateway/isServableBeforeStop";
-import { findRoute } from "../../decisions/gateway/routeTable";
 import { formatRawFailure } from "../../http/formatRawFailure";
 import { installConnectionLimit, type LimitAction } from "../../http/installConnectionLimit";
 import { installRequestLimits, type RequestLimitCounter } from "../../http/installRequestLimits";
@@ -17,7 +16,7 @@
 import { readBody } from "../../http/readBody";
 import { sendFailure } from "../../http/sendFailure";
 import type { CallerRequestHead } from "../../ports/forwardingCodec";
-import { QUOTA_RETRY_AFTER_MS, RETRY_AFTER_MS } from "../constants";
+import { QUOTA_RETRY_AFTER_MS } from "../constants";
 import { type CallerConnections, createCallerConnections } from "./createCallerConnections";
 import { FailureOwner } from "../process/createFailureReporter";
 import type { Forwarder } from "../forwarding/createForwarder";
@@ -27,6 +26,7 @@
 import { computeConnectionLimit } from "./computeConnectionLimit";
 import { computeRequestLimits } from "./computeRequestLimits";
 import { computeRequestTimes } from "./computeRequestTimes";
+import { createHeadAdmission } from "./createHeadAdmission";
 import { CONNECTIONS_LIMITED, createLimitReport, REQUESTS_LIMITED } from "./createLimitReport";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
@@ -37,8 +37,6 @@
 import { readKernelLimits } from "./readKernelLimits";
 import { waitUntilLoaded } from "./waitUntilLoaded";
 
-/** Subtracted from `revokeMs`, for the time between the check of a key and the sending of the request. */
-const REVOKE_MARGIN_MS = 250;
 /**
  * Longest wait of a request while the node loads its data after a start: a few round trips to a store in another
  * region.
@@ -97,42 +95,9 @@
     /** The times of the stop, and the monotonic time of its signal; absent while the node does not drain. */
     let stop: { readonly times: StopTimes; readonly signalledAtMs: number } | undefined;
     const openRequests = createOpenRequests();
+    const admitHead = createHeadAdmission(components);
     let successes = 0;
 
-    /** Refuses a request if the store last confirmed the keys too long ago: one of them may have been revoked since. */
-    const checkConfirmation = (): Failure | undefined =>
-        configuration.computeAgeMs() > settings.bounds.revokeMs - REVOKE_MARGIN_MS
-            ? createFailure(FailureKind.StoreUnavailable, "The keys in force can't be confirmed.", {
-                  retryAfterMs: RETRY_AFTER_MS,
-              })
-            : undefined;
-
-    const admitHead = (request: IncomingMessage, head: CallerRequestHead): AdmittedRequest | Failure => {
-        const view = configuration.readCurrent();
-        if (view === undefined) {
-            return createFailure(FailureKind.StoreUnavailable, "No configuration is known yet.", {
-                retryAfterMs: RETRY_AFTER_MS,
-            });
-        }
-        const route = findRoute(view.routes, request.headers.host ?? "", request.url ?? "/");
-        if (route === undefined) {
-            return createFailure(FailureKind.NotFound, "No route matches the host and path.");
-        }
-        // Without a list of accounts no key is needed, but one that is sent can only be a revoked or an unknown one.
-        const needsNoKey = view.configuration.accounts === undefined && head.key === undefined;
-        if (route.isAnonymous || needsNoKey) {
-            return { route, account: undefined, view };
-        }
-        const stale = checkConfirmation();
-        if (stale !== undefined) {
-            return stale;
-        }
-        const account = head.key === undefined ? undefined : view.accountsByKey.get(head.key);
-        return account === undefined
-            ? createFailure(FailureKind.Unauthenticated, "The key is not known.")
-            : { route, account, view };
-    };
-
     const isTaken = (timeoutAtMs: number): boolean => {
         const nowMs = clock.readMonotonicMs();
         return stop === undefined || isServableBeforeStop(stop.times, nowMs - stop.signalledAtMs, timeoutAtMs - nowMs);
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -43,6 +43,8 @@
     readonly gapTargetMs: number;
     /** Regions whose endpoints may get its requests; absent or empty: all. */
     readonly homeRegions?: readonly string[] | undefined;
+    /** True if only its host and path prefix could be read: its requests are refused. */
+    readonly isUnreadable?: boolean;
 }
 
 /** Properties of the engines of a service with model runners. */
