Take no usage for lost that a new relay hears of late

Cause: a node that becomes a relay keeps what its last view says and it can't find in the sums after 1 s as lost for a whole quota window. Without the store it finds the other relays later than that, so it took nearly all usage of the fleet for lost, and passed that on to all relays. Change: when more nodes are heard than ever since the takeover, what is missing is computed anew, and settles a second later.

--- a/src/decisions/relays/createLostUsage.ts
+++ b/src/decisions/relays/createLostUsage.ts
@@ -8,15 +8,15 @@
 /** Usage by account. */
 export type UsageByAccount = Readonly<Record<string, number>>;
 
-/** Time after which a new relay has heard all live nodes of its failure domain. */
+/** Time after which a new relay has heard all live nodes of its failure domain, unless it hears of further ones. */
 const SETTLE_MS = 1_000;
 
 /** The lost usage of all failure domains. */
 export interface LostUsage {
     /** Records that new relays sum a failure domain, and what the former ones last said. */
     recordTakeover(failureDomain: string, former: FormerUsage, nowMs: number): void;
-    /** Gives the lost usage; `readUsed` gives the present usage of a failure domain. */
-    sumLost(readUsed: (failureDomain: string) => UsageByAccount, nowMs: number): UsageByAccount;
+    /** Gives the lost usage; `readPresent` gives what is known of a failure domain now. */
+    sumLost(readPresent: (failureDomain: string) => PresentUsage, nowMs: number): UsageByAccount;
 }
 
 /** What the former relays of a failure domain last said. */
@@ -25,9 +25,18 @@
     readonly heardAtMs: number;
 }
 
+/** What is known of a failure domain now. */
+export interface PresentUsage {
+    readonly used: UsageByAccount;
+    /** Nodes whose usage that is. */
+    readonly reachable: number;
+}
+
 interface Takeover extends FormerUsage {
     readonly failureDomain: string;
-    readonly settledAtMs: number;
+    settledAtMs: number;
+    /** Most nodes that were reachable since. */
+    reachableMax: number;
     /** What is missing since the new relays have heard all nodes; absent before. */
     missing: UsageByAccount | undefined;
 }
@@ -46,14 +55,21 @@
         recordTakeover: (failureDomain, former, nowMs) => {
             takeovers = [
                 ...takeovers,
-                { ...former, failureDomain, settledAtMs: nowMs + SETTLE_MS, missing: undefined },
+                { ...former, failureDomain, settledAtMs: nowMs + SETTLE_MS, reachableMax: 0, missing: undefined },
             ];
         },
-        sumLost: (readUsed, nowMs) => {
+        sumLost: (readPresent, nowMs) => {
             takeovers = takeovers.filter(({ heardAtMs }) => nowMs - heardAtMs < quotaWindowMs);
             const lost: Record<string, number> = {};
             for (const takeover of takeovers) {
-                const missing = takeover.missing ?? computeMissing(takeover.used, readUsed(takeover.failureDomain));
+                const { used, reachable } = readPresent(takeover.failureDomain);
+                if (reachable > takeover.reachableMax) {
+                    // What these nodes have used was taken for lost until now.
+                    takeover.reachableMax = reachable;
+                    takeover.missing = undefined;
+                    takeover.settledAtMs = Math.max(takeover.settledAtMs, nowMs + SETTLE_MS);
+                }
+                const missing = takeover.missing ?? computeMissing(takeover.used, used);
                 if (nowMs >= takeover.settledAtMs) {
                     takeover.missing = missing;
                 }
--- a/src/decisions/relays/createSummaryMerger.ts
+++ b/src/decisions/relays/createSummaryMerger.ts
@@ -154,8 +154,16 @@
                 ...silent.map(([, summaries]) => pickAllUsed(mergeDomain(summaries), 2 * NEWS_PERIOD_MS)),
             ]);
             const fleetUsage = pickAllUsed({ usage: sums.usage, silentUsage }, 0);
+            const countReachable = (domain: string) =>
+                reachable.has(domain) ? mergeDomain(reachable.get(domain) ?? []).reachable : 0;
             ownLost = lostUsage.sumLost(
-                domain => (domain === WHOLE_FLEET ? fleetUsage : readDomainUsage(domain, UNREACHABLE_AFTER_MS, nowMs)),
+                domain =>
+                    domain === WHOLE_FLEET
+                        ? { used: fleetUsage, reachable: merged.reduce((sum, one) => sum + one.reachable, 0) }
+                        : {
+                              used: readDomainUsage(domain, UNREACHABLE_AFTER_MS, nowMs),
+                              reachable: countReachable(domain),
+                          },
                 nowMs,
             );
             const othersLost = listWithin(UNREACHABLE_AFTER_MS, nowMs).map(({ summary }) => summary.lostUsage);
--- a/src/decisions/relays/relays.test.ts
+++ b/src/decisions/relays/relays.test.ts
@@ -189,6 +189,37 @@
         assert.deepEqual(merger.mergeView(QUOTA_WINDOW_MS).lostUsage, {});
     });
 
+    // Guards against: a node that becomes a relay while it hears no other one, as without the store, takes the usage of all
+    // of them for lost for a whole quota window, and with it the quotas of all accounts.
+    it("takes nothing for lost of failure domains that it hears late after it became a relay", () => {
+        const east = makeReport("e", { failureDomain: "east", used: 300 });
+        const own = makeReport("b", { used: 50 });
+        const former = createSummaryMerger(QUOTA_WINDOW_MS);
+        former.recordSummary(summarize([own], "b", 1, 0), 0);
+        former.recordSummary({ ...summarize([east], "e", 1, 0), relay: east }, 0);
+        const merger = createSummaryMerger(QUOTA_WINDOW_MS);
+        merger.recordFormerView(former.mergeView(0), 0, 100);
+        merger.recordSummary(summarize([own], "b", 1, 100), 100);
+        assert.deepEqual(merger.mergeView(100).lostUsage, { county: 300 });
+        merger.recordSummary(summarize([own], "b", 2, 1_500), 1_500);
+        assert.deepEqual(merger.mergeView(1_500).lostUsage, { county: 300 });
+        merger.recordSummary({ ...summarize([east], "e", 2, 1_900), relay: east }, 1_900);
+        assert.deepEqual(merger.mergeView(1_900).lostUsage, {});
+    });
+
+    // Guards against: nodes that report to the new relay of their failure domain later than others count twice.
+    it("takes nothing for lost of nodes that report late to the new relay of their failure domain", () => {
+        const merger = createSummaryMerger(QUOTA_WINDOW_MS);
+        const [late, own] = [makeReport("a", { used: 300 }), makeReport("b", { used: 50 })];
+        merger.recordSummary(summarize([late, own], "c", 1, 0), 0);
+        merger.recordSummary(summarize([own], "b", 1, 1_100), 1_100);
+        assert.deepEqual(merger.mergeView(1_100).lostUsage, { county: 300 });
+        merger.recordSummary(summarize([own], "b", 2, 2_200), 2_200);
+        merger.mergeView(2_200);
+        merger.recordSummary(summarize([late, own], "b", 3, 2_500), 2_500);
+        assert.deepEqual(merger.mergeView(2_500).lostUsage, {});
+    });
+
     // Guards against a crash that is forgotten because the node that saw it, its relay or its failure domain is gone.
     it("keeps crashes that silent nodes and failure domains reported, older by the time since, and their clearances", () => {
         const suspects = (ageMs: number, clearances: number) => ({
