Keep an endpoint cold by its own word while its entry is read again

Cause: a whole table that is read again set the cold time anew from an unchanged entry, so that an endpoint that had said since that it is cold counted as warm, and one with an old cold time as cold again. Change: the cold time of an entry counts only where the entry differs from the one before. Result: the new test of createColdEndpoints.test.ts; the others of the folder unchanged.

--- a/src/gateway/endpoints/createColdEndpoints.test.ts
+++ b/src/gateway/endpoints/createColdEndpoints.test.ts
@@ -167,6 +167,14 @@
         });
     }
 
+    // Guards against: a whole table that is read again makes an endpoint warm that has said since that it is cold.
+    it("stay cold by their own word while an unchanged entry is read again", () => {
+        const record = add(WARM);
+        applyAnswerHead(record, readHead(String(COLD_START_MS)), clock.readMonotonicMs());
+        add(WARM);
+        assert.equal(sendAll(record), 0);
+    });
+
     it("are those that have just started, if their entry states no time", () => {
         const record = add({ coldForMs: 0, startedAtMs: clock.readWallMs() - 1_000 });
         assert.equal(sendAll(record), 0);
--- a/src/gateway/endpoints/createEndpointDirectory.ts
+++ b/src/gateway/endpoints/createEndpointDirectory.ts
@@ -87,8 +87,9 @@
                 endpoint.id,
                 Object.assign(record, {
                     endpoint,
-                    coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs,
-                    ...(isNewerColdTime(record, endpoint) ? NO_RESTART : {}),
+                    ...(isNewerColdTime(record, endpoint)
+                        ? { coldUntilMs: clock.readMonotonicMs() + endpoint.coldForMs, ...NO_RESTART }
+                        : {}),
                     missingSinceMs: undefined,
                 }),
             );
