Admit a large request of an account that nobody else uses

Change: that reserve is kept only while other nodes have admitted requests of the account lately, and is half of the limit at most.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -110,7 +110,10 @@
         const unreported = estimateUnreported(sums, state, { growth, isOverAsked, nowMs });
         const margin = fleet.nodes > 1 ? NOISE_SHARE * noise : 0;
         const remaining = unused + leavingRate * NEWS_DELAY_MAX_MS - unreported - margin;
-        if (remaining < amount * (fleet.nodes > 1 ? REMAINING_REQUESTS : 1)) {
+        // Other nodes may admit requests of this size at the same time if they have done so recently.
+        const isShared = (fleet.usage[account.name]?.recent ?? 0) > state.recent.sum(nowMs);
+        const reserved = isShared ? Math.min(REMAINING_REQUESTS * amount, Math.max(amount, limit / 2)) : amount;
+        if (remaining < reserved) {
             return false;
         }
         const grantedRate = remaining / HAND_OUT_MS + leavingRate;
--- a/src/decisions/gateway/budgets.test.ts
+++ b/src/decisions/gateway/budgets.test.ts
@@ -179,6 +179,14 @@
         assert.ok(quotas.charge(ACCOUNT, 100, SINGLE_NODE, 30));
     });
 
+    // Guards against: an idle account whose requests are large for its quota is refused, however often it comes back.
+    it("admit a single large request of an idle account, at any number of nodes", () => {
+        for (const nodes of [2, 60]) {
+            const fleet = { ...SINGLE_NODE, nodes, reachable: nodes, countsForMs: 8_000 };
+            assert.ok(createQuotas().charge(ACCOUNT, 450, fleet, 50_000), `${nodes} nodes`);
+        }
+    });
+
     it("don't apply to accounts without a limit", () => {
         const quotas = createQuotas();
         assert.ok(quotas.charge({ ...ACCOUNT, quotaPerSecond: 0 }, 1_000_000, SINGLE_NODE, 0));
