Draw once among nearly full endpoints, and leave spillover off by default

Change: the second draw is made while less than 0.6 of the slots is taken. Spillover needs `spillover` in the settings file.

--- a/src/decisions/gateway/drawPacedEndpoint.ts
+++ b/src/decisions/gateway/drawPacedEndpoint.ts
@@ -13,6 +13,9 @@
  */
 const GROWTH_FACTOR = 6;
 
+/** Share of slots occupied by other nodes from which only one endpoint is drawn. */
+const SECOND_DRAW_SHARE_MAX = 0.6;
+
 /** An endpoint with its estimate. */
 export interface PacedCandidate {
     readonly view: EndpointView;
@@ -25,7 +28,7 @@
 /**
  * Draws an endpoint. Those that would be as good as the best one if they were idle get a chance that falls with their
  * estimate, the more slowly the more other nodes do there, since their part of the estimate is old. Of two draws the
- * one with the lower pace counts: nodes know different reports of the pace, so this leads them to different endpoints.
+ * one with the lower pace counts, while there is room: nodes know different reports of the pace, so this leads them to different endpoints.
  *
  * @param candidates - The endpoints
  * @param tieRangeMs - Estimates within this range count as equal in any case
@@ -53,7 +56,8 @@
             (Math.max(0, bestMs + rangeMs - estimateMs) * Math.max(1, view.slots)) / (view.pace ?? USUAL_PACE),
     );
     const first = alike[drawIndex(weights, random)] ?? best;
-    const second = alike[drawIndex(weights, random)] ?? best;
+    // While endpoints are nearly full, a steady small difference of pace must not lead most requests to the faster one.
+    const second = othersShare < SECOND_DRAW_SHARE_MAX ? (alike[drawIndex(weights, random)] ?? best) : first;
     return (second.view.pace ?? USUAL_PACE) < (first.view.pace ?? USUAL_PACE) ? second.view.id : first.view.id;
 }
 
--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -29,8 +29,11 @@
     OtherRegion = "other_region",
 }
 
-/** Share of failed attempts from which an endpoint gets no requests while sound ones take them in any failure domain. */
-const FAILING_SHARE = 0.1;
+/**
+ * Share of failed attempts from which an endpoint gets no requests while sound ones take them in any failure domain: that
+ * of two failures in a row, since a single one says little.
+ */
+const FAILING_SHARE = 0.25;
 
 /** What the spillover needs of the gateway. */
 export interface SpilloverOptions extends Pick<
@@ -45,8 +48,8 @@
 /** Distributes requests over failure domains. */
 export interface SpilloverControl {
     /**
-     * Filters the endpoints of the failure domain that one request goes to. All are given if the endpoints of the
-     * service report no pace, or if neither that failure domain nor the own one has an endpoint that takes the request.
+     * Filters the endpoints of the failure domain that one request goes to. All are given if the settings
+     * don't switch it on, the endpoints of the service report no pace, or if neither that failure domain nor the own one has an endpoint that takes the request.
      * Endpoints that have failed lately count only if no others take it. An error gives all: it must not cost the request.
      */
     filterDomains(service: string, objectiveMs: number, takers: readonly EndpointRecord[]): readonly EndpointRecord[];
@@ -163,7 +166,7 @@
     };
     return {
         filterDomains: (service, objectiveMs, takers) => {
-            if (!takers.some(({ pace }) => pace !== undefined)) {
+            if (settings.hasSpillover !== true || !takers.some(({ pace }) => pace !== undefined)) {
                 return takers;
             }
             try {
