--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -42,7 +42,7 @@
  * region.
  */
 const STARTUP_WAIT_MAX_MS = 400;
-/** Time for which a caller may read nothing of its responses before a configuration states one. */
+/** Time for which a caller may read nothing of its responses while no configuration states one above 0. */
 const UNREAD_TIMEOUT_MS = 15_000;
 /** One of this many successful requests is logged. */
 const SUCCESSES_PER_LOG_LINE = 50;
@@ -310,7 +310,10 @@
     );
     const requestLimits = installRequestLimits(server, {
         ...computeRequestLimits(settings.memoryBytesMax),
-        readUnreadTimeoutMs: () => configuration.readCurrent()?.configuration.limits.idleTimeoutMs ?? UNREAD_TIMEOUT_MS,
+        readUnreadTimeoutMs: () => {
+            const idleTimeoutMs = configuration.readCurrent()?.configuration.limits.idleTimeoutMs ?? 0;
+            return idleTimeoutMs > 0 ? idleTimeoutMs : UNREAD_TIMEOUT_MS;
+        },
         reportAction: createLimitReport(components, REQUESTS_LIMITED, () => limited.count()),
     });
     const connections: CallerConnections = createCallerConnections(server, clock);
