--- a/src/decisions/relays/createLostUsage.ts
+++ b/src/decisions/relays/createLostUsage.ts
@@ -61,14 +61,15 @@
             for (const takeover of takeovers) {
                 const late = [...present].filter(([failureDomain]) => !takeover.heard.has(failureDomain));
                 late.forEach(([failureDomain]) => takeover.heard.add(failureDomain));
+                const isWholeFleet = takeover.failureDomain === WHOLE_FLEET;
                 // What a failure domain has used was taken for lost until it was heard.
-                const found =
-                    takeover.missing && takeover.failureDomain === WHOLE_FLEET
-                        ? sumAmounts(late.map(([, used]) => used))
-                        : {};
-                const missing = computeMissing(takeover.missing ?? takeover.used, {
-                    ...(takeover.missing === undefined ? readUsed(present, takeover.failureDomain) : found),
-                });
+                const missing =
+                    takeover.missing === undefined
+                        ? computeMissing(takeover.used, readUsed(present, takeover.failureDomain))
+                        : computeMissing(
+                              takeover.missing,
+                              isWholeFleet ? sumAmounts(late.map(([, used]) => used)) : {},
+                          );
                 if (nowMs >= takeover.settledAtMs) {
                     takeover.missing = missing;
                 }
