Admit small and large requests of a flooding account alike

Callers of an account over its quota saw their small requests refused while its large ones were admitted: payments of 200 tokens beside drafts of 17,000. Cause: a request's own part of the admitted share was added to the credit before the request was judged, so a large one brought its credit along. Now the part of the former request is added, with the share of the moment; for requests of one size nothing changes.

--- a/src/decisions/gateway/accountQuotas.test.ts
+++ b/src/decisions/gateway/accountQuotas.test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRandom } from "../../base/createRandom";
 import type { GatewayAccount } from "../../model/gateway";
+import { makeFleetUsage } from "./_testing/makeFleetUsage";
 import { type QuotaSimulation, simulateQuotas } from "./_testing/simulateQuotas";
+import { createAccountQuotas } from "./accountQuotas";
 
 const ACCOUNT: GatewayAccount = {
     name: "county",
@@ -64,6 +67,23 @@
         });
     }
 
+    // Guards against: small requests are refused so that large ones of the same account are admitted.
+    it("is granted to small and large requests alike", () => {
+        const random = createRandom(3);
+        const quotas = createAccountQuotas(POLICY, undefined, random);
+        const counts = { 1: { asked: 0, admitted: 0 }, 15: { asked: 0, admitted: 0 } };
+        for (let nowMs = 0; nowMs < 60_000; nowMs += 20) {
+            const amount = random.drawFraction() < 0.7 ? 1 : 15;
+            const isAdmitted = quotas.charge(ACCOUNT, amount, makeFleetUsage(), nowMs);
+            if (nowMs > 20_000) {
+                counts[amount].asked++;
+                counts[amount].admitted += Number(isAdmitted);
+            }
+        }
+        const [small, large] = [counts[1], counts[15]].map(({ asked, admitted }) => admitted / asked);
+        assert.ok(Math.abs((small ?? 0) - (large ?? 1)) < 0.1, `${small} of the small, ${large} of the large`);
+    });
+
     it("is not refused while the account stays below it", () => {
         const { refused } = simulateSeeds({ ...THIRTY, demand: 0.8 }, 8);
         assert.equal(refused, 0);
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -68,7 +68,7 @@
             asked: createSlidingWindowCounter(RECENT_USAGE_MS),
             askedBefore: createSlidingWindowCounter(windowMs),
             history: createUsageHistory(windowMs),
-            credit: undefined,
+            admitted: undefined,
             requestSize: undefined,
         };
         states.set(account, state);
@@ -162,8 +162,8 @@
     readonly askedBefore: SlidingWindowCounter;
     /** Charged by all nodes. */
     readonly history: UsageHistory;
-    /** What may be admitted of the admitted share; negative after a request that was greater. */
-    credit: number | undefined;
+    /** The last request of which a share was admitted, and what may be admitted; negative after a greater request. */
+    admitted: { readonly amount: number; readonly credit: number } | undefined;
     /** Mean size of the requests, weighted by size. */
     requestSize: number | undefined;
 }
@@ -328,13 +328,12 @@
     if (!(share < 1)) {
         return true;
     }
-    const before = state.credit ?? -random.drawFraction() * amount;
-    state.credit = Math.min(amount, before + share * amount);
-    if (state.credit <= 0) {
-        return false;
-    }
-    state.credit -= amount;
-    return true;
+    const { amount: formerAmount, credit } = state.admitted ?? { amount, credit: -random.drawFraction() * amount };
+    // The former request's part is added and not its own, or large requests would be admitted far more often than small.
+    const available = credit + share * formerAmount;
+    const isAdmitted = available > 0;
+    state.admitted = { amount, credit: isAdmitted ? available - amount : available };
+    return isAdmitted;
 }
 
 /** Computes the share of the limit that is granted while the usage charged before the start is unknown. */
