Name the time in which the quota grants a refused request

Requests that a quota refused were told to come again after 1 s. An account over its quota is granted its rate steadily, so a retry was as likely to be admitted as any request, but by then most had missed their objective: quota was spent on late responses (5 to 20 late ones in each 2 s of a flood, 1 to 3 without it). The time is now the amount by the quota's rate, from 0.1 to 1 s.

--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -8,6 +8,7 @@
 import type { AccountQuotas } from "../../decisions/gateway/accountQuotas";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
 import type { StopTimes } from "../../decisions/gateway/computeStopTimes";
+import { computeQuotaRetryMs } from "../../decisions/gateway/computeQuotaRetryMs";
 import { isServableBeforeStop } from "../../decisions/gateway/isServableBeforeStop";
 import { formatRawFailure } from "../../http/formatRawFailure";
 import { installConnectionLimit, type LimitAction } from "../../http/installConnectionLimit";
@@ -16,7 +17,6 @@
 import { readBody } from "../../http/readBody";
 import { sendFailure } from "../../http/sendFailure";
 import type { CallerRequestHead } from "../../ports/forwardingCodec";
-import { QUOTA_RETRY_AFTER_MS } from "../constants";
 import { type CallerConnections, createCallerConnections } from "./createCallerConnections";
 import { FailureOwner } from "../process/createFailureReporter";
 import type { Forwarder } from "../forwarding/createForwarder";
@@ -115,7 +115,7 @@
         return quotas.charge(account, amount, components.news.readUsage(), clock.readMonotonicMs())
             ? { amount }
             : createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", {
-                  retryAfterMs: QUOTA_RETRY_AFTER_MS,
+                  retryAfterMs: computeQuotaRetryMs(account, amount),
               });
     };
 
--- a/src/gateway/constants.ts
+++ b/src/gateway/constants.ts
@@ -43,5 +43,3 @@
 
 /** Retry delay sent with a refusal when no endpoint is available or the store can't confirm the configuration. */
 export const RETRY_AFTER_MS = 300;
-/** Retry delay sent with a refusal when the quota of the account is used up. */
-export const QUOTA_RETRY_AFTER_MS = 1_000;
