Tell growth from the time that a node knows, not from a whole window

After a restart of all nodes, accounts far below their quota were refused for seconds: a node that had counted for 1 s took what it had been asked for as a flood, since it compared the last half second with an eighth of the window's requests, of which it knew one second. The time since the start of the process now takes the place of the window.

The new test failed before.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -105,7 +105,8 @@
             estimateLeavingRate(sums, state.history, (state.requestSize * windowMs) / limit, { windowMs, nowMs }),
             (LEAVING_RATE_MAX * ownTarget) / windowMs,
         );
-        const growth = estimateGrowth(sums, state, { amount, reachable: fleet.reachable, windowMs, nowMs });
+        const knownMs = Math.min(windowMs, computeUptimeMs(nowMs));
+        const growth = estimateGrowth(sums, state, { amount, reachable: fleet.reachable, knownMs, nowMs });
         const isOverAsked = sums.asked > OVER_ASKED_RATIO * sums.recent + OVER_ASKED_REQUESTS * amount;
         const unreported = estimateUnreported(sums, state, { growth, isOverAsked, nowMs });
         const margin = fleet.nodes > 1 ? NOISE_SHARE * noise : 0;
@@ -258,10 +259,10 @@
 function estimateGrowth(
     sums: UsageSums,
     { asked, askedBefore }: AccountState,
-    { amount, reachable, windowMs, nowMs }: GrowthInput,
+    { amount, reachable, knownMs, nowMs }: GrowthInput,
 ): number {
     const prior = Math.max(sums.asked / Math.max(1, reachable), GROWTH_PRIOR_REQUESTS * amount);
-    const usual = (askedBefore.sum(nowMs) * RECENT_USAGE_MS) / windowMs;
+    const usual = (askedBefore.sum(nowMs) * RECENT_USAGE_MS) / Math.max(RECENT_USAGE_MS, knownMs);
     const received = Math.max(0, asked.sum(nowMs) - amount);
     // Less one standard deviation, or the chance arrival of a few requests would count as growth.
     return Math.max(1, (received - Math.sqrt(received * amount) + prior) / (usual + prior));
@@ -272,7 +273,8 @@
     readonly amount: number;
     /** Nodes whose usage is reported. */
     readonly reachable: number;
-    readonly windowMs: number;
+    /** Time since the start of this process, up to the quota window: for so long it knows what it was asked for. */
+    readonly knownMs: number;
     readonly nowMs: number;
 }
 
@@ -297,7 +299,7 @@
     { used }: UsageSums,
     history: UsageHistory,
     requestMs: number,
-    { windowMs, nowMs }: Pick<GrowthInput, "windowMs" | "nowMs">,
+    { windowMs, nowMs }: { readonly windowMs: number; readonly nowMs: number },
 ): number {
     const { least, most } = LEAVING_SPAN_MS;
     const spanMs = Math.min(most, Math.max(least, LEAVING_REQUESTS * requestMs));
--- a/src/decisions/gateway/budgets.test.ts
+++ b/src/decisions/gateway/budgets.test.ts
@@ -171,6 +171,17 @@
         assert.ok(createQuotas(0).charge(ACCOUNT, 200, { ...SINGLE_NODE, ...known }, 1_000));
     });
 
+    // Guards against: callers that come back after a restart count as a growing flood, since nothing was asked for before.
+    it("are not refused as for a flood while a node has just started", () => {
+        const quotas = createQuotas(0);
+        const usage = { county: { used: 12, recent: 10, asked: 10 } };
+        const fleet = makeFleetUsage({ nodes: 6, reachable: 6, usage });
+        const admitted = Array.from({ length: 16 }, (_unused, index) =>
+            quotas.charge(ACCOUNT, 1, fleet, 800 + index * 25),
+        );
+        assert.deepEqual(new Set(admitted), new Set([true]), admitted.join(" "));
+    });
+
     it("can be charged again after a refund", () => {
         const quotas = createQuotas();
         assert.ok(quotas.charge(ACCOUNT, 900, SINGLE_NODE, 0));
