--- a/src/decisions/gateway/chooseEndpoint.ts
+++ b/src/decisions/gateway/chooseEndpoint.ts
@@ -4,7 +4,7 @@
 import { hashText } from "../../base/hashText";
 import type { Random } from "../../base/random";
 import type { PromptPart } from "../../ports/forwardingCodec";
-import { drawPacedEndpoint } from "./drawPacedEndpoint";
+import { drawPacedEndpoint, type PacedCandidate } from "./drawPacedEndpoint";
 import { USUAL_PACE } from "./endpointPace";
 
 /** The state of an endpoint, as far as this node knows it. */
@@ -62,7 +62,7 @@
 /**
  * Estimates within this range count as equal, so that nodes with the same load reports don't all choose one endpoint.
  */
-const TIE_RANGE_MS = 4;
+export const TIE_RANGE_MS = 4;
 
 const IDLE = { occupancy: 0, pendingTokens: 0, biasMs: 0, pace: USUAL_PACE };
 
@@ -84,24 +84,57 @@
     speed: ServiceSpeed,
     random: Random,
 ): string | undefined {
-    const preferred = findPreferred(views, request.promptParts);
-    const scored = views.map(view => ({
-        view,
-        estimateMs: estimateResponseMs(view, request, speed, view.id === preferred),
-    }));
-    if (views.some(({ pace }) => pace !== undefined)) {
-        const candidates = scored.map(({ view, estimateMs }) => ({
-            view,
-            estimateMs,
-            idleMs: estimateResponseMs({ ...view, ...IDLE }, request, speed, view.id === preferred),
-        }));
-        return drawPacedEndpoint(candidates, TIE_RANGE_MS, random);
+    const scored = estimateEndpoints(views, request, speed);
+    if (isPaced(scored)) {
+        return drawPacedEndpoint(scored, TIE_RANGE_MS, random);
     }
-    const bestMs = Math.min(...scored.map(({ estimateMs }) => estimateMs));
-    const tied = scored.filter(({ estimateMs }) => estimateMs <= bestMs + TIE_RANGE_MS);
+    const tied = listTied(scored);
     return tied[random.drawInteger(0, Math.max(0, tied.length - 1))]?.view.id;
 }
 
+/** An endpoint with its estimates for one request. */
+export interface ScoredEndpoint extends PacedCandidate {
+    /** True if all nodes prefer the endpoint for the request's shared parts. */
+    readonly isPreferred: boolean;
+}
+
+/**
+ * Estimates the time to a response at each candidate.
+ *
+ * @param views - The candidates
+ * @param request - The request
+ * @param speed - The measured speed of the service
+ * @returns The candidates with their estimates, in the same order
+ * @example
+ * estimateEndpoints(views, request, speed)[0]?.estimateMs;
+ */
+export function estimateEndpoints(
+    views: readonly EndpointView[],
+    request: PlacementRequest,
+    speed: ServiceSpeed,
+): readonly ScoredEndpoint[] {
+    const preferred = findPreferred(views, request.promptParts);
+    const hasPace = views.some(({ pace }) => pace !== undefined);
+    return views.map(view => {
+        const isPreferred = view.id === preferred;
+        const estimateMs = estimateResponseMs(view, request, speed, isPreferred);
+        // Only the draw by pace uses the estimate of the idle endpoint.
+        const idleMs = hasPace ? estimateResponseMs({ ...view, ...IDLE }, request, speed, isPreferred) : estimateMs;
+        return { view, isPreferred, estimateMs, idleMs };
+    });
+}
+
+/** Tells whether the endpoints report their pace, so that one is drawn by weight. */
+export function isPaced(scored: readonly ScoredEndpoint[]): boolean {
+    return scored.some(({ view }) => view.pace !== undefined);
+}
+
+/** Lists the endpoints whose estimates count as equal to the lowest one; each of them has the same chance. */
+export function listTied(scored: readonly ScoredEndpoint[]): readonly ScoredEndpoint[] {
+    const bestMs = Math.min(...scored.map(({ estimateMs }) => estimateMs));
+    return scored.filter(({ estimateMs }) => estimateMs <= bestMs + TIE_RANGE_MS);
+}
+
 /**
  * Estimates the time until an endpoint's response begins.
  *
--- a/src/decisions/gateway/drawPacedEndpoint.ts
+++ b/src/decisions/gateway/drawPacedEndpoint.ts
@@ -42,6 +42,36 @@
     tieRangeMs: number,
     random: Random,
 ): string | undefined {
+    const draw = preparePacedDraw(candidates, tieRangeMs);
+    if (draw === undefined) {
+        return undefined;
+    }
+    const { best, alike, weights, isCompared } = draw;
+    const first = alike[drawIndex(weights, random)] ?? best;
+    const second = isCompared ? (alike[drawIndex(weights, random)] ?? best) : first;
+    return chooseFaster(first, second).view.id;
+}
+
+/** What a draw takes place among. */
+export interface PacedDraw {
+    readonly best: PacedCandidate;
+    /** The endpoints that have a chance, and the weight of each of them. */
+    readonly alike: readonly PacedCandidate[];
+    readonly weights: readonly number[];
+    /** True if two endpoints are drawn and compared by pace, false if only one is drawn. */
+    readonly isCompared: boolean;
+}
+
+/**
+ * Prepares the draw of an endpoint.
+ *
+ * @param candidates - The endpoints
+ * @param tieRangeMs - Estimates within this range count as equal in any case
+ * @returns The endpoints that have a chance, with their weights; `undefined` without candidates
+ * @example
+ * preparePacedDraw(candidates, 4)?.weights;
+ */
+export function preparePacedDraw(candidates: readonly PacedCandidate[], tieRangeMs: number): PacedDraw | undefined {
     const bestMs = Math.min(...candidates.map(({ estimateMs }) => estimateMs));
     const best = candidates.find(({ estimateMs }) => estimateMs === bestMs);
     if (best === undefined) {
@@ -55,10 +85,13 @@
         ({ view, estimateMs }) =>
             (Math.max(0, bestMs + rangeMs - estimateMs) * Math.max(1, view.slots)) / (view.pace ?? USUAL_PACE),
     );
-    const first = alike[drawIndex(weights, random)] ?? best;
     // While endpoints are nearly full, a steady small difference of pace must not lead most requests to the faster one.
-    const second = othersShare < SECOND_DRAW_SHARE_MAX ? (alike[drawIndex(weights, random)] ?? best) : first;
-    return (second.view.pace ?? USUAL_PACE) < (first.view.pace ?? USUAL_PACE) ? second.view.id : first.view.id;
+    return { best, alike, weights, isCompared: othersShare < SECOND_DRAW_SHARE_MAX };
+}
+
+/** Chooses the one with the lower pace of two that were drawn; the first if they have the same. */
+export function chooseFaster(first: PacedCandidate, second: PacedCandidate): PacedCandidate {
+    return (second.view.pace ?? USUAL_PACE) < (first.view.pace ?? USUAL_PACE) ? second : first;
 }
 
 /** Draws an index with a chance in proportion to its weight; the sum of the weights is positive. */
