Explain whether a quota admits a request without charging it

Cause: AccountQuotas can only charge: asking it moves counters, samples the history, draws the first credit of a paced account. Change: explainCharge makes the decision of charge on a copy of the account's state, with a stand-in for the random number, and says so where chance decides. The state of an account is in a file of its own; counters and histories give copies of themselves. Conclusion: over 1,500 charges with partitions, asking before each changes neither the decisions nor the reported usage.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -12,8 +12,8 @@
 import type { GatewayAccount } from "../../model/gateway";
 import { NEWS_DELAY_MAX_MS, RECENT_USAGE_MS } from "../relays/constants";
 import type { FleetView, UsageSums } from "../relays/news";
-import { createUsageHistory, type UsageHistory } from "./usageHistory";
-import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter";
+import type { UsageHistory } from "./usageHistory";
+import { type AccountState, buildAccountStateCopy, createAccountState } from "./accountState";
 
 /** The window of the quotas, and the tolerance by which all nodes together may exceed them. */
 export interface QuotaPolicy {
@@ -33,12 +33,26 @@
 export interface AccountQuotas {
     /** Charges `amount` if the quota of the account allows it; returns false, and charges nothing, if not. */
     charge(account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean;
+    /** Explains what `charge` would decide now, and changes nothing. */
+    explainCharge(account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): ChargeExplanation;
     /** Refunds the amount that was charged for a request that was not executed. */
     refund(account: string, amount: number, nowMs: number): void;
     /** Gives the usage at this node, for its reports to the other nodes. */
     describeUsage(nowMs: number): Pick<FleetView, "usage" | "countsForMs">;
 }
 
+/** What a charge depends on, and whether it is made. */
+export interface ChargeExplanation {
+    readonly isAdmitted: boolean;
+    /** True if the account's next request is the first of which only a share is admitted: chance decides on that one. */
+    readonly isByChance: boolean;
+    /** The quota of a window, and the bound that all nodes keep together. */
+    readonly quota: number;
+    readonly limit: number;
+    /** What all nodes have charged in the present window, as far as this node knows. */
+    readonly used: number;
+}
+
 /**
  * Creates the quotas of all accounts.
  *
@@ -61,16 +75,7 @@
     /** When this node was last without the others' reports, and its share of the quotas then. */
     let isolated = { atMs: Number.NEGATIVE_INFINITY, share: 0 };
     const readState = (account: string): AccountState => {
-        const state = states.get(account) ?? {
-            own: createSlidingWindowCounter(windowMs),
-            unreported: createSlidingWindowCounter(NEWS_DELAY_MAX_MS),
-            recent: createSlidingWindowCounter(RECENT_USAGE_MS),
-            asked: createSlidingWindowCounter(RECENT_USAGE_MS),
-            askedBefore: createSlidingWindowCounter(windowMs),
-            history: createUsageHistory(windowMs),
-            credit: undefined,
-            requestSize: undefined,
-        };
+        const state = states.get(account) ?? createAccountState(windowMs);
         states.set(account, state);
         return state;
     };
@@ -79,9 +84,12 @@
         [own, unreported, recent].forEach(counter => counter.add(amount, nowMs));
     };
     const computeUptimeMs = (nowMs: number) => (startedAtMs === undefined ? windowMs : nowMs - startedAtMs);
-    const hasQuotaLeft = (account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean => {
+    const hasQuotaLeft = (
+        state: AccountState,
+        { account, amount, fleet, nowMs }: ChargeRequest,
+        firstCredit: Random,
+    ): boolean => {
         const { quota, target, limit } = computeLimits(account, policy);
-        const state = readState(account.name);
         const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
         const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
         const rampUpShare = computeRampUpShare(countsForMs, windowMs);
@@ -118,7 +126,7 @@
         }
         const grantedRate = remaining / HAND_OUT_MS + leavingRate;
         if (!isOverAsked) {
-            return admitShare(state, amount, (grantedRate * RECENT_USAGE_MS) / (growth * sums.asked), random);
+            return admitShare(state, amount, (grantedRate * RECENT_USAGE_MS) / (growth * sums.asked), firstCredit);
         }
         const used = known + ((growth * sums.recent) / RECENT_USAGE_MS - leavingRate) * NEWS_DELAY_USUAL_MS;
         const pacedRate = Math.min(
@@ -126,13 +134,33 @@
             (PACED_RATE_MAX * ownTarget) / windowMs,
         );
         const rate = Math.max(0, Math.min(pacedRate, grantedRate));
-        return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, random);
+        return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, firstCredit);
+    };
+    const decideCharge = (state: AccountState, request: ChargeRequest, firstCredit: Random): boolean => {
+        const { account, amount, nowMs } = request;
+        [state.asked, state.askedBefore].forEach(counter => counter.add(amount, nowMs));
+        return account.quotaPerSecond <= 0 || hasQuotaLeft(state, request, firstCredit);
     };
     return {
+        explainCharge: (account, amount, fleet, nowMs) => {
+            const state = buildAccountStateCopy(states.get(account.name) ?? createAccountState(windowMs));
+            const isolatedBefore = isolated;
+            let isByChance = false;
+            const firstCredit: Random = {
+                drawFraction: () => {
+                    isByChance = true;
+                    return EVEN_CHANCE;
+                },
+                drawInteger: low => low,
+            };
+            const { used } = readSums(state, fleet.usage[account.name], 0, nowMs);
+            const isAdmitted = decideCharge(state, { account, amount, fleet, nowMs }, firstCredit);
+            isolated = isolatedBefore;
+            const { quota, limit } = computeLimits(account, policy);
+            return { isAdmitted, isByChance, quota, limit, used };
+        },
         charge: (account, amount, fleet, nowMs) => {
-            const { asked, askedBefore } = readState(account.name);
-            [asked, askedBefore].forEach(counter => counter.add(amount, nowMs));
-            if (account.quotaPerSecond > 0 && !hasQuotaLeft(account, amount, fleet, nowMs)) {
+            if (!decideCharge(readState(account.name), { account, amount, fleet, nowMs }, random)) {
                 return false;
             }
             charge(account.name, amount, nowMs);
@@ -149,26 +177,17 @@
     };
 }
 
-/** Usage of one account at this node. */
-interface AccountState {
-    /** Charged in the current quota window. */
-    readonly own: SlidingWindowCounter;
-    /** Charged so recently that the other nodes may not have received the report. */
-    readonly unreported: SlidingWindowCounter;
-    /** Charged and asked for within the time that reports call recent. */
-    readonly recent: SlidingWindowCounter;
-    readonly asked: SlidingWindowCounter;
-    /** Asked for in the current quota window. */
-    readonly askedBefore: SlidingWindowCounter;
-    /** Charged by all nodes. */
-    readonly history: UsageHistory;
-    /** What may be admitted of the admitted share; negative after a request that was greater. */
-    credit: number | undefined;
-    /** Mean size of the requests, weighted by size. */
-    requestSize: number | undefined;
+/** A request that is judged. */
+interface ChargeRequest {
+    readonly account: GatewayAccount;
+    readonly amount: number;
+    readonly fleet: FleetUsage;
+    readonly nowMs: number;
 }
 
 const MS_PER_S = 1_000;
+/** Stands for the random number of an explanation. */
+const EVEN_CHANCE = 0.5;
 /** Share of the bound that is used; the rest is for what the estimate of unreported usage misses. */
 const USABLE_SHARE = 0.985;
 /** Where between the quota and the bound the usage of an over-asking account is held: 0 is the quota, 1 the bound. */
--- /dev/null
+++ b/src/decisions/gateway/accountState.ts
@@ -0,0 +1,66 @@
+/**
+ * @module What a node keeps about the usage of one account.
+ */
+import { NEWS_DELAY_MAX_MS, RECENT_USAGE_MS } from "../relays/constants";
+import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter";
+import { createUsageHistory, type UsageHistory } from "./usageHistory";
+
+/** Usage of one account at this node. */
+export interface AccountState {
+    /** Charged in the current quota window. */
+    readonly own: SlidingWindowCounter;
+    /** Charged so recently that the other nodes may not have received the report. */
+    readonly unreported: SlidingWindowCounter;
+    /** Charged and asked for within the time that reports call recent. */
+    readonly recent: SlidingWindowCounter;
+    readonly asked: SlidingWindowCounter;
+    /** Asked for in the current quota window. */
+    readonly askedBefore: SlidingWindowCounter;
+    /** Charged by all nodes. */
+    readonly history: UsageHistory;
+    /** What may be admitted of the admitted share; negative after a request that was greater. */
+    credit: number | undefined;
+    /** Mean size of the requests, weighted by size. */
+    requestSize: number | undefined;
+}
+
+/**
+ * Creates the state of an account without usage.
+ *
+ * @param windowMs - Length of the quota window in milliseconds
+ * @returns The state; only its owner may change it
+ * @example
+ * createAccountState(8_000).own.sum(nowMs); //=> 0
+ */
+export function createAccountState(windowMs: number): AccountState {
+    return {
+        own: createSlidingWindowCounter(windowMs),
+        unreported: createSlidingWindowCounter(NEWS_DELAY_MAX_MS),
+        recent: createSlidingWindowCounter(RECENT_USAGE_MS),
+        asked: createSlidingWindowCounter(RECENT_USAGE_MS),
+        askedBefore: createSlidingWindowCounter(windowMs),
+        history: createUsageHistory(windowMs),
+        credit: undefined,
+        requestSize: undefined,
+    };
+}
+
+/**
+ * Builds a copy that changes by itself from then on.
+ *
+ * @param state - The state
+ * @returns The copy
+ * @example
+ * buildAccountStateCopy(state).own.add(100, nowMs);
+ */
+export function buildAccountStateCopy(state: AccountState): AccountState {
+    return {
+        ...state,
+        own: state.own.createCopy(),
+        unreported: state.unreported.createCopy(),
+        recent: state.recent.createCopy(),
+        asked: state.asked.createCopy(),
+        askedBefore: state.askedBefore.createCopy(),
+        history: state.history.createCopy(),
+    };
+}
--- /dev/null
+++ b/src/decisions/gateway/explainCharge.test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createRandom } from "../../base/createRandom";
+import type { Random } from "../../base/random";
+import type { GatewayAccount } from "../../model/gateway";
+import { createAccountQuotas } from "./accountQuotas";
+import { makeFleetUsage } from "./_testing/makeFleetUsage";
+
+const ACCOUNT: GatewayAccount = {
+    name: "county",
+    keys: ["k"],
+    priority: undefined,
+    quotaPerSecond: 100,
+    quotaBurst: 50,
+    countsTokens: true,
+    defaultTokens: 1,
+};
+const POLICY = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 45 };
+const FLEET = makeFleetUsage();
+
+/** Counts the draws of a stream. */
+function createCountedRandom(seed: number): Random & { countDraws(): number } {
+    const random = createRandom(seed);
+    let draws = 0;
+    return {
+        drawFraction: () => {
+            draws++;
+            return random.drawFraction();
+        },
+        drawInteger: random.drawInteger,
+        countDraws: () => draws,
+    };
+}
+
+describe("the explanation of a charge", () => {
+    // Guards against: asking charges the quota, counts as demand, or uses up the random number of a later request.
+    it("agrees with the charge after it, and changes nothing, over 60 s of a flood with partitions", () => {
+        const explained = createCountedRandom(3);
+        const plain = createRandom(3);
+        const asked = createAccountQuotas(POLICY, undefined, explained);
+        const unasked = createAccountQuotas(POLICY, undefined, plain);
+        let admitted = 0;
+        let refused = 0;
+        let byChance = 0;
+        for (let nowMs = 0; nowMs < 60_000; nowMs += 40) {
+            const isCutOff = nowMs % 20_000 > 17_000;
+            const fleet = isCutOff ? makeFleetUsage({ nodes: 4, reachable: 1 }) : FLEET;
+            const amount = 3 + (nowMs % 7);
+            const before = explained.countDraws();
+            const explanation = asked.explainCharge(ACCOUNT, amount, fleet, nowMs);
+            asked.explainCharge(ACCOUNT, 5_000, fleet, nowMs);
+            asked.explainCharge({ ...ACCOUNT, name: "other" }, amount, fleet, nowMs);
+            assert.equal(explained.countDraws(), before);
+            const isCharged = asked.charge(ACCOUNT, amount, fleet, nowMs);
+            assert.equal(isCharged, unasked.charge(ACCOUNT, amount, fleet, nowMs), `at ${nowMs} ms`);
+            if (!explanation.isByChance) {
+                assert.equal(explanation.isAdmitted, isCharged, `at ${nowMs} ms`);
+            }
+            assert.deepEqual(asked.describeUsage(nowMs), unasked.describeUsage(nowMs));
+            byChance += explanation.isByChance ? 1 : 0;
+            admitted += isCharged ? 1 : 0;
+            refused += isCharged ? 0 : 1;
+        }
+        assert.ok(admitted > 200 && refused > 200, `${admitted} admitted, ${refused} refused`);
+        assert.equal(byChance, 1);
+    });
+
+    it("gives the quota, the bound and what is used", () => {
+        const quotas = createAccountQuotas(POLICY, undefined, createRandom(1));
+        assert.ok(quotas.charge(ACCOUNT, 30, FLEET, 1_000));
+        const { quota, limit, used, isAdmitted } = quotas.explainCharge(ACCOUNT, 10, FLEET, 1_000);
+        assert.deepEqual({ quota, used, isAdmitted }, { quota: 850, used: 30, isAdmitted: true });
+        assert.ok(limit > quota && limit < 980);
+        assert.equal(quotas.explainCharge(ACCOUNT, 1_000, FLEET, 1_000).isAdmitted, false);
+    });
+});
--- a/src/decisions/gateway/slidingWindowCounter.ts
+++ b/src/decisions/gateway/slidingWindowCounter.ts
@@ -11,6 +11,14 @@
 export interface SlidingWindowCounter {
     add(amount: number, nowMs: number): void;
     sum(nowMs: number): number;
+    /** Creates a counter with the same sums, which changes by itself from then on. */
+    createCopy(): SlidingWindowCounter;
+}
+
+interface CounterState {
+    readonly amounts: Float64Array;
+    newest: number;
+    total: number;
 }
 
 /**
@@ -23,34 +31,38 @@
  * requests.add(1, nowMs);
  */
 export function createSlidingWindowCounter(windowMs: number): SlidingWindowCounter {
+    const state = { amounts: new Float64Array(BUCKET_COUNT), newest: Number.NEGATIVE_INFINITY, total: 0 };
+    return createCounter(windowMs, state);
+}
+
+function createCounter(windowMs: number, state: CounterState): SlidingWindowCounter {
     const bucketMs = windowMs / (BUCKET_COUNT - 1);
-    const amounts = new Float64Array(BUCKET_COUNT);
-    let newest = Number.NEGATIVE_INFINITY;
-    let total = 0;
+    const { amounts } = state;
     const advance = (nowMs: number) => {
         const bucket = Math.floor(nowMs / bucketMs);
-        if (bucket - newest >= BUCKET_COUNT) {
+        if (bucket - state.newest >= BUCKET_COUNT) {
             amounts.fill(0);
-            total = 0;
-            newest = bucket;
+            state.total = 0;
+            state.newest = bucket;
             return;
         }
-        while (newest < bucket) {
-            newest++;
-            const slot = newest % BUCKET_COUNT;
-            total -= amounts[slot] ?? 0;
+        while (state.newest < bucket) {
+            state.newest++;
+            const slot = state.newest % BUCKET_COUNT;
+            state.total -= amounts[slot] ?? 0;
             amounts[slot] = 0;
         }
     };
     return {
         add: (amount, nowMs) => {
             advance(nowMs);
-            amounts[newest % BUCKET_COUNT] = (amounts[newest % BUCKET_COUNT] ?? 0) + amount;
-            total += amount;
+            amounts[state.newest % BUCKET_COUNT] = (amounts[state.newest % BUCKET_COUNT] ?? 0) + amount;
+            state.total += amount;
         },
         sum: nowMs => {
             advance(nowMs);
-            return total;
+            return state.total;
         },
+        createCopy: () => createCounter(windowMs, { ...state, amounts: amounts.slice() }),
     };
 }
--- a/src/decisions/gateway/usageHistory.ts
+++ b/src/decisions/gateway/usageHistory.ts
@@ -15,6 +15,13 @@
     recordSample(used: number, recent: number, nowMs: number): void;
     /** Sums what was charged between two times, as reported at those times. */
     sumUsage(fromMs: number, toMs: number): number;
+    /** Creates a history with the same samples, which changes by itself from then on. */
+    createCopy(): UsageHistory;
+}
+
+interface HistoryState {
+    readonly rates: Float64Array;
+    newest: number;
 }
 
 /**
@@ -28,21 +35,25 @@
  */
 export function createUsageHistory(windowMs: number): UsageHistory {
     const count = Math.ceil(windowMs / SLOT_MS) + SPARE_SLOTS;
-    const rates = new Float64Array(count);
-    let newest = Number.NEGATIVE_INFINITY;
+    return createHistory(windowMs, { rates: new Float64Array(count), newest: Number.NEGATIVE_INFINITY });
+}
+
+function createHistory(windowMs: number, state: HistoryState): UsageHistory {
+    const { rates } = state;
+    const count = rates.length;
     return {
         recordSample: (used, recent, nowMs) => {
             const slot = Math.floor(nowMs / SLOT_MS);
             const rate = recent / RECENT_USAGE_MS;
-            if (slot - newest >= count) {
+            if (slot - state.newest >= count) {
                 rates.fill(Math.max(0, UNKNOWN_SHARE * Math.min((used - recent) / windowMs, rate)));
-                newest = slot;
+                state.newest = slot;
             }
             // Between samples the lower rate counts: usage that is taken to leave the window too early would be granted.
-            const between = Math.min(rates[newest % count] ?? 0, rate);
-            while (newest < slot) {
-                newest++;
-                rates[newest % count] = between;
+            const between = Math.min(rates[state.newest % count] ?? 0, rate);
+            while (state.newest < slot) {
+                state.newest++;
+                rates[state.newest % count] = between;
             }
             rates[slot % count] = rate;
         },
@@ -50,10 +61,11 @@
             let sum = 0;
             for (let slot = Math.floor(fromMs / SLOT_MS); slot * SLOT_MS < toMs; slot++) {
                 const partMs = Math.min(toMs, (slot + 1) * SLOT_MS) - Math.max(fromMs, slot * SLOT_MS);
-                const known = Math.min(newest, Math.max(newest - count + 1, slot));
+                const known = Math.min(state.newest, Math.max(state.newest - count + 1, slot));
                 sum += partMs * (rates[known % count] ?? 0);
             }
             return sum;
         },
+        createCopy: () => createHistory(windowMs, { ...state, rates: rates.slice() }),
     };
 }
