Explain at the internal listener where a request would go

Cause: to learn why a request is refused or goes to an endpoint, operators read dumps and compute estimates by hand. Change: GET /explain at the metrics listener answers with the route, the account with its quota, what would refuse the request, and the candidates with estimate, filter and chance. Rollouts keep no entry for an unknown service when asked.

--- a/src/decisions/gateway/createPartEvidence.ts
+++ b/src/decisions/gateway/createPartEvidence.ts
@@ -19,6 +19,8 @@
     release(part: string, nowMs: number): void;
     /** Gives the facts on a part; `undefined` if nothing speaks against it. */
     findFacts(part: string, nowMs: number): PartFacts | undefined;
+    /** Gives the same facts, but doesn't keep a conviction that they show. */
+    readFacts(part: string, nowMs: number): PartFacts | undefined;
     /** Tells whether a part has evidence at all; quick, for each attempt. */
     hasEvidence(part: string): boolean;
     isFamiliar(part: string, nowMs: number): boolean;
@@ -142,10 +144,15 @@
             isQuarantined: entry.isQuarantined,
         };
     };
-    const refreshEntry = (part: string, entry: Entry, nowMs: number): PartFacts => {
+    const evaluateEntry = (part: string, entry: Entry, nowMs: number): PartFacts => {
         const facts = buildFacts(part, entry, nowMs);
-        entry.isQuarantined = facts.crashTimes.length > 0 && (entry.isQuarantined || isConvicted(facts, nowMs));
-        return { ...facts, isQuarantined: entry.isQuarantined };
+        const isQuarantined = facts.crashTimes.length > 0 && (entry.isQuarantined || isConvicted(facts, nowMs));
+        return { ...facts, isQuarantined };
+    };
+    const refreshEntry = (part: string, entry: Entry, nowMs: number): PartFacts => {
+        const facts = evaluateEntry(part, entry, nowMs);
+        entry.isQuarantined = facts.isQuarantined;
+        return facts;
     };
     const removeExcess = (nowMs: number) => {
         const sorted = sortEntries(entries);
@@ -214,6 +221,11 @@
             const facts = refreshEntry(part, entry, nowMs);
             return facts.crashTimes.length === 0 ? undefined : facts;
         },
+        readFacts: (part, nowMs) => {
+            const entry = entries.get(part);
+            const facts = entry === undefined ? undefined : evaluateEntry(part, entry, nowMs);
+            return facts?.crashTimes.length === 0 ? undefined : facts;
+        },
         hasEvidence: part => entries.has(part),
         isFamiliar,
         listParts: () => [...entries.keys()],
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -9,7 +9,7 @@
 import type { Disposable } from "../../base/disposableStore";
 import { readInstant } from "../../base/instant";
 import { createLog } from "../../base/log/createLog";
-import { createAccountQuotas } from "../../decisions/gateway/accountQuotas";
+import { type AccountQuotas, createAccountQuotas } from "../../decisions/gateway/accountQuotas";
 import type {
     GatewayAccount,
     GatewayBounds,
@@ -25,11 +25,13 @@
 import { createEvacuations } from "../endpoints/createEvacuations";
 import { createEndpointLimits } from "../endpoints/createEndpointLimits";
 import { createFailureReporter } from "../process/createFailureReporter";
+import { createRequestExplainer, type RequestExplainer } from "../explain/createRequestExplainer";
 import { createForwarder } from "../forwarding/createForwarder";
 import { createGatewayListener, type GatewayListener } from "../callers/createGatewayListener";
 import { createGatewayMetrics } from "../process/createGatewayMetrics";
 import { createPartQuarantine } from "../quarantine/createPartQuarantine";
 import { createRollouts } from "../rollouts/createRollouts";
+import { createSpillover } from "../forwarding/createSpillover";
 import { createServiceSpeeds } from "../forwarding/createServiceSpeeds";
 import { drainGateway } from "../process/drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
@@ -53,6 +55,8 @@
     readonly components: GatewayComponents;
     readonly configuration: ConfigurationHolder;
     readonly directory: EndpointDirectory;
+    readonly quotas: AccountQuotas;
+    readonly explainRequest: RequestExplainer;
     readonly endpoints: readonly ScriptedEndpoint[];
     /** Port of the listener for callers. */
     readonly port: number;
@@ -209,7 +213,10 @@
     };
     const components: GatewayComponents = { ...sound, ...options.replace?.(sound) };
     const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
-    const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
+    const spillover = createSpillover(components);
+    const listener = createGatewayListener({ components, forwarder: createForwarder(components, spillover), quotas });
+    const { isTaken } = listener;
+    const explainRequest = createRequestExplainer({ components, quotas, spillover, isTaken });
     let current: GatewayConfiguration = {
         version: 1,
         routes: [route],
@@ -246,6 +253,8 @@
         components,
         configuration,
         directory,
+        quotas,
+        explainRequest,
         endpoints,
         port,
         stop: async () => {
--- a/src/gateway/callers/buildExchange.ts
+++ b/src/gateway/callers/buildExchange.ts
@@ -45,6 +45,24 @@
     };
 }
 
+/**
+ * Lists the chance of each service to be chosen by `buildExchange`.
+ *
+ * @param route - The route
+ * @returns Probabilities from 0 to 1 by the name of the service
+ * @example
+ * listServiceChances(route).get("chat"); //=> 0.9
+ */
+export function listServiceChances({ targets }: Pick<GatewayRoute, "targets">): ReadonlyMap<string, number> {
+    const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+    const chances = new Map<string, number>();
+    targets.forEach(({ service, weight }, index) => {
+        const ofLast = index === targets.length - 1 ? 1 : 0;
+        chances.set(service, (chances.get(service) ?? 0) + (total > 0 ? weight / total : ofLast));
+    });
+    return chances;
+}
+
 /** Chooses one of the route's services by weight. `fraction` is a random number from 0 to 1. */
 function chooseService(route: GatewayRoute, fraction: number): string {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -3,9 +3,9 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import net from "node:net";
-import { createFailure } from "../../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../../base/failure";
 import type { AccountQuotas } from "../../decisions/gateway/accountQuotas";
+import { computeQuotaAmount } from "../../decisions/gateway/computeQuotaAmount";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
 import type { StopTimes } from "../../decisions/gateway/computeStopTimes";
 import { isServableBeforeStop } from "../../decisions/gateway/isServableBeforeStop";
@@ -16,7 +16,6 @@
 import { readBody } from "../../http/readBody";
 import { sendFailure } from "../../http/sendFailure";
 import type { CallerRequestHead } from "../../ports/forwardingCodec";
-import { QUOTA_RETRY_AFTER_MS } from "../constants";
 import { type CallerConnections, createCallerConnections } from "./createCallerConnections";
 import { FailureOwner } from "../process/createFailureReporter";
 import type { Forwarder } from "../forwarding/createForwarder";
@@ -30,7 +29,7 @@
 import { CONNECTIONS_LIMITED, createLimitReport, REQUESTS_LIMITED } from "./createLimitReport";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
-import { LATE_NODE_FAILURE, NODE_FAILURE } from "../forwarding/forwardingOutcome";
+import { LATE_NODE_FAILURE, NODE_FAILURE, QUOTA_FAILURE, SHUTTING_DOWN_FAILURE } from "../forwarding/forwardingOutcome";
 import type { GatewayComponents } from "../gatewayComponents";
 import { logSuccess } from "./logSuccess";
 import { readHead } from "./readHead";
@@ -49,11 +48,6 @@
 
 /** Failures after which the caller should come back by another connection, which may lead to another node. */
 const CLOSING_FAILURES: ReadonlySet<FailureKind> = new Set([FailureKind.StoreUnavailable, FailureKind.ShuttingDown]);
-/** Short: by the time that a node refuses requests since it stops, new connections lead to other nodes. */
-const SHUTTING_DOWN_RETRY_MS = 20;
-const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
-    retryAfterMs: SHUTTING_DOWN_RETRY_MS,
-});
 const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
 /** The HTTP listener for callers. */
@@ -62,6 +56,8 @@
     /** Counts the requests without a final answer, those included whose head has not arrived whole. */
     countOpen(): number;
     countCallers(): CallerCounts;
+    /** Tells whether a request that times out at a monotonic time is taken, or refused since the node stops. */
+    isTaken(timeoutAtMs: number): boolean;
     /** Counts what was done to keep the connections within their limit. */
     countLimitActions(): Readonly<Record<LimitAction, number>>;
     /** What was done because callers sent requests ahead or read no responses. */
@@ -110,13 +106,10 @@
         if (account === undefined) {
             return { amount: 0 };
         }
-        const tokens = (head.promptTokens ?? 0) + (head.outputTokensMax ?? 0);
-        const amount = account.countsTokens ? tokens || account.defaultTokens : 1;
+        const amount = computeQuotaAmount(account, head);
         return quotas.charge(account, amount, components.news.readUsage(), clock.readMonotonicMs())
             ? { amount }
-            : createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", {
-                  retryAfterMs: QUOTA_RETRY_AFTER_MS,
-              });
+            : QUOTA_FAILURE;
     };
 
     const sendFailureAnswer = (open: OpenRequest, failure: Failure) => {
@@ -330,6 +323,7 @@
     });
     return {
         server,
+        isTaken,
         countOpen: () => openRequests.list().length + connections.countConnections().unfinished,
         countCallers: () => ({
             ...connections.countConnections(),
--- a/src/gateway/createGatewayServers.ts
+++ b/src/gateway/createGatewayServers.ts
@@ -3,7 +3,9 @@
  */
 import type http from "node:http";
 import type { AccountQuotas } from "../decisions/gateway/accountQuotas";
+import { createRequestExplainer } from "./explain/createRequestExplainer";
 import { createForwarder } from "./forwarding/createForwarder";
+import { createSpillover } from "./forwarding/createSpillover";
 import { createGatewayListener, type GatewayListener } from "./callers/createGatewayListener";
 import { installInternalLimits } from "./process/installInternalLimits";
 import { createLoopMonitor } from "./process/createLoopMonitor";
@@ -45,7 +47,10 @@
     const { address, callers, readiness } = settings;
     const [internalPort] = settings.internalPorts;
     const loopMonitor = createLoopMonitor(log);
-    const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
+    const spillover = createSpillover(components);
+    const forwarder = createForwarder(components, spillover);
+    const listener = createGatewayListener({ components, forwarder, quotas });
+    const explainRequest = createRequestExplainer({ components, quotas, spillover, isTaken: listener.isTaken });
     const metricsServer = createMetricsListener({
         formatMetrics: () => {
             const { nodes, reachable } = news.readUsage();
@@ -63,6 +68,7 @@
             return metrics.formatMetrics();
         },
         quarantine,
+        explainRequest,
         reportFailure,
     });
     const readinessServer = createReadinessListener(isReady, reportFailure);
--- a/src/gateway/endpoints/createColdEndpoints.ts
+++ b/src/gateway/endpoints/createColdEndpoints.ts
@@ -21,6 +21,8 @@
      * rate; infinite while another node sends there.
      */
     computeWaitMs(record: EndpointRecord): number;
+    /** Gives the same time for an explanation, without a log line or any change of state. */
+    readWaitMs(record: EndpointRecord): number;
     /** Records an attempt that is made. */
     chargeAttempt(record: EndpointRecord): void;
 }
@@ -76,20 +78,13 @@
         const service = options.readService(record.endpoint.service);
         return (service?.coldPerSecond ?? 0) > 0 ? service : undefined;
     };
-    /** Logs once that an endpoint counts as cold since its connections broke. */
-    const logRestart = (record: EndpointRecord) => {
-        if (!presumed.has(record)) {
-            presumed.add(record);
-            options.log.info("endpoint may have restarted", { endpointId: record.endpoint.id });
-        }
-    };
+    const mayHaveRestarted = (record: EndpointRecord, coldStartMs: number): boolean =>
+        clock.readMonotonicMs() - record.mayHaveRestartedAtMs < coldStartMs + RETURN_WITHIN_MS;
     const isCold = (record: EndpointRecord, coldStartMs: number): boolean => {
         const nowMs = clock.readMonotonicMs();
-        if (nowMs - record.mayHaveRestartedAtMs < coldStartMs + RETURN_WITHIN_MS) {
-            logRestart(record);
+        if (mayHaveRestarted(record, coldStartMs)) {
             return true;
         }
-        presumed.delete(record);
         if (computeColdMs(record, nowMs) > 0) {
             return true;
         }
@@ -101,6 +96,35 @@
         const service = findService(record);
         return service !== undefined && isCold(record, service.coldStartMs ?? 0) ? service : undefined;
     };
+    /** Logs once that an endpoint counts as cold since its connections broke. */
+    const reportRestart = (record: EndpointRecord) => {
+        const service = findService(record);
+        if (service === undefined) {
+            return;
+        }
+        if (!mayHaveRestarted(record, service.coldStartMs ?? 0)) {
+            presumed.delete(record);
+        } else if (!presumed.has(record)) {
+            presumed.add(record);
+            options.log.info("endpoint may have restarted", { endpointId: record.endpoint.id });
+        }
+    };
+    const readWaitMs = (record: EndpointRecord): number => {
+        const service = findColdService(record);
+        if (service === undefined) {
+            return 0;
+        }
+        const { id } = record.endpoint;
+        const nowMs = clock.readMonotonicMs();
+        const plan = makePlan(service.coldPerSecond ?? 0);
+        const isSending =
+            listSendingDomains(id, listDomains(), plan.senders).includes(settings.failureDomain) &&
+            senders.isSender(id, nowMs);
+        if (!isSending) {
+            return Number.POSITIVE_INFINITY;
+        }
+        return (windows.get(id) ?? createSendWindow()).computeWaitMs(plan, nowMs);
+    };
     const expireWindows = (nowMs: number) => {
         for (const [id, window] of windows) {
             if (window.isUnused(UNUSED_MS, nowMs)) {
@@ -111,22 +135,12 @@
     return {
         name: "coldEndpoints",
         computeWaitMs: record => {
-            const service = findColdService(record);
-            if (service === undefined) {
-                return 0;
-            }
-            const { id } = record.endpoint;
-            const nowMs = clock.readMonotonicMs();
-            const plan = makePlan(service.coldPerSecond ?? 0);
-            const isSending =
-                listSendingDomains(id, listDomains(), plan.senders).includes(settings.failureDomain) &&
-                senders.isSender(id, nowMs);
-            if (!isSending) {
-                return Number.POSITIVE_INFINITY;
-            }
-            return (windows.get(id) ?? createSendWindow()).computeWaitMs(plan, nowMs);
+            reportRestart(record);
+            return readWaitMs(record);
         },
+        readWaitMs,
         chargeAttempt: record => {
+            reportRestart(record);
             // Also what a warm endpoint gets is recorded: it may turn cold within the window.
             if (findService(record) !== undefined) {
                 const { id } = record.endpoint;
--- a/src/gateway/endpoints/createEndpointDirectory.ts
+++ b/src/gateway/endpoints/createEndpointDirectory.ts
@@ -36,6 +36,8 @@
     listUsable(service: string): readonly EndpointRecord[];
     /** Lists all endpoints of a service, draining ones included. */
     listAll(service: string): readonly EndpointRecord[];
+    /** Lists the same endpoints as `listAll` for an explanation, without removing those that are missing for too long. */
+    readAll(service: string): readonly EndpointRecord[];
     findEndpoint(id: string): EndpointRecord | undefined;
     /** Gives what this node does at the endpoints, by id; without those at which it does nothing. */
     readActivity(): Readonly<Record<string, EndpointActivity>>;
@@ -115,10 +117,12 @@
             applyMissing(record, isStoreRecovering);
         }
     };
+    const isExpired = ({ missingSinceMs }: EndpointRecord, nowMs: number): boolean =>
+        missingSinceMs !== undefined && nowMs - missingSinceMs > STORE_RECOVERY_GRACE_MS;
     const expireMissing = () => {
         const nowMs = clock.readMonotonicMs();
         for (const record of records.values()) {
-            if (record.missingSinceMs !== undefined && nowMs - record.missingSinceMs > STORE_RECOVERY_GRACE_MS) {
+            if (isExpired(record, nowMs)) {
                 removeRecord(record, "its entry did not reappear after a store outage");
             }
         }
@@ -127,6 +131,10 @@
         expireMissing();
         return [...records.values()].filter(record => record.endpoint.service === service);
     };
+    const readAll = (service: string) => {
+        const nowMs = clock.readMonotonicMs();
+        return [...records.values()].filter(record => record.endpoint.service === service && !isExpired(record, nowMs));
+    };
     return {
         name: "endpoints",
         applyEntry,
@@ -139,6 +147,7 @@
                 .forEach(record => applyMissing(record, isStoreRecovering));
         },
         listAll,
+        readAll,
         listUsable: service => listAll(service).filter(isUsable),
         findEndpoint: id => records.get(id),
         readActivity: () =>
@@ -184,9 +193,29 @@
     };
 }
 
-/** Tells whether an endpoint may get new requests, by its entry and by its own answers. */
-function isUsable({ endpoint, isMisdirected, isLeaving }: EndpointRecord): boolean {
-    return !endpoint.isDraining && !isMisdirected && !isLeaving;
+/** Why an endpoint gets no new requests at all. The values appear in answers to operators. */
+export enum UsabilityBar {
+    /** Its entry says that it stops. */
+    Draining = "draining",
+    /** Another endpoint answers at its address. */
+    Misdirected = "misdirected",
+    /** It has said in an answer that it leaves. */
+    Leaving = "leaving",
+}
+
+/** Explains why an endpoint gets no new requests, by its entry and by its own answers; `undefined` if it may. */
+export function explainUsability({ endpoint, isMisdirected, isLeaving }: EndpointRecord): UsabilityBar | undefined {
+    if (endpoint.isDraining) {
+        return UsabilityBar.Draining;
+    }
+    if (isMisdirected) {
+        return UsabilityBar.Misdirected;
+    }
+    return isLeaving ? UsabilityBar.Leaving : undefined;
+}
+
+function isUsable(record: EndpointRecord): boolean {
+    return explainUsability(record) === undefined;
 }
 
 /** Tells whether an entry states a cold time that it didn't state before; an entry that is read again tells nothing new. */
--- a/src/gateway/endpoints/createEndpointLimits.ts
+++ b/src/gateway/endpoints/createEndpointLimits.ts
@@ -19,6 +19,8 @@
 export interface EndpointLimits extends LimitSource, DumpSource {
     /** Gives the time until an attempt may be made at an endpoint; 0 if it may be made now. */
     computeWaitMs(record: EndpointRecord): number;
+    /** Gives the same time for an explanation, without any change of state. */
+    readWaitMs(record: EndpointRecord): number;
     /** Charges an attempt that is made. */
     chargeAttempt(record: EndpointRecord): void;
     /** Records that this node has a request that it could send to an endpoint with a limit. */
@@ -99,11 +101,17 @@
         const rate = Math.max(PROBES_PER_SECOND, perSecond * USABLE_SHARE);
         return (rate * reachableShare) / senders.length;
     };
+    const computeTokens = (state: LimitState, nowMs: number): number =>
+        Math.min(TOKENS_MAX, state.tokens + (computeRate(state) * (nowMs - state.filledAtMs)) / MS_PER_S);
     const fill = (state: LimitState, nowMs: number) => {
-        const filled = state.tokens + (computeRate(state) * (nowMs - state.filledAtMs)) / MS_PER_S;
-        state.tokens = Math.min(TOKENS_MAX, filled);
+        state.tokens = computeTokens(state, nowMs);
         state.filledAtMs = nowMs;
     };
+    const readWaitMs = (record: EndpointRecord): number => {
+        const state = findLimit(record);
+        const missing = state === undefined ? 0 : 1 - computeTokens(state, clock.readMonotonicMs());
+        return state === undefined || missing <= 0 ? 0 : (missing / computeRate(state)) * MS_PER_S;
+    };
     const findLimit = (record: EndpointRecord): LimitState | undefined => {
         const state = states.size === 0 ? undefined : states.get(buildKey(record));
         return state?.report.perSecond === undefined ? undefined : state;
@@ -125,13 +133,12 @@
         name: "limits",
         computeWaitMs: record => {
             const state = findLimit(record);
-            if (state === undefined) {
-                return 0;
+            if (state !== undefined) {
+                fill(state, clock.readMonotonicMs());
             }
-            fill(state, clock.readMonotonicMs());
-            const missing = 1 - state.tokens;
-            return missing <= 0 ? 0 : (missing / computeRate(state)) * MS_PER_S;
+            return readWaitMs(record);
         },
+        readWaitMs,
         chargeAttempt: record => {
             const state = findLimit(record);
             if (state !== undefined) {
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -13,7 +13,7 @@
 import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS } from "../constants";
 import { type Candidate, createCandidatePicker } from "./createCandidatePicker";
-import { createSpillover } from "./createSpillover";
+import { createSpillover, type SpilloverControl } from "./createSpillover";
 import { createStreamRelay } from "./createStreamRelay";
 import { describePartRefusal } from "../quarantine/describePartRefusal";
 import { readPaceSince, recordAnswerTime, recordCachedParts, recordConnectionBreak } from "../endpoints/endpointRecord";
@@ -51,13 +51,16 @@
  * Creates the forwarder of a node.
  *
  * @param components - The components of the gateway
+ * @param spillover - Decides which failure domain an attempt goes to; default: one of its own
  * @returns The forwarder
  * @example
  * const end = await forwarder.forwardRequest(exchange, ended);
  */
-export function createForwarder(components: GatewayComponents): Forwarder {
+export function createForwarder(
+    components: GatewayComponents,
+    spillover: SpilloverControl = createSpillover(components),
+): Forwarder {
     const { clock, speeds, settings } = components;
-    const spillover = createSpillover(components);
     const candidates = createCandidatePicker(components, spillover);
     const allowances = new Map<string, ServiceRetryBudget>();
     const readAllowance = (service: string): ServiceRetryBudget => {
--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -53,16 +53,44 @@
      * Endpoints that have failed lately count only if no others take it. An error gives all: it must not cost the request.
      */
     filterDomains(service: string, objectiveMs: number, takers: readonly EndpointRecord[]): readonly EndpointRecord[];
+    /**
+     * Lists what `filterDomains` may give, with the chance of each; draws, logs and records nothing. `usable` are the
+     * endpoints of the service that may get requests.
+     */
+    explainDomains(options: DomainQuestion): readonly DomainOutcome[];
     /** Counts an attempt by the distance of its endpoint. */
     recordAttempt(record: EndpointRecord): void;
 }
 
+/** A request whose failure domain is asked for. */
+export interface DomainQuestion {
+    readonly service: string;
+    readonly objectiveMs: number;
+    readonly takers: readonly EndpointRecord[];
+    readonly usable: readonly EndpointRecord[];
+}
+
+/** A failure domain that a request may go to. */
+export interface DomainOutcome {
+    /** `undefined` if the failure domain isn't decided before the endpoint. */
+    readonly domain: string | undefined;
+    /** Probability from 0 to 1. */
+    readonly chance: number;
+    readonly records: readonly EndpointRecord[];
+}
+
 interface ServiceState {
     readonly spillover: Spillover;
     /** The strictest objective of the requests so far. */
     readonly objectiveMs: number;
 }
 
+/** What a new decision was based on. */
+interface DecisionGround {
+    readonly own: DomainLoad | undefined;
+    readonly isFresh: boolean;
+}
+
 /**
  * Creates the control, without spillover at first.
  *
@@ -82,9 +110,9 @@
         const isSameRegion = settings.regions[domain] === settings.regions[settings.failureDomain];
         return isSameRegion ? Distance.SameRegion : Distance.OtherRegion;
     };
-    const listLoads = (service: string, nowMs: number): readonly DomainLoad[] => {
+    const listLoads = (service: string, usable: readonly EndpointRecord[], nowMs: number): readonly DomainLoad[] => {
         const speed = speeds.readSpeed(service);
-        const domains = sumByDomain(directory.listUsable(service), nowMs);
+        const domains = sumByDomain(usable, nowMs);
         const far = [...domains].filter(([domain]) => findDistance(domain) === Distance.OtherRegion);
         const near = [...domains].filter(([domain]) => findDistance(domain) !== Distance.OtherRegion);
         // Views have the endpoints of the own region one by one; of the others only what all nodes do for the service.
@@ -114,15 +142,19 @@
             };
         });
     };
-    const updateState = (service: string, routeObjectiveMs: number): Spillover => {
+    /** Decides the state at the next request, and on what ground if that is a new decision; keeps nothing. */
+    const decideState = (
+        service: string,
+        routeObjectiveMs: number,
+        readUsable: () => readonly EndpointRecord[],
+    ): { readonly state: ServiceState; readonly ground?: DecisionGround } => {
         const nowMs = clock.readMonotonicMs();
         const state = states.get(service) ?? { spillover: NO_SPILLOVER, objectiveMs: routeObjectiveMs };
         const objectiveMs = Math.min(state.objectiveMs, routeObjectiveMs);
         if (states.has(service) && nowMs - state.spillover.atMs < DECISION_PERIOD_MS) {
-            states.set(service, { ...state, objectiveMs });
-            return state.spillover;
+            return { state: { ...state, objectiveMs } };
         }
-        const loads = listLoads(service, nowMs);
+        const loads = listLoads(service, readUsable(), nowMs);
         const own = loads.find(({ domain }) => domain === settings.failureDomain);
         const { nodes, reachable } = news.readUsage();
         const isFresh = news.isInTouch() && reachable >= nodes * REACHABLE_SHARE_MIN;
@@ -131,7 +163,17 @@
             own === undefined
                 ? { ...NO_SPILLOVER, atMs: nowMs }
                 : decideSpillover(state.spillover, { nowMs, isFresh, objectiveMs, own, others });
-        const wasOn = state.spillover.share > 0;
+        return { state: { spillover, objectiveMs }, ground: { own, isFresh } };
+    };
+    const updateState = (service: string, routeObjectiveMs: number): Spillover => {
+        const wasOn = (states.get(service)?.spillover.share ?? 0) > 0;
+        const decision = decideState(service, routeObjectiveMs, () => directory.listUsable(service));
+        const { spillover, objectiveMs } = decision.state;
+        states.set(service, decision.state);
+        if (decision.ground === undefined) {
+            return spillover;
+        }
+        const { own, isFresh } = decision.ground;
         if (wasOn !== spillover.share > 0) {
             log.info(wasOn ? "spillover ends" : "spillover begins", {
                 service,
@@ -143,7 +185,6 @@
             });
         }
         metrics.setSpilloverShare(service, spillover.share);
-        states.set(service, { spillover, objectiveMs });
         return spillover;
     };
     const drawDomain = ({ shares }: Spillover): string => {
@@ -156,26 +197,37 @@
         }
         return settings.failureDomain;
     };
-    const filterDrawnDomain = (service: string, objectiveMs: number, takers: readonly EndpointRecord[]) => {
+    const filterDomain = (drawn: string, takers: readonly EndpointRecord[]) => {
         const nowMs = clock.readMonotonicMs();
         const sound = takers.filter(record => buildEndpointView(record, [], nowMs).failureRate < FAILING_SHARE);
         const usable = sound.length > 0 ? sound : takers;
-        const drawn = drawDomain(updateState(service, objectiveMs));
         const listIn = (domain: string) => usable.filter(({ endpoint }) => endpoint.failureDomain === domain);
         return [listIn(drawn), listIn(settings.failureDomain)].find(list => list.length > 0) ?? usable;
     };
+    const isOn = (takers: readonly EndpointRecord[]): boolean =>
+        settings.hasSpillover === true && takers.some(({ pace }) => pace !== undefined);
     return {
         filterDomains: (service, objectiveMs, takers) => {
-            if (settings.hasSpillover !== true || !takers.some(({ pace }) => pace !== undefined)) {
+            if (!isOn(takers)) {
                 return takers;
             }
             try {
-                return filterDrawnDomain(service, objectiveMs, takers);
+                return filterDomain(drawDomain(updateState(service, objectiveMs)), takers);
             } catch (error) {
                 options.reportFailure(FailureOwner.Request, error, { service });
                 return takers;
             }
         },
+        explainDomains: ({ service, objectiveMs, takers, usable }) => {
+            if (!isOn(takers)) {
+                return [{ domain: undefined, chance: 1, records: takers }];
+            }
+            const { shares } = decideState(service, objectiveMs, () => usable).state.spillover;
+            const own = 1 - [...shares.values()].reduce((sum, share) => sum + share, 0);
+            return [[settings.failureDomain, own] as const, ...shares]
+                .filter(([, chance]) => chance > 0)
+                .map(([domain, chance]) => ({ domain, chance, records: filterDomain(domain, takers) }));
+        },
         recordAttempt: ({ endpoint }) =>
             metrics.countAttemptDistance(endpoint.service, findDistance(endpoint.failureDomain)),
     };
--- a/src/gateway/forwarding/forwardingOutcome.ts
+++ b/src/gateway/forwarding/forwardingOutcome.ts
@@ -5,7 +5,7 @@
 import { Execution, type Failure, FailureKind } from "../../base/failure";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
 import type { PlacementBar } from "../../decisions/gateway/filterPlaceable";
-import { RETRY_AFTER_MS } from "../constants";
+import { QUOTA_RETRY_AFTER_MS, RETRY_AFTER_MS } from "../constants";
 import type { StreamRelay } from "./createStreamRelay";
 import type { AttemptResult } from "./sendAttempt";
 
@@ -19,7 +19,7 @@
 
 /** What a request without an answer has come to. */
 interface UnansweredState {
-    readonly relay: StreamRelay;
+    readonly relay: Pick<StreamRelay, "hasBegun">;
     /** Attempts that may have been executed. */
     readonly executions: number;
 }
@@ -35,6 +35,16 @@
     { execution: Execution.Unknown },
 );
 
+/** The failure of a request that the quota of its account doesn't admit. */
+export const QUOTA_FAILURE = createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", {
+    retryAfterMs: QUOTA_RETRY_AFTER_MS,
+});
+/** Short: by the time that a node refuses requests since it stops, new connections lead to other nodes. */
+const SHUTTING_DOWN_RETRY_MS = 20;
+/** The failure of a request that a node which stops would not end in time. */
+export const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
+    retryAfterMs: SHUTTING_DOWN_RETRY_MS,
+});
 /** The failure of a request that no endpoint took. */
 export const NO_ENDPOINT_FAILURE = createNoEndpointFailure(RETRY_AFTER_MS);
 
--- a/src/gateway/process/createMetricsListener.test.ts
+++ b/src/gateway/process/createMetricsListener.test.ts
@@ -1,15 +1,31 @@
 import assert from "node:assert/strict";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { err, ok } from "neverthrow";
+import { createFailure } from "../../base/createFailure";
+import { FailureKind } from "../../base/failure";
+import type { Explanation } from "../explain/explanation";
 import { createMetricsListener } from "./createMetricsListener";
 
 let stop: () => void;
 afterEach(() => stop());
 
+const EXPLANATION: Explanation = {
+    node: "n-1",
+    failureDomain: "hobart-1",
+    evacuated: [],
+    quarantine: "free",
+    refusals: [],
+    services: [],
+    omittedServices: 0,
+};
+
 /** Starts the listener with one suspected part; gives its address and the parts that are released. */
 async function startListener(formatMetrics = () => Promise.resolve("metric 1\n")) {
     const released: string[] = [];
     const server = createMetricsListener({
+        explainRequest: ({ path }) =>
+            path === "/unknown" ? err(createFailure(FailureKind.NotFound, "No account.")) : ok(EXPLANATION),
         formatMetrics,
         reportFailure: () => undefined,
         quarantine: { hasEvidence: part => part === "a1", releasePart: part => void released.push(part) },
@@ -39,4 +55,15 @@
         assert.equal((await fetch(url)).status, 500);
         assert.equal((await fetch(url)).status, 500);
     });
+
+    it("explains a request, and answers a bad or unanswerable question with its failure", async () => {
+        const { url } = await startListener();
+        const explained = await fetch(`${url}/explain?path=/a`);
+        assert.equal(explained.status, 200);
+        assert.equal(((await explained.json()) as { readonly node: string }).node, "n-1");
+        const bad = await fetch(`${url}/explain`);
+        assert.equal(bad.status, 400);
+        assert.match(await bad.text(), /"type":"invalid_request"/);
+        assert.equal((await fetch(`${url}/explain?path=/unknown`)).status, 404);
+    });
 });
--- a/src/gateway/process/createMetricsListener.ts
+++ b/src/gateway/process/createMetricsListener.ts
@@ -3,6 +3,11 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import { HttpStatus } from "../../adapters/_lib/httpStatus";
+import { sendFailure } from "../../http/sendFailure";
+import { sendJson } from "../../http/sendJson";
+import type { RequestExplainer } from "../explain/createRequestExplainer";
+import { decodeExplainQuery } from "../explain/explainQuery";
+import { EXPLAIN_PATH } from "../explain/explanation";
 import { FailureOwner, type FailureReporter } from "./createFailureReporter";
 import type { PartQuarantine } from "../quarantine/createPartQuarantine";
 
@@ -11,6 +16,7 @@
     /** Gives the metrics as text. */
     readonly formatMetrics: () => Promise<string>;
     readonly quarantine: Pick<PartQuarantine, "releasePart" | "hasEvidence">;
+    readonly explainRequest: RequestExplainer;
     readonly reportFailure: FailureReporter;
 }
 
@@ -18,17 +24,18 @@
 const PART_PARAMETER = "part";
 
 /**
- * Creates the server; it does not listen yet. `POST /quarantine/release?part=ID` frees a prompt part at all nodes; any
- * other request gets the metrics.
+ * Creates the server; it does not listen yet. `POST /quarantine/release?part=ID` frees a prompt part at all nodes; `GET
+ * /explain?path=PATH` explains where a request would go; any other request gets the metrics.
  *
  * @param options - What it serves
  * @returns The server
  * @example
- * await startListening(createMetricsListener({ formatMetrics, quarantine, reportFailure }), { address, port });
+ * await startListening(createMetricsListener({ formatMetrics, quarantine, explainRequest, reportFailure }), { address, port });
  */
 export function createMetricsListener({
     formatMetrics,
     quarantine,
+    explainRequest,
     reportFailure,
 }: MetricsListenerOptions): http.Server {
     const releasePart = (part: string, response: ServerResponse) => {
@@ -54,6 +61,15 @@
             releasePart(new URLSearchParams(query).get(PART_PARAMETER) ?? "", response);
             return;
         }
+        if (path === EXPLAIN_PATH) {
+            decodeExplainQuery(query ?? "")
+                .andThen(explainRequest)
+                .match(
+                    explanation => sendJson(response, HttpStatus.Ok, explanation),
+                    failure => sendFailure(response, failure),
+                );
+            return;
+        }
         response.end(await formatOncePerTurn());
     };
     return http.createServer((request, response) => {
--- a/src/gateway/process/internalListeners.test.ts
+++ b/src/gateway/process/internalListeners.test.ts
@@ -2,6 +2,9 @@
 import type http from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { err } from "neverthrow";
+import { createFailure } from "../../base/createFailure";
+import { FailureKind } from "../../base/failure";
 import { createSystemClock } from "../../base/createSystemClock";
 import { createLog } from "../../base/log/createLog";
 import { ControlSignal } from "../../base/processSignals";
@@ -46,6 +49,7 @@
         ],
         "the metrics is answered": reportFailure => [
             createMetricsListener({
+                explainRequest: () => err(createFailure(FailureKind.NotFound, "No route.")),
                 formatMetrics: throwPlanted,
                 quarantine: { releasePart: () => undefined, hasEvidence: () => true },
                 reportFailure,
@@ -56,6 +60,7 @@
         ],
         "the release of a part is answered": reportFailure => [
             createMetricsListener({
+                explainRequest: () => err(createFailure(FailureKind.NotFound, "No route.")),
                 formatMetrics: () => Promise.resolve(""),
                 quarantine: { releasePart: throwPlanted, hasEvidence: () => true },
                 reportFailure,
--- a/src/gateway/quarantine/createPartQuarantine.ts
+++ b/src/gateway/quarantine/createPartQuarantine.ts
@@ -8,7 +8,7 @@
 import type { Log } from "../../base/log/log";
 import { createPartEvidence, type PartEvidenceBook } from "../../decisions/gateway/createPartEvidence";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
-import { evaluatePart, type PartDecision, PartVerdict } from "../../decisions/gateway/evaluatePart";
+import { evaluatePart, type PartDecision, type PartFacts, PartVerdict } from "../../decisions/gateway/evaluatePart";
 import type { PartEvidence } from "../../decisions/relays/news";
 import { createCrashWatch, type CrashWatchOptions } from "./createCrashWatch";
 import type { GatewayMetrics } from "../process/createGatewayMetrics";
@@ -34,6 +34,8 @@
 export interface PartQuarantine extends DumpSource {
     /** Decides whether a request with these shared parts may be sent to an endpoint now. */
     admitAttempt(parts: readonly string[]): AttemptAdmission;
+    /** Explains what `admitAttempt` would decide by the evidence taken so far; counts and changes nothing. */
+    explainAttempt(parts: readonly string[]): AttemptAdmission;
     /** Follows an attempt from its begin. */
     beginAttempt(record: EndpointRecord, parts: readonly string[]): FollowedAttempt;
     /** Gives what this node reports to the fleet: all crashes that it knows, and its own clearances. */
@@ -110,9 +112,28 @@
             }
         }
     };
-    const decidePart = (part: string, nowMs: number): PartDecision => {
+    const decideByFacts = (part: string, facts: PartFacts | undefined, nowMs: number): PartDecision => {
         const slot = { share: hashText(`${nodeName}|${part}`) / 2 ** 32, nodes: Math.max(1, options.readNodeCount()) };
-        return evaluatePart(evidence.findFacts(part, nowMs), slot, nowMs);
+        return evaluatePart(facts, slot, nowMs);
+    };
+    const decidePart = (part: string, nowMs: number): PartDecision =>
+        decideByFacts(part, evidence.findFacts(part, nowMs), nowMs);
+    const decideAdmission = (
+        parts: readonly string[],
+        decide: (part: string, nowMs: number) => PartDecision,
+    ): AttemptAdmission => {
+        const nowMs = clock.readMonotonicMs();
+        const decisions = parts.filter(part => evidence.hasEvidence(part)).map(part => decide(part, nowMs));
+        const [worst] = [...decisions].sort((left, right) => right.waitMs - left.waitMs);
+        if (worst === undefined || decisions.every(({ verdict }) => verdict === PartVerdict.Free)) {
+            return ADMITTED;
+        }
+        const isBusy = parts.some(part => careful.has(part));
+        if (worst.waitMs === 0 && !isBusy) {
+            return { verdict: PartVerdict.Careful };
+        }
+        const verdict = worst.waitMs === 0 ? PartVerdict.Held : worst.verdict;
+        return { verdict, retryAfterMs: Math.max(BUSY_RETRY_AFTER_MS, worst.waitMs) };
     };
     const crashes = createCrashWatch({
         ...options,
@@ -128,20 +149,14 @@
         name: "quarantine",
         admitAttempt: parts => {
             clearSurvivors();
-            const nowMs = clock.readMonotonicMs();
-            const decisions = parts.filter(part => evidence.hasEvidence(part)).map(part => decidePart(part, nowMs));
-            const [worst] = [...decisions].sort((left, right) => right.waitMs - left.waitMs);
-            if (worst === undefined || decisions.every(({ verdict }) => verdict === PartVerdict.Free)) {
-                return ADMITTED;
-            }
-            const isBusy = parts.some(part => careful.has(part));
-            if (worst.waitMs === 0 && !isBusy) {
-                return { verdict: PartVerdict.Careful };
+            const admission = decideAdmission(parts, decidePart);
+            if (admission.retryAfterMs !== undefined) {
+                metrics.countPromptRefusal(admission.verdict);
             }
-            const verdict = worst.waitMs === 0 ? PartVerdict.Held : worst.verdict;
-            metrics.countPromptRefusal(verdict);
-            return { verdict, retryAfterMs: Math.max(BUSY_RETRY_AFTER_MS, worst.waitMs) };
+            return admission;
         },
+        explainAttempt: parts =>
+            decideAdmission(parts, (part, nowMs) => decideByFacts(part, evidence.readFacts(part, nowMs), nowMs)),
         beginAttempt: (record, parts) => {
             if (parts.length === 0) {
                 return NOT_FOLLOWED;
--- a/src/gateway/rollouts/createRollouts.ts
+++ b/src/gateway/rollouts/createRollouts.ts
@@ -86,14 +86,15 @@
     const services = new Map<string, ServiceVersions>();
     const crashes = createCrashWatch({ ...options, handleCrash: () => undefined });
 
+    const createVersions = (service: string): ServiceVersions => ({
+        evidence: createRolloutEvidence(service),
+        seenAtMs: new Map(),
+        established: new Set(),
+        rejected: new Set(),
+        move: undefined,
+    });
     const readVersions = (service: string): ServiceVersions => {
-        const versions = services.get(service) ?? {
-            evidence: createRolloutEvidence(service),
-            seenAtMs: new Map(),
-            established: new Set(),
-            rejected: new Set(),
-            move: undefined,
-        };
+        const versions = services.get(service) ?? createVersions(service);
         services.set(service, versions);
         return versions;
     };
@@ -285,7 +286,8 @@
             }
         },
         filterEligible: (service, records, isFirst) => {
-            const versions = readVersions(service);
+            // Keeps nothing for an unknown service: explanations ask as well.
+            const versions = services.get(service) ?? createVersions(service);
             const { move } = versions;
             return move === undefined
                 ? records.filter(({ endpoint }) => isOrdinary(versions, endpoint.version))
