Add redwinglift explain

Cause: the explanation of a node can be read by curl only, as JSON. Options are checked by the node's decoder first; answers are checked by schema. Failure bodies are read by one function for both clients of the command line, which now also takes an error that is no object. Jobs of the product's own path are not explained.

--- a/src/cli/_lib/formatTable.ts
+++ b/src/cli/_lib/formatTable.ts
@@ -2,6 +2,7 @@
  * @module Tables for people.
  */
 import Table from "cli-table3";
+import { removeControls } from "./removeControls";
 
 const PLAIN = {
     top: "",
@@ -44,9 +45,3 @@
         .map(line => line.trimEnd())
         .join("\n");
 }
-
-/** Keeps a text from moving the cursor or starting a line. */
-function removeControls(text: string): string {
-    // eslint-disable-next-line no-control-regex -- control characters are what is removed
-    return text.replace(/[\u0000-\u001f\u007f-\u009f]/g, " ");
-}
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -5,6 +5,7 @@
 import { ACCOUNT_KEY_COMMANDS } from "./accountKeyCommands";
 import { buildItemCommands } from "./buildItemCommands";
 import { CONFIGURATION_COMMANDS } from "./configurationCommands";
+import { EXPLAIN_COMMANDS } from "./explainCommands";
 import { FLEET_COMMANDS } from "./fleetCommands";
 import { ITEM_GROUPS } from "./itemGroups";
 import { PROGRAM_COMMANDS } from "./programCommands";
@@ -20,4 +21,5 @@
     ...CONFIGURATION_COMMANDS,
     ...STATE_COMMANDS,
     ...FLEET_COMMANDS,
+    ...EXPLAIN_COMMANDS,
 ];
--- a/src/cli/createOperatorClient.ts
+++ b/src/cli/createOperatorClient.ts
@@ -7,6 +7,7 @@
 import { createByteAccumulator } from "../base/createByteAccumulator";
 import { createFailure } from "../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../base/failure";
+import { convertFailureBody, parseBody } from "./_lib/convertFailureBody";
 import { OPERATOR_PATH_PREFIX } from "../operator/constants";
 import type { OperatorClient } from "./operatorClient";
 
@@ -119,25 +120,7 @@
                 createFailure(FailureKind.EndpointFailed, `HTTP ${status} without JSON: not an operators' listener.`),
             );
         }
-        return status < 300 ? ok(parsed as T) : err(convertFailure(status, parsed));
+        const failure = status < 300 ? undefined : convertFailureBody(status, body);
+        return failure === undefined ? ok(parsed as T) : err(failure);
     });
 }
-
-function parseBody(body: Buffer): object | undefined {
-    try {
-        const value: unknown = JSON.parse(body.toString("utf8"));
-        return typeof value === "object" && value ? value : undefined;
-    } catch {
-        return undefined;
-    }
-}
-
-function convertFailure(status: number, body: object): Failure {
-    const error = "error" in body ? (body.error as Readonly<Record<string, unknown>>) : {};
-    const kind = Object.values(FailureKind).find(known => known === error["type"]) ?? FailureKind.Internal;
-    const message = typeof error["message"] === "string" ? error["message"] : `HTTP ${status}`;
-    const execution = Object.values(Execution).find(known => known === error["execution"]) ?? Execution.Unknown;
-    const details = error["details"] as Failure["details"];
-    const retryAfterMs = typeof error["retry_after_ms"] === "number" ? error["retry_after_ms"] : undefined;
-    return { kind, message, execution, details, retryAfterMs };
-}
