Split the news between nodes by job

Cause: createFleetNews.ts (398 lines) holds the exchange, the work of a relay and what the views say. Change: createNewsRelay sums reports and sends views, createKnownFleet holds the last view and answers from it, createFleetNews keeps reports, messages and the period (226, 227 and 108 lines). No behaviour is changed. Conclusion: the interface FleetNews and its importers are as before.

--- a/src/gateway/news/createFleetNews.ts
+++ b/src/gateway/news/createFleetNews.ts
@@ -4,44 +4,30 @@
  * the number of nodes.
  *
  * Every node can be a relay: it is one while it is among its own choices or other nodes report to it. A relay holds
- * nothing that must last, and the next choice takes over when it falls silent.
+ * nothing that must last, and the next choice takes over when it falls silent. `createNewsRelay` does the work of a relay,
+ * `createKnownFleet` holds what the views say.
  */
 import type { Disposable } from "../../base/disposableStore";
 import type { DumpSource } from "../../base/dump";
 import type { FleetUsage } from "../../decisions/gateway/accountQuotas";
 import { chooseRelays } from "../../decisions/relays/chooseRelays";
 import { RowRole } from "../../decisions/relays/chooseRowSource";
-import { MEMBER_TIMEOUT_MS, NEWS_PERIOD_MS, UNREACHABLE_AFTER_MS } from "../../decisions/relays/constants";
-import { createReportCollector, type ReportedCounts } from "../../decisions/relays/createReportCollector";
-import { createSummaryMerger } from "../../decisions/relays/createSummaryMerger";
-import { advanceSuspects, mergeSuspects, sumClearances } from "../../decisions/relays/mergeSuspects";
-import type {
-    EndpointActivity,
-    FleetView,
-    NodeIdentity,
-    NodeReport,
-    ServiceLoad,
-    SuspectParts,
-} from "../../decisions/relays/news";
+import { NEWS_PERIOD_MS } from "../../decisions/relays/constants";
+import type { ReportedCounts } from "../../decisions/relays/createReportCollector";
+import { mergeSuspects } from "../../decisions/relays/mergeSuspects";
+import type { NodeIdentity, NodeReport, ServiceLoad, SuspectParts } from "../../decisions/relays/news";
 import { FailureOwner } from "../process/createFailureReporter";
+import { createKnownFleet } from "./createKnownFleet";
+import { createNewsRelay, type StoredRelay } from "./createNewsRelay";
 import { createNewsSocket } from "./createNewsSocket";
 import { createRelayRoster } from "./createRelayRoster";
 import type { FleetNewsOptions } from "./fleetNewsOptions";
-import { isSendableAddress } from "./isSendableAddress";
-import { NO_VIEW } from "./noFleetView";
 import { decodeNews, encodeNews, NewsKind, type NewsMessage, type SenderAddress } from "./newsCodec";
 
-/** A node stops acting as a relay when nobody has reported to it for this long. */
-const RELAY_UNUSED_MS = 3_000;
-/** Time between two lists of members, and between two reports with usage counts, in periods of the news. */
-const MEMBERS_EVERY_PERIODS = 8;
+/** Time between two reports with usage counts, in periods of the news. */
 const COUNTS_EVERY_PERIODS = 4;
 /** Relays of the whole fleet that read the store: one, and one that is ready to take over. */
 const READER_COUNT = 2;
-/** A relay that has just started waits for the news of another one for so many periods at most. */
-const LOADING_PERIODS_MAX = 3;
-/** A node assumes that it is no longer counted this long before it is not. */
-const COUNTED_MARGIN_MS = 1_500;
 /** A longer time between two exchanges means that this node stood still and heard nobody. */
 const STANDSTILL_MS = 2 * NEWS_PERIOD_MS;
 
@@ -79,7 +65,7 @@
     /** Takes nodes of this failure domain from the store; the exchange begins with the first ones. */
     addMembers(members: readonly NodeIdentity[]): void;
     /** Takes relays of any failure domain from the store, with the number of nodes that each counts. */
-    addStoredRelays(relays: readonly { readonly identity: NodeIdentity; readonly nodes: number }[]): void;
+    addStoredRelays(relays: readonly StoredRelay[]): void;
     /** Gives what all nodes know of prompt parts that crash endpoints. */
     readSuspects(): SuspectParts;
     /** Takes what nodes knew of them from the store. */
@@ -97,102 +83,35 @@
  * quotas.charge(account, tokens, news.readUsage(), nowMs);
  */
 export function createFleetNews(options: FleetNewsOptions): FleetNews {
-    const { self, clock, log, quotaWindowMs, reportFailure } = options;
-    const collector = createReportCollector(quotaWindowMs);
-    const merger = createSummaryMerger(quotaWindowMs);
+    const { self, clock, log, reportFailure } = options;
     const roster = createRelayRoster(self, clock, log);
-    const storedRelays = new Map<string, { readonly identity: NodeIdentity; readonly listedAtMs: number }>();
-    const viewers = new Set<string>();
-    let view: { readonly content: FleetView; readonly atMs: number } | undefined;
-    let reported: Readonly<Record<string, EndpointActivity>> = {};
+    const known = createKnownFleet(options);
     let sequence = 0;
-    let askedAtMs = Number.NEGATIVE_INFINITY;
-    let countedAtMs = Number.NEGATIVE_INFINITY;
-    let lastSummary: { readonly bytes: Buffer; readonly atMs: number } | undefined;
     let hasMembers = false;
-    let hasHeardLoaded = false;
-    let wasRelay = false;
     let exchangedAtMs = clock.readMonotonicMs();
+    const relay = createNewsRelay({
+        ...options,
+        roster,
+        known,
+        send: (bytes, target) => socket.send(bytes, target),
+        readSequence: () => sequence,
+    });
 
-    const isFresh = (atMs: number, withinMs: number) => clock.readMonotonicMs() - atMs < withinMs;
-    const isRelay = () =>
-        isFresh(askedAtMs, RELAY_UNUSED_MS) || roster.listRelays().some(({ node }) => node === self.node);
-    const isInTouch = () => view !== undefined && isFresh(view.atMs, UNREACHABLE_AFTER_MS);
-
-    const listFreshRelays = () => merger.listRelays(clock.readMonotonicMs()).filter(({ node }) => node !== self.node);
-    const listStoredRelays = () =>
-        [...storedRelays.values()]
-            .filter(({ listedAtMs }) => isFresh(listedAtMs, MEMBER_TIMEOUT_MS))
-            .map(({ identity }) => identity)
-            .filter(({ node }) => node !== self.node);
-    /** True if this node has just started and other relays may know what it must know before its first request. */
-    const isLoading = () => {
-        const heard = new Set(listFreshRelays().map(({ node }) => node));
-        const hasHeardAll = listStoredRelays().every(({ node }) => heard.has(node));
-        return view === undefined && sequence <= LOADING_PERIODS_MAX && !hasHeardLoaded && !hasHeardAll;
-    };
-
-    const applyView = (content: FleetView) => {
-        // Before this node counts as loaded: its first request must not go where the others know that it must not.
-        options.evidence.mergeEvidence(content.suspects);
-        options.rollouts.mergeReports(content.rollouts);
-        options.limits.mergeLimits(content.limits);
-        view = { content, atMs: clock.readMonotonicMs() };
-        const activity = new Map<string, EndpointActivity>();
-        for (const [id, { inFlight, pendingTokens }] of Object.entries(content.endpoints)) {
-            activity.set(id, {
-                inFlight: Math.max(0, inFlight - (reported[id]?.inFlight ?? 0)),
-                pendingTokens: Math.max(0, pendingTokens - (reported[id]?.pendingTokens ?? 0)),
-            });
-        }
-        options.handleActivity(activity);
-    };
     const handlers: { readonly [K in NewsKind]: (message: Extract<NewsMessage, { kind: K }>) => void } = {
-        [NewsKind.Report]: ({ report, wantsViews }) => {
-            const nowMs = clock.readMonotonicMs();
-            if (report.failureDomain !== self.failureDomain) {
-                return;
-            }
-            const isNew = !roster.hasMember(report.node) || !collector.hasLife(report.life);
-            askedAtMs = nowMs;
-            collector.recordReport(report, nowMs);
-            roster.addMembers([report]);
-            roster.recordLife(report.node);
-            if (wantsViews) {
-                viewers.add(report.life);
-            } else {
-                viewers.delete(report.life);
-            }
-            if (isNew) {
-                socket.send(encodeMembers(), report);
-                if (!isLoading()) {
-                    socket.send(encodeView(mergeView(nowMs)), report);
-                }
+        [NewsKind.Report]: ({ report, wantsViews }) => relay.recordReport(report, wantsViews),
+        [NewsKind.Summary]: ({ summary }) => relay.recordSummary(summary),
+        [NewsKind.View]: ({ relay: sender, view }) => {
+            roster.recordView(sender);
+            if (!relay.isRelay()) {
+                known.applyView(view);
             }
         },
-        [NewsKind.Summary]: ({ summary }) => {
-            if (summary.relay.node === self.node) {
-                return;
-            }
-            const isNew = !listFreshRelays().some(({ life }) => life === summary.relay.life);
-            merger.recordSummary(summary, clock.readMonotonicMs());
-            hasHeardLoaded ||= summary.sequence > LOADING_PERIODS_MAX;
-            if (isNew && lastSummary !== undefined && isFresh(lastSummary.atMs, UNREACHABLE_AFTER_MS)) {
-                socket.send(lastSummary.bytes, summary.relay);
-            }
-        },
-        [NewsKind.View]: ({ relay, view: content }) => {
-            roster.recordView(relay);
-            if (!isRelay()) {
-                applyView(content);
-            }
-        },
-        [NewsKind.Members]: ({ relay, members: list }) => {
+        [NewsKind.Members]: ({ relay: sender, members: list }) => {
             roster.addMembers(list);
-            roster.recordLife(relay);
+            roster.recordLife(sender);
             options.memberSink?.recordMembers(list);
             if (list.some(({ life }) => life === self.life)) {
-                countedAtMs = clock.readMonotonicMs();
+                known.recordCounted();
             }
         },
     };
@@ -203,81 +122,25 @@
         }
     };
 
-    const readOwnSuspects = () => mergeSuspects([options.evidence.readEvidence()], sumClearances);
     const buildReport = (): NodeReport => ({
         ...options.readOwnNews(),
-        suspects: readOwnSuspects(),
+        suspects: known.readOwnSuspects(),
         rollouts: options.rollouts.readReports(),
         limits: options.limits.readLimits(),
         ...self,
         sequence: ++sequence,
         counted: sequence % COUNTS_EVERY_PERIODS === 1 ? options.readCounts() : undefined,
     });
-    /** Merges all news, with what this node itself knows of prompt parts: it may be the last one that knows it. */
-    const mergeView = (nowMs: number): FleetView => {
-        const merged = merger.mergeView(nowMs);
-        return { ...merged, suspects: mergeSuspects([merged.suspects, readOwnSuspects()], Math.max) };
-    };
-    const encodeView = (content: FleetView) => {
-        const near = Object.entries(content.endpoints).filter(([id]) => options.isNearEndpoint(id));
-        return encodeNews({
-            kind: NewsKind.View,
-            relay: self.node,
-            view: { ...content, endpoints: Object.fromEntries(near) },
-        });
-    };
-    const encodeMembers = () =>
-        encodeNews({
-            kind: NewsKind.Members,
-            relay: self.node,
-            members: collector.listMembers(clock.readMonotonicMs()),
-        });
     const sendReports = () => {
         const report = buildReport();
-        reported = report.endpoints;
-        collector.recordReport(report, clock.readMonotonicMs());
-        for (const [index, relay] of roster.replaceSilentRelay().entries()) {
-            if (relay.node !== self.node) {
-                socket.send(encodeNews({ kind: NewsKind.Report, wantsViews: index === 0, report }), relay);
+        known.recordReported(report.endpoints);
+        relay.recordOwnReport(report);
+        for (const [index, receiver] of roster.replaceSilentRelay().entries()) {
+            if (receiver.node !== self.node) {
+                socket.send(encodeNews({ kind: NewsKind.Report, wantsViews: index === 0, report }), receiver);
             }
         }
     };
-    /** Lists the relays that get this relay's sums: those that it hears, those in the store, and its own choices. */
-    const listSummaryTargets = () => {
-        const targets = [...roster.listRelays(), ...listStoredRelays(), ...listFreshRelays()];
-        return [...new Map(targets.map(target => [target.node, target])).values()].filter(
-            ({ node }) => node !== self.node,
-        );
-    };
-    const relayNews = () => {
-        const nowMs = clock.readMonotonicMs();
-        const lostUsage = merger.readLostUsage();
-        const summary = { ...collector.summarize(nowMs), relay: self, sequence, lostUsage };
-        merger.recordSummary(summary, nowMs);
-        const bytes = encodeNews({ kind: NewsKind.Summary, summary });
-        lastSummary = { bytes, atMs: nowMs };
-        listSummaryTargets().forEach(target => socket.send(bytes, target));
-        if (isLoading()) {
-            return;
-        }
-        const merged = mergeView(nowMs);
-        applyView(merged);
-        const receivers = collector.listReachable(nowMs).filter(({ node }) => node !== self.node);
-        const viewBytes = encodeView(merged);
-        const listening = receivers.filter(({ life }) => viewers.has(life));
-        listening.forEach(receiver => socket.send(viewBytes, receiver));
-        viewers.clear();
-        listening.forEach(({ life }) => viewers.add(life));
-        if (sequence % MEMBERS_EVERY_PERIODS === 0) {
-            const membersBytes = encodeMembers();
-            options.memberSink?.recordMembers(collector.listMembers(nowMs));
-            // Nodes that fell silent get it as well: after a network partition they find back by it.
-            collector
-                .listMembers(nowMs)
-                .filter(({ node }) => node !== self.node)
-                .forEach(receiver => socket.send(membersBytes, receiver));
-        }
-    };
     /** Runs a step of the exchange; an error in one keeps neither the next step nor the next period. */
     const tryStep = (step: () => void) => {
         try {
@@ -297,78 +160,51 @@
         exchangedAtMs = nowMs;
         if (hasMembers && !socket.isDeaf()) {
             tryStep(sendReports);
-            tryStep(relayIfChosen);
-        }
-    };
-    const relayIfChosen = () => {
-        const isRelaying = isRelay();
-        if (isRelaying !== wasRelay) {
-            log.info(isRelaying ? "relay begins" : "relay ends", {
-                members: collector.listMembers(clock.readMonotonicMs()).length,
-            });
-            wasRelay = isRelaying;
-            if (isRelaying && view !== undefined) {
-                merger.recordFormerView(view.content, view.atMs, clock.readMonotonicMs());
-            }
-        }
-        if (isRelaying) {
-            relayNews();
+            tryStep(relay.relayIfChosen);
         }
     };
     const readRowSources = (): RowSources => {
-        if (!isRelay()) {
+        if (!relay.isRelay()) {
             return { role: RowRole.Node, nodes: roster.listRelays() };
         }
-        const others = listFreshRelays();
+        const others = relay.listFreshRelays();
         const readers = chooseRelays([self, ...others], READER_COUNT);
         if (readers[0]?.node === self.node) {
             return { role: RowRole.Reader, nodes: others };
         }
         return { role: RowRole.Relay, nodes: readers.filter(({ node }) => node !== self.node) };
     };
-    const readUsage = (): FleetUsage => {
-        const isListed = isFresh(countedAtMs, MEMBER_TIMEOUT_MS - COUNTED_MARGIN_MS);
-        const known = view?.content ?? NO_VIEW;
-        if (!isInTouch()) {
-            return { ...NO_VIEW, nodes: known.nodes, reachable: 1, isCounted: isListed };
-        }
-        const hasMajority = known.reachable * 2 > known.nodes;
-        return { ...known, isCounted: isListed || hasMajority };
-    };
-    const readSuspects = () => {
-        const ofFleet = advanceSuspects(view?.content.suspects ?? {}, clock.readMonotonicMs() - (view?.atMs ?? 0));
-        return mergeSuspects([ofFleet, readOwnSuspects()], Math.max);
-    };
     const socket = createNewsSocket({ self, handleMessage, log, reportFailure });
     const timer = setInterval(exchangeNews, NEWS_PERIOD_MS);
     return {
         name: "news",
-        dumpState: () => ({
-            isRelay: isRelay(),
-            isInTouch: isInTouch(),
-            datagramPort: socket.readState(),
-            viewAgeMs: view === undefined ? undefined : Math.round(clock.readMonotonicMs() - view.atMs),
-            view: view?.content,
-            ownRelays: roster.listRelays().map(({ node }) => node),
-            allRelays: merger.listRelays(clock.readMonotonicMs()).map(({ node }) => node),
-            members: collector.listMembers(clock.readMonotonicMs()).map(({ node, life }) => ({ node, life })),
-        }),
-        isLoaded: () => view !== undefined,
-        isRelay,
+        dumpState: () => {
+            const view = known.readView();
+            return {
+                isRelay: relay.isRelay(),
+                isInTouch: known.isInTouch(),
+                datagramPort: socket.readState(),
+                viewAgeMs: view === undefined ? undefined : Math.round(clock.readMonotonicMs() - view.atMs),
+                view: view?.content,
+                ownRelays: roster.listRelays().map(({ node }) => node),
+                allRelays: relay.listKnownRelays().map(({ node }) => node),
+                members: relay.listMembers().map(({ node, life }) => ({ node, life })),
+            };
+        },
+        isLoaded: () => known.readView() !== undefined,
+        isRelay: relay.isRelay,
         isOnlyRelay: () => roster.listRelays().every(({ node }) => node === self.node),
-        isInTouch,
-        readUsage,
-        readLoad: service =>
-            (isInTouch() ? view?.content.loads[service] : undefined) ??
-            options.readOwnNews().loads[service] ?? { tokensPerSecond: 0, inFlight: 0 },
+        isInTouch: known.isInTouch,
+        readUsage: known.readUsage,
+        readLoad: known.readLoad,
         readRowSources,
         hasUnreachableDomain: () => {
-            const heard = new Set(listFreshRelays().map(({ failureDomain }) => failureDomain));
+            const heard = new Set(relay.listFreshRelays().map(({ failureDomain }) => failureDomain));
             return options.failureDomains.some(domain => domain !== self.failureDomain && !heard.has(domain));
         },
-        listAllRelays: () => [self, ...listFreshRelays()],
-        listMembers: () => collector.listMembers(clock.readMonotonicMs()),
-        listCounts: collector.listCounts,
+        listAllRelays: () => [self, ...relay.listFreshRelays()],
+        listMembers: relay.listMembers,
+        listCounts: relay.listCounts,
         addMembers: list => {
             roster.addMembers(list);
             options.memberSink?.recordKnown(list);
@@ -377,19 +213,11 @@
                 exchangeNews();
             }
         },
-        addStoredRelays: relays => {
-            const listedAtMs = clock.readMonotonicMs();
-            for (const { identity, nodes } of relays.filter(({ identity: node }) => isSendableAddress(node))) {
-                storedRelays.set(identity.node, { identity, listedAtMs });
-                merger.recordStoredCount(identity.failureDomain, nodes, listedAtMs);
-            }
-        },
-        readSuspects,
+        addStoredRelays: relay.addStoredRelays,
+        readSuspects: known.readSuspects,
         addStoredSuspects: suspects =>
-            options.evidence.mergeEvidence(mergeSuspects([suspects, readSuspects()], Math.max)),
-        recordStored: () => {
-            countedAtMs = clock.readMonotonicMs();
-        },
+            options.evidence.mergeEvidence(mergeSuspects([suspects, known.readSuspects()], Math.max)),
+        recordStored: known.recordCounted,
         dispose: () => {
             clearInterval(timer);
             socket.dispose();
