Test the explained shares of spillover

Cause: the tests of explanations had no failure domain with a share. Change: a node whose own endpoint is full is asked before each of 40 decisions, beside one that isn't asked. Conclusion: asking changes no decision, draw, metric or log line of spillover.

--- /dev/null
+++ b/src/gateway/explain/explainDomains.test.ts
@@ -0,0 +1,102 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createManualClock } from "../../base/createManualClock";
+import { createRandom } from "../../base/createRandom";
+import type { GatewaySettings } from "../../model/gateway";
+import { makeEndpoint } from "../_testing/makeEndpoint";
+import { createEndpointRecord, recordLoad } from "../endpoints/endpointRecord";
+import { createServiceSpeeds } from "../forwarding/createServiceSpeeds";
+import { createSpillover, type SpilloverOptions } from "../forwarding/createSpillover";
+
+const OBJECTIVE_MS = 100;
+const PERIOD_MS = 150;
+const DRAWS = 20_000;
+
+/** Creates a spillover of a node in `near`, whose endpoint there is full while those of `far` and `remote` are idle. */
+function createSubject() {
+    const clock = createManualClock();
+    const random = createRandom(1);
+    let effects = 0;
+    const countEffect = () => void effects++;
+    const records = ["near", "far", "remote"].map(failureDomain => {
+        const record = createEndpointRecord(
+            makeEndpoint(failureDomain, { failureDomain }),
+            { roundTripMs: 2, penaltyMs: 5 },
+            clock,
+        );
+        recordLoad(record, { running: 0, waiting: 0, slots: 4, pace: 100 }, 0);
+        record.ownInFlight = failureDomain === "near" ? 30 : 0;
+        return record;
+    });
+    const listUsable = () => {
+        countEffect();
+        return records;
+    };
+    const spillover = createSpillover({
+        settings: {
+            failureDomain: "near",
+            regions: { near: "r", far: "r", remote: "s" },
+            hasSpillover: true,
+        } as unknown as GatewaySettings,
+        clock,
+        random: {
+            ...random,
+            drawFraction: () => {
+                countEffect();
+                return random.drawFraction();
+            },
+        },
+        log: { info: countEffect } as unknown as SpilloverOptions["log"],
+        speeds: createServiceSpeeds(),
+        directory: { listUsable },
+        news: {
+            isInTouch: () => true,
+            readLoad: () => ({ tokensPerSecond: 0, inFlight: 0 }),
+            readUsage: () => ({ nodes: 1, reachable: 1 }) as never,
+        },
+        metrics: { countAttemptDistance: () => undefined, setSpilloverShare: countEffect },
+        reportFailure: (_owner, error) => assert.fail(String(error)),
+    });
+    const drawDomain = () =>
+        spillover
+            .filterDomains("chat", OBJECTIVE_MS, records)
+            .map(({ endpoint }) => endpoint.failureDomain)
+            .join();
+    const explain = () =>
+        spillover.explainDomains({ service: "chat", objectiveMs: OBJECTIVE_MS, takers: records, usable: records });
+    return { clock, drawDomain, explain, countEffects: () => effects };
+}
+
+describe("the explained failure domains of a request", () => {
+    // Guards against: the explanation gives the shares of the last decision where the next request gets new ones, or
+    // decides itself, so that asking changes what requests get.
+    it("have the chances of the next requests, and asking changes nothing", () => {
+        const asked = createSubject();
+        const unasked = createSubject();
+        let hasSpilled = false;
+        for (let period = 0; period < 40; period++) {
+            asked.clock.advanceMs(PERIOD_MS);
+            unasked.clock.advanceMs(PERIOD_MS);
+            const before = asked.countEffects();
+            const first = asked.explain();
+            assert.deepEqual(asked.explain(), first);
+            assert.equal(asked.countEffects(), before);
+            assert.ok(Math.abs(first.reduce((sum, { chance }) => sum + chance, 0) - 1) < 1e-9);
+            assert.equal(asked.drawDomain(), unasked.drawDomain());
+            assert.equal(asked.countEffects(), unasked.countEffects());
+            assert.deepEqual(asked.explain(), first, "the request decides as was explained");
+            hasSpilled ||= first.length > 1;
+        }
+        assert.ok(hasSpilled);
+        const counts = new Map<string, number>();
+        const explained = asked.explain();
+        for (let draw = 0; draw < DRAWS; draw++) {
+            const domain = asked.drawDomain();
+            counts.set(domain, (counts.get(domain) ?? 0) + 1);
+        }
+        for (const { domain, chance, records } of explained) {
+            assert.deepEqual([...new Set(records.map(({ endpoint }) => endpoint.failureDomain))], [domain]);
+            assert.ok(Math.abs((counts.get(domain ?? "") ?? 0) / DRAWS - chance) < 0.02, `${domain}: ${chance}`);
+        }
+    });
+});
