Refund a quota at the time of its charge

Cause: a refund was recorded when it was made. For a request that waits before it is refused, the charge leaves the window first, and until the refund does, the account may use more than its quota. The demand of the whole window kept the amount. Change: the refund is taken off the counters at the time of the charge, and off both counts of the demand. The new test fails with the former code. Conclusion: the quota holds while requests wait. A refused request has not been used, so its retry is judged anew; the bound is kept by what is executed, and the answer to a flood may be 503 by admission before it is 429 by the quota.

--- a/src/decisions/gateway/accountQuotas.test.ts
+++ b/src/decisions/gateway/accountQuotas.test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRandom } from "../../base/createRandom";
 import type { GatewayAccount } from "../../model/gateway";
+import { makeFleetUsage } from "./_testing/makeFleetUsage";
 import { type QuotaSimulation, simulateQuotas } from "./_testing/simulateQuotas";
+import { createAccountQuotas } from "./accountQuotas";
 
 const ACCOUNT: GatewayAccount = {
     name: "county",
@@ -69,3 +72,16 @@
         assert.equal(refused, 0);
     });
 });
+
+// Guards against: a request that waited and was refused takes its refund out of the window later than its charge.
+describe("the refund of a request that waited", () => {
+    it("doesn't raise the quota when the charge has left the window", () => {
+        const quotas = createAccountQuotas(POLICY, undefined, createRandom(1));
+        const fleet = makeFleetUsage();
+        assert.ok(quotas.charge(ACCOUNT, 900, fleet, 1_000));
+        assert.ok(!quotas.charge(ACCOUNT, 900, fleet, 1_500));
+        quotas.refund(ACCOUNT.name, 900, 1_000);
+        assert.ok(quotas.charge(ACCOUNT, 900, fleet, 2_300));
+        assert.ok(!quotas.charge(ACCOUNT, 400, fleet, 9_500));
+    });
+});
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -33,8 +33,12 @@
 export interface AccountQuotas {
     /** Charges `amount` if the quota of the account allows it; returns false, and charges nothing, if not. */
     charge(account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean;
-    /** Refunds the amount that was charged for a request that was not executed. */
-    refund(account: string, amount: number, nowMs: number): void;
+    /**
+     * Refunds the amount that was charged for a request that was not executed. It is taken off at the time of the charge:
+     * the refund of a request that waited would otherwise stay in the window after its charge has left it, and more than
+     * the quota would be granted. It doesn't count as asked for either, so a retry is judged as a new request.
+     */
+    refund(account: string, amount: number, chargedAtMs: number): void;
     /** Gives the usage at this node, for its reports to the other nodes. */
     describeUsage(nowMs: number): Pick<FleetView, "usage" | "countsForMs">;
 }
@@ -138,9 +142,10 @@
             charge(account.name, amount, nowMs);
             return true;
         },
-        refund: (account, amount, nowMs) => {
-            charge(account, -amount, nowMs);
-            readState(account).asked.add(-amount, nowMs);
+        refund: (account, amount, chargedAtMs) => {
+            charge(account, -amount, chargedAtMs);
+            const { asked, askedBefore } = readState(account);
+            [asked, askedBefore].forEach(counter => counter.add(-amount, chargedAtMs));
         },
         describeUsage: nowMs => ({
             usage: Object.fromEntries([...states].map(([name, state]) => [name, readOwnSums(state, nowMs)])),
--- a/src/decisions/gateway/slidingWindowCounter.ts
+++ b/src/decisions/gateway/slidingWindowCounter.ts
@@ -9,7 +9,8 @@
  * may be above it by up to one bucket.
  */
 export interface SlidingWindowCounter {
-    add(amount: number, nowMs: number): void;
+    /** Adds an amount at a time; one before the last call's counts at that time, or not at all if it has left the window. */
+    add(amount: number, atMs: number): void;
     sum(nowMs: number): number;
 }
 
@@ -43,10 +44,13 @@
         }
     };
     return {
-        add: (amount, nowMs) => {
-            advance(nowMs);
-            amounts[newest % BUCKET_COUNT] = (amounts[newest % BUCKET_COUNT] ?? 0) + amount;
-            total += amount;
+        add: (amount, atMs) => {
+            advance(atMs);
+            const bucket = Math.floor(atMs / bucketMs);
+            if (newest - bucket < BUCKET_COUNT) {
+                amounts[bucket % BUCKET_COUNT] = (amounts[bucket % BUCKET_COUNT] ?? 0) + amount;
+                total += amount;
+            }
         },
         sum: nowMs => {
             advance(nowMs);
--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -76,6 +76,12 @@
     closeIdle(): void;
 }
 
+/** What was charged to the quota of an account for a request, and when, in monotonic time. */
+interface QuotaCharge {
+    readonly amount: number;
+    readonly atMs: number;
+}
+
 /** Dependencies of the listener. */
 export interface GatewayListenerOptions {
     readonly components: GatewayComponents;
@@ -105,15 +111,16 @@
         return stop === undefined || isServableBeforeStop(stop.times, nowMs - stop.signalledAtMs, timeoutAtMs - nowMs);
     };
 
-    const chargeQuota = (admitted: AdmittedRequest, head: CallerRequestHead): { amount: number } | Failure => {
+    const chargeQuota = (admitted: AdmittedRequest, head: CallerRequestHead): QuotaCharge | Failure => {
         const { account } = admitted;
+        const atMs = clock.readMonotonicMs();
         if (account === undefined) {
-            return { amount: 0 };
+            return { amount: 0, atMs };
         }
         const tokens = (head.promptTokens ?? 0) + (head.outputTokensMax ?? 0);
         const amount = account.countsTokens ? tokens || account.defaultTokens : 1;
-        return quotas.charge(account, amount, components.news.readUsage(), clock.readMonotonicMs())
-            ? { amount }
+        return quotas.charge(account, amount, components.news.readUsage(), atMs)
+            ? { amount, atMs }
             : createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", {
                   retryAfterMs: QUOTA_RETRY_AFTER_MS,
               });
@@ -191,11 +198,11 @@
             sendFailureAnswer(open, charged);
             return;
         }
-        await forwardAdmitted(open, exchange, charged.amount);
+        await forwardAdmitted(open, exchange, charged);
         requestMemory.release();
     };
 
-    const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, amount: number) => {
+    const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, charged: QuotaCharge) => {
         const { response, service } = exchange;
         metrics.recordOverhead(clock.readMonotonicMs() - exchange.receivedAtMs);
         open.phase = RequestPhase.Forwarded;
@@ -228,7 +235,7 @@
             return;
         }
         if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
-            quotas.refund(exchange.account, amount, clock.readMonotonicMs());
+            quotas.refund(exchange.account, charged.amount, charged.atMs);
         }
         sendFailureAnswer(open, end.failure);
     };
