Let waiting requests start while the endpoints have room

Cause: a node that runs more than its seats kept its queue, and put arrivals behind it, although the endpoints were no longer nearly full, for example without state reports and with all callers at one node. Change: seats count only while the endpoints are nearly full, for waiting requests as for arriving ones. Conclusion: a queue ends when its cause does.

--- a/src/decisions/gateway/admission/createServiceQueue.test.ts
+++ b/src/decisions/gateway/admission/createServiceQueue.test.ts
@@ -45,6 +45,16 @@
     });
 });
 
+// Guards against: a node that has more requests than its seats keeps its queue although the endpoints have room again.
+describe("waiting requests", () => {
+    it("start beyond the seats of the node once the endpoints are no longer nearly full", () => {
+        const queue = makeQueue();
+        queue.decideArrival(makeRequest(), FULL, 0);
+        assert.equal(queue.takeNext({ ...FULL, running: 5 }, 0), undefined);
+        assert.notEqual(queue.takeNext(LIGHT, 0), undefined);
+    });
+});
+
 // Guards against: less urgent requests first, an account with many requests before one with few.
 describe("the order of the queue", () => {
     it("is by rank, then by account, then by slack", () => {
--- a/src/decisions/gateway/admission/createServiceQueue.ts
+++ b/src/decisions/gateway/admission/createServiceQueue.ts
@@ -134,9 +134,10 @@
     const compareSlack = (left: WaitingEntry, right: WaitingEntry) =>
         estimate.computeLatestStartMs(left.request) - estimate.computeLatestStartMs(right.request);
 
-    const canStart = ({ running, seats, free }: NodeSeats) =>
+    const canStart = ({ isNearFull, running, seats, free }: NodeSeats) =>
+        // While the endpoints have room, seats don't count: a node that has most of the callers may run more than its share.
         // The last part of a seat counts as a whole one only while a slot is free.
-        running + 1 <= seats || (running < seats && free >= 1);
+        !isNearFull || running + 1 <= seats || (running < seats && free >= 1);
     /** Finds the waiting request that is first in the order. */
     const findFirst = (): WaitingEntry | undefined => {
         const first = Math.min(...[...entries].map(({ request }) => request.rank));
@@ -155,8 +156,7 @@
 
     return {
         decideArrival: (request, seats, nowMs) => {
-            const isFree = !seats.isNearFull || canStart(seats);
-            if (entries.size === 0 && isFree) {
+            if (entries.size === 0 && canStart(seats)) {
                 estimate.recordArrival(request.rank, nowMs);
                 estimate.recordStart(request.rank, nowMs);
                 chargeFlow(request);
