Admit and queue requests at a gateway node

Cause: while endpoints are full, a node sends to the best estimate or refuses, whatever is urgent and whoever floods. The decision in src/decisions/gateway/admission was not used. Change: the forwarder asks createServiceAdmission for a seat before the first attempt. It is on for services whose endpoints report a pace and acts while they are nearly full; others get a seat at once, without a look at the endpoints. A wait ends with the request sent, or refused as not run: late, displaced, the caller gone, its time over, its key removed, or the node about to stop. An error in it lets all requests go on. Endpoints of other regions, whose activity isn't reported one by one, are estimated from what all nodes do for the service. Counters, a histogram, gauges, a line a second and a part of the dump show it. Conclusion: the component is in the gateway; its behaviour under load with real nodes isn't measured.

--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -30,6 +30,7 @@
 import { createGatewayMetrics } from "../process/createGatewayMetrics";
 import { createPartQuarantine } from "../quarantine/createPartQuarantine";
 import { createRollouts } from "../rollouts/createRollouts";
+import { createServiceAdmission } from "../forwarding/createServiceAdmission";
 import { createServiceSpeeds } from "../forwarding/createServiceSpeeds";
 import { drainGateway } from "../process/drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
@@ -161,7 +162,7 @@
         metrics,
         log,
     });
-    const sound: GatewayComponents = {
+    const parts: Omit<GatewayComponents, "admission"> = {
         settings,
         clock,
         random: createRandom(1),
@@ -207,7 +208,9 @@
             log,
         }),
     };
-    const components: GatewayComponents = { ...sound, ...options.replace?.(sound) };
+    const replacement = options.replace?.({ ...parts, admission: createServiceAdmission(parts) });
+    const replaced = { ...parts, ...replacement };
+    const components: GatewayComponents = { ...replaced, admission: createServiceAdmission(replaced), ...replacement };
     const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
     const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
     let current: GatewayConfiguration = {
--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -30,7 +30,7 @@
 import { CONNECTIONS_LIMITED, createLimitReport, REQUESTS_LIMITED } from "./createLimitReport";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
-import { LATE_NODE_FAILURE, NODE_FAILURE } from "../forwarding/forwardingOutcome";
+import { LATE_NODE_FAILURE, NODE_FAILURE, SHUTTING_DOWN_FAILURE } from "../forwarding/forwardingOutcome";
 import type { GatewayComponents } from "../gatewayComponents";
 import { logSuccess } from "./logSuccess";
 import { readHead } from "./readHead";
@@ -49,11 +49,6 @@
 
 /** Failures after which the caller should come back by another connection, which may lead to another node. */
 const CLOSING_FAILURES: ReadonlySet<FailureKind> = new Set([FailureKind.StoreUnavailable, FailureKind.ShuttingDown]);
-/** Short: by the time that a node refuses requests since it stops, new connections lead to other nodes. */
-const SHUTTING_DOWN_RETRY_MS = 20;
-const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
-    retryAfterMs: SHUTTING_DOWN_RETRY_MS,
-});
 const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
 /** The HTTP listener for callers. */
@@ -66,7 +61,7 @@
     countLimitActions(): Readonly<Record<LimitAction, number>>;
     /** What was done because callers sent requests ahead or read no responses. */
     readonly requestLimits: RequestLimitCounter;
-    /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
+    /** Starts to close each connection after its next answer, and to refuse what waits or can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
     /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
     endRequests(): void;
@@ -351,6 +346,7 @@
                 .list()
                 .filter(({ response }) => !response.headersSent)
                 .forEach(({ response }) => response.setHeader("connection", "close"));
+            components.admission.beginStop();
         },
         endRequests: () => {
             openRequests
--- a/src/gateway/createGatewayParts.ts
+++ b/src/gateway/createGatewayParts.ts
@@ -22,6 +22,7 @@
 import { createMembership, type Membership } from "./news/createMembership";
 import { createPartQuarantine } from "./quarantine/createPartQuarantine";
 import { createRollouts } from "./rollouts/createRollouts";
+import { createServiceAdmission } from "./forwarding/createServiceAdmission";
 import { createServiceSpeeds } from "./forwarding/createServiceSpeeds";
 import { createUsageMeter } from "./duties/createUsageMeter";
 import type { GatewayComponents } from "./gatewayComponents";
@@ -163,6 +164,20 @@
         log,
         reportFailure,
     });
+    const admission = createServiceAdmission({
+        settings,
+        configuration,
+        directory,
+        evacuations,
+        limits,
+        coldEndpoints,
+        news,
+        random,
+        metrics,
+        clock,
+        log,
+        reportFailure,
+    });
     const components: GatewayComponents = {
         settings,
         clock,
@@ -181,6 +196,7 @@
         limits,
         evacuations,
         coldEndpoints,
+        admission,
         memory,
         reportFailure,
     };
--- a/src/gateway/forwarding/createCandidatePicker.ts
+++ b/src/gateway/forwarding/createCandidatePicker.ts
@@ -6,6 +6,7 @@
 import { filterServable } from "../../decisions/gateway/filterServable";
 import { buildEndpointView, type EndpointRecord } from "../endpoints/endpointRecord";
 import type { GatewayComponents } from "../gatewayComponents";
+import { computeTakeWaitMs } from "./computeTakeWaitMs";
 import type { SpilloverControl } from "./createSpillover";
 import type { ForwardingState } from "./forwardingState";
 
@@ -47,14 +48,6 @@
 ): CandidatePicker {
     const { clock, directory, speeds, settings } = components;
 
-    /** Computes the time until an endpoint takes a request, by what it has said in its answers. */
-    const computeWaitMs = (record: EndpointRecord, nowMs: number): number =>
-        Math.max(
-            0,
-            record.refusedUntilMs - nowMs,
-            components.limits.computeWaitMs(record),
-            components.coldEndpoints.computeWaitMs(record),
-        );
     /** Lists the endpoints that take this request now, and gives the least time until one does. */
     const listOpen = (state: ForwardingState, nowMs: number) => {
         const { exchange, triedEndpoints } = state;
@@ -64,7 +57,7 @@
         const rules = { homeRegions: exchange.homeRegions, evacuated, regions: settings.regions };
         const placeable = filterPlaceable(usable, rules);
         const untried = placeable.filter(record => !triedEndpoints.has(record.endpoint.id));
-        const waitsMs = new Map(untried.map(record => [record, computeWaitMs(record, nowMs)]));
+        const waitsMs = new Map(untried.map(record => [record, computeTakeWaitMs(components, record, nowMs)]));
         const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
         const open = rollouts.filterEligible(
             exchange.service,
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -104,6 +104,7 @@
         const handleFirstPart = () => {
             const nowMs = clock.readMonotonicMs();
             firstPartAtMs = nowMs;
+            state.seat?.recordFirstPart();
             followed.recordFirstPart();
             releasePending();
             const pace = readPaceSince(record, sentAtMs) ?? view.pace;
@@ -158,6 +159,7 @@
             handleAnswerHead: answer => {
                 applyAnswerHead(record, answer, clock.readMonotonicMs());
                 components.limits.recordAnswer(record, answer, sentAtMs);
+                state.seat?.recordAnswer(answer);
             },
             handleFirstPart,
             reportFailure: components.reportFailure,
@@ -212,6 +214,7 @@
         ended,
         relay: createStreamRelay(exchange.response),
         triedEndpoints: new Set(),
+        seat: undefined,
         executions: 0,
         sends: 0,
         isSending: false,
@@ -261,11 +264,27 @@
             }
         }
     };
+    /** Forwards a request once there is room for it at the endpoints. */
+    const forwardWithSeat = async (state: ForwardingState): Promise<ForwardingOutcome> => {
+        const room = await components.admission.waitForRoom(state.exchange, state.ended);
+        if ("failure" in room) {
+            return { isRelayed: false, failure: room.failure };
+        }
+        state.seat = room.seat;
+        let isRelayed = false;
+        try {
+            const outcome = await forwardByAttempts(state);
+            ({ isRelayed } = outcome);
+            return outcome;
+        } finally {
+            room.seat.finish({ wasSent: state.sends > 0, isRelayed });
+        }
+    };
     return {
         forwardRequest: async (exchange, ended) => {
             const state = createState(exchange, ended);
             try {
-                return await forwardByAttempts(state);
+                return await forwardWithSeat(state);
             } catch (error) {
                 components.reportFailure(FailureOwner.Request, error, { requestId: exchange.head.requestId });
                 return describeNodeFailure(state.relay, state.isSending || state.executions > 0);
--- a/src/gateway/forwarding/forwardingOutcome.ts
+++ b/src/gateway/forwarding/forwardingOutcome.ts
@@ -35,6 +35,13 @@
     { execution: Execution.Unknown },
 );
 
+/** Short: by the time that a node refuses requests since it stops, new connections lead to other nodes. */
+const SHUTTING_DOWN_RETRY_MS = 20;
+/** The failure of a request that is refused since the node stops. */
+export const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
+    retryAfterMs: SHUTTING_DOWN_RETRY_MS,
+});
+
 /** The failure of a request that no endpoint took. */
 export const NO_ENDPOINT_FAILURE = createNoEndpointFailure(RETRY_AFTER_MS);
 
--- a/src/gateway/forwarding/forwardingState.ts
+++ b/src/gateway/forwarding/forwardingState.ts
@@ -4,6 +4,7 @@
 import type { PlacementRequest } from "../../decisions/gateway/chooseEndpoint";
 import type { StreamRelay } from "./createStreamRelay";
 import type { GatewayExchange } from "../callers/exchange";
+import type { Seat } from "./serviceAdmission";
 import type { AttemptResult } from "./sendAttempt";
 
 /** How an attempt ended, with what else is known at its end about the answer and the endpoint. */
@@ -28,6 +29,8 @@
     readonly ended: AbortSignal;
     /** Ids of the endpoints that an attempt was made at. */
     readonly triedEndpoints: Set<string>;
+    /** The permission to run at the endpoints of its service; absent before it was given. */
+    seat: Seat | undefined;
     /** Attempts that may have been executed. */
     executions: number;
     /** All attempts. */
--- a/src/gateway/gatewayComponents.ts
+++ b/src/gateway/gatewayComponents.ts
@@ -15,6 +15,7 @@
 import type { GatewayMetrics } from "./process/createGatewayMetrics";
 import type { PartQuarantine } from "./quarantine/createPartQuarantine";
 import type { Rollouts } from "./rollouts/rollouts";
+import type { ServiceAdmission } from "./forwarding/serviceAdmission";
 import type { ServiceSpeeds } from "./forwarding/createServiceSpeeds";
 import type { UsageMeter } from "./duties/createUsageMeter";
 import type { FailureReporter } from "./process/createFailureReporter";
@@ -40,6 +41,7 @@
     readonly limits: EndpointLimits;
     readonly evacuations: Evacuations;
     readonly coldEndpoints: ColdEndpoints;
+    readonly admission: ServiceAdmission;
     readonly memory: BodyMemory;
     readonly reportFailure: FailureReporter;
 }
--- a/src/gateway/process/createFailureReporter.ts
+++ b/src/gateway/process/createFailureReporter.ts
@@ -11,6 +11,8 @@
     Request = "request",
     /** An attempt at an endpoint; it ends as if the endpoint had broken it. */
     Attempt = "attempt",
+    /** The admission of requests to a service; they go on as without it. */
+    Admission = "admission",
     /** A row of a watched table; it is skipped. */
     Row = "row",
     /** An answer of a watched table; it is asked for again. */
--- a/src/gateway/process/createGatewayMetrics.ts
+++ b/src/gateway/process/createGatewayMetrics.ts
@@ -43,6 +43,12 @@
     countPromptRefusal(verdict: string): void;
     /** Counts a request that is refused because its place or state bars each endpoint, by the reason. */
     countPlacementRefusal(service: string, reason: string): void;
+    /** Counts a decision about a request whose service has nearly full endpoints. */
+    countAdmission(service: string, decision: string): void;
+    /** Records how long a request waited for room at the endpoints before it started. */
+    recordAdmissionWait(service: string, milliseconds: number): void;
+    /** Sets the waiting requests of a service. */
+    setAdmissionQueue(service: string, queue: { readonly waiting: number; readonly waitingBytes: number }): void;
     /** Counts an attempt at a cold endpoint of a service that states a rate for them. */
     countColdAttempt(service: string): void;
     /** Sets whether a failure domain is evacuated. */
@@ -142,6 +148,25 @@
         labelNames: ["service", "reason"],
         registers,
     });
+    const admissions = new Counter({
+        name: "redwinglift_admission_decisions_total",
+        help: "Decisions about requests of services whose endpoints were nearly full.",
+        labelNames: ["service", "decision"],
+        registers,
+    });
+    const admissionWait = new Histogram({
+        name: "redwinglift_admission_wait_milliseconds",
+        help: "Time for which requests waited for room at the endpoints before they started.",
+        labelNames: ["service"],
+        buckets: LATENCY_BUCKETS_MS,
+        registers,
+    });
+    const admissionQueue = new Gauge({
+        name: "redwinglift_admission_waiting",
+        help: "Requests that wait for room at the endpoints, and the bytes that they hold.",
+        labelNames: ["service", "of"],
+        registers,
+    });
     const coldAttempts = new Counter({
         name: "redwinglift_cold_attempts_total",
         help: "Attempts at cold endpoints of services that state a rate for them.",
@@ -266,6 +291,12 @@
             connectionEnds.inc({ service, connection, answer: hasAnswerBegun ? "begun" : "waiting" }),
         countPromptRefusal: verdict => promptRefusals.inc({ verdict }),
         countPlacementRefusal: (service, reason) => placementRefusals.inc({ service, reason }),
+        countAdmission: (service, decision) => admissions.inc({ service, decision }),
+        recordAdmissionWait: (service, milliseconds) => admissionWait.observe({ service }, milliseconds),
+        setAdmissionQueue: (service, { waiting, waitingBytes }) => {
+            admissionQueue.set({ service, of: "requests" }, waiting);
+            admissionQueue.set({ service, of: "bytes" }, waitingBytes);
+        },
         countColdAttempt: service => coldAttempts.inc({ service }),
         setEvacuated: (domain, isEvacuated) => evacuated.set({ failure_domain: domain }, isEvacuated ? 1 : 0),
         setPromptParts: ({ suspected, quarantined }) => {
--- a/src/gateway/process/dumpOnSignal.ts
+++ b/src/gateway/process/dumpOnSignal.ts
@@ -36,6 +36,7 @@
         limits,
         evacuations,
         coldEndpoints,
+        admission,
         reportFailure,
     } = components;
     const dependencies = {
@@ -50,6 +51,7 @@
             limits,
             evacuations,
             coldEndpoints,
+            admission,
             listeners,
         ],
     };
