Check keys and home regions after a wait on every way to a seat

Cause: waiting requests that started without the queue's order, after an error or without endpoints, were sent though their key had been revoked meanwhile. Home regions that a route got during the wait didn't bind. A failing counter could end a request. Change: the configuration is asked again after each wait, and its answer binds; reports of decisions never throw. Conclusion: a wait doesn't lengthen the time in which a revoked key works.

--- a/src/gateway/forwarding/createServiceAdmission.test.ts
+++ b/src/gateway/forwarding/createServiceAdmission.test.ts
@@ -198,6 +198,19 @@
         assert.equal(reached.length, SEATS);
     });
 
+    // Guards against: a request is executed outside the home regions that its route got while it waited.
+    it("is refused if its home regions changed while it waited", async () => {
+        const { harness, occupy, answer, reached } = await start(ROUTE, IDLE_LOAD);
+        await occupy(SEATS);
+        const waiting = await sendWaiting();
+        harness.apply({ routes: [{ ...ROUTE, homeRegions: ["elsewhere"] }] });
+        answer(1);
+        const { status, body } = await waiting.answer;
+        assert.equal(status, HttpStatus.ServiceUnavailable);
+        assert.match(body, /"not_run"/);
+        assert.equal(reached.length, SEATS);
+    });
+
     // Guards against: waiting bodies that take the node's memory.
     it("is refused if the waiting ones hold as many bytes as they may", async () => {
         const { occupy } = await start(ROUTE, IDLE_LOAD, { memoryBytesMax: 40_000 });
@@ -254,6 +267,16 @@
         await assertCounted();
     });
 
+    it("a waiting one isn't sent if its key was removed", async () => {
+        const { harness, occupy, breakNews, reached } = await startBroken();
+        await occupy(SEATS);
+        const waiting = await sendWaiting();
+        harness.apply({ accounts: [] });
+        breakNews();
+        assert.equal((await waiting.answer).status, FAILURE_STATUS[FailureKind.Unauthenticated]);
+        assert.equal(reached.length, SEATS);
+    });
+
     it("the waiting ones are sent", async () => {
         const { occupy, breakNews, reached, answer } = await startBroken();
         await occupy(SEATS);
--- a/src/gateway/forwarding/createServiceAdmission.ts
+++ b/src/gateway/forwarding/createServiceAdmission.ts
@@ -12,6 +12,7 @@
     WaitingEntry,
 } from "../../decisions/gateway/admission/serviceQueue";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import { resolveHomeRegions } from "../../decisions/gateway/resolveHomeRegions";
 import { RouteKind } from "../../model/gateway";
 import { createHeadAdmission } from "../callers/createHeadAdmission";
 import type { GatewayExchange } from "../callers/exchange";
@@ -50,6 +51,7 @@
     readonly service: string;
     readonly seats: ServiceSeats;
     readonly waiters: Map<WaitingEntry, Waiter>;
+    /** Counts a decision; never throws. */
     readonly reportDecision: (decision: AdmissionDecision) => void;
     queue: ServiceQueue;
     /** Requests with a seat. */
@@ -85,11 +87,18 @@
         if (known !== undefined) {
             return known;
         }
+        const report = createAdmissionReport(options, service, () => readQueueState(state));
         const state: ServiceState = {
             service,
             seats: createServiceSeats(options, service),
             waiters: new Map(),
-            reportDecision: createAdmissionReport(options, service, () => readQueueState(state)),
+            reportDecision: decision => {
+                try {
+                    report(decision);
+                } catch (error) {
+                    reportFailure(FailureOwner.Admission, error, { service });
+                }
+            },
             queue: createQueue(),
             held: 0,
             usualCost: undefined,
@@ -153,13 +162,6 @@
         if (waiter === undefined) {
             return;
         }
-        // While it waited, its key may have been revoked, or the confirmation of the keys may have become too old.
-        const admitted = admitHead(waiter.exchange.request, waiter.exchange.head);
-        if ("kind" in admitted) {
-            waiter.settle({ failure: admitted });
-            state.reportDecision(AdmissionDecision.Revoked);
-            return;
-        }
         waiter.settle({ seat: openSeat(state, waiter.exchange) });
         state.reportDecision(AdmissionDecision.StartedLater);
         metrics.recordAdmissionWait(state.service, clock.readMonotonicMs() - entry.queuedAtMs);
@@ -219,6 +221,31 @@
             }
             timer ??= setInterval(sweep, SWEEP_PERIOD_MS).unref();
         });
+    /** Checks a request after its wait: its key may have been revoked, or the home regions may have changed. */
+    const admitAgain = (state: ServiceState, exchange: GatewayExchange, decision: RoomDecision): RoomDecision => {
+        if ("failure" in decision) {
+            return decision;
+        }
+        let isAdmitted = false;
+        try {
+            const failure = findRefusal(exchange);
+            isAdmitted = failure === undefined;
+            return failure === undefined ? decision : { failure };
+        } finally {
+            if (!isAdmitted) {
+                decision.seat.finish({ wasSent: false, isRelayed: false });
+                state.reportDecision(AdmissionDecision.Revoked);
+            }
+        }
+    };
+    const findRefusal = ({ request, head, homeRegions }: GatewayExchange): Failure | undefined => {
+        const admitted = admitHead(request, head);
+        if ("kind" in admitted) {
+            return admitted;
+        }
+        const regions = resolveHomeRegions(admitted.route.homeRegions, admitted.account?.homeRegions);
+        return regions?.join("\n") === homeRegions?.join("\n") ? undefined : NO_ENDPOINT_FAILURE;
+    };
     const readCost = (state: ServiceState, exchange: GatewayExchange): number => {
         const stated = computeStatedCost(exchange);
         if (stated !== undefined) {
@@ -271,8 +298,9 @@
             })),
         waitForRoom: async (exchange, ended) => {
             const state = ensureState(exchange.service);
+            let decision: RoomDecision | Promise<RoomDecision>;
             try {
-                return await decide(state, exchange, ended);
+                decision = decide(state, exchange, ended);
             } catch (error) {
                 reportFailure(FailureOwner.Admission, error, {
                     service: state.service,
@@ -282,6 +310,7 @@
                 startAll(state);
                 return { seat: openSeat(state, exchange) };
             }
+            return decision instanceof Promise ? admitAgain(state, exchange, await decision) : decision;
         },
         readArrivals: () =>
             Object.fromEntries(
--- a/src/gateway/forwarding/serviceAdmission.ts
+++ b/src/gateway/forwarding/serviceAdmission.ts
@@ -22,7 +22,7 @@
     TimedOut: "timed_out",
     /** The node began to stop. */
     Stopped: "stopped",
-    /** After its wait the configuration no longer admitted it. */
+    /** After its wait the configuration no longer admitted it, or only elsewhere. */
     Revoked: "revoked",
 } as const;
 /** One of these decisions. */
@@ -53,7 +53,7 @@
 export interface ServiceAdmission extends DumpSource {
     /**
      * Waits until a request may be sent to an endpoint. Resolves at once, with a seat, while the endpoints of its service
-     * aren't nearly full or report no pace, and after an error in the admission; never rejects. `ended` ends the wait.
+     * aren't nearly full or report no pace, and after an error in the admission. `ended` ends the wait.
      */
     waitForRoom(exchange: GatewayExchange, ended: AbortSignal): Promise<RoomDecision>;
     /** Gives the recent arrivals in ten seconds, by service, where endpoints report a pace. */
