--- a/src/decisions/gateway/accountQuotas.test.ts
+++ b/src/decisions/gateway/accountQuotas.test.ts
@@ -89,3 +89,16 @@
         assert.equal(refused, 0);
     });
 });
+
+// Guards against: a request that waited and was refused takes its refund out of the window later than its charge.
+describe("the refund of a request that waited", () => {
+    it("doesn't raise the quota when the charge has left the window", () => {
+        const quotas = createAccountQuotas(POLICY, undefined, createRandom(1));
+        const fleet = makeFleetUsage();
+        assert.ok(quotas.charge(ACCOUNT, 900, fleet, 1_000));
+        assert.ok(!quotas.charge(ACCOUNT, 900, fleet, 1_500));
+        quotas.refund(ACCOUNT.name, 900, 1_000);
+        assert.ok(quotas.charge(ACCOUNT, 900, fleet, 2_300));
+        assert.ok(!quotas.charge(ACCOUNT, 400, fleet, 9_500));
+    });
+});
--- a/src/decisions/gateway/slidingWindowCounter.ts
+++ b/src/decisions/gateway/slidingWindowCounter.ts
@@ -9,7 +9,8 @@
  * may be above it by up to one bucket.
  */
 export interface SlidingWindowCounter {
-    add(amount: number, nowMs: number): void;
+    /** Adds an amount at a time; one before the last call's counts at that time, or not at all if it has left the window. */
+    add(amount: number, atMs: number): void;
     sum(nowMs: number): number;
     /** Creates a counter with the same sums, which changes by itself from then on. */
     createCopy(): SlidingWindowCounter;
@@ -54,10 +55,13 @@
         }
     };
     return {
-        add: (amount, nowMs) => {
-            advance(nowMs);
-            amounts[state.newest % BUCKET_COUNT] = (amounts[state.newest % BUCKET_COUNT] ?? 0) + amount;
-            state.total += amount;
+        add: (amount, atMs) => {
+            advance(atMs);
+            const bucket = Math.floor(atMs / bucketMs);
+            if (state.newest - bucket < BUCKET_COUNT) {
+                amounts[bucket % BUCKET_COUNT] = (amounts[bucket % BUCKET_COUNT] ?? 0) + amount;
+                state.total += amount;
+            }
         },
         sum: nowMs => {
             advance(nowMs);
--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -67,7 +67,7 @@
     countLimitActions(): Readonly<Record<LimitAction, number>>;
     /** What was done because callers sent requests ahead or read no responses. */
     readonly requestLimits: RequestLimitCounter;
-    /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
+    /** Starts to close each connection after its next answer, and to refuse what waits or can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
     /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
     endRequests(): void;
@@ -77,6 +77,12 @@
     closeIdle(): void;
 }
 
+/** What was charged to the quota of an account for a request, and when, in monotonic time. */
+interface QuotaCharge {
+    readonly amount: number;
+    readonly atMs: number;
+}
+
 /** Dependencies of the listener. */
 export interface GatewayListenerOptions {
     readonly components: GatewayComponents;
@@ -106,14 +112,15 @@
         return stop === undefined || isServableBeforeStop(stop.times, nowMs - stop.signalledAtMs, timeoutAtMs - nowMs);
     };
 
-    const chargeQuota = (admitted: AdmittedRequest, head: CallerRequestHead): { amount: number } | Failure => {
+    const chargeQuota = (admitted: AdmittedRequest, head: CallerRequestHead): QuotaCharge | Failure => {
         const { account } = admitted;
+        const atMs = clock.readMonotonicMs();
         if (account === undefined) {
-            return { amount: 0 };
+            return { amount: 0, atMs };
         }
         const amount = computeQuotaAmount(account, head);
-        return quotas.charge(account, amount, components.news.readUsage(), clock.readMonotonicMs())
-            ? { amount }
+        return quotas.charge(account, amount, components.news.readUsage(), atMs)
+            ? { amount, atMs }
             : createQuotaFailure(account, amount);
     };
 
@@ -189,11 +196,11 @@
             sendFailureAnswer(open, charged);
             return;
         }
-        await forwardAdmitted(open, exchange, charged.amount);
+        await forwardAdmitted(open, exchange, charged);
         requestMemory.release();
     };
 
-    const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, amount: number) => {
+    const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, charged: QuotaCharge) => {
         const { response, service } = exchange;
         metrics.recordOverhead(clock.readMonotonicMs() - exchange.receivedAtMs);
         open.phase = RequestPhase.Forwarded;
@@ -226,7 +233,7 @@
             return;
         }
         if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
-            quotas.refund(exchange.account, amount, clock.readMonotonicMs());
+            quotas.refund(exchange.account, charged.amount, charged.atMs);
         }
         sendFailureAnswer(open, end.failure);
     };
@@ -343,6 +350,7 @@
                 .list()
                 .filter(({ response }) => !response.headersSent)
                 .forEach(({ response }) => response.setHeader("connection", "close"));
+            components.admission.beginStop();
         },
         endRequests: () => {
             openRequests
--- a/src/gateway/forwarding/createCandidatePicker.ts
+++ b/src/gateway/forwarding/createCandidatePicker.ts
@@ -11,6 +11,7 @@
 import { filterServable } from "../../decisions/gateway/filterServable";
 import { buildEndpointView, type EndpointRecord } from "../endpoints/endpointRecord";
 import type { GatewayComponents } from "../gatewayComponents";
+import { computeTakeWaitMs } from "./computeTakeWaitMs";
 import type { SpilloverControl } from "./createSpillover";
 import type { GatewayExchange } from "../callers/exchange";
 import type { ForwardingState } from "./forwardingState";
@@ -88,14 +89,6 @@
 ): CandidatePicker {
     const { clock, directory, speeds, settings } = components;
 
-    /** Computes the time until an endpoint takes a request, by what it has said in its answers. */
-    const computeWaitMs = (record: EndpointRecord, nowMs: number): number =>
-        Math.max(
-            0,
-            record.refusedUntilMs - nowMs,
-            components.limits.computeWaitMs(record),
-            components.coldEndpoints.computeWaitMs(record),
-        );
     /** Lists the endpoints that take this request now, and gives the least time until one does. */
     const listOpen = (state: PickState, nowMs: number, trace?: PickTrace) => {
         const { exchange, triedEndpoints } = state;
@@ -108,7 +101,7 @@
         trace?.recordStage(PickStage.Model, usable);
         trace?.recordStage(PickStage.Placement, placeable);
         trace?.recordStage(PickStage.Tried, untried);
-        const waitsMs = new Map(untried.map(record => [record, computeWaitMs(record, nowMs)]));
+        const waitsMs = new Map(untried.map(record => [record, computeTakeWaitMs(components, record, nowMs)]));
         const isFirst = state.sends === 0 && !state.isCareful && state.relay.readLastEventId() === undefined;
         const taking = untried.filter(record => waitsMs.get(record) === 0);
         const open = rollouts.filterEligible(exchange.service, taking, isFirst);
