--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -211,8 +211,11 @@
 /** An account is paced while it asks for more than this multiple of its recent usage, and some requests in addition. */
 const OVER_ASKED_RATIO = 1.1;
 const OVER_ASKED_REQUESTS = 2;
-/** Highest rate of a paced account, as a multiple of the steady one; so the burst at its begin isn't repeated in full. */
-const PACED_RATE_MAX = 1.5;
+/**
+ * Highest rate of a paced account, as a multiple of the steady one. What is granted above the steady rate is missing
+ * until it leaves the window.
+ */
+const PACED_RATE_MAX = 1.1;
 /** Highest rate at which usage is taken to leave the window, as a multiple of the steady one; its time isn't exact. */
 const LEAVING_RATE_MAX = 1.25;
 /** The history's rates count as much more as the usage exceeds them, up to this; samples may be missing. */
