Tell growth from the time that any node has counted

Cause: since a node that has just restarted compares what it is asked for with its own short time only, so a flood that begins there counts as usual demand.

Change: the time that the longest-running node of the group has counted takes the place of the node's own.

Result: the new test failed before (996 of 980) and passes.

--- a/src/decisions/gateway/accountQuotas.test.ts
+++ b/src/decisions/gateway/accountQuotas.test.ts
@@ -59,6 +59,14 @@
         "requests of very different sizes": { ...SEVEN, requestSizes: MIXED_SIZES },
         "demand that moves to other nodes": { ...SEVEN, senders: 3, moveMs: 14_000 },
         "demand that moves between a few of 30 nodes": { ...THIRTY, senders: 5, moveMs: 14_000 },
+        // Also guards against nodes that take a flood for usual since they know no earlier requests.
+        "demand that moves to nodes which have just restarted": {
+            ...THIRTY,
+            senders: 15,
+            moveMs: 14_000,
+            killed: Array.from({ length: 15 }, (_unused, index) => 15 + index),
+            killMs: 12_900,
+        },
     };
     for (const [name, simulation] of Object.entries(held)) {
         it(`is never exceeded with ${name}`, () => {
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -113,7 +113,9 @@
             estimateLeavingRate(sums, state.history, (state.requestSize * windowMs) / limit, { windowMs, nowMs }),
             (LEAVING_RATE_MAX * ownTarget) / windowMs,
         );
-        const knownMs = Math.min(windowMs, computeUptimeMs(nowMs));
+        // Not the time since the start of this process: demand may move to a node that has just restarted, which knows no
+        // earlier requests and would take it for usual.
+        const knownMs = Math.min(windowMs, countsForMs);
         const growth = estimateGrowth(sums, state, { amount, reachable: fleet.reachable, knownMs, nowMs });
         const isOverAsked = sums.asked > OVER_ASKED_RATIO * sums.recent + OVER_ASKED_REQUESTS * amount;
         const unreported = estimateUnreported(sums, state, { growth, isOverAsked, nowMs });
@@ -292,7 +294,7 @@
     readonly amount: number;
     /** Nodes whose usage is reported. */
     readonly reachable: number;
-    /** Time since the start of this process, up to the quota window: for so long it knows what it was asked for. */
+    /** For how long a node of the group has known what it was asked for, up to the quota window. */
     readonly knownMs: number;
     readonly nowMs: number;
 }
