Tell a slow reader over TLS from one that reads nothing

Cause: the handle of TLS counts a write as left until all of it is sent, so that a caller who reads a large response for longer than the time is still closed at listeners with TLS (seen: 8,400,596 bytes left for 1.5 s while 5 MB were read). Also progress was one number, finished bytes less those left, which stays the same if the write in progress grows by what was finished in between.

Change: the handle of the connection under TLS is asked, and both numbers are compared.

--- a/src/http/installRequestLimits.test.ts
+++ b/src/http/installRequestLimits.test.ts
@@ -1,13 +1,17 @@
 import assert from "node:assert/strict";
 import http, { type ServerResponse } from "node:http";
+import https from "node:https";
 import net, { type AddressInfo, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
+import tls from "node:tls";
+import { generate } from "selfsigned";
 import { installRequestLimits, RequestLimitAction, type RequestLimitCounter } from "./installRequestLimits";
 
 const OPEN_REQUESTS_MAX = 3;
 const READ_AHEAD_BYTES_MAX = 1_048_576;
 const UNREAD_BYTES_MAX = 16 * 1_048_576;
 const UNREAD_TIMEOUT_MS = 300;
+const LARGE_BYTES = 8 * 1_048_576;
 const REQUESTS = 5_000;
 const GET = "GET /a HTTP/1.1\r\nHost: node\r\n\r\n";
 const POST = "POST /a HTTP/1.1\r\nHost: node\r\nContent-Length: 5\r\n\r\nhello";
@@ -174,8 +178,6 @@
         assert.match(received, /last$/);
     });
 
-    const LARGE_BYTES = 8 * 1_048_576;
-
     // Guards against: callers that read nothing hold all connections of a server, with too few bytes for the other limits.
     it("closes a connection whose caller reads nothing", async () => {
         handle = response => response.end(Buffer.alloc(LARGE_BYTES));
@@ -205,3 +207,38 @@
         });
     }
 });
+
+describe("a server over TLS with limits for requests that are sent ahead", () => {
+    // Guards against: the handle of TLS, which tells nothing of a write until it is sent whole, stands for the connection.
+    it("closes no connection whose caller reads slowly", async () => {
+        const identity = await generate([{ name: "commonName", value: "node" }]);
+        const body = Buffer.alloc(LARGE_BYTES);
+        const server = https.createServer({ key: identity.private, cert: identity.cert }, (_request, response) => {
+            response.end(body);
+        });
+        const limits = installRequestLimits(server, {
+            openRequestsMax: OPEN_REQUESTS_MAX,
+            readAheadBytesMax: READ_AHEAD_BYTES_MAX,
+            unreadBytesMax: 4 * LARGE_BYTES,
+            readUnreadTimeoutMs: () => 4 * UNREAD_TIMEOUT_MS,
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        const slow = tls.connect({ host: "127.0.0.1", port, rejectUnauthorized: false });
+        let received = 0;
+        let isClosed = false;
+        slow.on("error", () => undefined);
+        slow.once("close", () => (isClosed = true));
+        slow.on("data", (data: Buffer) => {
+            received += data.length;
+            slow.pause();
+            setTimeout(() => slow.resume(), 4);
+        });
+        slow.write(GET);
+        await waitUntil(() => isClosed || received > LARGE_BYTES);
+        slow.destroy();
+        server.close();
+        server.closeAllConnections();
+        assert.equal(limits.countActions()[RequestLimitAction.UnreadTimedOut], 0);
+    });
+});
--- a/src/http/installRequestLimits.ts
+++ b/src/http/installRequestLimits.ts
@@ -171,15 +171,11 @@
     closeConnection: (socket: Socket) => void,
 ): (hasUnread: boolean) => void {
     let timer: NodeJS.Timeout | undefined;
-    // The stream counts a write as sent once it is sent whole. How much of it is left, only the handle tells, as it does
-    // for Node's own timeouts of sockets.
-    const countUnsent = () =>
-        (socket as { _handle?: { writeQueueSize?: number } })._handle?.writeQueueSize ?? socket.writableLength;
-    const countSent = () => socket.bytesWritten - socket.writableLength - countUnsent();
     const beginWait = () => {
-        const sentBefore = countSent();
+        const before = readProgress(socket);
         timer = setTimeout(() => {
-            if (countSent() === sentBefore) {
+            const { finished, unsent } = readProgress(socket);
+            if (finished === before.finished && unsent === before.unsent) {
                 closeConnection(socket);
             } else {
                 beginWait();
@@ -195,3 +191,21 @@
         }
     };
 }
+
+/** The handle of a socket, as Node's own timeouts of sockets use it; that of TLS writes to that of the connection. */
+interface SocketHandle {
+    readonly writeQueueSize?: number;
+    readonly _parent?: SocketHandle;
+}
+
+/**
+ * Reads how far the writes of a connection have come. The stream counts a write as finished once it is sent whole, and
+ * only the handle of the connection tells what is left of one: that of TLS does not before the write is finished.
+ */
+function readProgress(socket: Socket): { readonly finished: number; readonly unsent: number } {
+    const { _handle: handle } = socket as { readonly _handle?: SocketHandle };
+    return {
+        finished: socket.bytesWritten - socket.writableLength,
+        unsent: (handle?._parent ?? handle)?.writeQueueSize ?? 0,
+    };
+}
