Explain all failure domains by one decision of spillover

Cause: the picker ran once for each failure domain, and each run asked spillover again. Spillover decides anew after 100 ms without a request, by the clock: with a decision between two runs the chances didn't add up to 1, or a failure domain that had gone was given without a name and with chance 1. Change: the later runs use the failure domains of the first.

--- a/src/gateway/explain/createPickExplainer.ts
+++ b/src/gateway/explain/createPickExplainer.ts
@@ -55,7 +55,8 @@
         random: { drawFraction: () => 0, drawInteger: low => low },
     };
 
-    const runPicker = (state: PickState, index: number) => {
+    /** Runs the picker for one of the failure domains; `known` are those of the first run. */
+    const runPicker = (state: PickState, index: number, known?: readonly DomainOutcome[]) => {
         let domains: readonly DomainOutcome[] = [];
         const stages = new Map<PickStage, ReadonlySet<EndpointRecord>>();
         let choice = explainChoice([], state.request, speeds.readSpeed(state.exchange.service));
@@ -67,7 +68,9 @@
         };
         const picker = createCandidatePicker(readers, {
             filterDomains: (service, objectiveMs, takers) => {
-                domains = spillover.explainDomains({ service, objectiveMs, takers, usable: listUsable(service) });
+                // Spillover may decide anew between two runs, and their chances would not fit together.
+                domains =
+                    known ?? spillover.explainDomains({ service, objectiveMs, takers, usable: listUsable(service) });
                 return domains[index]?.records ?? [];
             },
         });
@@ -79,11 +82,11 @@
             endpoints: new Map(choice.endpoints.map(endpoint => [endpoint.view.id, endpoint])),
             nothing: "waitMs" in picked ? picked : undefined,
         };
-        return { count: domains.length, outcome };
+        return { domains, outcome };
     };
     return state => {
         const first = runPicker(state, 0);
-        const others = Array.from({ length: Math.max(0, first.count - 1) }, (_unused, at) => runPicker(state, at + 1));
+        const others = first.domains.slice(1).map((_domain, at) => runPicker(state, at + 1, first.domains));
         return [first, ...others].map(({ outcome }) => outcome);
     };
 }
--- a/src/gateway/explain/explainDomains.test.ts
+++ b/src/gateway/explain/explainDomains.test.ts
@@ -3,14 +3,28 @@
 import { createManualClock } from "../../base/createManualClock";
 import { createRandom } from "../../base/createRandom";
 import type { GatewaySettings } from "../../model/gateway";
+import type { CallerRequestHead } from "../../ports/forwardingCodec";
+import { makeRoute } from "../../decisions/gateway/_testing/makeRoute";
+import { createGatewayHarness } from "../_testing/createGatewayHarness";
 import { makeEndpoint } from "../_testing/makeEndpoint";
 import { createEndpointRecord, recordLoad } from "../endpoints/endpointRecord";
 import { createServiceSpeeds } from "../forwarding/createServiceSpeeds";
 import { createSpillover, type SpilloverOptions } from "../forwarding/createSpillover";
+import { createPickExplainer } from "./createPickExplainer";
 
 const OBJECTIVE_MS = 100;
 const PERIOD_MS = 150;
 const DRAWS = 20_000;
+const EMPTY_HEAD: CallerRequestHead = {
+    requestId: undefined,
+    model: undefined,
+    deadlineMs: undefined,
+    promptTokens: undefined,
+    outputTokensMax: undefined,
+    promptParts: [],
+    key: undefined,
+    lastEventId: undefined,
+};
 
 /** Creates a spillover of a node in `near`, whose endpoint there is full while those of `far` and `remote` are idle. */
 function createSubject() {
@@ -99,4 +113,28 @@
             assert.ok(Math.abs((counts.get(domain ?? "") ?? 0) / DRAWS - chance) < 0.02, `${domain}: ${chance}`);
         }
     });
+
+    // Guards against: spillover decides anew while the endpoints are looked at, so that the chances don't add up to 1.
+    it("are those of one decision", async () => {
+        const harness = await createGatewayHarness(makeRoute(), []);
+        const domains = ["near", "far", "remote"];
+        const decisions = [domains, ["near"]].map(decided =>
+            decided.map(domain => ({ domain, chance: 1 / decided.length, records: [] })),
+        );
+        const explainDomains = () => decisions.shift() ?? [];
+        const explainPick = createPickExplainer(harness.components, { explainDomains });
+        const outcomes = explainPick({
+            exchange: { service: "chat", route: makeRoute(), head: EMPTY_HEAD, homeRegions: undefined },
+            request: { promptTokens: 0, promptParts: [] },
+            triedEndpoints: new Set(),
+            sends: 0,
+            isCareful: false,
+            relay: { readLastEventId: () => undefined },
+        });
+        harness.dispose();
+        assert.deepEqual(
+            outcomes.map(({ domain, chance }) => [domain, chance]),
+            domains.map(domain => [domain, 1 / 3]),
+        );
+    });
 });
