--- a/src/gateway/process/createMetricsListener.test.ts
+++ b/src/gateway/process/createMetricsListener.test.ts
@@ -4,6 +4,7 @@
 import { err, ok } from "neverthrow";
 import { createFailure } from "../../base/createFailure";
 import { FailureKind } from "../../base/failure";
+import type { ExplainQuery } from "../explain/explainQuery";
 import type { Explanation } from "../explain/explanation";
 import { createMetricsListener } from "./createMetricsListener";
 
@@ -23,16 +24,21 @@
 /** Starts the listener with one suspected part; gives its address and the parts that are released. */
 async function startListener(formatMetrics = () => Promise.resolve("metric 1\n")) {
     const released: string[] = [];
+    const questions: ExplainQuery[] = [];
     const server = createMetricsListener({
-        explainRequest: ({ path }) =>
-            path === "/unknown" ? err(createFailure(FailureKind.NotFound, "No account.")) : ok(EXPLANATION),
+        explainRequest: query => {
+            questions.push(query);
+            return query.path === "/unknown"
+                ? err(createFailure(FailureKind.NotFound, "No account."))
+                : ok(EXPLANATION);
+        },
         formatMetrics,
         reportFailure: () => undefined,
         quarantine: { hasEvidence: part => part === "a1", releasePart: part => void released.push(part) },
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     stop = () => void server.close();
-    return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, released };
+    return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, released, questions };
 }
 
 describe("the metrics listener", () => {
@@ -66,4 +72,11 @@
         assert.match(await bad.text(), /"type":"invalid_request"/);
         assert.equal((await fetch(`${url}/explain?path=/unknown`)).status, 404);
     });
+
+    // Guards against: the values behind a question mark in the path are ignored, and another request is explained.
+    it("takes a path with a query of its own", async () => {
+        const { url, questions } = await startListener();
+        assert.equal((await fetch(`${url}/explain?path=/a?b=1&account=county`)).status, 200);
+        assert.deepEqual([questions[0]?.path, questions[0]?.account], ["/a?b=1", "county"]);
+    });
 });
--- a/src/gateway/process/createMetricsListener.ts
+++ b/src/gateway/process/createMetricsListener.ts
@@ -56,13 +56,13 @@
         return current;
     };
     const answerRequest = async (request: IncomingMessage, response: ServerResponse) => {
-        const [path = "", query] = (request.url ?? "/").split("?");
+        const { path, query } = splitTarget(request.url ?? "/");
         if (path === "/quarantine/release" && request.method === "POST") {
             releasePart(new URLSearchParams(query).get(PART_PARAMETER) ?? "", response);
             return;
         }
         if (path === EXPLAIN_PATH) {
-            decodeExplainQuery(query ?? "")
+            decodeExplainQuery(query)
                 .andThen(explainRequest)
                 .match(
                     explanation => sendJson(response, HttpStatus.Ok, explanation),
@@ -85,3 +85,9 @@
     response.writeHead(status, { "content-length": 0 });
     response.end();
 }
+
+/** Splits a request target at its first question mark; a query may contain further ones. */
+function splitTarget(target: string): { readonly path: string; readonly query: string } {
+    const at = target.indexOf("?");
+    return at < 0 ? { path: target, query: "" } : { path: target.slice(0, at), query: target.slice(at + 1) };
+}
