Explain a charge that no draw admits as a refusal

Cause: an explanation took every first draw of a credit as a matter of chance, also where the admitted share is zero. An operator saw "Perhaps refused" for a request that is refused for certain. Change: the explanation decides by the draw that admits most; if that doesn't admit the request, it is refused.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -43,8 +43,9 @@
 
 /** What a charge depends on, and whether it is made. */
 export interface ChargeExplanation {
+    /** True if the request is admitted, or may be. */
     readonly isAdmitted: boolean;
-    /** True if the account's next request is the first of which only a share is admitted: chance decides on that one. */
+    /** True if chance decides: it is the account's first request of which only a share is admitted. */
     readonly isByChance: boolean;
     /** The quota of a window, and the bound that all nodes keep together. */
     readonly quota: number;
@@ -148,11 +149,11 @@
         explainCharge: (account, amount, fleet, nowMs) => {
             const state = buildAccountStateCopy(states.get(account.name) ?? createAccountState(windowMs));
             const isolatedBefore = isolated;
-            let isByChance = false;
+            let hasDrawn = false;
             const firstCredit: Random = {
                 drawFraction: () => {
-                    isByChance = true;
-                    return EVEN_CHANCE;
+                    hasDrawn = true;
+                    return BEST_DRAW;
                 },
                 drawInteger: low => low,
             };
@@ -160,7 +161,7 @@
             const isAdmitted = decideCharge(state, { account, amount, fleet, nowMs }, firstCredit);
             isolated = isolatedBefore;
             const { quota, limit } = computeLimits(account, policy);
-            return { isAdmitted, isByChance, quota, limit, used };
+            return { isAdmitted, isByChance: hasDrawn && isAdmitted, quota, limit, used };
         },
         charge: (account, amount, fleet, nowMs) => {
             if (!decideCharge(readState(account.name), { account, amount, fleet, nowMs }, random)) {
@@ -189,8 +190,8 @@
 }
 
 const MS_PER_S = 1_000;
-/** Stands for the random number of an explanation. */
-const EVEN_CHANCE = 0.5;
+/** The random number of an explanation: a request that it doesn't admit is refused whatever is drawn. */
+const BEST_DRAW = 0;
 /** Share of the bound that is used; the rest is for what the estimate of unreported usage misses. */
 const USABLE_SHARE = 0.985;
 /** Where between the quota and the bound the usage of an over-asking account is held: 0 is the quota, 1 the bound. */
--- a/src/decisions/gateway/explainCharge.test.ts
+++ b/src/decisions/gateway/explainCharge.test.ts
@@ -73,4 +73,17 @@
         assert.ok(limit > quota && limit < 980);
         assert.equal(quotas.explainCharge(ACCOUNT, 1_000, FLEET, 1_000).isAdmitted, false);
     });
+
+    // Guards against: a request that is refused for certain counts as one on which chance decides.
+    it("names no chance where nothing is granted", () => {
+        const usage = { county: { used: 930, recent: 10, asked: 200 } };
+        const fleet = makeFleetUsage({ usage, countsForMs: POLICY.quotaWindowMs });
+        const quotas = createAccountQuotas(POLICY, undefined, createRandom(1));
+        const { isAdmitted, isByChance } = quotas.explainCharge(ACCOUNT, 1, fleet, 1_000);
+        assert.deepEqual({ isAdmitted, isByChance }, { isAdmitted: false, isByChance: false });
+        for (let seed = 0; seed < 50; seed++) {
+            const drawn = createAccountQuotas(POLICY, undefined, createRandom(seed));
+            assert.equal(drawn.charge(ACCOUNT, 1, fleet, 1_000), false);
+        }
+    });
 });
