Name what the quotas keep for the share of a flood

Cause: a reader took `admitted` for what was admitted, `askedBefore` for what was asked before the window, `firstCredit` for a credit and `limit` for the whole bound. Change: they are `shareCredit`, `askedInWindow` and `creditRandom`; the comments of `limit` say what it is.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -47,8 +47,8 @@
     readonly isAdmitted: boolean;
     /** True if chance decides: it is the account's first request of which only a share is admitted. */
     readonly isByChance: boolean;
-    /** The quota of a window, and the bound that all nodes keep together. */
     readonly quota: number;
+    /** What all nodes together admit in a window at most: the bound less 1.5%. */
     readonly limit: number;
     /** What all nodes have charged in the present window, as far as this node knows. */
     readonly used: number;
@@ -88,7 +88,7 @@
     const hasQuotaLeft = (
         state: AccountState,
         { account, amount, fleet, nowMs }: ChargeRequest,
-        firstCredit: Random,
+        creditRandom: Random,
     ): boolean => {
         const { quota, target, limit } = computeLimits(account, policy);
         const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
@@ -130,7 +130,7 @@
         }
         const grantedRate = remaining / HAND_OUT_MS + leavingRate;
         if (!isOverAsked) {
-            return admitShare(state, amount, (grantedRate * RECENT_USAGE_MS) / (growth * sums.asked), firstCredit);
+            return admitShare(state, amount, (grantedRate * RECENT_USAGE_MS) / (growth * sums.asked), creditRandom);
         }
         const used = known + ((growth * sums.recent) / RECENT_USAGE_MS - leavingRate) * NEWS_DELAY_USUAL_MS;
         const pacedRate = Math.min(
@@ -138,19 +138,19 @@
             (PACED_RATE_MAX * ownTarget) / windowMs,
         );
         const rate = Math.max(0, Math.min(pacedRate, grantedRate));
-        return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, firstCredit);
+        return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, creditRandom);
     };
-    const decideCharge = (state: AccountState, request: ChargeRequest, firstCredit: Random): boolean => {
+    const decideCharge = (state: AccountState, request: ChargeRequest, creditRandom: Random): boolean => {
         const { account, amount, nowMs } = request;
-        [state.asked, state.askedBefore].forEach(counter => counter.add(amount, nowMs));
-        return account.quotaPerSecond <= 0 || hasQuotaLeft(state, request, firstCredit);
+        [state.asked, state.askedInWindow].forEach(counter => counter.add(amount, nowMs));
+        return account.quotaPerSecond <= 0 || hasQuotaLeft(state, request, creditRandom);
     };
     return {
         explainCharge: (account, amount, fleet, nowMs) => {
             const state = buildAccountStateCopy(states.get(account.name) ?? createAccountState(windowMs));
             const isolatedBefore = isolated;
             let hasDrawn = false;
-            const firstCredit: Random = {
+            const creditRandom: Random = {
                 drawFraction: () => {
                     hasDrawn = true;
                     return BEST_DRAW;
@@ -158,7 +158,7 @@
                 drawInteger: low => low,
             };
             const { used } = readSums(state, fleet.usage[account.name], 0, nowMs);
-            const isAdmitted = decideCharge(state, { account, amount, fleet, nowMs }, firstCredit);
+            const isAdmitted = decideCharge(state, { account, amount, fleet, nowMs }, creditRandom);
             isolated = isolatedBefore;
             const { quota, limit } = computeLimits(account, policy);
             return { isAdmitted, isByChance: hasDrawn && isAdmitted, quota, limit, used };
@@ -280,11 +280,11 @@
  */
 function estimateGrowth(
     sums: UsageSums,
-    { asked, askedBefore }: AccountState,
+    { asked, askedInWindow }: AccountState,
     { amount, reachable, knownMs, nowMs }: GrowthInput,
 ): number {
     const prior = Math.max(sums.asked / Math.max(1, reachable), GROWTH_PRIOR_REQUESTS * amount);
-    const usual = (askedBefore.sum(nowMs) * RECENT_USAGE_MS) / Math.max(RECENT_USAGE_MS, knownMs);
+    const usual = (askedInWindow.sum(nowMs) * RECENT_USAGE_MS) / Math.max(RECENT_USAGE_MS, knownMs);
     const received = Math.max(0, asked.sum(nowMs) - amount);
     // Less one standard deviation, or the chance arrival of a few requests would count as growth.
     return Math.max(1, (received - Math.sqrt(received * amount) + prior) / (usual + prior));
@@ -352,11 +352,14 @@
     if (!(share < 1)) {
         return true;
     }
-    const { amount: formerAmount, credit } = state.admitted ?? { amount, credit: -random.drawFraction() * amount };
+    const { formerAmount, credit } = state.shareCredit ?? {
+        formerAmount: amount,
+        credit: -random.drawFraction() * amount,
+    };
     // The former request's part is added and not its own, or large requests would be admitted far more often than small.
     const available = credit + share * formerAmount;
     const isAdmitted = available > 0;
-    state.admitted = { amount, credit: isAdmitted ? available - amount : available };
+    state.shareCredit = { formerAmount: amount, credit: isAdmitted ? available - amount : available };
     return isAdmitted;
 }
 
--- a/src/decisions/gateway/accountState.ts
+++ b/src/decisions/gateway/accountState.ts
@@ -15,11 +15,11 @@
     readonly recent: SlidingWindowCounter;
     readonly asked: SlidingWindowCounter;
     /** Asked for in the current quota window. */
-    readonly askedBefore: SlidingWindowCounter;
+    readonly askedInWindow: SlidingWindowCounter;
     /** Charged by all nodes. */
     readonly history: UsageHistory;
-    /** The last request of which a share was admitted, and what may be admitted; negative after a greater request. */
-    admitted: { readonly amount: number; readonly credit: number } | undefined;
+    /** What may be admitted, negative after a greater request, and the last request, whose part is still to be added. */
+    shareCredit: { readonly credit: number; readonly formerAmount: number } | undefined;
     /** Mean size of the requests, weighted by size. */
     requestSize: number | undefined;
 }
@@ -38,9 +38,9 @@
         unreported: createSlidingWindowCounter(NEWS_DELAY_MAX_MS),
         recent: createSlidingWindowCounter(RECENT_USAGE_MS),
         asked: createSlidingWindowCounter(RECENT_USAGE_MS),
-        askedBefore: createSlidingWindowCounter(windowMs),
+        askedInWindow: createSlidingWindowCounter(windowMs),
         history: createUsageHistory(windowMs),
-        admitted: undefined,
+        shareCredit: undefined,
         requestSize: undefined,
     };
 }
@@ -60,7 +60,7 @@
         unreported: state.unreported.createCopy(),
         recent: state.recent.createCopy(),
         asked: state.asked.createCopy(),
-        askedBefore: state.askedBefore.createCopy(),
+        askedInWindow: state.askedInWindow.createCopy(),
         history: state.history.createCopy(),
     };
 }
--- a/src/decisions/gateway/computeQuotaRetryMs.ts
+++ b/src/decisions/gateway/computeQuotaRetryMs.ts
@@ -18,7 +18,7 @@
  * @param amount - What the request would have been charged, in the unit of the quota
  * @returns The time in milliseconds, from 100 to 1,000
  * @example
- * computeQuotaRetryMs({ ...account, quotaPerSecond: 10_000 }, 5_000); // 500
+ * computeQuotaRetryMs({ ...account, quotaPerSecond: 10_000 }, 5_000); //=> 500
  */
 export function computeQuotaRetryMs(
     { quotaPerSecond }: Pick<GatewayAccount, "quotaPerSecond">,
--- a/src/gateway/explain/explanation.ts
+++ b/src/gateway/explain/explanation.ts
@@ -113,7 +113,7 @@
     /** Absent if the account has no limit. */
     limits: z
         .object({
-            /** The quota of a window, the bound that all nodes keep together, and what they have used. */
+            /** The quota of a window, what all nodes admit at most (the bound less 1.5%), and what they have used. */
             quota: z.number(),
             bound: z.number(),
             used: z.number(),
