Explain two draws without going through all pairs

Cause: where endpoints report a pace, the explanation compared each endpoint that has a chance with each other one. Change: the chances come from the sums of the draws by pace.

--- a/src/decisions/gateway/drawPacedEndpoint.ts
+++ b/src/decisions/gateway/drawPacedEndpoint.ts
@@ -89,8 +89,8 @@
     return { best, alike, weights, isCompared: othersShare < SECOND_DRAW_SHARE_MAX };
 }
 
-/** Chooses the one with the lower pace of two that were drawn; the first if they have the same. */
-export function chooseFaster(first: PacedCandidate, second: PacedCandidate): PacedCandidate {
+/** Chooses the one with the lower pace of two that were drawn; the first if they have the same. `explainChoice` follows. */
+function chooseFaster(first: PacedCandidate, second: PacedCandidate): PacedCandidate {
     return (second.view.pace ?? USUAL_PACE) < (first.view.pace ?? USUAL_PACE) ? second : first;
 }
 
--- a/src/decisions/gateway/explainChoice.test.ts
+++ b/src/decisions/gateway/explainChoice.test.ts
@@ -65,6 +65,23 @@
             assert.equal(counts.has(undefined), views.length === 0);
         });
     }
+
+    // Guards against: a question that compares all endpoints of a service with each other holds the node's loop.
+    it("looks at each endpoint a few times, also at 2,000 of different paces", () => {
+        let reads = 0;
+        const views = Array.from({ length: 2_000 }, (_unused, index) =>
+            Object.defineProperty(makeView(`e-${index}`, { othersInFlight: 0 }), "pace", {
+                get: () => {
+                    reads++;
+                    return 100 + index / 100;
+                },
+            }),
+        );
+        const { rule, endpoints } = explainChoice(views, NO_PROMPT, SPEED);
+        assert.equal(rule, ChoiceRule.TwoDrawnByWeight);
+        assert.ok(Math.abs(endpoints.reduce((sum, { chance }) => sum + chance, 0) - 1) < 1e-9);
+        assert.ok(reads < 20 * views.length, `${reads} reads`);
+    });
 });
 
 describe("the parts of an estimate", () => {
--- a/src/decisions/gateway/explainChoice.ts
+++ b/src/decisions/gateway/explainChoice.ts
@@ -11,7 +11,8 @@
     type ServiceSpeed,
     TIE_RANGE_MS,
 } from "./chooseEndpoint";
-import { chooseFaster, type PacedDraw, preparePacedDraw } from "./drawPacedEndpoint";
+import { type PacedDraw, preparePacedDraw } from "./drawPacedEndpoint";
+import { USUAL_PACE } from "./endpointPace";
 
 /** How one of the candidates is taken. The values appear in answers to operators. */
 export enum ChoiceRule {
@@ -74,20 +75,41 @@
     return new Map(tied.map(({ view }) => [view.id, 1 / tied.length]));
 }
 
-/** Lists the chances of a draw; with two draws, each pair counts for the one that is taken of it. */
+/** Lists the chances of a draw. */
 function listDrawnChances({ alike, weights, isCompared }: PacedDraw): ReadonlyMap<string, number> {
     const total = weights.reduce((sum, weight) => sum + weight, 0);
-    const drawn = alike.map((candidate, index) => ({ candidate, chance: (weights[index] ?? 0) / total }));
-    const chances = new Map<string, number>();
-    const addChance = (id: string, chance: number) => chances.set(id, (chances.get(id) ?? 0) + chance);
-    for (const first of drawn.filter(({ chance }) => chance > 0)) {
-        if (!isCompared) {
-            addChance(first.candidate.view.id, first.chance);
-            continue;
-        }
-        for (const second of drawn) {
-            addChance(chooseFaster(first.candidate, second.candidate).view.id, first.chance * second.chance);
-        }
+    const drawn = alike.map(({ view }, index) => ({
+        id: view.id,
+        pace: view.pace ?? USUAL_PACE,
+        chance: (weights[index] ?? 0) / total,
+    }));
+    return new Map((isCompared ? listComparedChances(drawn) : drawn).map(({ id, chance }) => [id, chance]));
+}
+
+interface DrawnEndpoint {
+    readonly id: string;
+    readonly pace: number;
+    /** Probability from 0 to 1 that one draw finds it. */
+    readonly chance: number;
+}
+
+/**
+ * Lists the chances to be taken after two draws, by the rule of `chooseFaster`: an endpoint is taken if the first draw
+ * finds it and the second none that is faster, or if the second finds it and the first a slower one. Sorted, since going
+ * through all pairs took 0.8 s for 6,500 endpoints.
+ */
+function listComparedChances(drawn: readonly DrawnEndpoint[]): readonly DrawnEndpoint[] {
+    const chanceByPace = new Map<number, number>();
+    drawn.forEach(({ pace, chance }) => chanceByPace.set(pace, (chanceByPace.get(pace) ?? 0) + chance));
+    const slowerByPace = new Map<number, number>();
+    let slower = 0;
+    for (const [pace, chance] of [...chanceByPace].sort(([left], [right]) => right - left)) {
+        slowerByPace.set(pace, slower);
+        slower += chance;
     }
-    return chances;
+    return drawn.map(({ id, pace, chance }) => ({
+        id,
+        pace,
+        chance: chance * ((chanceByPace.get(pace) ?? 0) + 2 * (slowerByPace.get(pace) ?? 0)),
+    }));
 }
