Name quota checks and absent candidates for what they are

Cause: `hasQuotaLeft` and `decideCharge` change the account's state, which neither verb says; `nothing` was the field with the reason why no endpoint takes a request. Change: `admitByQuota`, `admitCharge` and `noCandidate`.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -85,7 +85,7 @@
         [own, unreported, recent].forEach(counter => counter.add(amount, nowMs));
     };
     const computeUptimeMs = (nowMs: number) => (startedAtMs === undefined ? windowMs : nowMs - startedAtMs);
-    const hasQuotaLeft = (
+    const admitByQuota = (
         state: AccountState,
         { account, amount, fleet, nowMs }: ChargeRequest,
         creditRandom: Random,
@@ -140,10 +140,10 @@
         const rate = Math.max(0, Math.min(pacedRate, grantedRate));
         return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, creditRandom);
     };
-    const decideCharge = (state: AccountState, request: ChargeRequest, creditRandom: Random): boolean => {
+    const admitCharge = (state: AccountState, request: ChargeRequest, creditRandom: Random): boolean => {
         const { account, amount, nowMs } = request;
         [state.asked, state.askedInWindow].forEach(counter => counter.add(amount, nowMs));
-        return account.quotaPerSecond <= 0 || hasQuotaLeft(state, request, creditRandom);
+        return account.quotaPerSecond <= 0 || admitByQuota(state, request, creditRandom);
     };
     return {
         explainCharge: (account, amount, fleet, nowMs) => {
@@ -158,13 +158,13 @@
                 drawInteger: low => low,
             };
             const { used } = readSums(state, fleet.usage[account.name], 0, nowMs);
-            const isAdmitted = decideCharge(state, { account, amount, fleet, nowMs }, creditRandom);
+            const isAdmitted = admitCharge(state, { account, amount, fleet, nowMs }, creditRandom);
             isolated = isolatedBefore;
             const { quota, limit } = computeLimits(account, policy);
             return { isAdmitted, isByChance: hasDrawn && isAdmitted, quota, limit, used };
         },
         charge: (account, amount, fleet, nowMs) => {
-            if (!decideCharge(readState(account.name), { account, amount, fleet, nowMs }, random)) {
+            if (!admitCharge(readState(account.name), { account, amount, fleet, nowMs }, random)) {
                 return false;
             }
             charge(account.name, amount, nowMs);
--- a/src/gateway/explain/createPickExplainer.ts
+++ b/src/gateway/explain/createPickExplainer.ts
@@ -22,7 +22,7 @@
     /** The candidates with their chances, by id. */
     readonly endpoints: ReadonlyMap<string, ExplainedEndpoint>;
     /** Present if no endpoint takes the request. */
-    readonly nothing: NoCandidate | undefined;
+    readonly noCandidate: NoCandidate | undefined;
 }
 
 /** Gives an outcome for each failure domain that the request may go to; at least one. */
@@ -80,7 +80,7 @@
             stages,
             rule: choice.rule,
             endpoints: new Map(choice.endpoints.map(endpoint => [endpoint.view.id, endpoint])),
-            nothing: "waitMs" in picked ? picked : undefined,
+            noCandidate: "waitMs" in picked ? picked : undefined,
         };
         return { domains, outcome };
     };
--- a/src/gateway/explain/createRequestExplainer.ts
+++ b/src/gateway/explain/createRequestExplainer.ts
@@ -137,10 +137,10 @@
             relay: { readLastEventId: () => undefined },
         };
         const { services, omittedServices } = explainServices(route, state, { head, homeRegions });
-        for (const { explanation, nothing } of services) {
-            if (nothing !== undefined) {
+        for (const { explanation, noCandidate } of services) {
+            if (noCandidate !== undefined) {
                 const relay = { hasBegun: () => false };
-                const end = describeWithoutEndpoint({ relay, executions: 0 }, nothing.waitMs, nothing.bar);
+                const end = describeWithoutEndpoint({ relay, executions: 0 }, noCandidate.waitMs, noCandidate.bar);
                 if (!end.isRelayed && end.failure !== undefined) {
                     addRefusal(end.failure, { service: explanation.service, isByChance: explanation.chance < 1 });
                 }
--- a/src/gateway/explain/createServiceExplainer.ts
+++ b/src/gateway/explain/createServiceExplainer.ts
@@ -16,7 +16,7 @@
 export interface ExplainedService {
     readonly explanation: Omit<ServiceExplanation, "chance">;
     /** Present if no endpoint takes the request. */
-    readonly nothing: NoCandidate | undefined;
+    readonly noCandidate: NoCandidate | undefined;
 }
 
 /** Explains where a request for a service would go; at most `candidatesMax` endpoints are given in full. */
@@ -122,7 +122,9 @@
         };
         return {
             explanation,
-            nothing: outcomes.every(({ nothing }) => nothing !== undefined) ? outcomes[0]?.nothing : undefined,
+            noCandidate: outcomes.every(({ noCandidate }) => noCandidate !== undefined)
+                ? outcomes[0]?.noCandidate
+                : undefined,
         };
     };
 }
