--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -47,11 +47,12 @@
 
 /** What a charge depends on, and whether it is made. */
 export interface ChargeExplanation {
+    /** True if the request is admitted, or may be. */
     readonly isAdmitted: boolean;
-    /** True if the account's next request is the first of which only a share is admitted: chance decides on that one. */
+    /** True if chance decides: it is the account's first request of which only a share is admitted. */
     readonly isByChance: boolean;
-    /** The quota of a window, and the bound that all nodes keep together. */
     readonly quota: number;
+    /** What all nodes together admit in a window at most: the bound less 1.5%. */
     readonly limit: number;
     /** What all nodes have charged in the present window, as far as this node knows. */
     readonly used: number;
@@ -88,10 +89,10 @@
         [own, unreported, recent].forEach(counter => counter.add(amount, nowMs));
     };
     const computeUptimeMs = (nowMs: number) => (startedAtMs === undefined ? windowMs : nowMs - startedAtMs);
-    const hasQuotaLeft = (
+    const admitByQuota = (
         state: AccountState,
         { account, amount, fleet, nowMs }: ChargeRequest,
-        firstCredit: Random,
+        creditRandom: Random,
     ): boolean => {
         const { quota, target, limit } = computeLimits(account, policy);
         const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
@@ -117,7 +118,9 @@
             estimateLeavingRate(sums, state.history, (state.requestSize * windowMs) / limit, { windowMs, nowMs }),
             (LEAVING_RATE_MAX * ownTarget) / windowMs,
         );
-        const knownMs = Math.min(windowMs, computeUptimeMs(nowMs));
+        // Not the time since the start of this process: demand may move to a node that has just restarted, which knows no
+        // earlier requests and would take it for usual.
+        const knownMs = Math.min(windowMs, countsForMs);
         const growth = estimateGrowth(sums, state, { amount, reachable: fleet.reachable, knownMs, nowMs });
         const isOverAsked = sums.asked > OVER_ASKED_RATIO * sums.recent + OVER_ASKED_REQUESTS * amount;
         const unreported = estimateUnreported(sums, state, { growth, isOverAsked, nowMs });
@@ -131,7 +134,7 @@
         }
         const grantedRate = remaining / HAND_OUT_MS + leavingRate;
         if (!isOverAsked) {
-            return admitShare(state, amount, (grantedRate * RECENT_USAGE_MS) / (growth * sums.asked), firstCredit);
+            return admitShare(state, amount, (grantedRate * RECENT_USAGE_MS) / (growth * sums.asked), creditRandom);
         }
         const used = known + ((growth * sums.recent) / RECENT_USAGE_MS - leavingRate) * NEWS_DELAY_USUAL_MS;
         const pacedRate = Math.min(
@@ -139,33 +142,33 @@
             (PACED_RATE_MAX * ownTarget) / windowMs,
         );
         const rate = Math.max(0, Math.min(pacedRate, grantedRate));
-        return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, firstCredit);
+        return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, creditRandom);
     };
-    const decideCharge = (state: AccountState, request: ChargeRequest, firstCredit: Random): boolean => {
+    const admitCharge = (state: AccountState, request: ChargeRequest, creditRandom: Random): boolean => {
         const { account, amount, nowMs } = request;
-        [state.asked, state.askedBefore].forEach(counter => counter.add(amount, nowMs));
-        return account.quotaPerSecond <= 0 || hasQuotaLeft(state, request, firstCredit);
+        [state.asked, state.askedInWindow].forEach(counter => counter.add(amount, nowMs));
+        return account.quotaPerSecond <= 0 || admitByQuota(state, request, creditRandom);
     };
     return {
         explainCharge: (account, amount, fleet, nowMs) => {
             const state = buildAccountStateCopy(states.get(account.name) ?? createAccountState(windowMs));
             const isolatedBefore = isolated;
-            let isByChance = false;
-            const firstCredit: Random = {
+            let hasDrawn = false;
+            const creditRandom: Random = {
                 drawFraction: () => {
-                    isByChance = true;
-                    return EVEN_CHANCE;
+                    hasDrawn = true;
+                    return BEST_DRAW;
                 },
                 drawInteger: low => low,
             };
             const { used } = readSums(state, fleet.usage[account.name], 0, nowMs);
-            const isAdmitted = decideCharge(state, { account, amount, fleet, nowMs }, firstCredit);
+            const isAdmitted = admitCharge(state, { account, amount, fleet, nowMs }, creditRandom);
             isolated = isolatedBefore;
             const { quota, limit } = computeLimits(account, policy);
-            return { isAdmitted, isByChance, quota, limit, used };
+            return { isAdmitted, isByChance: hasDrawn && isAdmitted, quota, limit, used };
         },
         charge: (account, amount, fleet, nowMs) => {
-            if (!decideCharge(readState(account.name), { account, amount, fleet, nowMs }, random)) {
+            if (!admitCharge(readState(account.name), { account, amount, fleet, nowMs }, random)) {
                 return false;
             }
             charge(account.name, amount, nowMs);
@@ -192,8 +195,8 @@
 }
 
 const MS_PER_S = 1_000;
-/** Stands for the random number of an explanation. */
-const EVEN_CHANCE = 0.5;
+/** The random number of an explanation: a request that it doesn't admit is refused whatever is drawn. */
+const BEST_DRAW = 0;
 /** Share of the bound that is used; the rest is for what the estimate of unreported usage misses. */
 const USABLE_SHARE = 0.985;
 /** Where between the quota and the bound the usage of an over-asking account is held: 0 is the quota, 1 the bound. */
@@ -285,11 +288,11 @@
  */
 function estimateGrowth(
     sums: UsageSums,
-    { asked, askedBefore }: AccountState,
+    { asked, askedInWindow }: AccountState,
     { amount, reachable, knownMs, nowMs }: GrowthInput,
 ): number {
     const prior = Math.max(sums.asked / Math.max(1, reachable), GROWTH_PRIOR_REQUESTS * amount);
-    const usual = (askedBefore.sum(nowMs) * RECENT_USAGE_MS) / Math.max(RECENT_USAGE_MS, knownMs);
+    const usual = (askedInWindow.sum(nowMs) * RECENT_USAGE_MS) / Math.max(RECENT_USAGE_MS, knownMs);
     const received = Math.max(0, asked.sum(nowMs) - amount);
     // Less one standard deviation, or the chance arrival of a few requests would count as growth.
     return Math.max(1, (received - Math.sqrt(received * amount) + prior) / (usual + prior));
@@ -300,7 +303,7 @@
     readonly amount: number;
     /** Nodes whose usage is reported. */
     readonly reachable: number;
-    /** Time since the start of this process, up to the quota window: for so long it knows what it was asked for. */
+    /** For how long a node of the group has known what it was asked for, up to the quota window. */
     readonly knownMs: number;
     readonly nowMs: number;
 }
@@ -357,11 +360,14 @@
     if (!(share < 1)) {
         return true;
     }
-    const { amount: formerAmount, credit } = state.admitted ?? { amount, credit: -random.drawFraction() * amount };
+    const { formerAmount, credit } = state.shareCredit ?? {
+        formerAmount: amount,
+        credit: -random.drawFraction() * amount,
+    };
     // The former request's part is added and not its own, or large requests would be admitted far more often than small.
     const available = credit + share * formerAmount;
     const isAdmitted = available > 0;
-    state.admitted = { amount, credit: isAdmitted ? available - amount : available };
+    state.shareCredit = { formerAmount: amount, credit: isAdmitted ? available - amount : available };
     return isAdmitted;
 }
 
--- a/src/gateway/explain/createPickExplainer.ts
+++ b/src/gateway/explain/createPickExplainer.ts
@@ -22,7 +22,7 @@
     /** The candidates with their chances, by id. */
     readonly endpoints: ReadonlyMap<string, ExplainedEndpoint>;
     /** Present if no endpoint takes the request. */
-    readonly nothing: NoCandidate | undefined;
+    readonly noCandidate: NoCandidate | undefined;
 }
 
 /** Gives an outcome for each failure domain that the request may go to; at least one. */
@@ -55,7 +55,8 @@
         random: { drawFraction: () => 0, drawInteger: low => low },
     };
 
-    const runPicker = (state: PickState, index: number) => {
+    /** Runs the picker for one of the failure domains; `known` are those of the first run. */
+    const runPicker = (state: PickState, index: number, known?: readonly DomainOutcome[]) => {
         let domains: readonly DomainOutcome[] = [];
         const stages = new Map<PickStage, ReadonlySet<EndpointRecord>>();
         let choice = explainChoice([], state.request, speeds.readSpeed(state.exchange.service));
@@ -67,7 +68,9 @@
         };
         const picker = createCandidatePicker(readers, {
             filterDomains: (service, objectiveMs, takers) => {
-                domains = spillover.explainDomains({ service, objectiveMs, takers, usable: listUsable(service) });
+                // Spillover may decide anew between two runs, and their chances would not fit together.
+                domains =
+                    known ?? spillover.explainDomains({ service, objectiveMs, takers, usable: listUsable(service) });
                 return domains[index]?.records ?? [];
             },
         });
@@ -77,13 +80,13 @@
             stages,
             rule: choice.rule,
             endpoints: new Map(choice.endpoints.map(endpoint => [endpoint.view.id, endpoint])),
-            nothing: "waitMs" in picked ? picked : undefined,
+            noCandidate: "waitMs" in picked ? picked : undefined,
         };
-        return { count: domains.length, outcome };
+        return { domains, outcome };
     };
     return state => {
         const first = runPicker(state, 0);
-        const others = Array.from({ length: Math.max(0, first.count - 1) }, (_unused, at) => runPicker(state, at + 1));
+        const others = first.domains.slice(1).map((_domain, at) => runPicker(state, at + 1, first.domains));
         return [first, ...others].map(({ outcome }) => outcome);
     };
 }
