Grant after a restart of all nodes what has left the window of recorded usage

Cause: nodes that start together know of no usage and ramp all quotas up from 0.04 of the limit; accounts at half of their quota were refused in the first seconds, and what was refused came back a second later as a wave. Change: with quotaRecordMs one node writes samples of what all nodes charged to the row quota/usage, and nodes that start grant what of it has left the window since: more can't have been left by usage that nobody remembers. A refusal then names the time until a request of its size may be admitted. Without the setting nothing changes; the fleet's other nodes read one row each.

--- a/src/decisions/gateway/_testing/simulateQuotas.ts
+++ b/src/decisions/gateway/_testing/simulateQuotas.ts
@@ -9,6 +9,8 @@
 import type { FleetView, NodeIdentity } from "../../relays/news";
 import { makeFleetUsage } from "./makeFleetUsage";
 import { type AccountQuotas, createAccountQuotas, type QuotaPolicy } from "../accountQuotas";
+import type { FormerUsage } from "../computeLeftUsage";
+import { createUsageSamples } from "../createUsageSamples";
 
 const STEP_MS = 20;
 const DURATION_MS = 30_000;
@@ -22,6 +24,7 @@
 const DEMAND = 11;
 const DEMAND_PERIOD_MS = 8_000;
 const MINIMUM_STEP_MS = 100;
+const RECORD_PERIOD_MS = 1_000;
 const FAVORED_SHARE = 0.9;
 const REQUESTS_PER_LIMIT = 250;
 
@@ -51,6 +54,8 @@
     readonly killed?: readonly number[];
     /** When they are killed; default: 9 s. */
     readonly killMs?: number;
+    /** True if the usage of all nodes is recorded each second, and nodes that start read the record. */
+    readonly hasRecords?: boolean;
     /** True if the first relay of each failure domain is lost at 9 s, and the second takes over. */
     readonly lostRelays?: boolean;
 }
@@ -170,12 +175,29 @@
         const sender = random.drawInteger(0, (isFavored ? favored : senders) - 1);
         return nowMs < (simulation.moveMs ?? DURATION_MS) ? sender : nodeCount - 1 - sender;
     };
+    const samples = createUsageSamples(policy.quotaWindowMs);
+    let written: FormerUsage | undefined;
+    /** Writes the record as one relay does, and gives it to nodes that have started. */
+    const writeRecord = (nowMs: number) => {
+        const view = nodes[0]?.view;
+        if (simulation.hasRecords !== true || isDead(0, nowMs) || view === undefined) {
+            return;
+        }
+        samples.recordView(view, nowMs);
+        if (nowMs % RECORD_PERIOD_MS === 0 && view.countsForMs >= policy.quotaWindowMs) {
+            written = { record: samples.buildRecord(nowMs), atMs: nowMs };
+        }
+    };
     let sent = 0;
     let refused = 0;
     const admitted: { readonly atMs: number; readonly amount: number }[] = [];
     for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
         if (nowMs === killMs + RESTART_AFTER_MS) {
             killed.forEach(index => nodes.splice(index, 1, startNode(index, nowMs)));
+            const former = written;
+            if (former !== undefined) {
+                killed.forEach(index => nodes[index]?.quotas.recordFormerUsage(former));
+            }
             relays = relays.map((relay, domain) =>
                 killed.includes(Number(relay.identity.node)) ? startRelay(domain, nowMs) : relay,
             );
@@ -191,6 +213,7 @@
                 sendReport(node, nowMs);
             }
         }
+        writeRecord(nowMs);
         for (const relay of relays) {
             const index = Number(relay.identity.node);
             if (isTick(relay.phaseMs, nowMs) && !isDead(index, nowMs)) {
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -12,6 +12,9 @@
 import type { GatewayAccount } from "../../model/gateway";
 import { NEWS_DELAY_MAX_MS, RECENT_USAGE_MS } from "../relays/constants";
 import type { FleetView, UsageSums } from "../relays/news";
+import { admitShare, type ShareCredit } from "./admitShare";
+import { computeLeftUsage, type FormerUsage, isMostlyUsed } from "./computeLeftUsage";
+import { decideFormerCharge } from "./decideFormerCharge";
 import { createUsageHistory, type UsageHistory } from "./usageHistory";
 import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter";
 
@@ -33,8 +36,12 @@
 export interface AccountQuotas {
     /** Charges `amount` if the quota of the account allows it; returns false, and charges nothing, if not. */
     charge(account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean;
+    /** Estimates when the account's request that was just refused may be admitted; `undefined` if unknown or late. */
+    estimateRetryMs(account: string): number | undefined;
     /** Refunds the amount that was charged for a request that was not executed. */
     refund(account: string, amount: number, nowMs: number): void;
+    /** Takes the recorded usage of all nodes before a restart: what has left the window of it may be charged. */
+    recordFormerUsage(former: FormerUsage): void;
     /** Gives the usage at this node, for its reports to the other nodes. */
     describeUsage(nowMs: number): Pick<FleetView, "usage" | "countsForMs">;
 }
@@ -60,6 +67,9 @@
     const states = new Map<string, AccountState>();
     /** When this node was last without the others' reports, and its share of the quotas then. */
     let isolated = { atMs: Number.NEGATIVE_INFINITY, share: 0 };
+    let former: FormerUsage | undefined;
+    /** Since when this node has received the others' reports. */
+    let inTouchSinceMs: number | undefined;
     const readState = (account: string): AccountState => {
         const state = states.get(account) ?? {
             own: createSlidingWindowCounter(windowMs),
@@ -70,6 +80,9 @@
             history: createUsageHistory(windowMs),
             credit: undefined,
             requestSize: undefined,
+            formerCredit: { credit: undefined },
+            firstPart: undefined,
+            retryMs: undefined,
         };
         states.set(account, state);
         return state;
@@ -86,7 +99,7 @@
         const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
         const rampUpShare = computeRampUpShare(countsForMs, windowMs);
         const reachableShare = computeReachableShare(fleet);
-        const known = sums.used + (fleet.silentUsage[account.name] ?? 0) + (fleet.lostUsage[account.name] ?? 0);
+        const known = sumKnown(sums, account.name, fleet);
         const unused = Math.min(limit * rampUpShare - known, limit * reachableShare - sums.used);
         if (fleet.nodes > 1 && fleet.reachable <= 1) {
             isolated = { atMs: nowMs, share: reachableShare };
@@ -128,16 +141,60 @@
         const rate = Math.max(0, Math.min(pacedRate, grantedRate));
         return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, random);
     };
+    // Just after a restart of all nodes, usage before it that has left the window may be used as well, and nothing else by an
+    // account that had used most of its quota.
+    const isQuotaLeft = (account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean => {
+        const hasLeft = hasQuotaLeft(account, amount, fleet, nowMs);
+        const state = readState(account.name);
+        const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
+        state.retryMs = undefined;
+        if (former === undefined || countsForMs >= windowMs) {
+            return hasLeft;
+        }
+        const times = { account: account.name, windowMs, countsForMs, nowMs };
+        const { limit } = computeLimits(account, policy);
+        if (hasLeft && !isMostlyUsed(former, { ...times, limit })) {
+            return true;
+        }
+        state.firstPart ??= random.drawFraction();
+        const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
+        const { admittedShare, retryMs } = decideFormerCharge({
+            left: computeLeftUsage(former, times),
+            ...fleet,
+            ...times,
+            limit,
+            amount,
+            inTouchMs: inTouchSinceMs === undefined ? 0 : nowMs - inTouchSinceMs,
+            reachableShare: computeReachableShare(fleet),
+            own: state.own.sum(nowMs),
+            ownUnreported: state.unreported.sum(nowMs),
+            firstPart: state.firstPart,
+            known: sumKnown(sums, account.name, fleet),
+            ownAsked: state.asked.sum(nowMs),
+            asked: sums.asked,
+            recentRate: state.history.sumUsage(nowMs - PACED_AVERAGE_MS, nowMs) / PACED_AVERAGE_MS,
+        });
+        state.retryMs = retryMs;
+        return admittedShare > 0 && admitShare(state.formerCredit, amount, admittedShare, random);
+    };
     return {
+        recordFormerUsage: usage => {
+            former = usage;
+        },
         charge: (account, amount, fleet, nowMs) => {
             const { asked, askedBefore } = readState(account.name);
             [asked, askedBefore].forEach(counter => counter.add(amount, nowMs));
-            if (account.quotaPerSecond > 0 && !hasQuotaLeft(account, amount, fleet, nowMs)) {
+            inTouchSinceMs = fleet.nodes > 1 && fleet.reachable <= 1 ? undefined : (inTouchSinceMs ?? nowMs);
+            if (account.quotaPerSecond > 0 && !isQuotaLeft(account, amount, fleet, nowMs)) {
                 return false;
             }
             charge(account.name, amount, nowMs);
             return true;
         },
+        estimateRetryMs: account => {
+            const retryMs = states.get(account)?.retryMs;
+            return retryMs === undefined || !(retryMs < RETRY_MS.most) ? undefined : Math.max(RETRY_MS.least, retryMs);
+        },
         refund: (account, amount, nowMs) => {
             charge(account, -amount, nowMs);
             readState(account).asked.add(-amount, nowMs);
@@ -150,7 +207,7 @@
 }
 
 /** Usage of one account at this node. */
-interface AccountState {
+interface AccountState extends ShareCredit {
     /** Charged in the current quota window. */
     readonly own: SlidingWindowCounter;
     /** Charged so recently that the other nodes may not have received the report. */
@@ -162,10 +219,14 @@
     readonly askedBefore: SlidingWindowCounter;
     /** Charged by all nodes. */
     readonly history: UsageHistory;
-    /** What may be admitted of the admitted share; negative after a request that was greater. */
-    credit: number | undefined;
     /** Mean size of the requests, weighted by size. */
     requestSize: number | undefined;
+    /** The same as `credit`, for what has left the window of the usage before a restart. */
+    readonly formerCredit: ShareCredit;
+    /** Random part of a request that must be left of an equal part of the quota. */
+    firstPart: number | undefined;
+    /** Time after which the last refused request may be admitted, where that is known. */
+    retryMs: number | undefined;
 }
 
 const MS_PER_S = 1_000;
@@ -188,6 +249,8 @@
 const OVER_ASKED_REQUESTS = 2;
 /** Highest rate of a paced account, as a multiple of the steady one; so the burst at its begin isn't repeated in full. */
 const PACED_RATE_MAX = 1.5;
+/** A shorter time until a retry is of no use, and a longer one is not estimated. */
+const RETRY_MS = { least: 100, most: 1_000 };
 /** Highest rate at which usage is taken to leave the window, as a multiple of the steady one; its time isn't exact. */
 const LEAVING_RATE_MAX = 1.25;
 /** The history's rates count as much more as the usage exceeds them, up to this; samples may be missing. */
@@ -250,6 +313,11 @@
     };
 }
 
+/** Sums what is known to be charged by all nodes, dead ones included. */
+function sumKnown({ used }: UsageSums, account: string, { silentUsage, lostUsage }: FleetUsage): number {
+    return used + (silentUsage[account] ?? 0) + (lostUsage[account] ?? 0);
+}
+
 /**
  * Estimates by what factor the requests of an account grew since the reports, from those that this node received most
  * recently and in the whole window. The usage of an average node, or of a few requests, is added to both, since few
@@ -320,23 +388,6 @@
     return mean + (weight * (amount - mean)) / (1 + weight);
 }
 
-/**
- * Admits a share of what is asked for, evenly: each request adds its part of the share to a credit, and a request that
- * finds credit is admitted, whatever its size. Chance alone would vary by several hundredths of a quota in a window.
- */
-function admitShare(state: AccountState, amount: number, share: number, random: Random): boolean {
-    if (!(share < 1)) {
-        return true;
-    }
-    const before = state.credit ?? -random.drawFraction() * amount;
-    state.credit = Math.min(amount, before + share * amount);
-    if (state.credit <= 0) {
-        return false;
-    }
-    state.credit -= amount;
-    return true;
-}
-
 /** Computes the share of the limit that is granted while the usage charged before the start is unknown. */
 function computeRampUpShare(countsForMs: number, windowMs: number): number {
     return countsForMs >= windowMs ? 1 : (countsForMs + RAMP_UP_HEAD_START_MS) / (RAMP_UP_WINDOWS * windowMs);
--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -115,7 +115,7 @@
         return quotas.charge(account, amount, components.news.readUsage(), clock.readMonotonicMs())
             ? { amount }
             : createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", {
-                  retryAfterMs: QUOTA_RETRY_AFTER_MS,
+                  retryAfterMs: quotas.estimateRetryMs(account.name) ?? QUOTA_RETRY_AFTER_MS,
               });
     };
 
--- a/src/gateway/process/createFailureReporter.ts
+++ b/src/gateway/process/createFailureReporter.ts
@@ -21,6 +21,8 @@
     News = "news",
     /** The election of the node that carries out the duties, or one of them. */
     Duty = "duty",
+    /** The records of the usage of quotas. */
+    QuotaRecords = "quota records",
     /** The agreement on the cluster time. */
     ClusterTime = "cluster time",
     /** The reading of stored roll-outs, or the record of an attempt at a version. */
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -17,6 +17,7 @@
 import type { GatewayPlatform } from "./gatewayPlatform";
 import { startClusterTime } from "./tables/startClusterTime";
 import { startDuties } from "./duties/startDuties";
+import { startQuotaRecords } from "./duties/startQuotaRecords";
 import { startListeners } from "./process/startListeners";
 import { startWatches } from "./tables/startWatches";
 import { waitForEnd } from "./process/waitForEnd";
@@ -85,6 +86,14 @@
     });
     const { clock, configuration, directory } = components;
     const rowServer = startWatches(components, platform, clusterTime);
+    startQuotaRecords({
+        ...components,
+        ...settings.bounds,
+        periodMs: settings.bounds.quotaRecordMs ?? 0,
+        quotas,
+        table: platform.tables,
+        clusterTime,
+    });
     startClusterTime({ table: platform.tables, clusterTime, clock, log, reportFailure });
     const duties = startDuties({
         components,
--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -187,6 +187,8 @@
     /** By how much all nodes together may exceed a quota per window: `quotaOverrun` of it plus `quotaSlack`. */
     readonly quotaOverrun: number;
     readonly quotaSlack: number;
+    /** Time between two records of the usage of quotas in the store, in milliseconds; without it none are written or read. */
+    readonly quotaRecordMs?: number | undefined;
     /** Requests that a version on trial may get: `exposureShare` of those to its service plus `exposureSlack`. */
     readonly exposureShare: number;
     readonly exposureSlack: number;
