Read the relays' rows beside the write of a node's own row at its start, and log what a start waits for

Cause: the view of the other nodes, without which a node grants no quota, came three round trips to the store after the agreed time; nothing showed how long a start had waited for what. A node without a view named 1 s for a retry. Change: the relays' rows and the write of the own row go side by side at the start; the members' rows still come after the write. 'gateway ready' logs the time of each condition. Conclusion: the wait of a relay for the relays in the store, up to 0.75 s, stays.

--- a/src/decisions/gateway/decideFormerCharge.ts
+++ b/src/decisions/gateway/decideFormerCharge.ts
@@ -64,10 +64,13 @@
         amount: Math.min(input.left.amount, limit, (STEADY_MAX * limit * input.countsForMs) / windowMs),
         perMs: Math.min(input.left.perMs, (STEADY_MAX * limit) / windowMs),
     };
+    if (!input.isCounted) {
+        return { admittedShare: 0, retryMs: UNREPORTED_MS };
+    }
     if (nodes > 1 && input.inTouchMs < NEWS_DELAY_MAX_MS) {
         // Nodes that started together don't know each other's usage yet, so each keeps to an equal part, which may be less than
         // a request: the random part of it makes the sum over all nodes right on average.
-        const part = input.isCounted ? left.amount / nodes : 0;
+        const part = left.amount / nodes;
         const excess = input.own + input.firstPart * amount - part;
         return { admittedShare: excess < 0 ? 1 : 0, retryMs: (nodes * excess) / left.perMs };
     }
--- a/src/gateway/news/createMembership.test.ts
+++ b/src/gateway/news/createMembership.test.ts
@@ -56,6 +56,23 @@
         return { clock, table, calls, membership };
     }
 
+    // Guards against a start that waits for each call to the store before the next one that doesn't need it.
+    it("are read by a node that starts without a wait for the write of its own row", async () => {
+        let listedAtMs: number | undefined;
+        const { clock, table, calls } = startNode({
+            isRelay: () => false,
+            addMembers: () => {
+                listedAtMs ??= clock.readMonotonicMs();
+            },
+        });
+        // The calls of the first step are under way; those of the next one take this time.
+        table.setDelay(200);
+        const startedAtMs = clock.readMonotonicMs();
+        await runClock(clock, 1_000);
+        assert.deepEqual(calls.slice(0, 3), ["list relay/", "write member/west/west-1/west-1-a", "list member/west/"]);
+        assert.ok((listedAtMs ?? Number.POSITIVE_INFINITY) - startedAtMs < 350, `${listedAtMs}`);
+    });
+
     it("cost a node with a relay nothing after its start", async () => {
         const { clock, calls, membership } = startNode({ isRelay: () => false });
         await runClock(clock, 6_000);
--- a/src/gateway/news/createMembership.ts
+++ b/src/gateway/news/createMembership.ts
@@ -210,6 +210,10 @@
             if (clusterTime.hasAgreedOffset()) {
                 orphanedSinceMs = hasRelay() ? undefined : (orphanedSinceMs ?? clock.readMonotonicMs());
                 // A node that starts reads the relays first, since the number of nodes bounds what it may admit.
+                // Its own row needs nothing of theirs, but the members come after it: of two nodes that start, one lists the other.
+                if (listCount === 0 && isRelayListDue() && isWriteDue()) {
+                    yield* waitFor(Promise.all([listRelays(), writeRows()]));
+                }
                 if (isRelayListDue()) {
                     yield* waitFor(listRelays());
                 }
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -7,7 +7,7 @@
 import type { ProcessSignals } from "../base/processSignals";
 import { ExitCode } from "../cli/exitCode";
 import { logStrayErrors } from "../serve/logStrayErrors";
-import { createFailureReporter } from "./process/createFailureReporter";
+import { createFailureReporter, FailureOwner } from "./process/createFailureReporter";
 import { createGatewayMetrics } from "./process/createGatewayMetrics";
 import { createGatewayParts } from "./createGatewayParts";
 import { createGatewayServers } from "./createGatewayServers";
@@ -18,6 +18,7 @@
 import { startClusterTime } from "./tables/startClusterTime";
 import { startDuties } from "./duties/startDuties";
 import { startQuotaRecords } from "./duties/startQuotaRecords";
+import { logReadiness } from "./process/logReadiness";
 import { startListeners } from "./process/startListeners";
 import { startWatches } from "./tables/startWatches";
 import { waitForEnd } from "./process/waitForEnd";
@@ -115,6 +116,16 @@
     const limitMs = settings.bounds.graceMs + LISTEN_MARGIN_MS;
     const listeners = startListeners(targets, { clock, log: lifeLog, limitMs, signal: retries.signal });
     dumpOnSignal(components, listeners, signals);
+    const conditions = {
+        timeMs: clusterTime.hasAgreedOffset,
+        configurationMs: () => configuration.readCurrent() !== undefined,
+        endpointsMs: directory.isLoaded,
+        newsMs: components.news.isLoaded,
+        readyMs: isReady,
+    };
+    void logReadiness(conditions, clock, lifeLog).catch((error: unknown) =>
+        components.reportFailure(FailureOwner.Request, error),
+    );
     const { reason, failedExitCode } = await waitForEnd(listeners, whenSignalled, lifeLog);
     isLeaving = true;
     retries.abort();
