Store the last usage counts at a planned stop

Cause: relays write the counts of their nodes 1.3 s after the end of a usage window. What was counted after that was lost when the relays of a failure domain stopped together, or the only node of it. Change: a node that stops writes its row a last time once its requests have ended, with all counts that it knows and without itself among the members, and waits for the store for at most 150 ms.

--- a/src/gateway/news/createMembership.test.ts
+++ b/src/gateway/news/createMembership.test.ts
@@ -73,6 +73,34 @@
         assert.ok((listedAtMs ?? Number.POSITIVE_INFINITY) - startedAtMs < 350, `${listedAtMs}`);
     });
 
+    // Guards against usage that only a relay knows and that is lost when its whole failure domain stops.
+    it("hold the last counts of a node that stops, and leave it out of the members", async () => {
+        const other = { ...SELF, node: "west-2", life: "west-2-a" };
+        const reported = { node: other.node, life: other.life, atMs: 1_000_000, windows: { "200": { county: 7 } } };
+        const fake = createFakeTable();
+        const { clock, calls, membership } = startNode(
+            { isRelay: () => true, listMembers: () => [SELF, other], listCounts: () => [reported] },
+            createManualClock(),
+            fake,
+        );
+        await runClock(clock, 10_000);
+        await membership.storeLastCounts();
+        const record = decodeMember(fake.rows.get("member/west/west-1/west-1-a")?.value ?? "");
+        assert.deepEqual(record?.counts, [reported]);
+        assert.deepEqual(record.members, [other]);
+        const callsAtStop = calls.length;
+        await runClock(clock, 20_000);
+        assert.equal(calls.length, callsAtStop);
+    });
+
+    it("aren't written by a node that stops without having counted anything", async () => {
+        const { clock, calls, membership } = startNode({ isRelay: () => false });
+        await runClock(clock, 1_000);
+        const callsBefore = calls.length;
+        await membership.storeLastCounts();
+        assert.equal(calls.length, callsBefore);
+    });
+
     it("cost a node with a relay nothing after its start", async () => {
         const { clock, calls, membership } = startNode({ isRelay: () => false });
         await runClock(clock, 6_000);
--- a/src/gateway/news/createMembership.ts
+++ b/src/gateway/news/createMembership.ts
@@ -78,6 +78,8 @@
     readCounts(): Promise<StoredCounts | undefined>;
     /** Gives this node's own counts and those that were reported to it. */
     listCounts(): readonly ReportedCounts[];
+    /** Ends the writes, and stores all counts that this node knows a last time; never rejects. */
+    storeLastCounts(): Promise<void>;
 }
 
 /** The usage counts in the store, with the rows that hold them. */
@@ -244,6 +246,21 @@
             };
         },
         listCounts,
+        storeLastCounts: async () => {
+            isStopped = true;
+            const counts = listCounts().filter(({ windows }) => Object.keys(windows).length > 0);
+            if (!clusterTime.hasAgreedOffset() || counts.length === 0) {
+                return;
+            }
+            const members = news.listMembers().filter(({ node }) => node !== self.node);
+            const record: MemberRecord = { atMs: clusterTime.readClusterMs(), members, counts };
+            const writes = [{ key: buildMemberKey(self), value: JSON.stringify(record) }];
+            const written = await table.commitTransaction({ token: ulid(), conditions: [], writes });
+            log.info("last usage counts stored", {
+                incarnations: counts.length,
+                failure: written.isErr() ? written.error.message : undefined,
+            });
+        },
         dispose: () => {
             isStopped = true;
         },
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -28,6 +28,8 @@
  * Share of `revokeMs` after which a node that can't reach the store reports to the load balancer that it is not ready.
  */
 const READY_SHARE = 0.6;
+/** Longest wait for the store to take the last usage counts; the grace time of a stop is nearly over then. */
+const LAST_COUNTS_LIMIT_MS = 150;
 /** A former process may hold an address for the grace time of its stop; so long after that, the start has failed. */
 const LISTEN_MARGIN_MS = 5_000;
 
@@ -134,6 +136,10 @@
         return failedExitCode;
     }
     const exitCode = await drainGateway({ clock, settings, log: lifeLog }, listener, reason);
+    await Promise.race([
+        membership.storeLastCounts(),
+        new Promise(resolve => setTimeout(resolve, LAST_COUNTS_LIMIT_MS)),
+    ]);
     return failedExitCode ?? exitCode;
 }
 
