Tell by its reports since when a node hears the others, not by its first request

Cause: at 72 nodes a node gets an account's first request seconds after its start. It took that for the moment from which it hears the others, and kept to an equal part of what had left the window, less than a request, for 0.8 s more. Change: the quotas learn with each report of the node whether the others' news arrive. The limits of an account move to a file of their own, unchanged.

--- a/src/decisions/gateway/_testing/simulateQuotas.ts
+++ b/src/decisions/gateway/_testing/simulateQuotas.ts
@@ -127,7 +127,7 @@
     const sendReport = (node: SimulatedNode, nowMs: number) => {
         const report = {
             ...node.identity,
-            ...node.quotas.describeUsage(nowMs),
+            ...node.quotas.describeUsage(nowMs, readFleet(node, nowMs)),
             sequence: ++node.sequence,
             loads: {},
             endpoints: {},
--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -14,17 +14,12 @@
 import type { FleetView, UsageSums } from "../relays/news";
 import { admitShare, type ShareCredit } from "./admitShare";
 import { computeLeftUsage, type FormerUsage, isMostlyUsed } from "./computeLeftUsage";
+import { computeQuotaLimits, type QuotaPolicy } from "./computeQuotaLimits";
 import { decideFormerCharge } from "./decideFormerCharge";
 import { createUsageHistory, type UsageHistory } from "./usageHistory";
 import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter";
 
-/** The window of the quotas, and the tolerance by which all nodes together may exceed them. */
-export interface QuotaPolicy {
-    readonly quotaWindowMs: number;
-    /** By how much a quota may be exceeded in a window: `quotaOverrun` as a share of it, plus `quotaSlack`. */
-    readonly quotaOverrun: number;
-    readonly quotaSlack: number;
-}
+export type { QuotaPolicy } from "./computeQuotaLimits";
 
 /** What a node knows of all nodes, itself included. */
 export interface FleetUsage extends Omit<FleetView, "loads" | "endpoints" | "suspects" | "rollouts" | "limits"> {
@@ -42,8 +37,8 @@
     refund(account: string, amount: number, nowMs: number): void;
     /** Takes the recorded usage of all nodes before a restart: what has left the window of it may be charged. */
     recordFormerUsage(former: FormerUsage): void;
-    /** Gives the usage at this node, for its reports to the other nodes. */
-    describeUsage(nowMs: number): Pick<FleetView, "usage" | "countsForMs">;
+    /** Gives the usage at this node, for its reports to the other nodes; `fleet` shows whether theirs arrive here. */
+    describeUsage(nowMs: number, fleet?: FleetUsage): Pick<FleetView, "usage" | "countsForMs">;
 }
 
 /**
@@ -93,7 +88,7 @@
     };
     const computeUptimeMs = (nowMs: number) => (startedAtMs === undefined ? windowMs : nowMs - startedAtMs);
     const hasQuotaLeft = (account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean => {
-        const { quota, target, limit } = computeLimits(account, policy);
+        const { quota, target, limit } = computeQuotaLimits(account, policy);
         const state = readState(account.name);
         const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
         const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
@@ -141,6 +136,9 @@
         const rate = Math.max(0, Math.min(pacedRate, grantedRate));
         return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, random);
     };
+    const recordContact = ({ nodes, reachable }: FleetUsage, nowMs: number) => {
+        inTouchSinceMs = nodes > 1 && reachable <= 1 ? undefined : (inTouchSinceMs ?? nowMs);
+    };
     // Just after a restart of all nodes, usage before it that has left the window may be used as well, and nothing else by an
     // account that had used most of its quota.
     const isQuotaLeft = (account: GatewayAccount, amount: number, fleet: FleetUsage, nowMs: number): boolean => {
@@ -152,7 +150,7 @@
             return hasLeft;
         }
         const times = { account: account.name, windowMs, countsForMs, nowMs };
-        const { limit } = computeLimits(account, policy);
+        const { limit } = computeQuotaLimits(account, policy);
         if (hasLeft && !isMostlyUsed(former, { ...times, limit })) {
             return true;
         }
@@ -184,7 +182,7 @@
         charge: (account, amount, fleet, nowMs) => {
             const { asked, askedBefore } = readState(account.name);
             [asked, askedBefore].forEach(counter => counter.add(amount, nowMs));
-            inTouchSinceMs = fleet.nodes > 1 && fleet.reachable <= 1 ? undefined : (inTouchSinceMs ?? nowMs);
+            recordContact(fleet, nowMs);
             if (account.quotaPerSecond > 0 && !isQuotaLeft(account, amount, fleet, nowMs)) {
                 return false;
             }
@@ -199,10 +197,15 @@
             charge(account, -amount, nowMs);
             readState(account).asked.add(-amount, nowMs);
         },
-        describeUsage: nowMs => ({
-            usage: Object.fromEntries([...states].map(([name, state]) => [name, readOwnSums(state, nowMs)])),
-            countsForMs: Math.min(windowMs, computeUptimeMs(nowMs)),
-        }),
+        describeUsage: (nowMs, fleet) => {
+            if (fleet !== undefined) {
+                recordContact(fleet, nowMs);
+            }
+            return {
+                usage: Object.fromEntries([...states].map(([name, state]) => [name, readOwnSums(state, nowMs)])),
+                countsForMs: Math.min(windowMs, computeUptimeMs(nowMs)),
+            };
+        },
     };
 }
 
@@ -229,11 +232,6 @@
     retryMs: number | undefined;
 }
 
-const MS_PER_S = 1_000;
-/** Share of the bound that is used; the rest is for what the estimate of unreported usage misses. */
-const USABLE_SHARE = 0.985;
-/** Where between the quota and the bound the usage of an over-asking account is held: 0 is the quota, 1 the bound. */
-const TARGET_POSITION = 0.6;
 /** Head start of the ramp-up, without which the first requests after a restart of all nodes would be refused. */
 const RAMP_UP_HEAD_START_MS = 400;
 /** Length of the ramp-up to the full limit, in windows. Above 1, since usage before the start may have been uneven. */
@@ -278,20 +276,6 @@
 /** Number of requests of the present size that the estimate of growth assumes in addition to the received ones. */
 const GROWTH_PRIOR_REQUESTS = 1;
 
-/** What all nodes together may charge to an account in a window. */
-interface QuotaLimits {
-    readonly quota: number;
-    /** What an over-asking account is held at. */
-    readonly target: number;
-    readonly limit: number;
-}
-
-function computeLimits(account: GatewayAccount, { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaPolicy): QuotaLimits {
-    const quota = (account.quotaPerSecond * quotaWindowMs) / MS_PER_S + account.quotaBurst;
-    const tolerance = quota * quotaOverrun + (account.countsTokens ? quotaSlack : 0);
-    return { quota, target: quota + TARGET_POSITION * tolerance, limit: (quota + tolerance) * USABLE_SHARE };
-}
-
 function readOwnSums({ own, recent, asked }: AccountState, nowMs: number): UsageSums {
     return {
         used: Math.max(0, Math.round(own.sum(nowMs))),
--- a/src/decisions/gateway/decideFormerCharge.test.ts
+++ b/src/decisions/gateway/decideFormerCharge.test.ts
@@ -63,7 +63,7 @@
     });
 });
 
-it("a refusal after a restart says when to come back, and one without a record doesn't", () => {
+describe("quotas after a restart of all nodes", () => {
     const account: GatewayAccount = {
         name: "county",
         keys: ["k"],
@@ -74,16 +74,32 @@
         defaultTokens: 1,
     };
     const policy = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 0 };
-    const quotas = createAccountQuotas(policy, 0, createRandom(1));
-    const refuse = () => {
-        while (quotas.charge(account, 40, makeFleetUsage(), 1_000)) {
-            // Until the quota is used up.
-        }
-        return quotas.estimateRetryMs("county");
-    };
-    assert.equal(refuse(), undefined);
     const record = Array.from({ length: 16 }, (_, index) => ({ ageMs: 500 * (15 - index), usage: { county: 45 } }));
-    quotas.recordFormerUsage({ record, atMs: -500 });
-    const retryMs = refuse();
-    assert.ok(retryMs !== undefined && retryMs >= 100 && retryMs <= 1_000, `${retryMs}`);
+
+    it("say with a refusal when to come back if there is a record, and nothing else without", () => {
+        const quotas = createAccountQuotas(policy, 0, createRandom(1));
+        const refuse = () => {
+            while (quotas.charge(account, 40, makeFleetUsage(), 1_000)) {
+                // Until the quota is used up.
+            }
+            return quotas.estimateRetryMs("county");
+        };
+        assert.equal(refuse(), undefined);
+        quotas.recordFormerUsage({ record, atMs: -500 });
+        const retryMs = refuse();
+        assert.ok(retryMs !== undefined && retryMs >= 100 && retryMs <= 1_000, `${retryMs}`);
+    });
+
+    // Guards against large fleets, whose nodes get few requests of an account: a node that takes its first request for the
+    // moment at which it hears the others admits less than one of them.
+    it("admit the first request of a node that has long heard the others", () => {
+        const fleet = makeFleetUsage({ nodes: 72, reachable: 72, countsForMs: 3_000 });
+        const quotas = createAccountQuotas(policy, 0, createRandom(1));
+        quotas.recordFormerUsage({ record, atMs: -500 });
+        const reported = { county: { used: 100, recent: 25, asked: 45 } };
+        for (let nowMs = 500; nowMs < 3_000; nowMs += 250) {
+            quotas.describeUsage(nowMs, fleet);
+        }
+        assert.ok(quotas.charge(account, 10, { ...fleet, usage: reported }, 3_000));
+    });
 });
--- a/src/gateway/createGatewayParts.ts
+++ b/src/gateway/createGatewayParts.ts
@@ -133,7 +133,7 @@
         failureDomains: Object.keys(settings.regions),
         quotaWindowMs: settings.bounds.quotaWindowMs,
         readOwnNews: () => ({
-            ...quotas.describeUsage(clock.readMonotonicMs()),
+            ...quotas.describeUsage(clock.readMonotonicMs(), news.readUsage()),
             loads: demand.readLoads(),
             endpoints: directory.readActivity(),
         }),
