Name the expected time of a retry while quotas ramp up after a start

Cause: each refusal named 1 s. After a loss of all nodes half of the requests that were not on time had been refused once and came back after that second: late, and all together. What is granted is unchanged.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -146,7 +146,12 @@
         const state = readState(account.name);
         const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
         state.retryMs = undefined;
-        if (former === undefined || countsForMs >= windowMs) {
+        if (countsForMs >= windowMs) {
+            return hasLeft;
+        }
+        const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
+        if (former === undefined) {
+            state.retryMs = estimateRampUpRetryMs(sums, amount, state.asked.sum(nowMs), fleet.isCounted);
             return hasLeft;
         }
         const times = { account: account.name, windowMs, countsForMs, nowMs };
@@ -155,7 +160,6 @@
             return true;
         }
         state.firstPart ??= random.drawFraction();
-        const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
         const { admittedShare, retryMs } = decideFormerCharge({
             left: computeLeftUsage(former, times),
             ...fleet,
@@ -297,6 +301,17 @@
     };
 }
 
+/** Estimates when a request that is refused during the ramp-up may be admitted, with the others that come back as well. */
+function estimateRampUpRetryMs(
+    { recent, asked }: UsageSums,
+    amount: number,
+    ownAsked: number,
+    isCounted: boolean,
+): number {
+    const admittedShare = Math.min(1, recent / asked);
+    return isCounted ? (amount * RECENT_USAGE_MS) / (ownAsked * admittedShare ** 2) : NEWS_DELAY_USUAL_MS;
+}
+
 /** Sums what is known to be charged by all nodes, dead ones included. */
 function sumKnown({ used }: UsageSums, account: string, { silentUsage, lostUsage }: FleetUsage): number {
     return used + (silentUsage[account] ?? 0) + (lostUsage[account] ?? 0);
