Merge records of usage for restarts of all nodes, and the last counts of a planned stop

After a loss of all nodes the quotas of accounts refused for seconds. With quotaRecordMs set (off by default), a node that starts grants what has left the window of the recorded usage; refusals during the ramp-up name the expected time.

--- a/src/decisions/gateway/accountQuotas.ts
+++ b/src/decisions/gateway/accountQuotas.ts
@@ -10,18 +10,17 @@
  */
 import type { Random } from "../../base/random";
 import type { GatewayAccount } from "../../model/gateway";
-import { NEWS_DELAY_MAX_MS, RECENT_USAGE_MS } from "../relays/constants";
+import { NEWS_DELAY_MAX_MS, NEWS_DELAY_USUAL_MS, RECENT_USAGE_MS } from "../relays/constants";
 import type { FleetView, UsageSums } from "../relays/news";
-import type { UsageHistory } from "./usageHistory";
 import { type AccountState, buildAccountStateCopy, createAccountState } from "./accountState";
+import { admitShare } from "./admitShare";
+import { computeLeftUsage, type FormerUsage, isMostlyUsed } from "./computeLeftUsage";
+import { computeQuotaLimits, type QuotaPolicy } from "./computeQuotaLimits";
+import { decideFormerCharge } from "./decideFormerCharge";
+import { estimateGrowth } from "./estimateGrowth";
+import { estimateLeavingRate } from "./estimateLeavingRate";
 
-/** The window of the quotas, and the tolerance by which all nodes together may exceed them. */
-export interface QuotaPolicy {
-    readonly quotaWindowMs: number;
-    /** By how much a quota may be exceeded in a window: `quotaOverrun` as a share of it, plus `quotaSlack`. */
-    readonly quotaOverrun: number;
-    readonly quotaSlack: number;
-}
+export type { QuotaPolicy } from "./computeQuotaLimits";
 
 /** What a node knows of all nodes, itself included. */
 export interface FleetUsage extends Omit<FleetView, "loads" | "endpoints" | "suspects" | "rollouts" | "limits"> {
@@ -41,8 +40,12 @@
      * the quota would be granted. It doesn't count as asked for either, so a retry is judged as a new request.
      */
     refund(account: string, amount: number, chargedAtMs: number): void;
-    /** Gives the usage at this node, for its reports to the other nodes. */
-    describeUsage(nowMs: number): Pick<FleetView, "usage" | "countsForMs">;
+    /** Estimates when the account's request that was just refused may be admitted; `undefined` if unknown or late. */
+    estimateRetryMs(account: string): number | undefined;
+    /** Takes the recorded usage of all nodes before a restart: what has left the window of it may be charged. */
+    recordFormerUsage(former: FormerUsage): void;
+    /** Gives the usage at this node, for its reports to the other nodes; `fleet` shows whether theirs arrive here. */
+    describeUsage(nowMs: number, fleet?: FleetUsage): Pick<FleetView, "usage" | "countsForMs">;
 }
 
 /** What a charge depends on, and whether it is made. */
@@ -79,6 +82,9 @@
     const states = new Map<string, AccountState>();
     /** When this node was last without the others' reports, and its share of the quotas then. */
     let isolated = { atMs: Number.NEGATIVE_INFINITY, share: 0 };
+    let former: FormerUsage | undefined;
+    /** Since when this node has received the others' reports. */
+    let inTouchSinceMs: number | undefined;
     const readState = (account: string): AccountState => {
         const state = states.get(account) ?? createAccountState(windowMs);
         states.set(account, state);
@@ -94,12 +100,12 @@
         { account, amount, fleet, nowMs }: ChargeRequest,
         creditRandom: Random,
     ): boolean => {
-        const { quota, target, limit } = computeLimits(account, policy);
+        const { quota, target, limit } = computeQuotaLimits(account, policy);
         const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
         const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
         const rampUpShare = computeRampUpShare(countsForMs, windowMs);
         const reachableShare = computeReachableShare(fleet);
-        const known = sums.used + (fleet.silentUsage[account.name] ?? 0) + (fleet.lostUsage[account.name] ?? 0);
+        const known = sumKnown(sums, account.name, fleet);
         const unused = Math.min(limit * rampUpShare - known, limit * reachableShare - sums.used);
         if (fleet.nodes > 1 && fleet.reachable <= 1) {
             isolated = { atMs: nowMs, share: reachableShare };
@@ -144,10 +150,53 @@
         const rate = Math.max(0, Math.min(pacedRate, grantedRate));
         return admitShare(state, amount, (rate * RECENT_USAGE_MS) / sums.asked, creditRandom);
     };
+    // Just after a restart of all nodes, usage before it that has left the window may be used as well, and nothing else by an
+    // account that had used most of its quota.
+    const isQuotaLeft = (state: AccountState, request: ChargeRequest, creditRandom: Random): boolean => {
+        const { account, amount, fleet, nowMs } = request;
+        const hasLeft = admitByQuota(state, request, creditRandom);
+        const countsForMs = Math.max(computeUptimeMs(nowMs), fleet.countsForMs);
+        state.retryMs = undefined;
+        if (countsForMs >= windowMs) {
+            return hasLeft;
+        }
+        const sums = readSums(state, fleet.usage[account.name], amount, nowMs);
+        if (former === undefined) {
+            state.retryMs = estimateRampUpRetryMs(sums, amount, state.asked.sum(nowMs), fleet.isCounted);
+            return hasLeft;
+        }
+        const times = { account: account.name, windowMs, countsForMs, nowMs };
+        const { limit } = computeQuotaLimits(account, policy);
+        if (hasLeft && !isMostlyUsed(former, { ...times, limit })) {
+            return true;
+        }
+        state.firstPart ??= creditRandom.drawFraction();
+        const { admittedShare, retryMs } = decideFormerCharge({
+            left: computeLeftUsage(former, times),
+            ...fleet,
+            ...times,
+            limit,
+            amount,
+            inTouchMs: inTouchSinceMs === undefined ? 0 : nowMs - inTouchSinceMs,
+            reachableShare: computeReachableShare(fleet),
+            own: state.own.sum(nowMs),
+            ownUnreported: state.unreported.sum(nowMs),
+            firstPart: state.firstPart,
+            known: sumKnown(sums, account.name, fleet),
+            ownAsked: state.asked.sum(nowMs),
+            asked: sums.asked,
+            recentRate: state.history.sumUsage(nowMs - PACED_AVERAGE_MS, nowMs) / PACED_AVERAGE_MS,
+        });
+        state.retryMs = retryMs;
+        return admittedShare > 0 && admitShare(state.formerCredit, amount, admittedShare, creditRandom);
+    };
     const admitCharge = (state: AccountState, request: ChargeRequest, creditRandom: Random): boolean => {
         const { account, amount, nowMs } = request;
         [state.asked, state.askedInWindow].forEach(counter => counter.add(amount, nowMs));
-        return account.quotaPerSecond <= 0 || admitByQuota(state, request, creditRandom);
+        return account.quotaPerSecond <= 0 || isQuotaLeft(state, request, creditRandom);
+    };
+    const recordContact = ({ nodes, reachable }: FleetUsage, nowMs: number) => {
+        inTouchSinceMs = nodes > 1 && reachable <= 1 ? undefined : (inTouchSinceMs ?? nowMs);
     };
     return {
         explainCharge: (account, amount, fleet, nowMs) => {
@@ -164,25 +213,38 @@
             const { used } = readSums(state, fleet.usage[account.name], 0, nowMs);
             const isAdmitted = admitCharge(state, { account, amount, fleet, nowMs }, creditRandom);
             isolated = isolatedBefore;
-            const { quota, limit } = computeLimits(account, policy);
+            const { quota, limit } = computeQuotaLimits(account, policy);
             return { isAdmitted, isByChance: hasDrawn && isAdmitted, quota, limit, used };
         },
+        recordFormerUsage: usage => {
+            former = usage;
+        },
         charge: (account, amount, fleet, nowMs) => {
+            recordContact(fleet, nowMs);
             if (!admitCharge(readState(account.name), { account, amount, fleet, nowMs }, random)) {
                 return false;
             }
             charge(account.name, amount, nowMs);
             return true;
         },
+        estimateRetryMs: account => {
+            const retryMs = states.get(account)?.retryMs;
+            return retryMs === undefined || !(retryMs < RETRY_MS.most) ? undefined : Math.max(RETRY_MS.least, retryMs);
+        },
         refund: (account, amount, chargedAtMs) => {
             charge(account, -amount, chargedAtMs);
-            const { asked, askedBefore } = readState(account);
-            [asked, askedBefore].forEach(counter => counter.add(-amount, chargedAtMs));
+            const { asked, askedInWindow } = readState(account);
+            [asked, askedInWindow].forEach(counter => counter.add(-amount, chargedAtMs));
+        },
+        describeUsage: (nowMs, fleet) => {
+            if (fleet !== undefined) {
+                recordContact(fleet, nowMs);
+            }
+            return {
+                usage: Object.fromEntries([...states].map(([name, state]) => [name, readOwnSums(state, nowMs)])),
+                countsForMs: Math.min(windowMs, computeUptimeMs(nowMs)),
+            };
         },
-        describeUsage: nowMs => ({
-            usage: Object.fromEntries([...states].map(([name, state]) => [name, readOwnSums(state, nowMs)])),
-            countsForMs: Math.min(windowMs, computeUptimeMs(nowMs)),
-        }),
     };
 }
 
@@ -194,13 +256,8 @@
     readonly nowMs: number;
 }
 
-const MS_PER_S = 1_000;
 /** The random number of an explanation: a request that it doesn't admit is refused whatever is drawn. */
 const BEST_DRAW = 0;
-/** Share of the bound that is used; the rest is for what the estimate of unreported usage misses. */
-const USABLE_SHARE = 0.985;
-/** Where between the quota and the bound the usage of an over-asking account is held: 0 is the quota, 1 the bound. */
-const TARGET_POSITION = 0.6;
 /** Head start of the ramp-up, without which the first requests after a restart of all nodes would be refused. */
 const RAMP_UP_HEAD_START_MS = 400;
 /** Length of the ramp-up to the full limit, in windows. Above 1, since usage before the start may have been uneven. */
@@ -209,8 +266,6 @@
 const HAND_OUT_MS = NEWS_DELAY_MAX_MS;
 /** Time over which a paced account is brought to its target; well above the delay of the reports, or it would swing. */
 const CORRECTION_MS = 1_500;
-/** Mean time until a report has reached the other nodes: half of the periods on the way. */
-const NEWS_DELAY_USUAL_MS = 400;
 /** An account is paced while it asks for more than this multiple of its recent usage, and some requests in addition. */
 const OVER_ASKED_RATIO = 1.1;
 const OVER_ASKED_REQUESTS = 2;
@@ -219,17 +274,10 @@
  * until it leaves the window.
  */
 const PACED_RATE_MAX = 1.1;
+/** A shorter time until a retry is of no use, and a longer one is not estimated. */
+const RETRY_MS = { least: 100, most: 1_000 };
 /** Highest rate at which usage is taken to leave the window, as a multiple of the steady one; its time isn't exact. */
 const LEAVING_RATE_MAX = 1.25;
-/** The history's rates count as much more as the usage exceeds them, up to this; samples may be missing. */
-const HISTORY_SCALE_MAX = 1.5;
-/** Number of requests that the leaving rate is averaged over, and the bounds of the time for it. */
-const LEAVING_REQUESTS = 8;
-const LEAVING_SPAN_MS = { least: 400, most: 2_000 };
-/** By how much earlier and later the leaving usage may have been charged, at least. */
-const LEAVING_UNCERTAINTY_MS = 250;
-/** Half of a slice of the counters, which drop usage by whole slices. */
-const COUNTER_DELAY_MS = 130;
 /** Time over which the unreported usage of a paced account is averaged. */
 const PACED_AVERAGE_MS = 1_000;
 /** Recent share of the usage up to which it counts as paced. */
@@ -243,23 +291,6 @@
 /** Weight of a request in the mean size. */
 const SIZE_WEIGHT = 0.1;
 
-/** Number of requests of the present size that the estimate of growth assumes in addition to the received ones. */
-const GROWTH_PRIOR_REQUESTS = 1;
-
-/** What all nodes together may charge to an account in a window. */
-interface QuotaLimits {
-    readonly quota: number;
-    /** What an over-asking account is held at. */
-    readonly target: number;
-    readonly limit: number;
-}
-
-function computeLimits(account: GatewayAccount, { quotaWindowMs, quotaOverrun, quotaSlack }: QuotaPolicy): QuotaLimits {
-    const quota = (account.quotaPerSecond * quotaWindowMs) / MS_PER_S + account.quotaBurst;
-    const tolerance = quota * quotaOverrun + (account.countsTokens ? quotaSlack : 0);
-    return { quota, target: quota + TARGET_POSITION * tolerance, limit: (quota + tolerance) * USABLE_SHARE };
-}
-
 function readOwnSums({ own, recent, asked }: AccountState, nowMs: number): UsageSums {
     return {
         used: Math.max(0, Math.round(own.sum(nowMs))),
@@ -281,31 +312,20 @@
     };
 }
 
-/**
- * Estimates by what factor the requests of an account grew since the reports, from those that this node received most
- * recently and in the whole window. The usage of an average node, or of a few requests, is added to both, since few
- * requests say little.
- */
-function estimateGrowth(
-    sums: UsageSums,
-    { asked, askedInWindow }: AccountState,
-    { amount, reachable, knownMs, nowMs }: GrowthInput,
+/** Estimates when a request that is refused during the ramp-up may be admitted, with the others that come back as well. */
+function estimateRampUpRetryMs(
+    { recent, asked }: UsageSums,
+    amount: number,
+    ownAsked: number,
+    isCounted: boolean,
 ): number {
-    const prior = Math.max(sums.asked / Math.max(1, reachable), GROWTH_PRIOR_REQUESTS * amount);
-    const usual = (askedInWindow.sum(nowMs) * RECENT_USAGE_MS) / Math.max(RECENT_USAGE_MS, knownMs);
-    const received = Math.max(0, asked.sum(nowMs) - amount);
-    // Less one standard deviation, or the chance arrival of a few requests would count as growth.
-    return Math.max(1, (received - Math.sqrt(received * amount) + prior) / (usual + prior));
+    const admittedShare = Math.min(1, recent / asked);
+    return isCounted ? (amount * RECENT_USAGE_MS) / (ownAsked * admittedShare ** 2) : NEWS_DELAY_USUAL_MS;
 }
 
-/** The request that is judged, and where. */
-interface GrowthInput {
-    readonly amount: number;
-    /** Nodes whose usage is reported. */
-    readonly reachable: number;
-    /** For how long a node of the group has known what it was asked for, up to the quota window. */
-    readonly knownMs: number;
-    readonly nowMs: number;
+/** Sums what is known to be charged by all nodes, dead ones included. */
+function sumKnown({ used }: UsageSums, account: string, { silentUsage, lostUsage }: FleetUsage): number {
+    return used + (silentUsage[account] ?? 0) + (lostUsage[account] ?? 0);
 }
 
 /** Estimates what all nodes have charged and not reported yet. */
@@ -321,28 +341,6 @@
     return Math.max(unreported.sum(nowMs), growth * rate * NEWS_DELAY_MAX_MS);
 }
 
-/**
- * Estimates the rate at which usage leaves the window now. Since the time at which it was charged is known only
- * roughly, the lowest of three neighbouring rates counts.
- */
-function estimateLeavingRate(
-    { used }: UsageSums,
-    history: UsageHistory,
-    requestMs: number,
-    { windowMs, nowMs }: { readonly windowMs: number; readonly nowMs: number },
-): number {
-    const { least, most } = LEAVING_SPAN_MS;
-    const spanMs = Math.min(most, Math.max(least, LEAVING_REQUESTS * requestMs));
-    const uncertaintyMs = Math.max(LEAVING_UNCERTAINTY_MS, spanMs / 2);
-    // A sample is the mean of the recent time, and as late as its report.
-    const sampledMs = nowMs - windowMs - COUNTER_DELAY_MS + NEWS_DELAY_USUAL_MS / 2 + RECENT_USAGE_MS / 2;
-    const sums = [0, uncertaintyMs, -uncertaintyMs].map(offsetMs =>
-        history.sumUsage(sampledMs + offsetMs - spanMs / 2, sampledMs + offsetMs + spanMs / 2),
-    );
-    const scale = used / Math.max(1, history.sumUsage(nowMs - windowMs, nowMs));
-    return (Math.min(HISTORY_SCALE_MAX, scale) * Math.min(...sums)) / spanMs;
-}
-
 /** Estimates the mean size of the requests, each weighted by its size, from the former mean and a request. */
 function estimateRequestSize(mean: number | undefined, amount: number): number {
     if (mean === undefined || mean <= 0) {
@@ -352,25 +350,6 @@
     return mean + (weight * (amount - mean)) / (1 + weight);
 }
 
-/**
- * Admits a share of what is asked for, evenly: each request adds its part of the share to a credit, and a request that
- * finds credit is admitted, whatever its size. Chance alone would vary by several hundredths of a quota in a window.
- */
-function admitShare(state: AccountState, amount: number, share: number, random: Random): boolean {
-    if (!(share < 1)) {
-        return true;
-    }
-    const { formerAmount, credit } = state.shareCredit ?? {
-        formerAmount: amount,
-        credit: -random.drawFraction() * amount,
-    };
-    // The former request's part is added and not its own, or large requests would be admitted far more often than small.
-    const available = credit + share * formerAmount;
-    const isAdmitted = available > 0;
-    state.shareCredit = { formerAmount: amount, credit: isAdmitted ? available - amount : available };
-    return isAdmitted;
-}
-
 /** Computes the share of the limit that is granted while the usage charged before the start is unknown. */
 function computeRampUpShare(countsForMs: number, windowMs: number): number {
     return countsForMs >= windowMs ? 1 : (countsForMs + RAMP_UP_HEAD_START_MS) / (RAMP_UP_WINDOWS * windowMs);
--- a/src/decisions/gateway/accountState.ts
+++ b/src/decisions/gateway/accountState.ts
@@ -1,12 +1,13 @@
 /**
  * @module What a node keeps about the usage of one account.
  */
+import type { ShareCredit } from "./admitShare";
 import { NEWS_DELAY_MAX_MS, RECENT_USAGE_MS } from "../relays/constants";
 import { createSlidingWindowCounter, type SlidingWindowCounter } from "./slidingWindowCounter";
 import { createUsageHistory, type UsageHistory } from "./usageHistory";
 
 /** Usage of one account at this node. */
-export interface AccountState {
+export interface AccountState extends ShareCredit {
     /** Charged in the current quota window. */
     readonly own: SlidingWindowCounter;
     /** Charged so recently that the other nodes may not have received the report. */
@@ -18,10 +19,14 @@
     readonly askedInWindow: SlidingWindowCounter;
     /** Charged by all nodes. */
     readonly history: UsageHistory;
-    /** What may be admitted, negative after a greater request, and the last request, whose part is still to be added. */
-    shareCredit: { readonly credit: number; readonly formerAmount: number } | undefined;
     /** Mean size of the requests, weighted by size. */
     requestSize: number | undefined;
+    /** The credit for what has left the window of the usage before a restart. */
+    readonly formerCredit: ShareCredit;
+    /** Random part of a request that must be left of an equal part of the quota. */
+    firstPart: number | undefined;
+    /** Time after which the last refused request may be admitted, where that is known. */
+    retryMs: number | undefined;
 }
 
 /**
@@ -42,6 +47,9 @@
         history: createUsageHistory(windowMs),
         shareCredit: undefined,
         requestSize: undefined,
+        formerCredit: { shareCredit: undefined },
+        firstPart: undefined,
+        retryMs: undefined,
     };
 }
 
@@ -62,5 +70,6 @@
         asked: state.asked.createCopy(),
         askedInWindow: state.askedInWindow.createCopy(),
         history: state.history.createCopy(),
+        formerCredit: { ...state.formerCredit },
     };
 }
--- a/src/decisions/relays/constants.ts
+++ b/src/decisions/relays/constants.ts
@@ -19,3 +19,5 @@
 export const CRASH_RETENTION_MS = 600_000;
 /** Evidence on prompt parts that a silent node or failure domain sent counts for this long. */
 export const SILENT_EVIDENCE_MS = 60_000;
+/** Mean time until a report has reached the other nodes: half of the periods on the way. */
+export const NEWS_DELAY_USUAL_MS = 400;
--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -121,7 +121,7 @@
         const amount = computeQuotaAmount(account, head);
         return quotas.charge(account, amount, components.news.readUsage(), atMs)
             ? { amount, atMs }
-            : createQuotaFailure(account, amount);
+            : createQuotaFailure(account, amount, quotas.estimateRetryMs(account.name));
     };
 
     const sendFailureAnswer = (open: OpenRequest, failure: Failure) => {
--- a/src/gateway/forwarding/forwardingOutcome.ts
+++ b/src/gateway/forwarding/forwardingOutcome.ts
@@ -37,10 +37,10 @@
     { execution: Execution.Unknown },
 );
 
-/** Creates the failure of a request that the quota of its account doesn't admit. */
-export function createQuotaFailure(account: GatewayAccount, amount: number): Failure {
+/** Creates the failure of a request that the quota of its account doesn't admit; `retryMs` if a better time is known. */
+export function createQuotaFailure(account: GatewayAccount, amount: number, retryMs?: number): Failure {
     return createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", {
-        retryAfterMs: computeQuotaRetryMs(account, amount),
+        retryAfterMs: retryMs ?? computeQuotaRetryMs(account, amount),
     });
 }
 
--- a/src/gateway/runGateway.ts
+++ b/src/gateway/runGateway.ts
@@ -7,7 +7,7 @@
 import type { ProcessSignals } from "../base/processSignals";
 import { ExitCode } from "../cli/exitCode";
 import { logStrayErrors } from "../serve/logStrayErrors";
-import { createFailureReporter } from "./process/createFailureReporter";
+import { createFailureReporter, FailureOwner } from "./process/createFailureReporter";
 import { createGatewayMetrics } from "./process/createGatewayMetrics";
 import { createGatewayParts } from "./createGatewayParts";
 import { createGatewayServers } from "./createGatewayServers";
@@ -17,6 +17,8 @@
 import type { GatewayPlatform } from "./gatewayPlatform";
 import { startClusterTime } from "./tables/startClusterTime";
 import { startDuties } from "./duties/startDuties";
+import { startQuotaRecords } from "./duties/startQuotaRecords";
+import { logReadiness } from "./process/logReadiness";
 import { startListeners } from "./process/startListeners";
 import { startWatches } from "./tables/startWatches";
 import { waitForEnd } from "./process/waitForEnd";
@@ -26,6 +28,8 @@
  * Share of `revokeMs` after which a node that can't reach the store reports to the load balancer that it is not ready.
  */
 const READY_SHARE = 0.6;
+/** Longest wait for the store to take the last usage counts; the grace time of a stop is nearly over then. */
+const LAST_COUNTS_LIMIT_MS = 150;
 /** A former process may hold an address for the grace time of its stop; so long after that, the start has failed. */
 const LISTEN_MARGIN_MS = 5_000;
 
@@ -85,6 +89,14 @@
     });
     const { clock, configuration, directory } = components;
     const rowServer = startWatches(components, platform, clusterTime);
+    startQuotaRecords({
+        ...components,
+        ...settings.bounds,
+        periodMs: settings.bounds.quotaRecordMs ?? 0,
+        quotas,
+        table: platform.tables,
+        clusterTime,
+    });
     startClusterTime({ table: platform.tables, clusterTime, clock, log, reportFailure });
     const duties = startDuties({
         components,
@@ -106,6 +118,16 @@
     const limitMs = settings.bounds.graceMs + LISTEN_MARGIN_MS;
     const listeners = startListeners(targets, { clock, log: lifeLog, limitMs, signal: retries.signal });
     dumpOnSignal(components, listeners, signals);
+    const conditions = {
+        timeMs: clusterTime.hasAgreedOffset,
+        configurationMs: () => configuration.readCurrent() !== undefined,
+        endpointsMs: directory.isLoaded,
+        newsMs: components.news.isLoaded,
+        readyMs: isReady,
+    };
+    void logReadiness(conditions, clock, lifeLog).catch((error: unknown) =>
+        components.reportFailure(FailureOwner.Request, error),
+    );
     const { reason, failedExitCode } = await waitForEnd(listeners, whenSignalled, lifeLog);
     isLeaving = true;
     retries.abort();
@@ -114,6 +136,10 @@
         return failedExitCode;
     }
     const exitCode = await drainGateway({ clock, settings, log: lifeLog }, listener, reason);
+    await Promise.race([
+        membership.storeLastCounts(),
+        new Promise(resolve => setTimeout(resolve, LAST_COUNTS_LIMIT_MS)),
+    ]);
     return failedExitCode ?? exitCode;
 }
 
