Stop requests that crash endpoints by themselves, and repeat rare ones once

Cause: the quarantine knew shared parts only. A request that crashes endpoints by its last part, or without any part, went on to endpoint after endpoint, and its shared part took the blame. A sound request with a seldom answered part wasn't repeated after a crash at all. Change: createRequestEvidence judges single requests by an identity that their repeats share. After two crashes under one request it isn't sent on, unless at least two endpoints crashed without it about then or another request was at the same crashes; equal requests are held, then tried. First attempts of other requests are as before. A request with an unfamiliar part is repeated once after a single crash if its route permits a further execution after that. While a single request explains all crashes of a part, other requests with the part are let through one at a time, which clears it. No existing test was changed.

--- a/src/decisions/gateway/createPartEvidence.ts
+++ b/src/decisions/gateway/createPartEvidence.ts
@@ -26,6 +26,8 @@
     isFamiliar(part: string, nowMs: number): boolean;
     /** Lists the parts with evidence. */
     listParts(): readonly string[];
+    /** Lists the keys of the crashes of a part since its last answer, those that another part explains included. */
+    listCrashKeys(part: string): readonly string[];
 }
 
 /** A part explains the crashes of another one if the blame of that one is below this share of its own. */
@@ -229,6 +231,7 @@
         hasEvidence: part => entries.has(part),
         isFamiliar,
         listParts: () => [...entries.keys()],
+        listCrashKeys: part => [...(entries.get(part)?.crashes.keys() ?? [])],
     };
 }
 
--- a/src/decisions/gateway/decideNextAction.ts
+++ b/src/decisions/gateway/decideNextAction.ts
@@ -51,7 +51,7 @@
     readonly executions: number;
     /** All attempts so far, including this one. */
     readonly sends: number;
-    /** True if a part of the request may have crashed the endpoint. */
+    /** True if the request may have crashed the endpoint and must not be repeated. */
     readonly mayHaveCrashed?: boolean;
     /** True if enough time is left before the deadline for another attempt. */
     readonly hasTime: boolean;
--- a/src/gateway/_testing/simulateQuarantine.ts
+++ b/src/gateway/_testing/simulateQuarantine.ts
@@ -10,6 +10,7 @@
 import type { SuspectParts } from "../../decisions/relays/news";
 import { createPartQuarantine, type FollowedAttempt, type PartQuarantine } from "../quarantine/createPartQuarantine";
 import { createEndpointRecord, type EndpointRecord } from "../endpoints/endpointRecord";
+import type { FollowedRequest } from "../quarantine/buildFollowedRequest";
 import { ConnectionEnd } from "../forwarding/sendAttempt";
 import { makeEndpoint } from "./makeEndpoint";
 
@@ -28,8 +29,12 @@
     /** Crashes of other causes, and resets of connections, per second. */
     readonly crashesPerSecond: number;
     readonly resetsPerSecond: number;
+    /** Times at which a third of the endpoints crash at once; default: none. */
+    readonly wavesAtMs?: readonly number[];
     /** Share of messages that are lost. */
     readonly lossShare: number;
+    /** Executions that the route permits; default: 2. */
+    readonly attemptsMax?: number;
     /** Nodes that lose their state, per second. */
     readonly restartsPerSecond: number;
     /** Gets the log lines of the nodes; default: none are kept. */
@@ -46,6 +51,8 @@
     /** Requests without the part that were refused, and those of them with none but popular parts. */
     readonly refusedSound: number;
     readonly refusedPopular: number;
+    /** Requests without the part that were not sent again because they may have crashed an endpoint. */
+    readonly notRepeatedSound: number;
     /** Requests with the part that were refused or answered in the last quarter. */
     readonly refusedAtEnd: number;
     readonly answeredAtEnd: number;
@@ -61,7 +68,7 @@
 interface Attempt {
     readonly node: Node;
     readonly endpoint: Endpoint;
-    readonly parts: readonly string[];
+    readonly request: FollowedRequest;
     readonly sends: number;
     readonly followed: FollowedAttempt;
     readonly beginsAtMs: number;
@@ -89,6 +96,7 @@
 export async function simulateQuarantine(options: QuarantineSimulation): Promise<QuarantineResult> {
     const clock = createManualClock();
     const random = createRandom(options.seed);
+    const { attemptsMax = 2 } = options;
     const log = createLog({ write: options.write ?? (() => undefined) });
     const seen = {
         deadlyCrashes: 0,
@@ -96,6 +104,7 @@
         sound: 0,
         refusedSound: 0,
         refusedPopular: 0,
+        notRepeatedSound: 0,
         refusedAtEnd: 0,
         answeredAtEnd: 0,
     };
@@ -108,6 +117,7 @@
         downUntilMs: 0,
     }));
     const attempts = new Set<Attempt>();
+    let requests = 0;
     const messages: { readonly atMs: number; readonly deliver: () => void }[] = [];
     const reports = new Map<number, SuspectParts>();
     const drawChance = (perSecond: number) => random.drawFraction() < (perSecond * STEP_MS) / 1_000;
@@ -132,11 +142,13 @@
         return { records, quarantine: createNode(index, records) };
     });
 
-    const send = (node: Node, parts: readonly string[], sends: number) => {
+    const send = (node: Node, request: FollowedRequest, sends: number) => {
+        const { parts } = request;
         const isDeadly = parts.includes("deadly");
-        const admission = node.quarantine.admitAttempt(parts);
+        const history = { isRepeat: sends > 1, hasSpare: Math.max(1, sends - 1) + 1 < attemptsMax };
+        const admission = node.quarantine.admitAttempt(request, history);
         const isAtEnd = readMs() > options.durationMs * 0.75;
-        if (admission.retryAfterMs !== undefined || (sends > 1 && admission.verdict !== "free")) {
+        if (admission.retryAfterMs !== undefined || (sends > 1 && !admission.allowsRepeat)) {
             seen.refusedAtEnd += isDeadly && isAtEnd ? 1 : 0;
             seen.refusedSound += isDeadly ? 0 : 1;
             seen.refusedPopular += isDeadly || parts.some(part => part.startsWith("rare")) ? 0 : 1;
@@ -156,9 +168,9 @@
         attempts.add({
             node,
             endpoint,
-            parts,
+            request,
             sends,
-            followed: node.quarantine.beginAttempt(record, parts),
+            followed: node.quarantine.beginAttempt(record, request, history),
             beginsAtMs,
             endsAtMs: beginsAtMs + random.drawInteger(100, 2_000),
             hasBegun: false,
@@ -170,8 +182,11 @@
             const end = attempt.hasBegun ? AttemptOutcome.Broken : AttemptOutcome.Lost;
             const result = { end, reason: "reset", connection: ConnectionEnd.Broken };
             void attempt.followed.finish(result).then(mayHaveCrashed => {
-                if (!mayHaveCrashed && attempt.sends < 2) {
-                    send(attempt.node, attempt.parts, attempt.sends + 1);
+                const isSound = !attempt.request.parts.includes("deadly");
+                const hasAttempts = attempt.sends < attemptsMax;
+                seen.notRepeatedSound += isSound && hasAttempts && mayHaveCrashed ? 1 : 0;
+                if (!mayHaveCrashed && hasAttempts) {
+                    send(attempt.node, attempt.request, attempt.sends + 1);
                 }
             });
         }
@@ -186,7 +201,7 @@
                 continue;
             }
             if (!attempt.hasBegun && attempt.beginsAtMs <= readMs()) {
-                if (attempt.parts.includes("deadly") && readMs() >= options.deadlyFromMs) {
+                if (attempt.request.parts.includes("deadly") && readMs() >= options.deadlyFromMs) {
                     seen.deadlyCrashes++;
                     fifthCrashMs = seen.deadlyCrashes === 5 ? readMs() : fifthCrashMs;
                     crash(attempt.endpoint);
@@ -195,7 +210,7 @@
                 attempt.hasBegun = true;
                 attempt.followed.recordFirstPart();
                 const isAtEnd = readMs() > options.durationMs * 0.75;
-                seen.answeredAtEnd += attempt.parts.includes("deadly") && isAtEnd ? 1 : 0;
+                seen.answeredAtEnd += attempt.request.parts.includes("deadly") && isAtEnd ? 1 : 0;
             }
             if (attempt.hasBegun && attempt.endsAtMs <= readMs()) {
                 attempts.delete(attempt);
@@ -247,6 +262,9 @@
         if (drawChance(options.crashesPerSecond)) {
             crash(pick(endpoints));
         }
+        if (options.wavesAtMs?.includes(readMs()) === true) {
+            endpoints.slice(0, Math.ceil(endpoints.length / 3)).forEach(crash);
+        }
         if (drawChance(options.resetsPerSecond)) {
             const [node, endpoint] = [pick(nodes), pick(endpoints)];
             breakAttempts(attempt => attempt.node === node && attempt.endpoint === endpoint);
@@ -263,7 +281,8 @@
         if (drawChance(options.requestsPerSecond)) {
             const parts = makeParts();
             seen.sound += parts.includes("deadly") ? 0 : 1;
-            send(pick(nodes), parts, 1);
+            const identity = `request:${requests++}`;
+            send(pick(nodes), { parts, readIdentity: () => identity }, 1);
         }
     }
     return seen;
--- a/src/gateway/explain/createRequestExplainer.ts
+++ b/src/gateway/explain/createRequestExplainer.ts
@@ -7,7 +7,6 @@
 import type { AccountQuotas } from "../../decisions/gateway/accountQuotas";
 import { computeQuotaAmount } from "../../decisions/gateway/computeQuotaAmount";
 import { PartVerdict } from "../../decisions/gateway/evaluatePart";
-import { listSharedParts } from "../../decisions/gateway/listSharedParts";
 import { resolveHomeRegions } from "../../decisions/gateway/resolveHomeRegions";
 import { findRoute } from "../../decisions/gateway/routeTable";
 import type { GatewayAccount, GatewayRoute } from "../../model/gateway";
@@ -20,6 +19,7 @@
 import { createQuotaFailure, describeWithoutEndpoint, SHUTTING_DOWN_FAILURE } from "../forwarding/forwardingOutcome";
 import type { GatewayComponents } from "../gatewayComponents";
 import { describePartRefusal } from "../quarantine/describePartRefusal";
+import { buildFollowedRequest } from "../quarantine/buildFollowedRequest";
 import type { ConfigurationView } from "../tables/createConfigurationHolder";
 import { createServiceExplainer } from "./createServiceExplainer";
 import type { ExplainQuery } from "./explainQuery";
@@ -102,8 +102,10 @@
         }
         const route = view === undefined ? undefined : findRoute(view.routes, host.value, query.path);
         const account = route?.isAnonymous === true ? undefined : named;
-        const sharedParts = listSharedParts(query.promptParts);
-        const admission = quarantine.explainAttempt(sharedParts);
+        const isRepeat = query.tried.length > 0;
+        const hasSpare = Math.max(1, query.tried.length) + 1 < (route?.attemptsMax ?? 0);
+        const followed = buildFollowedRequest(query.promptParts, undefined);
+        const admission = quarantine.explainAttempt(followed, { isRepeat, hasSpare });
         const ageMs = configuration.computeAgeMs();
         const common = {
             node: settings.nodeName,
@@ -123,9 +125,8 @@
         if (account !== undefined && quota !== undefined && (!quota.isAdmitted || quota.isByChance)) {
             addRefusal(createQuotaFailure(account, quota.amount), { isByChance: quota.isByChance });
         }
-        const isRepeat = query.tried.length > 0;
         const isCareful = admission.verdict !== PartVerdict.Free;
-        if (admission.retryAfterMs !== undefined || (isRepeat && isCareful)) {
+        if (admission.retryAfterMs !== undefined || (isRepeat && !admission.allowsRepeat)) {
             addRefusal(describePartRefusal(0, admission.retryAfterMs));
         }
         const homeRegions = resolveHomeRegions(route.homeRegions, account?.homeRegions);
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -1,13 +1,13 @@
 /**
  * @module Forwards an admitted request until its final answer, by attempts at one endpoint after the other.
  */
+import { setImmediate as endTurn } from "node:timers/promises";
 import { estimateFirstPartMs, estimateResponseMs } from "../../decisions/gateway/chooseEndpoint";
 import { AttemptOutcome, NextAction, decideNextAction, isRepeatable } from "../../decisions/gateway/decideNextAction";
 import { computeStallTimeoutMs } from "../../decisions/gateway/computeStallTimeoutMs";
 import { decideGiveUp } from "../../decisions/gateway/decideGiveUp";
 import { PartVerdict } from "../../decisions/gateway/evaluatePart";
 import { convertToUsualPace } from "../../decisions/gateway/endpointPace";
-import { listSharedParts } from "../../decisions/gateway/listSharedParts";
 import { createServiceRetryBudget, type ServiceRetryBudget } from "../../decisions/gateway/serviceRetryBudget";
 import { type GatewayRoute, RouteKind } from "../../model/gateway";
 import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
@@ -15,7 +15,9 @@
 import { type Candidate, createCandidatePicker } from "./createCandidatePicker";
 import { createSpillover, type SpilloverControl } from "./createSpillover";
 import { createStreamRelay } from "./createStreamRelay";
+import type { AttemptHistory } from "../quarantine/createPartQuarantine";
 import { describePartRefusal } from "../quarantine/describePartRefusal";
+import { buildFollowedRequest } from "../quarantine/buildFollowedRequest";
 import { readPaceSince, recordAnswerTime, recordCachedParts, recordConnectionBreak } from "../endpoints/endpointRecord";
 import { type GatewayExchange, hasBodyHeader } from "../callers/exchange";
 import { FailureOwner } from "../process/createFailureReporter";
@@ -137,7 +139,7 @@
         components.limits.chargeAttempt(record);
         components.coldEndpoints.chargeAttempt(record);
         spillover.recordAttempt(record);
-        const followed = components.quarantine.beginAttempt(record, state.sharedParts);
+        const followed = components.quarantine.beginAttempt(record, state.followed, describeHistory(state));
         const compared = components.rollouts.beginAttempt(record, route.name, state.sends === 1);
         recordCachedParts(record, request.promptParts, sentAtMs);
         record.ownInFlight++;
@@ -173,6 +175,10 @@
         if (result.connection !== undefined) {
             components.metrics.countConnectionEnd(service, result.connection, firstPartAtMs !== undefined);
         }
+        if (result.connection === ConnectionEnd.Broken) {
+            // Idle connections that broke in the same turn of the event loop leave the pool before a repeat can use them.
+            await endTurn();
+        }
         const mayHaveCrashed = await waitUnlessAborted(followed.finish(result), state.ended, true);
         return {
             result,
@@ -211,7 +217,12 @@
             promptTokens: exchange.head.promptTokens ?? 0,
             promptParts: exchange.head.promptParts,
         },
-        sharedParts: listSharedParts(exchange.head.promptParts),
+        followed: buildFollowedRequest(exchange.head.promptParts, {
+            service: exchange.service,
+            method: exchange.request.method ?? "GET",
+            path: exchange.request.url ?? "/",
+            body: exchange.body,
+        }),
         ended,
         relay: createStreamRelay(exchange.response),
         triedEndpoints: new Set(),
@@ -227,9 +238,8 @@
         const { exchange } = state;
         readAllowance(exchange.service).recordRequest(clock.readMonotonicMs());
         for (;;) {
-            const admission = components.quarantine.admitAttempt(state.sharedParts);
-            const isRepeat = state.sends > 0;
-            if (admission.retryAfterMs !== undefined || (isRepeat && admission.verdict !== PartVerdict.Free)) {
+            const admission = components.quarantine.admitAttempt(state.followed, describeHistory(state));
+            if (admission.retryAfterMs !== undefined || (state.sends > 0 && !admission.allowsRepeat)) {
                 return state.relay.hasBegun()
                     ? { isRelayed: false, failure: undefined }
                     : { isRelayed: false, failure: describePartRefusal(state.executions, admission.retryAfterMs) };
@@ -277,6 +287,11 @@
     };
 }
 
+/** Describes the attempts before the next one, and whether its repeat would not be the last that the route permits. */
+function describeHistory({ executions, exchange }: ForwardingState): AttemptHistory {
+    return { isRepeat: executions > 0, hasSpare: Math.max(1, executions) + 1 < exchange.route.attemptsMax };
+}
+
 /** How long an attempt may wait before it is asked whether it is given up. */
 type AttemptWaits = Pick<AttemptOptions, "answerTimeoutMs" | "eventTimeoutMs">;
 
--- a/src/gateway/forwarding/forwardingState.ts
+++ b/src/gateway/forwarding/forwardingState.ts
@@ -4,12 +4,13 @@
 import type { PlacementRequest } from "../../decisions/gateway/chooseEndpoint";
 import type { StreamRelay } from "./createStreamRelay";
 import type { GatewayExchange } from "../callers/exchange";
+import type { FollowedRequest } from "../quarantine/buildFollowedRequest";
 import type { AttemptResult } from "./sendAttempt";
 
 /** How an attempt ended, with what else is known at its end about the answer and the endpoint. */
 export interface EndedAttempt {
     readonly result: AttemptResult;
-    /** True if a part of the request may have crashed the endpoint. */
+    /** True if the request may have crashed the endpoint and must not be repeated. */
     readonly mayHaveCrashed: boolean;
     /** Time since the first part of the answer arrived; absent if none did. */
     readonly answerAgeMs: number | undefined;
@@ -22,8 +23,8 @@
 export interface ForwardingState {
     readonly exchange: GatewayExchange;
     readonly request: PlacementRequest;
-    /** Ids of the prompt parts that other requests may have as well. */
-    readonly sharedParts: readonly string[];
+    /** The request as the quarantine of prompt parts sees it. */
+    readonly followed: FollowedRequest;
     readonly relay: StreamRelay;
     readonly ended: AbortSignal;
     /** Ids of the endpoints that an attempt was made at. */
--- a/src/gateway/forwarding/logAttempt.ts
+++ b/src/gateway/forwarding/logAttempt.ts
@@ -34,7 +34,7 @@
         answerAgeMs: attempt.answerAgeMs,
         breaksTogether: attempt.breaksTogether,
         stillInFlight: attempt.stillInFlight,
-        sharedParts: state.sharedParts.join(","),
+        sharedParts: state.followed.parts.join(","),
         end: result.end,
         status: result.answer?.status,
         reason: result.reason,
--- a/src/gateway/quarantine/createCrashWatch.ts
+++ b/src/gateway/quarantine/createCrashWatch.ts
@@ -9,25 +9,18 @@
 import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
 import type { EndpointRecord } from "../endpoints/endpointRecord";
 
-/** A request that was in progress at an endpoint when its connection broke. */
-export interface BrokenAttempt {
-    readonly parts: readonly string[];
-    /** True if its answer had not begun, or had just begun. */
-    readonly isSuspect: boolean;
-}
-
 /** The recognition of crashes. */
-export interface CrashWatch {
+export interface CrashWatch<Attempt> {
     /** Takes an attempt whose connection broke; gives whether the endpoint has crashed, once it is known. */
-    recordBreak(record: EndpointRecord, attempt: BrokenAttempt): Promise<boolean>;
+    recordBreak(record: EndpointRecord, attempt: Attempt): Promise<boolean>;
 }
 
 /** What the watch depends on. */
-export interface CrashWatchOptions {
+export interface CrashWatchOptions<Attempt = unknown> {
     readonly clock: Clock;
     readonly directory: Pick<EndpointDirectory, "findEndpoint">;
-    /** Called for each suspect request of a crash. The key of the crash is the same at all nodes. */
-    readonly handleCrash: (key: string, attempt: BrokenAttempt, atMs: number) => void;
+    /** Called for each attempt whose connection a crash broke. The key of the crash is the same at all nodes. */
+    readonly handleCrash: (key: string, attempt: Attempt, atMs: number) => void;
     /** Tells whether an address refuses connections; default: by connecting. */
     readonly isRefusing?: (target: HttpTarget) => Promise<boolean>;
 }
@@ -37,9 +30,9 @@
 /** Pauses before the checks: connections may be reset before the address refuses new ones. */
 const CHECK_PAUSES_MS = [0, 60, 180];
 
-interface Suspicion {
+interface Suspicion<Attempt> {
     readonly beganAtMs: number;
-    readonly attempts: BrokenAttempt[];
+    readonly attempts: Attempt[];
     readonly whenKnown: Promise<boolean>;
     isSettled: boolean;
     isCrash: boolean;
@@ -52,11 +45,11 @@
  * @param options - Dependencies, and the handler of crashes
  * @returns The watch
  * @example
- * const hasCrashed = await crashes.recordBreak(record, { parts, isSuspect: true });
+ * const hasCrashed = await crashes.recordBreak(record, { request, isSuspect: true });
  */
-export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
+export function createCrashWatch<Attempt>(options: CrashWatchOptions<Attempt>): CrashWatch<Attempt> {
     const { clock, directory, handleCrash, isRefusing = isRefusingConnections } = options;
-    const suspicions = new WeakMap<EndpointRecord, Suspicion>();
+    const suspicions = new WeakMap<EndpointRecord, Suspicion<Attempt>>();
     const isPlanned = ({ endpoint, missingSinceMs }: EndpointRecord) =>
         endpoint.isDraining || missingSinceMs !== undefined || directory.findEndpoint(endpoint.id) === undefined;
     const checkCrash = async (record: EndpointRecord): Promise<boolean> => {
@@ -72,13 +65,11 @@
         }
         return false;
     };
-    const reportAttempt = (record: EndpointRecord, { beganAtMs }: Suspicion, attempt: BrokenAttempt) => {
-        if (attempt.isSuspect) {
-            handleCrash(buildCrashKey(record), attempt, beganAtMs);
-        }
+    const reportAttempt = (record: EndpointRecord, { beganAtMs }: Suspicion<Attempt>, attempt: Attempt) => {
+        handleCrash(buildCrashKey(record), attempt, beganAtMs);
     };
-    const beginSuspicion = (record: EndpointRecord): Suspicion => {
-        const suspicion: Suspicion = {
+    const beginSuspicion = (record: EndpointRecord): Suspicion<Attempt> => {
+        const suspicion: Suspicion<Attempt> = {
             beganAtMs: clock.readMonotonicMs(),
             attempts: [],
             isSettled: false,
@@ -86,8 +77,9 @@
             whenKnown: checkCrash(record).then(isCrash => {
                 suspicion.isSettled = true;
                 suspicion.isCrash = isCrash;
+                const attempts = suspicion.attempts.splice(0);
                 if (isCrash) {
-                    suspicion.attempts.forEach(attempt => reportAttempt(record, suspicion, attempt));
+                    attempts.forEach(attempt => reportAttempt(record, suspicion, attempt));
                 }
                 return isCrash;
             }),
--- a/src/gateway/quarantine/createPartQuarantine.ts
+++ b/src/gateway/quarantine/createPartQuarantine.ts
@@ -8,11 +8,13 @@
 import type { Log } from "../../base/log/log";
 import { createPartEvidence, type PartEvidenceBook } from "../../decisions/gateway/createPartEvidence";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
+import { createRequestEvidence } from "../../decisions/gateway/createRequestEvidence";
 import { evaluatePart, type PartDecision, type PartFacts, PartVerdict } from "../../decisions/gateway/evaluatePart";
 import type { PartEvidence } from "../../decisions/relays/news";
 import { createCrashWatch, type CrashWatchOptions } from "./createCrashWatch";
 import type { GatewayMetrics } from "../process/createGatewayMetrics";
 import type { EndpointRecord } from "../endpoints/endpointRecord";
+import type { FollowedRequest } from "./buildFollowedRequest";
 import { type AttemptResult, ConnectionEnd } from "../forwarding/sendAttempt";
 
 /** Whether an attempt may be made. */
@@ -20,24 +22,34 @@
     readonly verdict: PartVerdict;
     /** Present only if no attempt may be made now: the time after which one may be. */
     readonly retryAfterMs?: number;
+    /** True if the attempt may be a repeat. */
+    readonly allowsRepeat: boolean;
+}
+
+/** What came before an attempt, and what may come after it. */
+export interface AttemptHistory {
+    /** True if the request may have been executed before. */
+    readonly isRepeat: boolean;
+    /** True if the route permits a further execution after a repeat of this attempt. */
+    readonly hasSpare: boolean;
 }
 
 /** An attempt that the quarantine follows. */
 export interface FollowedAttempt {
     /** Records that the answer began. */
     recordFirstPart(): void;
-    /** Records the end; gives true if a part of the request may have crashed the endpoint. */
+    /** Records the end; gives true if the request may have crashed the endpoint and must not be repeated. */
     finish(result: AttemptResult): Promise<boolean>;
 }
 
 /** The quarantine of a node. */
 export interface PartQuarantine extends DumpSource {
-    /** Decides whether a request with these shared parts may be sent to an endpoint now. */
-    admitAttempt(parts: readonly string[]): AttemptAdmission;
+    /** Decides whether a request may be sent to an endpoint now. */
+    admitAttempt(request: FollowedRequest, history: AttemptHistory): AttemptAdmission;
     /** Explains what `admitAttempt` would decide by the evidence taken so far; counts and changes nothing. */
-    explainAttempt(parts: readonly string[]): AttemptAdmission;
+    explainAttempt(request: FollowedRequest, history: AttemptHistory): AttemptAdmission;
     /** Follows an attempt from its begin. */
-    beginAttempt(record: EndpointRecord, parts: readonly string[]): FollowedAttempt;
+    beginAttempt(record: EndpointRecord, request: FollowedRequest, history: AttemptHistory): FollowedAttempt;
     /** Gives what this node reports to the fleet: all crashes that it knows, and its own clearances. */
     readEvidence(): Readonly<Record<string, PartEvidence>>;
     /** Takes the sums of the fleet's evidence. */
@@ -65,11 +77,23 @@
 /** Retry delay if another request with the part is in progress. */
 const BUSY_RETRY_AFTER_MS = 500;
 
-const ADMITTED: AttemptAdmission = { verdict: PartVerdict.Free };
-const NOT_FOLLOWED: FollowedAttempt = { recordFirstPart: () => undefined, finish: () => Promise.resolve(false) };
+const ADMITTED: AttemptAdmission = { verdict: PartVerdict.Free, allowsRepeat: true };
+const FREE: PartDecision = { verdict: PartVerdict.Free, waitMs: 0 };
+
+/** Stands for the request of an attempt that has ended, so that its body isn't kept. */
+const ENDED_REQUEST: FollowedRequest = { parts: [], readIdentity: () => undefined };
+
+/** A request that was in progress at an endpoint when its connection broke. */
+interface BrokenAttempt {
+    readonly request: FollowedRequest;
+    /** True if its answer had not begun, or had just begun. */
+    readonly isSuspect: boolean;
+}
 
 interface OpenAttempt {
-    readonly parts: readonly string[];
+    request: FollowedRequest;
+    /** The suspected parts of the request, and the request itself if it is suspected. */
+    readonly suspected: readonly string[];
     firstPartAtMs: number | undefined;
     hasEnded: boolean;
     isCleared: boolean;
@@ -81,24 +105,33 @@
  * @param options - Dependencies
  * @returns The quarantine
  * @example
- * if (quarantine.admitAttempt(listSharedParts(promptParts)).retryAfterMs === undefined) { ... }
+ * if (quarantine.admitAttempt(request, { isRepeat: false, hasSpare: true }).retryAfterMs === undefined) { ... }
  */
 export function createPartQuarantine(options: PartQuarantineOptions): PartQuarantine {
     const { nodeName, clock, metrics, log } = options;
     const evidence = createPartEvidence();
-    /** The requests with suspected parts in progress that may still crash their endpoints, by part. */
+    const requests = createRequestEvidence();
+    /** Keys of the crashes that each request in progress was part of. */
+    const crashKeys = new WeakMap<FollowedRequest, readonly string[]>();
+    /** The requests in progress that may still crash their endpoints, by suspected part or suspected request. */
     const careful = new Map<string, OpenAttempt>();
     /** Attempts whose answers began less than `SURVIVAL_MS` ago, the first one first. */
     const surviving: OpenAttempt[] = [];
     const reportChanges = createChangeReporter(evidence, metrics, log);
 
     const clearAttempt = (attempt: OpenAttempt, beganAtMs: number) => {
+        const { parts } = attempt.request;
         attempt.isCleared = true;
-        evidence.recordClearance(attempt.parts, beganAtMs, clock.readMonotonicMs());
+        if (parts.length > 0) {
+            evidence.recordClearance(parts, beganAtMs, clock.readMonotonicMs());
+        }
+        if (!requests.isEmpty()) {
+            requests.recordAnswer(attempt.request.readIdentity() ?? "", beganAtMs);
+        }
         releaseCareful(attempt);
     };
     const releaseCareful = (attempt: OpenAttempt) => {
-        attempt.parts.filter(part => careful.get(part) === attempt).forEach(part => careful.delete(part));
+        attempt.suspected.filter(key => careful.get(key) === attempt).forEach(key => careful.delete(key));
     };
     const clearSurvivors = () => {
         const nowMs = clock.readMonotonicMs();
@@ -118,53 +151,107 @@
     };
     const decidePart = (part: string, nowMs: number): PartDecision =>
         decideByFacts(part, evidence.findFacts(part, nowMs), nowMs);
+    const decideRequest = (request: FollowedRequest, nowMs: number): PartDecision => {
+        const identity = requests.isEmpty() ? undefined : request.readIdentity();
+        return identity === undefined ? FREE : requests.decideRequest(identity, nowMs);
+    };
+    /**
+     * Tells whether an attempt shows if a suspected part or something else of a request crashes endpoints: a single
+     * request explains all crashes of the part, and this is another one, or the first repeat of it. A repeat that is the
+     * last execution of its route isn't risked, since it could end an endpoint and serve no further attempt.
+     */
+    const isTest = (part: string, { readIdentity }: FollowedRequest, { isRepeat, hasSpare }: AttemptHistory) => {
+        const identity = readIdentity();
+        const keys = evidence.listCrashKeys(part);
+        if (identity === undefined) {
+            return false;
+        }
+        const isFirstRepeat = isRepeat && hasSpare && keys.length === 1 && requests.hasCrashes(identity, keys);
+        return isFirstRepeat || requests.hasOtherSuspect(part, keys, identity);
+    };
     const decideAdmission = (
-        parts: readonly string[],
+        request: FollowedRequest,
+        history: AttemptHistory,
         decide: (part: string, nowMs: number) => PartDecision,
     ): AttemptAdmission => {
         const nowMs = clock.readMonotonicMs();
-        const decisions = parts.filter(part => evidence.hasEvidence(part)).map(part => decide(part, nowMs));
-        const [worst] = [...decisions].sort((left, right) => right.waitMs - left.waitMs);
-        if (worst === undefined || decisions.every(({ verdict }) => verdict === PartVerdict.Free)) {
+        const suspected = request.parts
+            .filter(part => evidence.hasEvidence(part))
+            .map(part => ({ part, ...decide(part, nowMs) }))
+            .filter(({ verdict }) => verdict !== PartVerdict.Free);
+        const tested = suspected.filter(({ part, verdict }) => {
+            return verdict !== PartVerdict.Quarantined && isTest(part, request, history);
+        });
+        const own = decideRequest(request, nowMs);
+        const decisions: readonly PartDecision[] = [...suspected.filter(decision => !tested.includes(decision)), own];
+        const worst = decisions.reduce((most, decision) => (decision.waitMs > most.waitMs ? decision : most));
+        if (suspected.length === 0 && own.verdict === PartVerdict.Free) {
             return ADMITTED;
         }
-        const isBusy = parts.some(part => careful.has(part));
+        const allowsRepeat = decisions.every(({ verdict }) => verdict === PartVerdict.Free);
+        const isBusy = listKeys(request).some(key => careful.has(key));
         if (worst.waitMs === 0 && !isBusy) {
-            return { verdict: PartVerdict.Careful };
+            return { verdict: PartVerdict.Careful, allowsRepeat };
         }
         const verdict = worst.waitMs === 0 ? PartVerdict.Held : worst.verdict;
-        return { verdict, retryAfterMs: Math.max(BUSY_RETRY_AFTER_MS, worst.waitMs) };
+        return { verdict, retryAfterMs: Math.max(BUSY_RETRY_AFTER_MS, worst.waitMs), allowsRepeat };
     };
-    const crashes = createCrashWatch({
+    /** Lists what may be suspected of a request: its parts, and itself if anything is known of requests. */
+    const listKeys = ({ parts, readIdentity }: FollowedRequest): readonly string[] => {
+        const identity = requests.isEmpty() ? undefined : readIdentity();
+        return identity === undefined ? parts : [...parts, identity];
+    };
+    const crashes = createCrashWatch<BrokenAttempt>({
         ...options,
-        handleCrash: (key, { parts }, atMs) => {
-            evidence.recordCrash(key, parts, atMs);
-            reportChanges(clock.readMonotonicMs());
+        handleCrash: (key, { request, isSuspect }, atMs) => {
+            const identity = isSuspect ? request.readIdentity() : undefined;
+            const { parts } = request;
+            const keys = [...(crashKeys.get(request) ?? []), key];
+            crashKeys.set(request, keys);
+            const suspect = identity === undefined ? undefined : { identity, parts, keys };
+            requests.recordCrash(key, suspect, atMs);
+            if (isSuspect) {
+                evidence.recordCrash(key, parts, atMs);
+                reportChanges(clock.readMonotonicMs());
+            }
         },
     });
     const isSuspected = (part: string, nowMs: number) =>
         evidence.hasEvidence(part) && decidePart(part, nowMs).verdict !== PartVerdict.Free;
+    const listSuspected = (request: FollowedRequest, nowMs: number): readonly string[] => {
+        const isOwn = decideRequest(request, nowMs).verdict !== PartVerdict.Free;
+        const identity = isOwn ? request.readIdentity() : undefined;
+        return [
+            ...request.parts.filter(part => isSuspected(part, nowMs)),
+            ...(identity === undefined ? [] : [identity]),
+        ];
+    };
 
     return {
         name: "quarantine",
-        admitAttempt: parts => {
+        admitAttempt: (request, history) => {
             clearSurvivors();
-            const admission = decideAdmission(parts, decidePart);
+            const admission = decideAdmission(request, history, decidePart);
             if (admission.retryAfterMs !== undefined) {
                 metrics.countPromptRefusal(admission.verdict);
             }
             return admission;
         },
-        explainAttempt: parts =>
-            decideAdmission(parts, (part, nowMs) => decideByFacts(part, evidence.readFacts(part, nowMs), nowMs)),
-        beginAttempt: (record, parts) => {
-            if (parts.length === 0) {
-                return NOT_FOLLOWED;
-            }
-            const attempt: OpenAttempt = { parts, firstPartAtMs: undefined, hasEnded: false, isCleared: false };
-            const beganAtMs = clock.readMonotonicMs();
-            const suspected = parts.filter(part => isSuspected(part, beganAtMs));
-            suspected.forEach(part => careful.set(part, attempt));
+        explainAttempt: (request, history) =>
+            decideAdmission(request, history, (part, nowMs) =>
+                decideByFacts(part, evidence.readFacts(part, nowMs), nowMs),
+            ),
+        beginAttempt: (record, request, history) => {
+            const { parts } = request;
+            const suspected = listSuspected(request, clock.readMonotonicMs());
+            const attempt: OpenAttempt = {
+                request,
+                suspected,
+                firstPartAtMs: undefined,
+                hasEnded: false,
+                isCleared: false,
+            };
+            suspected.forEach(key => careful.set(key, attempt));
             if (suspected.length > 0) {
                 log.info("request with a suspected prompt part is tried", {
                     parts: suspected.join(","),
@@ -187,16 +274,25 @@
                         }
                     }
                     releaseCareful(attempt);
+                    attempt.request = ENDED_REQUEST;
                     if (result.connection !== ConnectionEnd.Broken) {
                         return false;
                     }
                     const isSuspect = firstPartAtMs === undefined || nowMs - firstPartAtMs < JUST_BEGUN_MS;
-                    const whenKnown = crashes.recordBreak(record, { parts, isSuspect });
+                    const { isRepeat } = history;
+                    const whenKnown = crashes.recordBreak(record, { request, isSuspect });
                     const isUnfamiliar = parts.some(part => !evidence.isFamiliar(part, nowMs));
-                    if (!isSuspect || (!isUnfamiliar && !parts.some(part => isSuspected(part, nowMs)))) {
+                    const isWatched = isRepeat || isUnfamiliar || listSuspected(request, nowMs).length > 0;
+                    if (!isSuspect || !isWatched || !(await whenKnown)) {
                         return false;
                     }
-                    return (await whenKnown) && parts.some(part => isSuspected(part, clock.readMonotonicMs()));
+                    const allowsRepeat = () =>
+                        decideAdmission(request, { ...history, isRepeat: true }, decidePart).allowsRepeat;
+                    const settleMs = requests.computeSettleMs(request.readIdentity() ?? "", clock.readMonotonicMs());
+                    if (allowsRepeat() && settleMs > 0) {
+                        await clock.waitMs(settleMs);
+                    }
+                    return !allowsRepeat();
                 },
             };
         },
@@ -213,18 +309,24 @@
             evidence.merge(fleet, nowMs);
             reportChanges(nowMs);
         },
-        hasEvidence: part => evidence.hasEvidence(part),
+        hasEvidence: part => evidence.hasEvidence(part) || requests.hasEvidence(part),
         releasePart: part => {
             const nowMs = clock.readMonotonicMs();
             log.warn("prompt part released by an operator", { part });
             evidence.release(part, nowMs);
+            requests.recordAnswer(part, nowMs);
             reportChanges(nowMs);
         },
         dumpState: () => {
             const nowMs = clock.readMonotonicMs();
-            return evidence
+            const parts = evidence
                 .listParts()
                 .map(part => ({ part, facts: evidence.findFacts(part, nowMs), decision: decidePart(part, nowMs) }));
+            const suspects = requests
+                .listIdentities()
+                .map(part => ({ part, decision: requests.decideRequest(part, nowMs) }))
+                .filter(({ decision }) => decision.verdict !== PartVerdict.Free);
+            return [...parts, ...suspects];
         },
     };
 }
--- a/src/gateway/quarantine/describePartRefusal.ts
+++ b/src/gateway/quarantine/describePartRefusal.ts
@@ -15,7 +15,7 @@
  * describePartRefusal(0, 12_000).execution; //=> Execution.NotRun
  */
 export function describePartRefusal(executions: number, retryAfterMs = RETRY_AFTER_MS): Failure {
-    const message = "Requests with a part of this prompt may crash endpoints.";
+    const message = "This request, or each one with a part of its prompt, may crash endpoints.";
     return executions === 0
         ? createFailure(FailureKind.PromptQuarantined, message, { retryAfterMs })
         : createFailure(FailureKind.OutcomeUnknown, message, { execution: Execution.Unknown });
--- a/src/gateway/quarantine/quarantineFleet.test.ts
+++ b/src/gateway/quarantine/quarantineFleet.test.ts
@@ -27,6 +27,8 @@
     "half of all requests": [{ deadlyShare: 0.5 }, 0.03],
     "other crashes, resets, restarts and lost news beside": [NOISE, 0.03],
     "a part that was harmless before": [{ deadlyFromMs: 15_000, harmlessShare: 0.15 }, 0.15],
+    "requests may be executed three times": [{ attemptsMax: 3 }, 0.03],
+    "three executions, other crashes beside": [{ ...NOISE, attemptsMax: 3 }, 0.03],
 };
 
 describe("the quarantine of a fleet", () => {
@@ -42,6 +44,16 @@
         });
     }
 
+    // Guards against requests that aren't sent again since a failure domain was reclaimed at once under them.
+    it("sends all but few requests again in waves of crashes", async () => {
+        const wavesAtMs = [5_000, 15_000, 25_000];
+        for (const seed of SEEDS) {
+            const seen = await simulateQuarantine({ ...CALM, deadlyShare: 0, attemptsMax: 3, wavesAtMs, seed });
+            const unanswered = seen.notRepeatedSound + seen.refusedSound;
+            assert.ok(unanswered <= 0.003 * seen.sound, `seed ${seed}: ${JSON.stringify(seen)}`);
+        }
+    });
+
     // Guards against innocent parts in quarantine because endpoints crash of other causes.
     it("refuses next to nothing while endpoints crash of other causes only", async () => {
         for (const seed of SEEDS) {
--- a/src/gateway/rollouts/createRollouts.ts
+++ b/src/gateway/rollouts/createRollouts.ts
@@ -220,7 +220,7 @@
         }
         // A crash has other causes as a rule; the old version's crashes count, so that both may have some.
         const isBroken = isNewVersion && result.connection === ConnectionEnd.Broken;
-        if (isBroken && (await crashes.recordBreak(record, { parts: [], isSuspect: true }))) {
+        if (isBroken && (await crashes.recordBreak(record, undefined))) {
             return;
         }
         if (versions.move === move) {
