Give no share of spillover to endpoints that take no requests

Cause: listLoads counted the slots of all usable endpoints, so a failure domain whose endpoints are evacuated, cold, limited, refusing or unreachable got a share; its requests then stayed at home. EndpointLimits.isLimited and ColdEndpoints.isCold say which are restricted.

--- a/src/gateway/endpoints/createColdEndpoints.ts
+++ b/src/gateway/endpoints/createColdEndpoints.ts
@@ -21,6 +21,8 @@
      * rate; infinite while another node sends there.
      */
     computeWaitMs(record: EndpointRecord): number;
+    /** True if an endpoint is cold and its service states a rate for cold ones. */
+    isCold(record: EndpointRecord): boolean;
     /** Records an attempt that is made. */
     chargeAttempt(record: EndpointRecord): void;
 }
@@ -126,6 +128,7 @@
             }
             return (windows.get(id) ?? createSendWindow()).computeWaitMs(plan, nowMs);
         },
+        isCold: record => findColdService(record) !== undefined,
         chargeAttempt: record => {
             // Also what a warm endpoint gets is recorded: it may turn cold within the window.
             if (findService(record) !== undefined) {
--- a/src/gateway/endpoints/createEndpointLimits.ts
+++ b/src/gateway/endpoints/createEndpointLimits.ts
@@ -19,6 +19,8 @@
 export interface EndpointLimits extends LimitSource, DumpSource {
     /** Gives the time until an attempt may be made at an endpoint; 0 if it may be made now. */
     computeWaitMs(record: EndpointRecord): number;
+    /** True if an endpoint names a limit. */
+    isLimited(record: EndpointRecord): boolean;
     /** Charges an attempt that is made. */
     chargeAttempt(record: EndpointRecord): void;
     /** Records that this node has a request that it could send to an endpoint with a limit. */
@@ -132,6 +134,7 @@
             const missing = 1 - state.tokens;
             return missing <= 0 ? 0 : (missing / computeRate(state)) * MS_PER_S;
         },
+        isLimited: record => findLimit(record) !== undefined,
         chargeAttempt: record => {
             const state = findLimit(record);
             if (state !== undefined) {
--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -9,7 +9,10 @@
     NO_SPILLOVER,
     type Spillover,
 } from "../../decisions/gateway/decideSpillover";
+import type { ColdEndpoints } from "../endpoints/createColdEndpoints";
 import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
+import type { EndpointLimits } from "../endpoints/createEndpointLimits";
+import type { Evacuations } from "../endpoints/createEvacuations";
 import { buildEndpointView, type EndpointRecord } from "../endpoints/endpointRecord";
 import type { GatewayComponents } from "../gatewayComponents";
 import { FailureOwner } from "../process/createFailureReporter";
@@ -41,6 +44,9 @@
     "settings" | "clock" | "random" | "log" | "speeds" | "reportFailure"
 > {
     readonly directory: Pick<EndpointDirectory, "listUsable">;
+    readonly evacuations: Pick<Evacuations, "readDomains">;
+    readonly limits: Pick<EndpointLimits, "isLimited">;
+    readonly coldEndpoints: Pick<ColdEndpoints, "isCold">;
     readonly news: Pick<FleetNews, "isInTouch" | "readLoad" | "readUsage">;
     readonly metrics: Pick<GatewayMetrics, "countAttemptDistance" | "setSpilloverShare">;
 }
@@ -82,9 +88,23 @@
         const isSameRegion = settings.regions[domain] === settings.regions[settings.failureDomain];
         return isSameRegion ? Distance.SameRegion : Distance.OtherRegion;
     };
+    /** Lists the endpoints whose slots count: an endpoint that takes no or few requests has none for the surplus. */
+    const listOpen = (service: string, nowMs: number): readonly EndpointRecord[] => {
+        const evacuated = options.evacuations.readDomains();
+        return directory
+            .listUsable(service)
+            .filter(
+                record =>
+                    !evacuated.has(record.endpoint.failureDomain) &&
+                    Math.max(record.refusedUntilMs, record.suspectUntilMs) <= nowMs &&
+                    !options.limits.isLimited(record) &&
+                    !options.coldEndpoints.isCold(record) &&
+                    buildEndpointView(record, [], nowMs).failureRate < FAILING_SHARE,
+            );
+    };
     const listLoads = (service: string, nowMs: number): readonly DomainLoad[] => {
         const speed = speeds.readSpeed(service);
-        const domains = sumByDomain(directory.listUsable(service), nowMs);
+        const domains = sumByDomain(listOpen(service, nowMs), nowMs);
         const far = [...domains].filter(([domain]) => findDistance(domain) === Distance.OtherRegion);
         const near = [...domains].filter(([domain]) => findDistance(domain) !== Distance.OtherRegion);
         // Views have the endpoints of the own region one by one; of the others only what all nodes do for the service.
