Forget objectives that no request has any more

Cause: spillover kept the strictest objective of all requests ever seen for a service, so one request with a strict one made all later requests leave early until the process ended.

--- a/src/gateway/forwarding/createSpillover.test.ts
+++ b/src/gateway/forwarding/createSpillover.test.ts
@@ -71,3 +71,14 @@
         });
     }
 });
+
+describe("the objective that spillover keeps", () => {
+    // Guards against: the strictest objective of all routes seen so far never relaxes.
+    it("is that of recent requests", () => {
+        const { sendFor } = createSpilloverSubject();
+        sendFor(100, { objectiveMs: 30 });
+        sendFor(60_000, { loads: { home: 0.5 }, objectiveMs: 400, everyMs: 100 });
+        const { home } = sendFor(20_000, { loads: { home: 1.6 }, objectiveMs: 400 });
+        assert.equal(home, 1);
+    });
+});
--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -9,6 +9,7 @@
     NO_SPILLOVER,
     type Spillover,
 } from "../../decisions/gateway/decideSpillover";
+import { createRecentObjectives, type RecentObjectives } from "../../decisions/gateway/createRecentObjectives";
 import type { ColdEndpoints } from "../endpoints/createColdEndpoints";
 import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
 import type { EndpointLimits } from "../endpoints/createEndpointLimits";
@@ -65,8 +66,7 @@
 
 interface ServiceState {
     readonly spillover: Spillover;
-    /** The strictest objective of the requests so far. */
-    readonly objectiveMs: number;
+    readonly objectives: RecentObjectives;
 }
 
 /**
@@ -136,12 +136,12 @@
     };
     const updateState = (service: string, routeObjectiveMs: number): Spillover => {
         const nowMs = clock.readMonotonicMs();
-        const state = states.get(service) ?? { spillover: NO_SPILLOVER, objectiveMs: routeObjectiveMs };
-        const objectiveMs = Math.min(state.objectiveMs, routeObjectiveMs);
+        const state = states.get(service) ?? { spillover: NO_SPILLOVER, objectives: createRecentObjectives() };
+        state.objectives.recordRequest(routeObjectiveMs, nowMs);
         if (states.has(service) && nowMs - state.spillover.atMs < DECISION_PERIOD_MS) {
-            states.set(service, { ...state, objectiveMs });
             return state.spillover;
         }
+        const objectiveMs = state.objectives.readStrictest(nowMs);
         const loads = listLoads(service, nowMs);
         const own = loads.find(({ domain }) => domain === settings.failureDomain);
         const { nodes, reachable } = news.readUsage();
@@ -163,7 +163,7 @@
             });
         }
         metrics.setSpilloverShare(service, spillover.share);
-        states.set(service, { spillover, objectiveMs });
+        states.set(service, { ...state, spillover });
         return spillover;
     };
     const drawDomain = ({ shares }: Spillover): string => {
