Let only the surplus leave a failure domain, by windows instead of shares

Cause: the share of requests that leave was an integral of late answers. It grew where another domain was faster by a millisecond and while own slots were free; its steps per decision made begin and end depend on the request rate (steps below SHARE_MIN began from zero again) and its decay counted at most 1 s of a pause; hard bounds on old sums made it oscillate. Change: a node has a window of requests in its own failure domain, its part of what that domain can have in progress within 0.6 of the objective and never less than its slots; what exceeds it leaves, to the same region first, then from 0.8 of the objective on to others, within windows that follow the free capacity there. Windows move by the time that passed. Leaving must pay by a margin of 0.05 or 0.1 (other region) of the objective, with a ramp instead of a bound. Loads are the newest of the sums and of what answers say.

--- a/src/decisions/gateway/_testing/simulateSpillover.ts
+++ b/src/decisions/gateway/_testing/simulateSpillover.ts
@@ -1,6 +1,7 @@
 /**
  * @module Simulates nodes and endpoints of six failure domains in three regions as flows, without a network.
  */
+import { computeDomainShares } from "../computeDomainShares";
 import { decideSpillover, type DomainLoad, NO_SPILLOVER, type Spillover } from "../decideSpillover";
 import { estimateFirstPartMs } from "../chooseEndpoint";
 
@@ -47,18 +48,21 @@
 interface SimulatedNode {
     readonly domain: number;
     spillover: Spillover;
+    /** What the others have in progress in each failure domain, by the last report, and what the node itself has. */
     seen: readonly number[];
+    readonly own: number[];
     readonly atMs: number;
 }
 
 /** Runs the simulation. */
 export function simulateSpillover(options: SpilloverSimulation): SpilloverResult {
     const inFlight = Array.from({ length: DOMAINS }, () => 0);
-    const history: (readonly number[])[] = [];
+    const history: { readonly all: readonly number[]; readonly own: readonly (readonly number[])[] }[] = [];
     const nodes = Array.from({ length: DOMAINS * NODES_PER_DOMAIN }, (_unused, index): SimulatedNode => ({
         domain: index % DOMAINS,
         spillover: NO_SPILLOVER,
         seen: inFlight.slice(),
+        own: inFlight.slice(),
         atMs: (index * 37) % REPORT_MS,
     }));
     const shares: number[] = [];
@@ -83,9 +87,10 @@
      */
     const listSeen = (node: SimulatedNode, nowMs: number): readonly number[] => {
         const far: readonly number[] = inFlight.map((_unused, domain) => (isSameRegion(domain, node.domain) ? 0 : 1));
-        const farLoad = node.seen.reduce((sum, load, domain) => sum + load * (far[domain] ?? 0), 0);
+        const loads = node.seen.map((load, domain) => load + (node.own[domain] ?? 0));
+        const farLoad = loads.reduce((sum, load, domain) => sum + load * (far[domain] ?? 0), 0);
         const farSlots = far.reduce((sum, isFar, domain) => sum + isFar * options.readSlots(domain, nowMs), 0);
-        return node.seen.map((load, domain) =>
+        return loads.map((load, domain) =>
             far[domain] === 1 ? (farLoad * options.readSlots(domain, nowMs)) / Math.max(1, farSlots) : load,
         );
     };
@@ -99,7 +104,19 @@
                 isSameRegion: isSameRegion(domain, node.domain),
                 slots,
                 inFlight: load,
+                ownInFlight: node.own[domain] ?? 0,
                 expectedMs: estimateMs(load, slots, node.domain, domain),
+                estimateInFlight: expectedMs => {
+                    const findLoad = (low: number, high: number, steps: number): number => {
+                        const middle = (low + high) / 2;
+                        if (steps === 0) {
+                            return middle;
+                        }
+                        const isLess = estimateMs(middle, slots, node.domain, domain) < expectedMs;
+                        return isLess ? findLoad(middle, high, steps - 1) : findLoad(low, middle, steps - 1);
+                    };
+                    return findLoad(0, slots * 64, 14);
+                },
             };
         });
     };
@@ -108,18 +125,21 @@
         const loads = describeLoads(node, nowMs);
         const own = loads[node.domain];
         if (options.choice === DomainChoice.Spillover && own !== undefined && own.slots > 0) {
-            const others = [...node.spillover.shares].map(([domain, share]) => [Number(domain), share] as const);
-            return [[node.domain, 1 - node.spillover.share], ...others];
+            const used = new Map(node.own.map((load, domain) => [String(domain), load]));
+            const shares = [...computeDomainShares(node.spillover, String(node.domain), used)];
+            const left = shares.reduce((sum, [, share]) => sum + share, 0);
+            return [[node.domain, 1 - left], ...shares.map(([domain, share]) => [Number(domain), share] as const)];
         }
         const costs = loads.map(({ expectedMs }, domain) => expectedMs + computePenaltyMs(node.domain, domain));
         return [[costs.indexOf(Math.min(...costs)), 1]];
     };
     for (let nowMs = 0; nowMs < options.durationMs; nowMs += STEP_MS) {
-        history.push(inFlight.slice());
-        for (const node of nodes) {
+        history.push({ all: inFlight.slice(), own: nodes.map(({ own }) => own.slice()) });
+        for (const [index, node] of nodes.entries()) {
             if ((nowMs + node.atMs) % REPORT_MS < STEP_MS && options.isFresh(nowMs)) {
                 const ageMs = REPORT_AGE_MIN_MS + ((node.atMs * 7) % (2 * REPORT_MS - REPORT_AGE_MIN_MS + 50));
-                node.seen = history[Math.max(0, history.length - 1 - Math.round(ageMs / STEP_MS))] ?? node.seen;
+                const past = history[Math.max(0, history.length - 1 - Math.round(ageMs / STEP_MS))];
+                node.seen = past?.all.map((load, domain) => load - (past.own[index]?.[domain] ?? 0)) ?? node.seen;
             }
             if ((nowMs + node.atMs) % DECISION_MS < STEP_MS && options.choice === DomainChoice.Spillover) {
                 const loads = describeLoads(node, nowMs);
@@ -129,6 +149,7 @@
                         nowMs,
                         isFresh: options.isFresh(nowMs),
                         objectiveMs: options.objectiveMs,
+                        nodesPerDomain: NODES_PER_DOMAIN,
                         own,
                         others: loads.filter(load => load !== own),
                     });
@@ -148,13 +169,18 @@
                 onTime += answeredMs <= options.objectiveMs ? count : 0;
                 bytes += isAway ? count * REQUEST_BYTES : 0;
                 inFlight[domain] = (inFlight[domain] ?? 0) + count;
+                node.own[domain] = (node.own[domain] ?? 0) + count;
                 sent += node.domain === 0 ? count : 0;
                 spilled += node.domain === 0 && isAway ? count : 0;
             }
         }
         inFlight.forEach((load, domain) => {
             const busy = Math.min(load, options.readSlots(domain, nowMs));
-            inFlight[domain] = load - (busy * STEP_MS) / SERVICE_MS;
+            const endedShare = load > 0 ? ((busy / load) * STEP_MS) / SERVICE_MS : 0;
+            inFlight[domain] = load * (1 - endedShare);
+            nodes.forEach(({ own }) => {
+                own[domain] = (own[domain] ?? 0) * (1 - endedShare);
+            });
         });
         if ((nowMs + STEP_MS) % 1_000 === 0) {
             shares.push(sent === 0 ? 0 : spilled / sent);
--- a/src/decisions/gateway/decideSpillover.ts
+++ b/src/decisions/gateway/decideSpillover.ts
@@ -1,16 +1,21 @@
 /**
- * @module Decides which share of a node's requests goes to the endpoints of other failure domains.
+ * @module Decides how many requests a node keeps at the endpoints of its failure domain, and how many it may have at those of
+ * others, so that only the surplus leaves.
  */
 
-/** The endpoints of a service in one failure domain. */
+/** The endpoints of a service in one failure domain that take requests. */
 export interface DomainLoad {
     readonly domain: string;
     readonly isSameRegion: boolean;
-    /** Requests that the endpoints process at once, and those in progress there from all nodes. */
+    /** Requests that the endpoints process at once. */
     readonly slots: number;
+    /** Requests in progress there from all nodes, and from this node. */
     readonly inFlight: number;
+    readonly ownInFlight: number;
     /** Estimated time until a request of this node gets the first part of its answer there, in milliseconds. */
     readonly expectedMs: number;
+    /** Gives the requests in progress with which a further one is expected to be answered in this time. */
+    readonly estimateInFlight: (expectedMs: number) => number;
 }
 
 /** What the decision is based on. */
@@ -20,105 +25,135 @@
     readonly isFresh: boolean;
     /** The latency objective of the requests, in milliseconds. */
     readonly objectiveMs: number;
+    /** Number of nodes in a failure domain, on average. */
+    readonly nodesPerDomain: number;
     readonly own: DomainLoad;
     readonly others: readonly DomainLoad[];
 }
 
-/** The shares of a node's requests that go to other failure domains. */
+/** What a node may have in progress in another failure domain. */
+export interface DomainWindow {
+    readonly isSameRegion: boolean;
+    /** Requests of this node in progress there. */
+    readonly window: number;
+    /** How far leaving pays, from 0 to 1. */
+    readonly gain: number;
+}
+
+/** How many requests a node may have in progress in each failure domain. */
 export interface Spillover {
-    /** Sum of the shares. */
-    readonly share: number;
-    /** Share of each other failure domain; only those with one. */
-    readonly shares: ReadonlyMap<string, number>;
     readonly atMs: number;
+    /** Requests of this node in the own failure domain above which further ones leave; infinite: all stay. */
+    readonly ownWindow: number;
+    /** The same for leaving to another region, as a multiple. */
+    readonly regionFactor: number;
+    /** How far the own slots are all in use, from 0 (some are free) to 1. */
+    readonly fullness: number;
+    readonly others: ReadonlyMap<string, DomainWindow>;
 }
 
 /**
- * Share of the objective above which the expected time makes spillover grow, and share of the own slots in use below
- * which it decays. Between the two it stays as it is, so that it doesn't oscillate.
+ * Shares of the objective that the wait at home may take before requests leave. Bytes between regions cost more than those
+ * between failure domains, so leaving the region pays later.
+ */
+const SAME_REGION_START_SHARE = 0.6;
+const OTHER_REGION_START_SHARE = 0.8;
+/** Shares of the objective by which an answer must be expected earlier elsewhere; twice as much counts in full. */
+const SAME_REGION_MARGIN_SHARE = 0.05;
+const OTHER_REGION_MARGIN_SHARE = 0.1;
+/** Requests in progress per slot at home up to which none leaves, and from which all of the surplus may. */
+const FULL_FROM = 1;
+const FULL_UNTIL = 1.1;
+/**
+ * Share of the objective that the wait in another failure domain of the region may take: a few requests that wait there cost less
+ * than bytes between regions. It is less than the share at home by twice the margin: old loads would make the shares oscillate
+ * if the loads settled where the gain changes.
  */
-const START_OBJECTIVE_SHARE = 0.8;
-const STOP_USED_SHARE = 0.7;
-/** Growth per second when the expected time is at least twice the threshold; the sums are up to 0.8 s old. */
-const GROWTH_PER_S = 0.4;
+const SAME_REGION_FILL_SHARE = 0.5;
+/** Requests in progress per slot up to which a failure domain of another region gets some; of single ones there less is known. */
+const OTHER_REGION_FILL = 0.9;
 /**
- * Part of the free slots of a failure domain that its share may grow into per second. The sums don't show yet what went
- * there in the last 0.8 s; with a greater part the shares oscillate.
+ * The part of a failure domain's free slots that all nodes of another one claim together at once. With less in the same region,
+ * requests go to other regions while it still has free slots.
  */
-const FILL_PER_S = 0.25;
-/** Half-life of the share while it decays. */
-const DECAY_HALF_LIFE_MS = 4_000;
-/** Smaller shares end. */
-const SHARE_MIN = 0.01;
-/** Share of its slots that a failure domain keeps free of the spillover of others. */
-const RESERVED_SHARE = 0.1;
-/** Longest time between two decisions that counts, for example after a pause without requests. */
-const STEP_MAX_MS = 1_000;
-const MS_PER_S = 1_000;
+const SAME_REGION_CLAIMED_SHARE = 1;
+const OTHER_REGION_CLAIMED_SHARE = 0.5;
+/** Time in which windows follow the loads; it is longer than the age of the sums, so that they don't overshoot. */
+const FOLLOW_MS = 1_000;
 
 /** No request goes to another failure domain. */
-export const NO_SPILLOVER: Spillover = { share: 0, shares: new Map(), atMs: 0 };
+export const NO_SPILLOVER: Spillover = {
+    atMs: Number.NEGATIVE_INFINITY,
+    ownWindow: Number.POSITIVE_INFINITY,
+    regionFactor: 1,
+    fullness: 0,
+    others: new Map(),
+};
 
 /**
- * Decides the shares. They grow while the endpoints of the own failure domain are expected to answer later than the
- * objective allows, and decay once these have free slots. They are bounded by the free slots of the other failure
- * domains, and those of the same region come first. Without recent sums, or with nothing to gain, they are zero.
+ * Decides the windows. The own one follows the node's part of what the own failure domain can have in progress until answers
+ * take too long; those of the others follow what the node has there and a part of what is free. All of them follow with
+ * the time that passed, whatever the number of decisions in it. Without recent sums all requests stay.
  *
- * @param before - The shares before
+ * @param before - The windows before
  * @param input - The loads, and how recent they are
- * @returns The shares now
+ * @returns The windows now
  * @example
- * spillover = decideSpillover(spillover, { nowMs, isFresh: true, objectiveMs: 200, own, others });
+ * spillover = decideSpillover(spillover, { nowMs, isFresh: true, objectiveMs: 200, nodesPerDomain: 10, own, others });
  */
 export function decideSpillover(before: Spillover, input: SpilloverInput): Spillover {
     const { nowMs, own, objectiveMs } = input;
-    if (!input.isFresh || own.slots === 0) {
+    if (!input.isFresh) {
         return { ...NO_SPILLOVER, atMs: nowMs };
     }
-    const stepMs = Math.min(STEP_MAX_MS, Math.max(0, nowMs - before.atMs));
-    const share = computeShare(before.share, own, objectiveMs * START_OBJECTIVE_SHARE, stepMs);
-    if (share < SHARE_MIN) {
-        return { ...NO_SPILLOVER, atMs: nowMs };
-    }
-    // What the own endpoints have in progress is the rest of the demand; what waits there beyond their slots is not new.
-    const demand = Math.max(1, Math.min(own.inFlight, own.slots)) / (1 - Math.min(0.9, before.share));
-    const useful = input.others.filter(({ expectedMs }) => expectedMs < Math.max(own.expectedMs, objectiveMs));
-    const shares = splitShare(share, (FILL_PER_S * stepMs) / MS_PER_S / demand, before.shares, useful);
-    return { share: [...shares.values()].reduce((sum, part) => sum + part, 0), shares, atMs: nowMs };
+    const stepMs = Math.max(0, nowMs - before.atMs);
+    const least = own.slots * FULL_UNTIL;
+    const nearLimit = Math.max(least, own.estimateInFlight(objectiveMs * SAME_REGION_START_SHARE));
+    const farLimit = Math.max(least, own.estimateInFlight(objectiveMs * OTHER_REGION_START_SHARE));
+    const fairWindow = nearLimit / input.nodesPerDomain;
+    const ownTarget = Math.max(fairWindow / 2, (own.ownInFlight * nearLimit) / Math.max(1, own.inFlight));
+    const ownBefore = Number.isFinite(before.ownWindow) ? before.ownWindow : Math.max(fairWindow, ownTarget);
+    return {
+        atMs: nowMs,
+        ownWindow: own.slots === 0 ? 0 : advanceTowards(ownBefore, ownTarget, stepMs),
+        regionFactor: own.slots === 0 ? 1 : farLimit / nearLimit,
+        fullness: own.slots === 0 ? 1 : computeRamp(own.inFlight / own.slots, FULL_FROM, FULL_UNTIL),
+        others: new Map(
+            input.others.map(other => {
+                const limit = other.isSameRegion
+                    ? Math.max(other.slots, other.estimateInFlight(objectiveMs * SAME_REGION_FILL_SHARE))
+                    : other.slots * OTHER_REGION_FILL;
+                const free = limit - other.inFlight;
+                const claimed = other.isSameRegion ? SAME_REGION_CLAIMED_SHARE : OTHER_REGION_CLAIMED_SHARE;
+                const target = Math.max(0, other.ownInFlight + (free * claimed) / input.nodesPerDomain);
+                const windowBefore = before.others.get(other.domain)?.window ?? target;
+                return [
+                    other.domain,
+                    {
+                        isSameRegion: other.isSameRegion,
+                        window: advanceTowards(windowBefore, target, stepMs),
+                        gain: computeGain(own, other, objectiveMs),
+                    },
+                ];
+            }),
+        ),
+    };
 }
 
-function computeShare(share: number, { expectedMs, inFlight, slots }: DomainLoad, startMs: number, stepMs: number) {
-    if (expectedMs > startMs) {
-        const excess = Math.min(1, (expectedMs - startMs) / startMs);
-        return Math.min(1, share + (GROWTH_PER_S * excess * stepMs) / MS_PER_S);
+function computeGain(own: DomainLoad, other: DomainLoad, objectiveMs: number): number {
+    if (own.slots === 0) {
+        return 1;
     }
-    return inFlight < STOP_USED_SHARE * slots ? share * 0.5 ** (stepMs / DECAY_HALF_LIFE_MS) : share;
+    const marginMs = objectiveMs * (other.isSameRegion ? SAME_REGION_MARGIN_SHARE : OTHER_REGION_MARGIN_SHARE);
+    return computeRamp(own.expectedMs - other.expectedMs, marginMs, 2 * marginMs);
 }
 
-/** Splits the share among the failure domains by their free slots, those of the same region first. */
-function splitShare(
-    share: number,
-    perFreeSlot: number,
-    before: ReadonlyMap<string, number>,
-    others: readonly DomainLoad[],
-): ReadonlyMap<string, number> {
-    const shares = new Map<string, number>();
-    let left = share;
-    for (const isNear of [true, false]) {
-        const rooms = others
-            .filter(({ isSameRegion }) => isSameRegion === isNear)
-            .map(({ domain, slots, inFlight }) => ({
-                domain,
-                // What goes there already is part of what is in progress there.
-                room: (before.get(domain) ?? 0) + (slots * (1 - RESERVED_SHARE) - inFlight) * perFreeSlot,
-            }))
-            .filter(({ room }) => room > 0);
-        const total = rooms.reduce((sum, { room }) => sum + room, 0);
-        const taken = Math.min(left, total);
-        if (taken > 0) {
-            rooms.forEach(({ domain, room }) => shares.set(domain, (taken * room) / total));
-            left -= taken;
-        }
-    }
-    return shares;
+/** Moves a value towards a target, by the same amount in one step as in several. */
+function advanceTowards(value: number, target: number, stepMs: number): number {
+    return target + (value - target) * Math.exp(-stepMs / FOLLOW_MS);
+}
+
+/** Gives 0 up to `from`, 1 from `until` on, and a share between them. */
+export function computeRamp(value: number, from: number, until: number): number {
+    return Math.min(1, Math.max(0, (value - from) / (until - from)));
 }
--- a/src/gateway/_testing/createSpilloverSubject.ts
+++ b/src/gateway/_testing/createSpilloverSubject.ts
@@ -12,7 +12,7 @@
 
 export const OBJECTIVE_MS = 300;
 const SLOTS = 16;
-const NODES = 6;
+const NODES_PER_DOMAIN = 6;
 const SERVICE = "chat";
 const REGIONS = { home: "west", next: "west", away: "east" };
 const DISTANCES = {
@@ -66,7 +66,7 @@
         news: {
             isInTouch: () => subject.isInTouch,
             readLoad: options.readLoad ?? (() => ({ tokensPerSecond: 0, inFlight: 0 })),
-            readUsage: () => ({ nodes: NODES, reachable: NODES }) as never,
+            readUsage: () => ({ nodes: 3 * NODES_PER_DOMAIN, reachable: 3 * NODES_PER_DOMAIN }) as never,
         },
         metrics: { countAttemptDistance: () => undefined, setSpilloverShare: (_service, share) => shares.push(share) },
         reportFailure: (_owner, error) => void failures.push(error),
@@ -79,7 +79,7 @@
     /** Sets what this node and all others together do at the endpoints of a failure domain, as a share of their slots. */
     const setLoad = (domain: Domain, usedShare: number) => {
         for (const record of listIn(domain)) {
-            record.ownInFlight = Math.round((usedShare * SLOTS) / NODES);
+            record.ownInFlight = Math.round((usedShare * SLOTS) / NODES_PER_DOMAIN);
             const inFlight = usedShare * SLOTS - record.ownInFlight;
             recordOthers(record, { inFlight, pendingTokens: 0 }, clock.readMonotonicMs());
         }
--- a/src/gateway/endpoints/endpointRecord.ts
+++ b/src/gateway/endpoints/endpointRecord.ts
@@ -25,6 +25,9 @@
 /** Half-life of the reported load by other nodes, whose requests are assumed to end at this rate. */
 const REPORTED_LOAD_HALF_LIFE_MS = 1_500;
 
+/** Age up to which a load in an answer is newer than the sums of the other nodes. */
+const OBSERVED_LOAD_MAX_AGE_MS = 250;
+
 /** Connections that break within this time of each other are assumed to have one cause. */
 const BREAKS_TOGETHER_MS = 250;
 
@@ -135,7 +138,7 @@
         pendingTokens: record.pendingTokens + others.pendingTokens,
         biasMs: computeDecayed(record.bias, BIAS_HALF_LIFE_MS, nowMs),
         coldMs: computeColdMs(record, nowMs),
-        failureRate: computeDecayed(record.failures, FAILURE_HALF_LIFE_MS, nowMs),
+        failureRate: readFailureRate(record, nowMs),
         cachedTokens: countCachedTokens(record, parts, nowMs),
         ...(record.pace === undefined
             ? {}
@@ -143,6 +146,19 @@
     };
 }
 
+/**
+ * Estimates the requests in progress at an endpoint by the newest of what it and the other nodes have said: an answer to this
+ * node says what all nodes did there a moment ago, while the sums of the other nodes are older than their arrival.
+ */
+export function estimateInFlight(record: EndpointRecord, nowMs: number): number {
+    const { load, ownInFlight } = record;
+    if (load === undefined || nowMs - load.atMs > OBSERVED_LOAD_MAX_AGE_MS) {
+        return ownInFlight + readOthers(record, nowMs).inFlight;
+    }
+    const observed = Math.max(0, load.running + load.waiting - load.ownInFlight);
+    return ownInFlight + observed;
+}
+
 /** Computes how long the endpoint is still slow after a start, or after what may have been one. */
 export function computeColdMs({ coldUntilMs, presumedColdUntilMs }: EndpointRecord, nowMs: number): number {
     return Math.max(0, coldUntilMs - nowMs, presumedColdUntilMs - nowMs);
@@ -190,6 +206,11 @@
     }
 }
 
+/** Gives the share of its recent attempts that failed. */
+export function readFailureRate({ failures }: EndpointRecord, nowMs: number): number {
+    return computeDecayed(failures, FAILURE_HALF_LIFE_MS, nowMs);
+}
+
 /** Marks the endpoint as unreachable for a time that doubles with each failure. */
 export function recordUnreachable(record: EndpointRecord, nowMs: number): void {
     if (nowMs >= record.suspectUntilMs) {
--- a/src/gateway/forwarding/createSpillover.test.ts
+++ b/src/gateway/forwarding/createSpillover.test.ts
@@ -82,3 +82,63 @@
         assert.equal(home, 1);
     });
 });
+
+describe("leaving the own failure domain", () => {
+    // Guards against: bytes between failure domains, which cost money, while own slots are free.
+    it("does not happen while its slots are free, though its answers are late for another reason", () => {
+        const { listIn, sendFor } = createSpilloverSubject();
+        listIn("home").forEach(record => Object.assign(record, { bias: { value: 5_000, atMs: 10_000 } }));
+        const shares = sendFor(9_000, { loads: { home: 0.9 } });
+        assert.deepEqual(shares, { home: 1, next: 0, away: 0 });
+    });
+
+    // Guards against: leaving for a gain that isn't worth the bytes.
+    it("does not happen where others answer hardly earlier", () => {
+        const { clock, listIn, sendFor } = createSpilloverSubject();
+        const setBias = (domain: "next" | "away", value: number) => {
+            listIn(domain).forEach(record => {
+                Object.defineProperty(record, "bias", { get: () => ({ value, atMs: clock.readMonotonicMs() }) });
+            });
+        };
+        // 404.6 ms are expected at home, 403.6 ms elsewhere.
+        setBias("next", 371.6);
+        setBias("away", 313.6);
+        const shares = sendFor(12_000, { loads: { home: 5, next: 0.5, away: 0.5 } });
+        assert.deepEqual(shares, { home: 1, next: 0, away: 0 });
+    });
+
+    // Guards against: a share that grows by the number of decisions, and is set to zero while it is small.
+    for (const everyMs of [10, 600, 3_000]) {
+        it(`begins with a request every ${everyMs} ms as with others`, () => {
+            const { home } = createSpilloverSubject().sendFor(30_000, { loads: { home: 3.4 }, everyMs });
+            assert.ok(home < 0.5, `${home} of the requests stayed`);
+        });
+    }
+
+    // Guards against: a decay that counts at most a second of a pause without requests.
+    it("has ended after a pause in which the load has gone", () => {
+        const { clock, setLoad, sendFor, listDomains } = createSpilloverSubject();
+        assert.ok(sendFor(9_000, { loads: { home: 6 } }).home < 0.5);
+        clock.advanceMs(60_000);
+        setLoad("home", 0.5);
+        for (let request = 0; request < 100; request++) {
+            assert.deepEqual(listDomains(), ["home"]);
+        }
+    });
+
+    // Guards against: requests that leave by sums that say nothing of the present.
+    it("does not happen with stale sums", () => {
+        const { subject, sendFor } = createSpilloverSubject();
+        subject.isInTouch = false;
+        assert.equal(sendFor(9_000, { loads: { home: 6 } }).home, 1);
+    });
+
+    it("is shown by the share and by one line each for its begin and end", () => {
+        const { shares, lines, sendFor } = createSpilloverSubject();
+        const { home } = sendFor(9_000, { loads: { home: 6 } });
+        assert.ok(Math.abs((shares.at(-1) ?? 0) - (1 - home)) < 0.1);
+        sendFor(9_000, { loads: { home: 0.5 } });
+        assert.ok((shares.at(-1) ?? 1) < 0.01);
+        assert.deepEqual(lines, ["spillover begins", "spillover ends"]);
+    });
+});
--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -1,6 +1,7 @@
 /**
  * @module Applies the decision which share of a service's requests goes to other failure domains.
  */
+import { computeDomainShares } from "../../decisions/gateway/computeDomainShares";
 import { estimateFirstPartMs } from "../../decisions/gateway/chooseEndpoint";
 import { USUAL_PACE } from "../../decisions/gateway/endpointPace";
 import {
@@ -14,7 +15,7 @@
 import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
 import type { EndpointLimits } from "../endpoints/createEndpointLimits";
 import type { Evacuations } from "../endpoints/createEvacuations";
-import { buildEndpointView, type EndpointRecord } from "../endpoints/endpointRecord";
+import { buildEndpointView, estimateInFlight, type EndpointRecord, readFailureRate } from "../endpoints/endpointRecord";
 import type { GatewayComponents } from "../gatewayComponents";
 import { FailureOwner } from "../process/createFailureReporter";
 import type { FleetNews } from "../news/createFleetNews";
@@ -24,6 +25,13 @@
 const DECISION_PERIOD_MS = 100;
 /** Share of the nodes whose reports must be in the sums: what the others do is missing from the load of endpoints. */
 const REACHABLE_SHARE_MIN = 0.9;
+/** Averaged shares from which spillover counts as begun, and below which as ended. */
+const SHARE_ON = 0.02;
+const SHARE_OFF = 0.005;
+const SHARE_AVERAGING_MS = 1_000;
+/** Most requests per slot that are looked for when an expected time is converted, and the number of halvings. */
+const INVERSE_SLOTS_MAX = 64;
+const INVERSE_STEPS = 14;
 const NO_PROMPT = { promptTokens: 0, promptParts: [] };
 
 /** How far an endpoint is from this node. */
@@ -65,8 +73,59 @@
 }
 
 interface ServiceState {
-    readonly spillover: Spillover;
+    spillover: Spillover;
     readonly objectives: RecentObjectives;
+    /** Requests since the last decision, and those of them that left. */
+    sent: number;
+    left: number;
+    /** Share of the requests that leave, averaged over about a second. */
+    share: number;
+    isOn: boolean;
+}
+
+function createServiceState(): ServiceState {
+    return {
+        spillover: NO_SPILLOVER,
+        objectives: createRecentObjectives(),
+        sent: 0,
+        left: 0,
+        share: 0,
+        isOn: false,
+    };
+}
+
+/** Updates the averaged share by the requests since the last decision. */
+function recordShare(state: ServiceState, stepMs: number): void {
+    const newest = state.left / Math.max(1, state.sent);
+    state.share = newest + (state.share - newest) * Math.exp(-stepMs / SHARE_AVERAGING_MS);
+    state.sent = 0;
+    state.left = 0;
+}
+
+function buildEmptyLoad(domain: string): DomainLoad {
+    return {
+        domain,
+        isSameRegion: true,
+        slots: 0,
+        inFlight: 0,
+        ownInFlight: 0,
+        expectedMs: Number.POSITIVE_INFINITY,
+        estimateInFlight: () => 0,
+    };
+}
+
+/** Finds the input with which an increasing function gives a value, by halving; the least one gives at least the value. */
+function findInput(compute: (input: number) => number, value: number, most: number): number {
+    let [low, high] = [0, most];
+    for (let step = 0; step < INVERSE_STEPS; step++) {
+        const middle = (low + high) / 2;
+        if (compute(middle) < value) {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    return high;
 }
 
 /**
@@ -99,10 +158,13 @@
                     Math.max(record.refusedUntilMs, record.suspectUntilMs) <= nowMs &&
                     !options.limits.isLimited(record) &&
                     !options.coldEndpoints.isCold(record) &&
-                    buildEndpointView(record, [], nowMs).failureRate < FAILING_SHARE,
+                    readFailureRate(record, nowMs) < FAILING_SHARE,
             );
     };
-    const listLoads = (service: string, nowMs: number): readonly DomainLoad[] => {
+    const listLoads = (
+        service: string,
+        nowMs: number,
+    ): { own: DomainLoad | undefined; others: readonly DomainLoad[] } => {
         const speed = speeds.readSpeed(service);
         const domains = sumByDomain(listOpen(service, nowMs), nowMs);
         const far = [...domains].filter(([domain]) => findDistance(domain) === Distance.OtherRegion);
@@ -111,64 +173,74 @@
         const nearInFlight = near.reduce((sum, [, { inFlight }]) => sum + inFlight, 0);
         const farInFlight = Math.max(0, news.readLoad(service).inFlight - nearInFlight);
         const farSlots = far.reduce((sum, [, { slots }]) => sum + slots, 0);
-        return [...domains].map(([domain, sums]) => {
+        const loads = [...domains].map(([domain, sums]): DomainLoad => {
             const distance = findDistance(domain);
             const inFlight =
                 distance === Distance.OtherRegion
                     ? Math.max(sums.inFlight, (farInFlight * sums.slots) / Math.max(1, farSlots))
                     : sums.inFlight;
-            const view = {
-                roundTripMs: sums.roundTripMs,
-                slots: sums.slots,
-                occupancy: inFlight,
-                pendingTokens: sums.pendingTokens / sums.endpoints,
-                cachedTokens: 0,
-                pace: sums.pace / sums.endpoints,
+            const estimateMs = (occupancy: number) => {
+                const view = {
+                    roundTripMs: sums.roundTripMs,
+                    slots: sums.slots,
+                    occupancy,
+                    pendingTokens: sums.pendingTokens / sums.endpoints,
+                    cachedTokens: 0,
+                    pace: sums.pace / sums.endpoints,
+                };
+                return estimateFirstPartMs(view, NO_PROMPT, speed) + sums.biasMs / sums.endpoints;
             };
             return {
                 domain,
                 isSameRegion: distance === Distance.SameRegion,
                 slots: sums.slots,
                 inFlight,
-                expectedMs: estimateFirstPartMs(view, NO_PROMPT, speed) + sums.biasMs / sums.endpoints,
+                ownInFlight: sums.ownInFlight,
+                expectedMs: estimateMs(inFlight),
+                estimateInFlight: expectedMs => findInput(estimateMs, expectedMs, sums.slots * INVERSE_SLOTS_MAX),
             };
         });
+        const own = loads.find(({ domain }) => domain === settings.failureDomain);
+        return { own, others: loads.filter(load => load !== own) };
     };
-    const updateState = (service: string, routeObjectiveMs: number): Spillover => {
+    const updateState = (service: string, routeObjectiveMs: number): ServiceState => {
         const nowMs = clock.readMonotonicMs();
-        const state = states.get(service) ?? { spillover: NO_SPILLOVER, objectives: createRecentObjectives() };
+        const state = states.get(service) ?? createServiceState();
+        states.set(service, state);
         state.objectives.recordRequest(routeObjectiveMs, nowMs);
-        if (states.has(service) && nowMs - state.spillover.atMs < DECISION_PERIOD_MS) {
-            return state.spillover;
+        const stepMs = nowMs - state.spillover.atMs;
+        if (stepMs < DECISION_PERIOD_MS) {
+            return state;
         }
         const objectiveMs = state.objectives.readStrictest(nowMs);
-        const loads = listLoads(service, nowMs);
-        const own = loads.find(({ domain }) => domain === settings.failureDomain);
+        const { own = buildEmptyLoad(settings.failureDomain), others } = listLoads(service, nowMs);
         const { nodes, reachable } = news.readUsage();
         const isFresh = news.isInTouch() && reachable >= nodes * REACHABLE_SHARE_MIN;
-        const others = loads.filter(load => load !== own);
-        const spillover =
-            own === undefined
-                ? { ...NO_SPILLOVER, atMs: nowMs }
-                : decideSpillover(state.spillover, { nowMs, isFresh, objectiveMs, own, others });
-        const wasOn = state.spillover.share > 0;
-        if (wasOn !== spillover.share > 0) {
-            log.info(wasOn ? "spillover ends" : "spillover begins", {
+        const nodesPerDomain = Math.max(1, nodes / Math.max(1, Object.keys(settings.regions).length));
+        const input = { nowMs, isFresh, objectiveMs, nodesPerDomain, own, others };
+        state.spillover = decideSpillover(state.spillover, input);
+        recordShare(state, stepMs);
+        metrics.setSpilloverShare(service, state.share);
+        if (state.share > (state.isOn ? SHARE_OFF : SHARE_ON) !== state.isOn) {
+            log.info(state.isOn ? "spillover ends" : "spillover begins", {
                 service,
-                expectedMs: Math.round(own?.expectedMs ?? 0),
+                expectedMs: Math.round(own.expectedMs),
                 objectiveMs,
-                inFlight: Math.round(own?.inFlight ?? 0),
-                slots: own?.slots ?? 0,
+                inFlight: Math.round(own.inFlight),
+                slots: own.slots,
                 isFresh,
             });
+            state.isOn = !state.isOn;
         }
-        metrics.setSpilloverShare(service, spillover.share);
-        states.set(service, { ...state, spillover });
-        return spillover;
+        return state;
     };
-    const drawDomain = ({ shares }: Spillover): string => {
+    const drawDomain = (spillover: Spillover, takers: readonly EndpointRecord[]): string => {
+        const inFlight = new Map<string, number>();
+        for (const { endpoint, ownInFlight } of takers) {
+            inFlight.set(endpoint.failureDomain, (inFlight.get(endpoint.failureDomain) ?? 0) + ownInFlight);
+        }
         let left = random.drawFraction();
-        for (const [domain, share] of shares) {
+        for (const [domain, share] of computeDomainShares(spillover, settings.failureDomain, inFlight)) {
             left -= share;
             if (left < 0) {
                 return domain;
@@ -178,9 +250,12 @@
     };
     const filterDrawnDomain = (service: string, objectiveMs: number, takers: readonly EndpointRecord[]) => {
         const nowMs = clock.readMonotonicMs();
-        const sound = takers.filter(record => buildEndpointView(record, [], nowMs).failureRate < FAILING_SHARE);
+        const sound = takers.filter(record => readFailureRate(record, nowMs) < FAILING_SHARE);
         const usable = sound.length > 0 ? sound : takers;
-        const drawn = drawDomain(updateState(service, objectiveMs));
+        const state = updateState(service, objectiveMs);
+        const drawn = drawDomain(state.spillover, usable);
+        state.sent++;
+        state.left += drawn === settings.failureDomain ? 0 : 1;
         const listIn = (domain: string) => usable.filter(({ endpoint }) => endpoint.failureDomain === domain);
         return [listIn(drawn), listIn(settings.failureDomain)].find(list => list.length > 0) ?? usable;
     };
@@ -210,7 +285,7 @@
     return domains;
 }
 
-const EMPTY = { endpoints: 0, slots: 0, inFlight: 0, pendingTokens: 0, biasMs: 0, pace: 0 };
+const EMPTY = { endpoints: 0, slots: 0, inFlight: 0, ownInFlight: 0, pendingTokens: 0, biasMs: 0, pace: 0 };
 
 function sumRecord(before: typeof EMPTY | undefined, record: EndpointRecord, nowMs: number) {
     const view = buildEndpointView(record, [], nowMs);
@@ -218,7 +293,8 @@
     return {
         endpoints: sums.endpoints + 1,
         slots: sums.slots + view.slots,
-        inFlight: sums.inFlight + view.occupancy,
+        inFlight: sums.inFlight + estimateInFlight(record, nowMs),
+        ownInFlight: sums.ownInFlight + record.ownInFlight,
         pendingTokens: sums.pendingTokens + view.pendingTokens,
         biasMs: sums.biasMs + view.biasMs,
         pace: sums.pace + (view.pace ?? USUAL_PACE),
