--- a/src/gateway/_testing/simulatePacedEndpoints.ts
+++ b/src/gateway/_testing/simulatePacedEndpoints.ts
@@ -17,6 +17,7 @@
     recordOthers,
 } from "../endpoints/endpointRecord";
 import { createServiceSpeeds, type ServiceSpeeds } from "../forwarding/createServiceSpeeds";
+import { createEventQueue } from "./createEventQueue";
 import { makeEndpoint } from "./makeEndpoint";
 
 const SERVICE = "chat";
@@ -205,51 +206,3 @@
     const inFlight = snapshot.reduce((sum, counts, node) => sum + (node === self ? 0 : (counts[endpoint] ?? 0)), 0);
     return { inFlight, pendingTokens: 0 };
 }
-
-/** Creates a queue of events, which run in the order of their times. */
-function createEventQueue() {
-    const heap: { readonly atMs: number; readonly run: (atMs: number) => void }[] = [];
-    const readAt = (index: number) => heap[index]?.atMs ?? Number.POSITIVE_INFINITY;
-    const swap = (left: number, right: number) => {
-        const [first, second] = [heap[left], heap[right]];
-        if (first !== undefined && second !== undefined) {
-            heap[left] = second;
-            heap[right] = first;
-        }
-    };
-    const takeFirst = () => {
-        const first = heap[0];
-        const last = heap.pop();
-        if (last !== undefined && heap.length > 0) {
-            heap[0] = last;
-            for (let index = 0; ;) {
-                const left = 2 * index + 1;
-                const least = readAt(left + 1) < readAt(left) ? left + 1 : left;
-                if (readAt(least) >= readAt(index)) {
-                    break;
-                }
-                swap(index, least);
-                index = least;
-            }
-        }
-        return first;
-    };
-    return {
-        add: (atMs: number, run: (atMs: number) => void) => {
-            heap.push({ atMs, run });
-            for (let index = heap.length - 1; index > 0;) {
-                const parent = Math.floor((index - 1) / 2);
-                if (readAt(parent) <= readAt(index)) {
-                    break;
-                }
-                swap(index, parent);
-                index = parent;
-            }
-        },
-        run: () => {
-            for (let event = takeFirst(); event !== undefined; event = takeFirst()) {
-                event.run(event.atMs);
-            }
-        },
-    };
-}
