--- a/src/model/gateway.ts
+++ b/src/model/gateway.ts
@@ -237,6 +237,6 @@
     readonly descriptorsMax: number;
     /** True only at the first start of the whole system. */
     readonly isFirstStart: boolean;
-    /** True if requests are distributed over failure domains by load where endpoints report a pace. */
+    /** True if only the surplus of requests leaves the failure domain where endpoints report a pace; absent: false. */
     readonly hasSpillover?: boolean;
 }
