Count no slots of versions on trial, and keep requests at home once it takes them again

Change: rollouts.isServing in listOpen; the window begins anew after zero; tests of the own slots by each restriction, and of estimateInFlight. Help of redwinglift_spillover_share corrected.

--- a/src/decisions/gateway/decideSpillover.test.ts
+++ b/src/decisions/gateway/decideSpillover.test.ts
@@ -177,6 +177,20 @@
         assert.equal(computeShares(own, [makeLoad("near", 0.1, { isSameRegion: true })]).size, 0);
     });
 
+    // Guards against: a window that grows from nothing once the own endpoints take requests again.
+    it("keeps requests at home at once when the own endpoints take them again", () => {
+        const others = [makeLoad("near", 0.5, { isSameRegion: true })];
+        const without = makeInput(makeLoad("own", 0, { slots: 0, expectedMs: Number.POSITIVE_INFINITY }), others, 0);
+        const away = decideSpillover(NO_SPILLOVER, without);
+        assert.deepEqual([...computeDomainShares(away, "own", new Map([["near", 0]])).values()], [1]);
+        const back = decideSpillover(away, makeInput(makeLoad("own", 1.5), others, 100));
+        const used = new Map([
+            ["own", 15],
+            ["near", 5],
+        ]);
+        assert.equal(computeDomainShares(back, "own", used).size, 0);
+    });
+
     // Guards against: a begin, a size or an end that depends on how often the decision is made, or on a pause.
     it("gives the same windows by one decision as by many in the same time", () => {
         const before = decideSpillover(NO_SPILLOVER, makeInput(OVERLOADED, [makeLoad("far", 0.5)], 0));
--- a/src/decisions/gateway/decideSpillover.ts
+++ b/src/decisions/gateway/decideSpillover.ts
@@ -112,7 +112,8 @@
     const farLimit = Math.max(least, own.estimateInFlight(objectiveMs * OTHER_REGION_START_SHARE));
     const fairWindow = nearLimit / input.nodesPerDomain;
     const ownTarget = Math.max(fairWindow / 2, (own.ownInFlight * nearLimit) / Math.max(1, own.inFlight));
-    const ownBefore = Number.isFinite(before.ownWindow) ? before.ownWindow : Math.max(fairWindow, ownTarget);
+    const ownBefore =
+        Number.isFinite(before.ownWindow) && before.ownWindow > 0 ? before.ownWindow : Math.max(fairWindow, ownTarget);
     return {
         atMs: nowMs,
         ownWindow: own.slots === 0 ? 0 : advanceTowards(ownBefore, ownTarget, stepMs),
--- a/src/gateway/_testing/createSpilloverSubject.ts
+++ b/src/gateway/_testing/createSpilloverSubject.ts
@@ -25,11 +25,15 @@
 /** What a test changes. */
 export interface SpilloverSubjectOptions {
     readonly hasSpillover?: boolean;
-    /** Endpoints in `next`; the others have one. */
+    /** Endpoints in `home` and `next`, one without it. */
+    readonly endpointsInHome?: number;
     readonly endpointsInNext?: number;
+    /** Endpoints that stay idle whatever load is set. */
+    readonly isIdle?: (record: EndpointRecord) => boolean;
     readonly readLoad?: SpilloverOptions["news"]["readLoad"];
     readonly isLimited?: (record: EndpointRecord) => boolean;
     readonly isCold?: (record: EndpointRecord) => boolean;
+    readonly isServing?: SpilloverOptions["rollouts"]["isServing"];
     readonly evacuated?: readonly string[];
 }
 
@@ -38,7 +42,7 @@
     const clock = createManualClock();
     const domains: readonly Domain[] = ["home", "next", "away"];
     const records = domains.flatMap(failureDomain =>
-        Array.from({ length: failureDomain === "next" ? (options.endpointsInNext ?? 1) : 1 }, (_unused, index) => {
+        Array.from({ length: countEndpoints(options, failureDomain) }, (_unused, index) => {
             const endpoint = makeEndpoint(`${failureDomain}-${index}`, { failureDomain, slots: SLOTS });
             const record = createEndpointRecord(endpoint, DISTANCES[failureDomain], clock);
             recordLoad(record, { running: 0, waiting: 0, slots: SLOTS, pace: 100 }, 0);
@@ -62,6 +66,7 @@
         directory: { listUsable: () => records },
         evacuations: { readDomains: () => new Set(options.evacuated) },
         limits: { isLimited: options.isLimited ?? (() => false) },
+        rollouts: { isServing: options.isServing ?? (() => true) },
         coldEndpoints: { isCold: options.isCold ?? (() => false) },
         news: {
             isInTouch: () => subject.isInTouch,
@@ -78,7 +83,7 @@
     ];
     /** Sets what this node and all others together do at the endpoints of a failure domain, as a share of their slots. */
     const setLoad = (domain: Domain, usedShare: number) => {
-        for (const record of listIn(domain)) {
+        for (const record of listIn(domain).filter(candidate => options.isIdle?.(candidate) !== true)) {
             record.ownInFlight = Math.round((usedShare * SLOTS) / NODES_PER_DOMAIN);
             const inFlight = usedShare * SLOTS - record.ownInFlight;
             recordOthers(record, { inFlight, pendingTokens: 0 }, clock.readMonotonicMs());
@@ -130,3 +135,7 @@
         },
     };
 }
+
+function countEndpoints({ endpointsInHome, endpointsInNext }: SpilloverSubjectOptions, domain: Domain): number {
+    return { home: endpointsInHome, next: endpointsInNext, away: undefined }[domain] ?? 1;
+}
--- a/src/gateway/_testing/simulateFailureDomains.ts
+++ b/src/gateway/_testing/simulateFailureDomains.ts
@@ -145,6 +145,7 @@
             directory: { listUsable: () => records.filter((_record, id) => isOpen(id)) },
             evacuations: { readDomains: () => new Set() },
             limits: { isLimited: () => false },
+            rollouts: { isServing: () => true },
             coldEndpoints: { isCold: () => false },
             news: {
                 isInTouch: () => currentMs > REPORT_MS + REPORT_AGE_MAX_MS,
--- a/src/gateway/endpoints/endpointRecord.test.ts
+++ b/src/gateway/endpoints/endpointRecord.test.ts
@@ -2,7 +2,14 @@
 import { describe, it } from "node:test";
 import { createManualClock } from "../../base/createManualClock";
 import { makeEndpoint } from "../_testing/makeEndpoint";
-import { buildEndpointView, createEndpointRecord, readPaceSince, recordLoad, recordOthers } from "./endpointRecord";
+import {
+    buildEndpointView,
+    createEndpointRecord,
+    estimateInFlight,
+    readPaceSince,
+    recordLoad,
+    recordOthers,
+} from "./endpointRecord";
 
 describe("the record of an endpoint", () => {
     const create = () =>
@@ -27,6 +34,18 @@
         assert.equal(buildEndpointView(record, [], 0).occupancy, 1);
     });
 
+    // Guards against: decisions by sums that are older than what an answer has just said.
+    it("has in progress what its last answer said, and after a quarter of a second what the sums say", () => {
+        const record = create();
+        record.ownInFlight = 2;
+        recordOthers(record, { inFlight: 1, pendingTokens: 0 }, 0);
+        assert.equal(estimateInFlight(record, 0), 3);
+        recordLoad(record, { running: 8, waiting: 4, slots: 12 }, 100);
+        record.ownInFlight = 5;
+        assert.equal(estimateInFlight(record, 200), 15);
+        assert.equal(estimateInFlight(record, 400), 6);
+    });
+
     it("has a pace only while the endpoint reports one", () => {
         const record = create();
         recordLoad(record, { running: 1, waiting: 0, slots: 12 }, 0);
--- a/src/gateway/forwarding/createSpillover.test.ts
+++ b/src/gateway/forwarding/createSpillover.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { GatewayEndpoint } from "../../model/gateway";
 import { createSpilloverSubject } from "../_testing/createSpilloverSubject";
 import { recordAttemptOutcome } from "../endpoints/endpointRecord";
 
@@ -59,6 +60,11 @@
         { name: "are evacuated", options: { evacuated: ["next"] }, mark: () => undefined },
         { name: "are cold", options: { isCold: isNext }, mark: () => undefined },
         { name: "name a limit", options: { isLimited: isNext }, mark: () => undefined },
+        {
+            name: "are of a version on trial or rejected",
+            options: { isServing: (endpoint: GatewayEndpoint) => endpoint.failureDomain !== "next" },
+            mark: () => undefined,
+        },
         { name: "refuse requests", options: {}, mark: { refusedUntilMs: 1e9 } },
         { name: "can't be reached", options: {}, mark: { suspectUntilMs: 1e9 } },
     ]) {
@@ -72,6 +78,31 @@
     }
 });
 
+describe("the slots of the own failure domain", () => {
+    const isRestricted = ({ endpoint }: { readonly endpoint: GatewayEndpoint }) => /^home-[123]$/.test(endpoint.id);
+
+    // Guards against: slots of endpoints that take nothing count as free, so that all requests wait at the others.
+    for (const { name, options, mark } of [
+        { name: "cold", options: { isCold: isRestricted }, mark: () => undefined },
+        { name: "limited", options: { isLimited: isRestricted }, mark: () => undefined },
+        {
+            name: "on trial or rejected",
+            options: { isServing: (endpoint: GatewayEndpoint) => !isRestricted({ endpoint }) },
+            mark: () => undefined,
+        },
+        { name: "refusing", options: {}, mark: { refusedUntilMs: 1e9 } },
+        { name: "unreachable", options: {}, mark: { suspectUntilMs: 1e9 } },
+    ]) {
+        it(`are not those of endpoints that are ${name}`, () => {
+            const subject = createSpilloverSubject({ ...options, endpointsInHome: 4, isIdle: isRestricted });
+            subject.records.filter(isRestricted).forEach(record => Object.assign(record, mark));
+            const takers = subject.records.filter(record => !isRestricted(record));
+            const { home } = subject.sendFor(9_000, { loads: { home: 3.5 }, takers });
+            assert.ok(home < 0.5, `${home} of the requests stayed`);
+        });
+    }
+});
+
 describe("the objective that spillover keeps", () => {
     // Guards against: the strictest objective of all routes seen so far never relaxes.
     it("is that of recent requests", () => {
--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -15,6 +15,7 @@
 import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
 import type { EndpointLimits } from "../endpoints/createEndpointLimits";
 import type { Evacuations } from "../endpoints/createEvacuations";
+import type { Rollouts } from "../rollouts/rollouts";
 import { buildEndpointView, estimateInFlight, type EndpointRecord, readFailureRate } from "../endpoints/endpointRecord";
 import type { GatewayComponents } from "../gatewayComponents";
 import { FailureOwner } from "../process/createFailureReporter";
@@ -55,6 +56,7 @@
     readonly directory: Pick<EndpointDirectory, "listUsable">;
     readonly evacuations: Pick<Evacuations, "readDomains">;
     readonly limits: Pick<EndpointLimits, "isLimited">;
+    readonly rollouts: Pick<Rollouts, "isServing">;
     readonly coldEndpoints: Pick<ColdEndpoints, "isCold">;
     readonly news: Pick<FleetNews, "isInTouch" | "readLoad" | "readUsage">;
     readonly metrics: Pick<GatewayMetrics, "countAttemptDistance" | "setSpilloverShare">;
@@ -156,6 +158,7 @@
                 record =>
                     !evacuated.has(record.endpoint.failureDomain) &&
                     Math.max(record.refusedUntilMs, record.suspectUntilMs) <= nowMs &&
+                    options.rollouts.isServing(record.endpoint) &&
                     !options.limits.isLimited(record) &&
                     !options.coldEndpoints.isCold(record) &&
                     readFailureRate(record, nowMs) < FAILING_SHARE,
--- a/src/gateway/process/createGatewayMetrics.ts
+++ b/src/gateway/process/createGatewayMetrics.ts
@@ -108,7 +108,7 @@
     });
     const spilloverShare = new Gauge({
         name: "redwinglift_spillover_share",
-        help: "Share of the requests that goes to other failure domains, as last decided.",
+        help: "Share of the requests that leave the failure domain, averaged over about a second.",
         labelNames: ["service"],
         registers,
     });
