--- a/src/decisions/gateway/accountQuotas.test.ts
+++ b/src/decisions/gateway/accountQuotas.test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { createRandom } from "../../base/createRandom";
 import type { GatewayAccount } from "../../model/gateway";
+import { makeFleetUsage } from "./_testing/makeFleetUsage";
 import { type QuotaSimulation, simulateQuotas } from "./_testing/simulateQuotas";
+import { createAccountQuotas } from "./accountQuotas";
 
 const ACCOUNT: GatewayAccount = {
     name: "county",
@@ -56,6 +59,14 @@
         "requests of very different sizes": { ...SEVEN, requestSizes: MIXED_SIZES },
         "demand that moves to other nodes": { ...SEVEN, senders: 3, moveMs: 14_000 },
         "demand that moves between a few of 30 nodes": { ...THIRTY, senders: 5, moveMs: 14_000 },
+        // Also guards against nodes that take a flood for usual since they know no earlier requests.
+        "demand that moves to nodes which have just restarted": {
+            ...THIRTY,
+            senders: 15,
+            moveMs: 14_000,
+            killed: Array.from({ length: 15 }, (_unused, index) => 15 + index),
+            killMs: 12_900,
+        },
     };
     for (const [name, simulation] of Object.entries(held)) {
         it(`is never exceeded with ${name}`, () => {
@@ -64,8 +75,38 @@
         });
     }
 
+    // Guards against: small requests are refused so that large ones of the same account are admitted.
+    it("is granted to small and large requests alike", () => {
+        const random = createRandom(3);
+        const quotas = createAccountQuotas(POLICY, undefined, random);
+        const counts = { 1: { asked: 0, admitted: 0 }, 15: { asked: 0, admitted: 0 } };
+        for (let nowMs = 0; nowMs < 60_000; nowMs += 20) {
+            const amount = random.drawFraction() < 0.7 ? 1 : 15;
+            const isAdmitted = quotas.charge(ACCOUNT, amount, makeFleetUsage(), nowMs);
+            if (nowMs > 20_000) {
+                counts[amount].asked++;
+                counts[amount].admitted += Number(isAdmitted);
+            }
+        }
+        const [small, large] = [counts[1], counts[15]].map(({ asked, admitted }) => admitted / asked);
+        assert.ok(Math.abs((small ?? 0) - (large ?? 1)) < 0.1, `${small} of the small, ${large} of the large`);
+    });
+
     it("is not refused while the account stays below it", () => {
         const { refused } = simulateSeeds({ ...THIRTY, demand: 0.8 }, 8);
         assert.equal(refused, 0);
     });
 });
+
+// Guards against: a request that waited and was refused takes its refund out of the window later than its charge.
+describe("the refund of a request that waited", () => {
+    it("doesn't raise the quota when the charge has left the window", () => {
+        const quotas = createAccountQuotas(POLICY, undefined, createRandom(1));
+        const fleet = makeFleetUsage();
+        assert.ok(quotas.charge(ACCOUNT, 900, fleet, 1_000));
+        assert.ok(!quotas.charge(ACCOUNT, 900, fleet, 1_500));
+        quotas.refund(ACCOUNT.name, 900, 1_000);
+        assert.ok(quotas.charge(ACCOUNT, 900, fleet, 2_300));
+        assert.ok(!quotas.charge(ACCOUNT, 400, fleet, 9_500));
+    });
+});
--- a/src/decisions/gateway/createRecentObjectives.ts
+++ b/src/decisions/gateway/createRecentObjectives.ts
@@ -5,7 +5,7 @@
 /** The objectives of recent requests. */
 export interface RecentObjectives {
     recordRequest(objectiveMs: number, nowMs: number): void;
-    /** Gives the strictest one, infinite without recent requests. */
+    /** Gives the strictest one, infinite without recent requests; changes nothing. */
     readStrictest(nowMs: number): number;
 }
 
@@ -21,15 +21,17 @@
  */
 export function createRecentObjectives(): RecentObjectives {
     const seenAtMs = new Map<number, number>();
+    const isRecent = (atMs: number, nowMs: number) => nowMs - atMs <= OBJECTIVE_RETENTION_MS;
     return {
-        recordRequest: (objectiveMs, nowMs) => void seenAtMs.set(objectiveMs, nowMs),
-        readStrictest: nowMs => {
-            for (const [objectiveMs, atMs] of seenAtMs) {
-                if (nowMs - atMs > OBJECTIVE_RETENTION_MS) {
-                    seenAtMs.delete(objectiveMs);
+        recordRequest: (objectiveMs, nowMs) => {
+            seenAtMs.set(objectiveMs, nowMs);
+            for (const [seen, atMs] of seenAtMs) {
+                if (!isRecent(atMs, nowMs)) {
+                    seenAtMs.delete(seen);
                 }
             }
-            return Math.min(...seenAtMs.keys());
         },
+        readStrictest: nowMs =>
+            Math.min(...[...seenAtMs].filter(([, atMs]) => isRecent(atMs, nowMs)).map(([objectiveMs]) => objectiveMs)),
     };
 }
--- a/src/gateway/_testing/createGatewayHarness.ts
+++ b/src/gateway/_testing/createGatewayHarness.ts
@@ -9,7 +9,7 @@
 import type { Disposable } from "../../base/disposableStore";
 import { readInstant } from "../../base/instant";
 import { createLog } from "../../base/log/createLog";
-import { createAccountQuotas } from "../../decisions/gateway/accountQuotas";
+import { type AccountQuotas, createAccountQuotas } from "../../decisions/gateway/accountQuotas";
 import type {
     GatewayAccount,
     GatewayBounds,
@@ -25,11 +25,14 @@
 import { createEvacuations } from "../endpoints/createEvacuations";
 import { createEndpointLimits } from "../endpoints/createEndpointLimits";
 import { createFailureReporter } from "../process/createFailureReporter";
+import { createRequestExplainer, type RequestExplainer } from "../explain/createRequestExplainer";
 import { createForwarder } from "../forwarding/createForwarder";
 import { createGatewayListener, type GatewayListener } from "../callers/createGatewayListener";
 import { createGatewayMetrics } from "../process/createGatewayMetrics";
 import { createPartQuarantine } from "../quarantine/createPartQuarantine";
 import { createRollouts } from "../rollouts/createRollouts";
+import { createServiceAdmission } from "../forwarding/createServiceAdmission";
+import { createSpillover } from "../forwarding/createSpillover";
 import { createServiceSpeeds } from "../forwarding/createServiceSpeeds";
 import { drainGateway } from "../process/drainGateway";
 import type { GatewayComponents } from "../gatewayComponents";
@@ -53,6 +56,8 @@
     readonly components: GatewayComponents;
     readonly configuration: ConfigurationHolder;
     readonly directory: EndpointDirectory;
+    readonly quotas: AccountQuotas;
+    readonly explainRequest: RequestExplainer;
     readonly endpoints: readonly ScriptedEndpoint[];
     /** Port of the listener for callers. */
     readonly port: number;
@@ -161,7 +166,7 @@
         metrics,
         log,
     });
-    const sound: GatewayComponents = {
+    const parts: Omit<GatewayComponents, "admission"> = {
         settings,
         clock,
         random: createRandom(1),
@@ -207,9 +212,14 @@
             log,
         }),
     };
-    const components: GatewayComponents = { ...sound, ...options.replace?.(sound) };
+    const replacement = options.replace?.({ ...parts, admission: createServiceAdmission(parts) });
+    const replaced = { ...parts, ...replacement };
+    const components: GatewayComponents = { ...replaced, admission: createServiceAdmission(replaced), ...replacement };
     const quotas = createAccountQuotas(settings.bounds, undefined, createRandom(1));
-    const listener = createGatewayListener({ components, forwarder: createForwarder(components), quotas });
+    const spillover = createSpillover(components);
+    const listener = createGatewayListener({ components, forwarder: createForwarder(components, spillover), quotas });
+    const { isTaken } = listener;
+    const explainRequest = createRequestExplainer({ components, quotas, spillover, isTaken });
     let current: GatewayConfiguration = {
         version: 1,
         routes: [route],
@@ -246,6 +256,8 @@
         components,
         configuration,
         directory,
+        quotas,
+        explainRequest,
         endpoints,
         port,
         stop: async () => {
--- a/src/gateway/callers/createGatewayListener.ts
+++ b/src/gateway/callers/createGatewayListener.ts
@@ -3,9 +3,9 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import net from "node:net";
-import { createFailure } from "../../base/createFailure";
 import { Execution, type Failure, FailureKind } from "../../base/failure";
 import type { AccountQuotas } from "../../decisions/gateway/accountQuotas";
+import { computeQuotaAmount } from "../../decisions/gateway/computeQuotaAmount";
 import { AttemptOutcome } from "../../decisions/gateway/decideNextAction";
 import type { StopTimes } from "../../decisions/gateway/computeStopTimes";
 import { isServableBeforeStop } from "../../decisions/gateway/isServableBeforeStop";
@@ -16,7 +16,6 @@
 import { readBody } from "../../http/readBody";
 import { sendFailure } from "../../http/sendFailure";
 import type { CallerRequestHead } from "../../ports/forwardingCodec";
-import { QUOTA_RETRY_AFTER_MS } from "../constants";
 import { type CallerConnections, createCallerConnections } from "./createCallerConnections";
 import { FailureOwner } from "../process/createFailureReporter";
 import type { Forwarder } from "../forwarding/createForwarder";
@@ -30,7 +29,12 @@
 import { CONNECTIONS_LIMITED, createLimitReport, REQUESTS_LIMITED } from "./createLimitReport";
 import { createOpenRequests, type OpenRequest, RequestEnd, RequestPhase } from "./createOpenRequests";
 import type { GatewayExchange } from "./exchange";
-import { LATE_NODE_FAILURE, NODE_FAILURE } from "../forwarding/forwardingOutcome";
+import {
+    createQuotaFailure,
+    LATE_NODE_FAILURE,
+    NODE_FAILURE,
+    SHUTTING_DOWN_FAILURE,
+} from "../forwarding/forwardingOutcome";
 import type { GatewayComponents } from "../gatewayComponents";
 import { logSuccess } from "./logSuccess";
 import { readHead } from "./readHead";
@@ -49,11 +53,6 @@
 
 /** Failures after which the caller should come back by another connection, which may lead to another node. */
 const CLOSING_FAILURES: ReadonlySet<FailureKind> = new Set([FailureKind.StoreUnavailable, FailureKind.ShuttingDown]);
-/** Short: by the time that a node refuses requests since it stops, new connections lead to other nodes. */
-const SHUTTING_DOWN_RETRY_MS = 20;
-const SHUTTING_DOWN_FAILURE = createFailure(FailureKind.ShuttingDown, "The node is about to stop.", {
-    retryAfterMs: SHUTTING_DOWN_RETRY_MS,
-});
 const SHUTTING_DOWN_ANSWER = formatRawFailure("503 Service Unavailable", SHUTTING_DOWN_FAILURE);
 
 /** The HTTP listener for callers. */
@@ -62,11 +61,13 @@
     /** Counts the requests without a final answer, those included whose head has not arrived whole. */
     countOpen(): number;
     countCallers(): CallerCounts;
+    /** Tells whether a request that times out at a monotonic time is taken, or refused since the node stops. */
+    isTaken(timeoutAtMs: number): boolean;
     /** Counts what was done to keep the connections within their limit. */
     countLimitActions(): Readonly<Record<LimitAction, number>>;
     /** What was done because callers sent requests ahead or read no responses. */
     readonly requestLimits: RequestLimitCounter;
-    /** Starts to close each connection after its next answer, and to refuse what can't be ended before the stop. */
+    /** Starts to close each connection after its next answer, and to refuse what waits or can't be ended before the stop. */
     beginDrain(times: StopTimes): void;
     /** Gives each request without a begun answer a failure: as not run if it was not forwarded, else as unknown. */
     endRequests(): void;
@@ -76,6 +77,12 @@
     closeIdle(): void;
 }
 
+/** What was charged to the quota of an account for a request, and when, in monotonic time. */
+interface QuotaCharge {
+    readonly amount: number;
+    readonly atMs: number;
+}
+
 /** Dependencies of the listener. */
 export interface GatewayListenerOptions {
     readonly components: GatewayComponents;
@@ -105,18 +112,16 @@
         return stop === undefined || isServableBeforeStop(stop.times, nowMs - stop.signalledAtMs, timeoutAtMs - nowMs);
     };
 
-    const chargeQuota = (admitted: AdmittedRequest, head: CallerRequestHead): { amount: number } | Failure => {
+    const chargeQuota = (admitted: AdmittedRequest, head: CallerRequestHead): QuotaCharge | Failure => {
         const { account } = admitted;
+        const atMs = clock.readMonotonicMs();
         if (account === undefined) {
-            return { amount: 0 };
+            return { amount: 0, atMs };
         }
-        const tokens = (head.promptTokens ?? 0) + (head.outputTokensMax ?? 0);
-        const amount = account.countsTokens ? tokens || account.defaultTokens : 1;
-        return quotas.charge(account, amount, components.news.readUsage(), clock.readMonotonicMs())
-            ? { amount }
-            : createFailure(FailureKind.QuotaExceeded, "The account's quota is used up.", {
-                  retryAfterMs: QUOTA_RETRY_AFTER_MS,
-              });
+        const amount = computeQuotaAmount(account, head);
+        return quotas.charge(account, amount, components.news.readUsage(), atMs)
+            ? { amount, atMs }
+            : createQuotaFailure(account, amount, quotas.estimateRetryMs(account.name));
     };
 
     const sendFailureAnswer = (open: OpenRequest, failure: Failure) => {
@@ -191,11 +196,11 @@
             sendFailureAnswer(open, charged);
             return;
         }
-        await forwardAdmitted(open, exchange, charged.amount);
+        await forwardAdmitted(open, exchange, charged);
         requestMemory.release();
     };
 
-    const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, amount: number) => {
+    const forwardAdmitted = async (open: OpenRequest, exchange: GatewayExchange, charged: QuotaCharge) => {
         const { response, service } = exchange;
         metrics.recordOverhead(clock.readMonotonicMs() - exchange.receivedAtMs);
         open.phase = RequestPhase.Forwarded;
@@ -228,7 +233,7 @@
             return;
         }
         if (exchange.account !== undefined && end.failure.execution === Execution.NotRun) {
-            quotas.refund(exchange.account, amount, clock.readMonotonicMs());
+            quotas.refund(exchange.account, charged.amount, charged.atMs);
         }
         sendFailureAnswer(open, end.failure);
     };
@@ -330,6 +335,7 @@
     });
     return {
         server,
+        isTaken,
         countOpen: () => openRequests.list().length + connections.countConnections().unfinished,
         countCallers: () => ({
             ...connections.countConnections(),
@@ -344,6 +350,7 @@
                 .list()
                 .filter(({ response }) => !response.headersSent)
                 .forEach(({ response }) => response.setHeader("connection", "close"));
+            components.admission.beginStop();
         },
         endRequests: () => {
             openRequests
--- a/src/gateway/createGatewayParts.ts
+++ b/src/gateway/createGatewayParts.ts
@@ -22,6 +22,7 @@
 import { createMembership, type Membership } from "./news/createMembership";
 import { createPartQuarantine } from "./quarantine/createPartQuarantine";
 import { createRollouts } from "./rollouts/createRollouts";
+import { createServiceAdmission } from "./forwarding/createServiceAdmission";
 import { createServiceSpeeds } from "./forwarding/createServiceSpeeds";
 import { createUsageMeter } from "./duties/createUsageMeter";
 import type { GatewayComponents } from "./gatewayComponents";
@@ -133,9 +134,10 @@
         failureDomains: Object.keys(settings.regions),
         quotaWindowMs: settings.bounds.quotaWindowMs,
         readOwnNews: () => ({
-            ...quotas.describeUsage(clock.readMonotonicMs()),
+            ...quotas.describeUsage(clock.readMonotonicMs(), news.readUsage()),
             loads: demand.readLoads(),
             endpoints: directory.readActivity(),
+            arrivals: admission.readArrivals(),
         }),
         readCounts: () =>
             clusterTime.hasAgreedOffset()
@@ -163,6 +165,20 @@
         log,
         reportFailure,
     });
+    const admission = createServiceAdmission({
+        settings,
+        configuration,
+        directory,
+        evacuations,
+        limits,
+        coldEndpoints,
+        news,
+        random,
+        metrics,
+        clock,
+        log,
+        reportFailure,
+    });
     const components: GatewayComponents = {
         settings,
         clock,
@@ -181,6 +197,7 @@
         limits,
         evacuations,
         coldEndpoints,
+        admission,
         memory,
         reportFailure,
     };
--- a/src/gateway/forwarding/createForwarder.ts
+++ b/src/gateway/forwarding/createForwarder.ts
@@ -13,7 +13,7 @@
 import { applyAnswerHead, applyOutcome, isSuccessful } from "./applyAttemptOutcome";
 import { NON_REPEATABLE_IDLE_MAX_MS } from "../constants";
 import { type Candidate, createCandidatePicker } from "./createCandidatePicker";
-import { createSpillover } from "./createSpillover";
+import { createSpillover, type SpilloverControl } from "./createSpillover";
 import { createStreamRelay } from "./createStreamRelay";
 import { describePartRefusal } from "../quarantine/describePartRefusal";
 import { readPaceSince, recordAnswerTime, recordCachedParts, recordConnectionBreak } from "../endpoints/endpointRecord";
@@ -51,13 +51,16 @@
  * Creates the forwarder of a node.
  *
  * @param components - The components of the gateway
+ * @param spillover - Decides which failure domain an attempt goes to; default: one of its own
  * @returns The forwarder
  * @example
  * const end = await forwarder.forwardRequest(exchange, ended);
  */
-export function createForwarder(components: GatewayComponents): Forwarder {
+export function createForwarder(
+    components: GatewayComponents,
+    spillover: SpilloverControl = createSpillover(components),
+): Forwarder {
     const { clock, speeds, settings } = components;
-    const spillover = createSpillover(components);
     const candidates = createCandidatePicker(components, spillover);
     const allowances = new Map<string, ServiceRetryBudget>();
     const readAllowance = (service: string): ServiceRetryBudget => {
@@ -104,6 +107,7 @@
         const handleFirstPart = () => {
             const nowMs = clock.readMonotonicMs();
             firstPartAtMs = nowMs;
+            state.seat?.recordFirstPart();
             followed.recordFirstPart();
             releasePending();
             const pace = readPaceSince(record, sentAtMs) ?? view.pace;
@@ -158,6 +162,7 @@
             handleAnswerHead: answer => {
                 applyAnswerHead(record, answer, clock.readMonotonicMs());
                 components.limits.recordAnswer(record, answer, sentAtMs);
+                state.seat?.recordAnswer(answer);
             },
             handleFirstPart,
             reportFailure: components.reportFailure,
@@ -212,6 +217,7 @@
         ended,
         relay: createStreamRelay(exchange.response),
         triedEndpoints: new Set(),
+        seat: undefined,
         executions: 0,
         sends: 0,
         isSending: false,
@@ -261,11 +267,27 @@
             }
         }
     };
+    /** Forwards a request once there is room for it at the endpoints. */
+    const forwardWithSeat = async (state: ForwardingState): Promise<ForwardingOutcome> => {
+        const room = await components.admission.waitForRoom(state.exchange, state.ended);
+        if ("failure" in room) {
+            return { isRelayed: false, failure: room.failure };
+        }
+        state.seat = room.seat;
+        let isRelayed = false;
+        try {
+            const outcome = await forwardByAttempts(state);
+            ({ isRelayed } = outcome);
+            return outcome;
+        } finally {
+            room.seat.finish({ wasSent: state.sends > 0, isRelayed });
+        }
+    };
     return {
         forwardRequest: async (exchange, ended) => {
             const state = createState(exchange, ended);
             try {
-                return await forwardByAttempts(state);
+                return await forwardWithSeat(state);
             } catch (error) {
                 components.reportFailure(FailureOwner.Request, error, { requestId: exchange.head.requestId });
                 return describeNodeFailure(state.relay, state.isSending || state.executions > 0);
--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -10,6 +10,7 @@
     NO_SPILLOVER,
     type Spillover,
 } from "../../decisions/gateway/decideSpillover";
+import { filterPlaceable } from "../../decisions/gateway/filterPlaceable";
 import { createRecentObjectives, type RecentObjectives } from "../../decisions/gateway/createRecentObjectives";
 import type { ColdEndpoints } from "../endpoints/createColdEndpoints";
 import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
@@ -70,10 +71,32 @@
      * Endpoints that have failed lately count only if no others take it. An error gives all: it must not cost the request.
      */
     filterDomains(service: string, objectiveMs: number, takers: readonly EndpointRecord[]): readonly EndpointRecord[];
+    /**
+     * Lists what `filterDomains` may give, with the chance of each; draws, logs and records nothing. `usable` are the
+     * endpoints of the service that may get requests.
+     */
+    explainDomains(options: DomainQuestion): readonly DomainOutcome[];
     /** Counts an attempt by the distance of its endpoint. */
     recordAttempt(record: EndpointRecord): void;
 }
 
+/** A request whose failure domain is asked for. */
+export interface DomainQuestion {
+    readonly service: string;
+    readonly objectiveMs: number;
+    readonly takers: readonly EndpointRecord[];
+    readonly usable: readonly EndpointRecord[];
+}
+
+/** A failure domain that a request may go to. */
+export interface DomainOutcome {
+    /** `undefined` if the failure domain isn't decided before the endpoint. */
+    readonly domain: string | undefined;
+    /** Probability from 0 to 1. */
+    readonly chance: number;
+    readonly records: readonly EndpointRecord[];
+}
+
 interface ServiceState {
     spillover: Spillover;
     readonly objectives: RecentObjectives;
@@ -130,6 +153,13 @@
     return high;
 }
 
+/** What a new decision was based on. */
+interface DecisionGround {
+    readonly own: DomainLoad;
+    readonly objectiveMs: number;
+    readonly isFresh: boolean;
+}
+
 /**
  * Creates the control, without spillover at first.
  *
@@ -149,34 +179,28 @@
         const isSameRegion = settings.regions[domain] === settings.regions[settings.failureDomain];
         return isSameRegion ? Distance.SameRegion : Distance.OtherRegion;
     };
-    /** Lists the endpoints whose slots count: an endpoint that takes no or few requests has none for the surplus. */
-    const listOpen = (service: string, nowMs: number): readonly EndpointRecord[] => {
+    /** Filters the endpoints whose slots count: an endpoint that takes no or few requests has none for the surplus. */
+    const filterOpen = (usable: readonly EndpointRecord[], nowMs: number): readonly EndpointRecord[] => {
         const evacuated = options.evacuations.readDomains();
-        return directory
-            .listUsable(service)
-            .filter(
-                record =>
-                    !evacuated.has(record.endpoint.failureDomain) &&
-                    Math.max(record.refusedUntilMs, record.suspectUntilMs) <= nowMs &&
-                    options.rollouts.isServing(record.endpoint) &&
-                    !options.limits.isLimited(record) &&
-                    !options.coldEndpoints.isCold(record) &&
-                    readFailureRate(record, nowMs) < FAILING_SHARE,
-            );
+        return filterPlaceable(usable, { homeRegions: undefined, evacuated, regions: settings.regions }).filter(
+            record =>
+                Math.max(record.refusedUntilMs, record.suspectUntilMs) <= nowMs &&
+                options.rollouts.isServing(record.endpoint) &&
+                !options.limits.isLimited(record) &&
+                !options.coldEndpoints.isCold(record) &&
+                readFailureRate(record, nowMs) < FAILING_SHARE,
+        );
     };
-    const listLoads = (
-        service: string,
-        nowMs: number,
-    ): { own: DomainLoad | undefined; others: readonly DomainLoad[] } => {
+    const listLoads = (service: string, usable: readonly EndpointRecord[], nowMs: number): readonly DomainLoad[] => {
         const speed = speeds.readSpeed(service);
-        const domains = sumByDomain(listOpen(service, nowMs), nowMs);
+        const domains = sumByDomain(filterOpen(usable, nowMs), nowMs);
         const far = [...domains].filter(([domain]) => findDistance(domain) === Distance.OtherRegion);
         const near = [...domains].filter(([domain]) => findDistance(domain) !== Distance.OtherRegion);
         // Views have the endpoints of the own region one by one; of the others only what all nodes do for the service.
         const nearInFlight = near.reduce((sum, [, { inFlight }]) => sum + inFlight, 0);
         const farInFlight = Math.max(0, news.readLoad(service).inFlight - nearInFlight);
         const farSlots = far.reduce((sum, [, { slots }]) => sum + slots, 0);
-        const loads = [...domains].map(([domain, sums]): DomainLoad => {
+        return [...domains].map(([domain, sums]): DomainLoad => {
             const distance = findDistance(domain);
             const inFlight =
                 distance === Distance.OtherRegion
@@ -203,32 +227,53 @@
                 estimateInFlight: expectedMs => findInput(estimateMs, expectedMs, sums.slots * INVERSE_SLOTS_MAX),
             };
         });
-        const own = loads.find(({ domain }) => domain === settings.failureDomain);
-        return { own, others: loads.filter(load => load !== own) };
     };
-    const updateState = (service: string, routeObjectiveMs: number): ServiceState => {
+    /** Decides on the windows for the next request, and on what ground if they are new ones; changes nothing. */
+    const decideWindows = (
+        state: ServiceState,
+        { service, objectiveMs }: Pick<DomainQuestion, "service" | "objectiveMs">,
+        readUsable: () => readonly EndpointRecord[],
+    ): { readonly spillover: Spillover; readonly ground?: DecisionGround } => {
         const nowMs = clock.readMonotonicMs();
+        if (nowMs - state.spillover.atMs < DECISION_PERIOD_MS) {
+            return { spillover: state.spillover };
+        }
+        const strictestMs = Math.min(objectiveMs, state.objectives.readStrictest(nowMs));
+        const loads = listLoads(service, readUsable(), nowMs);
+        const own = loads.find(({ domain }) => domain === settings.failureDomain);
+        const { nodes, reachable } = news.readUsage();
+        const ground = {
+            own: own ?? buildEmptyLoad(settings.failureDomain),
+            objectiveMs: strictestMs,
+            isFresh: news.isInTouch() && reachable >= nodes * REACHABLE_SHARE_MIN,
+        };
+        const spillover = decideSpillover(state.spillover, {
+            ...ground,
+            nowMs,
+            nodesPerDomain: Math.max(1, nodes / Math.max(1, Object.keys(settings.regions).length)),
+            others: loads.filter(load => load !== own),
+        });
+        return { spillover, ground };
+    };
+    const updateState = (service: string, objectiveMs: number): ServiceState => {
         const state = states.get(service) ?? createServiceState();
         states.set(service, state);
-        state.objectives.recordRequest(routeObjectiveMs, nowMs);
-        const stepMs = nowMs - state.spillover.atMs;
-        if (stepMs < DECISION_PERIOD_MS) {
+        state.objectives.recordRequest(objectiveMs, clock.readMonotonicMs());
+        const { spillover, ground } = decideWindows(state, { service, objectiveMs }, () =>
+            directory.listUsable(service),
+        );
+        if (ground === undefined) {
             return state;
         }
-        const objectiveMs = state.objectives.readStrictest(nowMs);
-        const { own = buildEmptyLoad(settings.failureDomain), others } = listLoads(service, nowMs);
-        const { nodes, reachable } = news.readUsage();
-        const isFresh = news.isInTouch() && reachable >= nodes * REACHABLE_SHARE_MIN;
-        const nodesPerDomain = Math.max(1, nodes / Math.max(1, Object.keys(settings.regions).length));
-        const input = { nowMs, isFresh, objectiveMs, nodesPerDomain, own, others };
-        state.spillover = decideSpillover(state.spillover, input);
-        recordShare(state, stepMs);
+        recordShare(state, spillover.atMs - state.spillover.atMs);
+        state.spillover = spillover;
         metrics.setSpilloverShare(service, state.share);
         if (state.share > (state.isOn ? SHARE_OFF : SHARE_ON) !== state.isOn) {
+            const { own, isFresh } = ground;
             log.info(state.isOn ? "spillover ends" : "spillover begins", {
                 service,
                 expectedMs: Math.round(own.expectedMs),
-                objectiveMs,
+                objectiveMs: ground.objectiveMs,
                 inFlight: Math.round(own.inFlight),
                 slots: own.slots,
                 isFresh,
@@ -237,34 +282,44 @@
         }
         return state;
     };
-    const drawDomain = (spillover: Spillover, takers: readonly EndpointRecord[]): string => {
+    /** Lists the chance of each failure domain; the own one comes last, with what the others leave. */
+    const listChances = (spillover: Spillover, takers: readonly EndpointRecord[]) => {
         const inFlight = new Map<string, number>();
         for (const { endpoint, ownInFlight } of takers) {
             inFlight.set(endpoint.failureDomain, (inFlight.get(endpoint.failureDomain) ?? 0) + ownInFlight);
         }
+        const shares = [...computeDomainShares(spillover, settings.failureDomain, inFlight)];
+        const left = shares.reduce((sum, [, share]) => sum + share, 0);
+        return [...shares, [settings.failureDomain, Math.max(0, 1 - left)] as const];
+    };
+    const drawDomain = (spillover: Spillover, takers: readonly EndpointRecord[]): string => {
         let left = random.drawFraction();
-        for (const [domain, share] of computeDomainShares(spillover, settings.failureDomain, inFlight)) {
-            left -= share;
-            if (left < 0) {
-                return domain;
-            }
-        }
-        return settings.failureDomain;
+        const drawn = listChances(spillover, takers).find(([, chance]) => (left -= chance) < 0);
+        return drawn?.[0] ?? settings.failureDomain;
     };
-    const filterDrawnDomain = (service: string, objectiveMs: number, takers: readonly EndpointRecord[]) => {
+    const filterSound = (takers: readonly EndpointRecord[]): readonly EndpointRecord[] => {
         const nowMs = clock.readMonotonicMs();
         const sound = takers.filter(record => readFailureRate(record, nowMs) < FAILING_SHARE);
-        const usable = sound.length > 0 ? sound : takers;
+        return sound.length > 0 ? sound : takers;
+    };
+    /** Filters the endpoints of a failure domain; without any there, those of the own one, else all. */
+    const filterDomain = (domain: string, takers: readonly EndpointRecord[]): readonly EndpointRecord[] =>
+        [domain, settings.failureDomain]
+            .map(listed => takers.filter(({ endpoint }) => endpoint.failureDomain === listed))
+            .find(list => list.length > 0) ?? takers;
+    const filterDrawnDomain = (service: string, objectiveMs: number, takers: readonly EndpointRecord[]) => {
+        const sound = filterSound(takers);
         const state = updateState(service, objectiveMs);
-        const drawn = drawDomain(state.spillover, usable);
+        const drawn = drawDomain(state.spillover, sound);
         state.sent++;
         state.left += drawn === settings.failureDomain ? 0 : 1;
-        const listIn = (domain: string) => usable.filter(({ endpoint }) => endpoint.failureDomain === domain);
-        return [listIn(drawn), listIn(settings.failureDomain)].find(list => list.length > 0) ?? usable;
+        return filterDomain(drawn, sound);
     };
+    const isOn = (takers: readonly EndpointRecord[]): boolean =>
+        settings.hasSpillover === true && takers.some(({ pace }) => pace !== undefined);
     return {
         filterDomains: (service, objectiveMs, takers) => {
-            if (settings.hasSpillover !== true || !takers.some(({ pace }) => pace !== undefined)) {
+            if (!isOn(takers)) {
                 return takers;
             }
             try {
@@ -274,6 +329,21 @@
                 return takers;
             }
         },
+        explainDomains: ({ service, objectiveMs, takers, usable }) => {
+            if (!isOn(takers)) {
+                return [{ domain: undefined, chance: 1, records: takers }];
+            }
+            const state = states.get(service) ?? createServiceState();
+            const { spillover } = decideWindows(state, { service, objectiveMs }, () => usable);
+            const sound = filterSound(takers);
+            return listChances(spillover, sound)
+                .filter(([, chance]) => chance > 0)
+                .map(([drawn, chance]) => {
+                    const records = filterDomain(drawn, sound);
+                    const isThere = records.every(({ endpoint }) => endpoint.failureDomain === drawn);
+                    return { domain: isThere ? drawn : undefined, chance, records };
+                });
+        },
         recordAttempt: ({ endpoint }) =>
             metrics.countAttemptDistance(endpoint.service, findDistance(endpoint.failureDomain)),
     };
--- a/src/gateway/process/createFailureReporter.ts
+++ b/src/gateway/process/createFailureReporter.ts
@@ -11,6 +11,8 @@
     Request = "request",
     /** An attempt at an endpoint; it ends as if the endpoint had broken it. */
     Attempt = "attempt",
+    /** The admission of requests to a service; they go on as without it. */
+    Admission = "admission",
     /** A row of a watched table; it is skipped. */
     Row = "row",
     /** An answer of a watched table; it is asked for again. */
@@ -21,6 +23,8 @@
     News = "news",
     /** The election of the node that carries out the duties, or one of them. */
     Duty = "duty",
+    /** The records of the usage of quotas. */
+    QuotaRecords = "quota records",
     /** The agreement on the cluster time. */
     ClusterTime = "cluster time",
     /** The reading of stored roll-outs, or the record of an attempt at a version. */
--- a/src/gateway/rollouts/createRollouts.test.ts
+++ b/src/gateway/rollouts/createRollouts.test.ts
@@ -243,4 +243,11 @@
         mergeFleet({ [SERVICE]: { order: 7, phase: RolloutPhase.Completed, cells: [] } });
         assert.equal(rollouts.isServing(endpoint), true);
     });
+
+    // Guards against: an explanation that asks for them changes the state of the node.
+    it("keep nothing for a service when they are counted", () => {
+        const before = rollouts.dumpState();
+        assert.equal(rollouts.isServing(makeEndpoint("i-1", { service: "unknown" })), true);
+        assert.deepEqual(rollouts.dumpState(), before);
+    });
 });
