Take the queue of simulated events from heap-js

Cause: the simulation of admission uses heap-js, that of endpoints a heap of its own.

Change: `createEventQueue` is built on heap-js.

Figures: `node scripts/runTests.mjs src/gateway/forwarding/failureDomainsSurge.test.ts src/gateway/forwarding/failureDomainsEven.test.ts` prints the same figures before and after; src/gateway/forwarding and src/gateway/endpoints/pacedChoice.test.ts pass.

Conclusion: one heap, and the measured figures stand.

--- a/src/gateway/_testing/createEventQueue.ts
+++ b/src/gateway/_testing/createEventQueue.ts
@@ -1,6 +1,7 @@
 /**
  * @module A queue of events for simulations.
  */
+import { Heap } from "heap-js";
 
 /** Events that run in the order of their times. */
 export interface EventQueue {
@@ -17,46 +18,13 @@
  * events.add(nowMs + 250, sendReport);
  */
 export function createEventQueue(): EventQueue {
-    const heap: { readonly atMs: number; readonly run: (atMs: number) => void }[] = [];
-    const readAt = (index: number) => heap[index]?.atMs ?? Number.POSITIVE_INFINITY;
-    const swap = (left: number, right: number) => {
-        const [first, second] = [heap[left], heap[right]];
-        if (first !== undefined && second !== undefined) {
-            heap[left] = second;
-            heap[right] = first;
-        }
-    };
-    const takeFirst = () => {
-        const first = heap[0];
-        const last = heap.pop();
-        if (last !== undefined && heap.length > 0) {
-            heap[0] = last;
-            for (let index = 0; ;) {
-                const left = 2 * index + 1;
-                const least = readAt(left + 1) < readAt(left) ? left + 1 : left;
-                if (readAt(least) >= readAt(index)) {
-                    break;
-                }
-                swap(index, least);
-                index = least;
-            }
-        }
-        return first;
-    };
+    const heap = new Heap<{ readonly atMs: number; readonly run: (atMs: number) => void }>(
+        (left, right) => left.atMs - right.atMs,
+    );
     return {
-        add: (atMs: number, run: (atMs: number) => void) => {
-            heap.push({ atMs, run });
-            for (let index = heap.length - 1; index > 0;) {
-                const parent = Math.floor((index - 1) / 2);
-                if (readAt(parent) <= readAt(index)) {
-                    break;
-                }
-                swap(index, parent);
-                index = parent;
-            }
-        },
+        add: (atMs, run) => void heap.push({ atMs, run }),
         run: () => {
-            for (let event = takeFirst(); event !== undefined; event = takeFirst()) {
+            for (let event = heap.pop(); event !== undefined; event = heap.pop()) {
                 event.run(event.atMs);
             }
         },
