--- a/src/gateway/endpoints/createColdEndpoints.ts
+++ b/src/gateway/endpoints/createColdEndpoints.ts
@@ -21,6 +21,8 @@
      * rate; infinite while another node sends there.
      */
     computeWaitMs(record: EndpointRecord): number;
+    /** True if an endpoint is cold and its service states a rate for cold ones. */
+    isCold(record: EndpointRecord): boolean;
     /** Gives the same time for an explanation, without a log line or any change of state. */
     readWaitMs(record: EndpointRecord): number;
     /** Records an attempt that is made. */
@@ -138,6 +140,7 @@
             reportRestart(record);
             return readWaitMs(record);
         },
+        isCold: record => findColdService(record) !== undefined,
         readWaitMs,
         chargeAttempt: record => {
             reportRestart(record);
--- a/src/gateway/endpoints/createEndpointLimits.ts
+++ b/src/gateway/endpoints/createEndpointLimits.ts
@@ -19,6 +19,8 @@
 export interface EndpointLimits extends LimitSource, DumpSource {
     /** Gives the time until an attempt may be made at an endpoint; 0 if it may be made now. */
     computeWaitMs(record: EndpointRecord): number;
+    /** True if an endpoint names a limit. */
+    isLimited(record: EndpointRecord): boolean;
     /** Gives the same time for an explanation, without any change of state. */
     readWaitMs(record: EndpointRecord): number;
     /** Charges an attempt that is made. */
@@ -138,6 +140,7 @@
             }
             return readWaitMs(record);
         },
+        isLimited: record => findLimit(record) !== undefined,
         readWaitMs,
         chargeAttempt: record => {
             const state = findLimit(record);
--- a/src/gateway/explain/explainDomains.test.ts
+++ b/src/gateway/explain/explainDomains.test.ts
@@ -15,6 +15,10 @@
 const OBJECTIVE_MS = 100;
 const PERIOD_MS = 150;
 const DRAWS = 20_000;
+const SLOTS = 40;
+/** From a few free slots to more requests than the own failure domain keeps. */
+const IN_FLIGHT_MIN = 38;
+const IN_FLIGHT_SPAN = 31;
 const EMPTY_HEAD: CallerRequestHead = {
     requestId: undefined,
     model: undefined,
@@ -26,20 +30,24 @@
     lastEventId: undefined,
 };
 
-/** Creates a spillover of a node in `near`, whose endpoint there is full while those of `far` and `remote` are idle. */
-function createSubject() {
+/**
+ * Creates a spillover of a node in `near`, whose endpoint there is full while those of `far` and `remote` are idle.
+ *
+ * @param domains - The failure domains with an endpoint that takes requests
+ */
+function createSubject(domains: readonly string[] = ["near", "far", "remote"]) {
     const clock = createManualClock();
     const random = createRandom(1);
     let effects = 0;
     const countEffect = () => void effects++;
-    const records = ["near", "far", "remote"].map(failureDomain => {
+    const records = domains.map(failureDomain => {
         const record = createEndpointRecord(
             makeEndpoint(failureDomain, { failureDomain }),
             { roundTripMs: 2, penaltyMs: 5 },
             clock,
         );
-        recordLoad(record, { running: 0, waiting: 0, slots: 4, pace: 100 }, 0);
-        record.ownInFlight = failureDomain === "near" ? 30 : 0;
+        recordLoad(record, { running: 0, waiting: 0, slots: SLOTS, pace: 100 }, 0);
+        record.ownInFlight = failureDomain === "near" ? IN_FLIGHT_MIN : 0;
         return record;
     });
     const listUsable = () => {
@@ -63,6 +71,10 @@
         log: { info: countEffect } as unknown as SpilloverOptions["log"],
         speeds: createServiceSpeeds(),
         directory: { listUsable },
+        evacuations: { readDomains: () => new Set() },
+        limits: { isLimited: () => false },
+        rollouts: { isServing: () => true },
+        coldEndpoints: { isCold: () => false },
         news: {
             isInTouch: () => true,
             readLoad: () => ({ tokensPerSecond: 0, inFlight: 0 }),
@@ -76,9 +88,13 @@
             .filterDomains("chat", OBJECTIVE_MS, records)
             .map(({ endpoint }) => endpoint.failureDomain)
             .join();
-    const explain = () =>
-        spillover.explainDomains({ service: "chat", objectiveMs: OBJECTIVE_MS, takers: records, usable: records });
-    return { clock, drawDomain, explain, countEffects: () => effects };
+    const explain = (objectiveMs = OBJECTIVE_MS) =>
+        spillover.explainDomains({ service: "chat", objectiveMs, takers: records, usable: records });
+    const setInFlight = (failureDomain: string, inFlight: number) => {
+        const record = records.find(({ endpoint }) => endpoint.failureDomain === failureDomain);
+        Object.assign(record ?? assert.fail(), { ownInFlight: inFlight });
+    };
+    return { clock, drawDomain, explain, setInFlight, countEffects: () => effects };
 }
 
 describe("the explained failure domains of a request", () => {
@@ -89,10 +105,14 @@
         const unasked = createSubject();
         let hasSpilled = false;
         for (let period = 0; period < 40; period++) {
-            asked.clock.advanceMs(PERIOD_MS);
-            unasked.clock.advanceMs(PERIOD_MS);
+            for (const { clock, setInFlight } of [asked, unasked]) {
+                clock.advanceMs(PERIOD_MS);
+                setInFlight("near", IN_FLIGHT_MIN + (period % IN_FLIGHT_SPAN));
+            }
             const before = asked.countEffects();
             const first = asked.explain();
+            // An objective that no request has must not change those of the decisions.
+            asked.explain(OBJECTIVE_MS / 10);
             assert.deepEqual(asked.explain(), first);
             assert.equal(asked.countEffects(), before);
             assert.ok(Math.abs(first.reduce((sum, { chance }) => sum + chance, 0) - 1) < 1e-9);
@@ -114,6 +134,24 @@
         }
     });
 
+    // Guards against: chances that add up to less than 1 since the shares of the others leave a rest that can't stay.
+    it("include what goes to any endpoint where no own one takes the request", () => {
+        const { clock, explain, drawDomain, setInFlight } = createSubject(["remote"]);
+        clock.advanceMs(PERIOD_MS);
+        // A failure domain of another region is filled up to 36 requests, in halves: there is room for half a request.
+        setInFlight("remote", 35);
+        const outcomes = explain();
+        assert.deepEqual(
+            outcomes.map(({ domain, chance }) => [domain, Number(chance.toFixed(9))]),
+            [
+                ["remote", 0.5],
+                [undefined, 0.5],
+            ],
+        );
+        assert.ok(outcomes.every(({ records }) => records.length === 1));
+        assert.equal(drawDomain(), "remote");
+    });
+
     // Guards against: spillover decides anew while the endpoints are looked at, so that the chances don't add up to 1.
     it("are those of one decision", async () => {
         const harness = await createGatewayHarness(makeRoute(), []);
--- a/src/gateway/explain/explainFilter.ts
+++ b/src/gateway/explain/explainFilter.ts
@@ -44,7 +44,7 @@
     [
         PickStage.Domain,
         ({ endpoint }, { outcomes }) => {
-            const isPossible = outcomes.some(({ domain }) => domain === endpoint.failureDomain);
+            const isPossible = outcomes.some(({ domain }) => domain === undefined || domain === endpoint.failureDomain);
             return { filter: isPossible ? CandidateFilter.Failing : CandidateFilter.OtherDomain };
         },
     ],
--- a/src/gateway/forwarding/createSpillover.ts
+++ b/src/gateway/forwarding/createSpillover.ts
@@ -1,6 +1,7 @@
 /**
  * @module Applies the decision which share of a service's requests goes to other failure domains.
  */
+import { computeDomainShares } from "../../decisions/gateway/computeDomainShares";
 import { estimateFirstPartMs } from "../../decisions/gateway/chooseEndpoint";
 import { USUAL_PACE } from "../../decisions/gateway/endpointPace";
 import {
@@ -9,8 +10,14 @@
     NO_SPILLOVER,
     type Spillover,
 } from "../../decisions/gateway/decideSpillover";
+import { filterPlaceable } from "../../decisions/gateway/filterPlaceable";
+import { createRecentObjectives, type RecentObjectives } from "../../decisions/gateway/createRecentObjectives";
+import type { ColdEndpoints } from "../endpoints/createColdEndpoints";
 import type { EndpointDirectory } from "../endpoints/createEndpointDirectory";
-import { buildEndpointView, type EndpointRecord } from "../endpoints/endpointRecord";
+import type { EndpointLimits } from "../endpoints/createEndpointLimits";
+import type { Evacuations } from "../endpoints/createEvacuations";
+import type { Rollouts } from "../rollouts/rollouts";
+import { buildEndpointView, estimateInFlight, type EndpointRecord, readFailureRate } from "../endpoints/endpointRecord";
 import type { GatewayComponents } from "../gatewayComponents";
 import { FailureOwner } from "../process/createFailureReporter";
 import type { FleetNews } from "../news/createFleetNews";
@@ -20,6 +27,13 @@
 const DECISION_PERIOD_MS = 100;
 /** Share of the nodes whose reports must be in the sums: what the others do is missing from the load of endpoints. */
 const REACHABLE_SHARE_MIN = 0.9;
+/** Averaged shares from which spillover counts as begun, and below which as ended. */
+const SHARE_ON = 0.02;
+const SHARE_OFF = 0.005;
+const SHARE_AVERAGING_MS = 1_000;
+/** Most requests per slot that are looked for when an expected time is converted, and the number of halvings. */
+const INVERSE_SLOTS_MAX = 64;
+const INVERSE_STEPS = 14;
 const NO_PROMPT = { promptTokens: 0, promptParts: [] };
 
 /** How far an endpoint is from this node. */
@@ -41,6 +55,10 @@
     "settings" | "clock" | "random" | "log" | "speeds" | "reportFailure"
 > {
     readonly directory: Pick<EndpointDirectory, "listUsable">;
+    readonly evacuations: Pick<Evacuations, "readDomains">;
+    readonly limits: Pick<EndpointLimits, "isLimited">;
+    readonly rollouts: Pick<Rollouts, "isServing">;
+    readonly coldEndpoints: Pick<ColdEndpoints, "isCold">;
     readonly news: Pick<FleetNews, "isInTouch" | "readLoad" | "readUsage">;
     readonly metrics: Pick<GatewayMetrics, "countAttemptDistance" | "setSpilloverShare">;
 }
@@ -80,14 +98,65 @@
 }
 
 interface ServiceState {
-    readonly spillover: Spillover;
-    /** The strictest objective of the requests so far. */
-    readonly objectiveMs: number;
+    spillover: Spillover;
+    readonly objectives: RecentObjectives;
+    /** Requests since the last decision, and those of them that left. */
+    sent: number;
+    left: number;
+    /** Share of the requests that leave, averaged over about a second. */
+    share: number;
+    isOn: boolean;
+}
+
+function createServiceState(): ServiceState {
+    return {
+        spillover: NO_SPILLOVER,
+        objectives: createRecentObjectives(),
+        sent: 0,
+        left: 0,
+        share: 0,
+        isOn: false,
+    };
+}
+
+/** Updates the averaged share by the requests since the last decision. */
+function recordShare(state: ServiceState, stepMs: number): void {
+    const newest = state.left / Math.max(1, state.sent);
+    state.share = newest + (state.share - newest) * Math.exp(-stepMs / SHARE_AVERAGING_MS);
+    state.sent = 0;
+    state.left = 0;
+}
+
+function buildEmptyLoad(domain: string): DomainLoad {
+    return {
+        domain,
+        isSameRegion: true,
+        slots: 0,
+        inFlight: 0,
+        ownInFlight: 0,
+        expectedMs: Number.POSITIVE_INFINITY,
+        estimateInFlight: () => 0,
+    };
+}
+
+/** Finds the input with which an increasing function gives a value, by halving; the least one gives at least the value. */
+function findInput(compute: (input: number) => number, value: number, most: number): number {
+    let [low, high] = [0, most];
+    for (let step = 0; step < INVERSE_STEPS; step++) {
+        const middle = (low + high) / 2;
+        if (compute(middle) < value) {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    return high;
 }
 
 /** What a new decision was based on. */
 interface DecisionGround {
-    readonly own: DomainLoad | undefined;
+    readonly own: DomainLoad;
+    readonly objectiveMs: number;
     readonly isFresh: boolean;
 }
 
@@ -110,99 +179,141 @@
         const isSameRegion = settings.regions[domain] === settings.regions[settings.failureDomain];
         return isSameRegion ? Distance.SameRegion : Distance.OtherRegion;
     };
+    /** Filters the endpoints whose slots count: an endpoint that takes no or few requests has none for the surplus. */
+    const filterOpen = (usable: readonly EndpointRecord[], nowMs: number): readonly EndpointRecord[] => {
+        const evacuated = options.evacuations.readDomains();
+        return filterPlaceable(usable, { homeRegions: undefined, evacuated, regions: settings.regions }).filter(
+            record =>
+                Math.max(record.refusedUntilMs, record.suspectUntilMs) <= nowMs &&
+                options.rollouts.isServing(record.endpoint) &&
+                !options.limits.isLimited(record) &&
+                !options.coldEndpoints.isCold(record) &&
+                readFailureRate(record, nowMs) < FAILING_SHARE,
+        );
+    };
     const listLoads = (service: string, usable: readonly EndpointRecord[], nowMs: number): readonly DomainLoad[] => {
         const speed = speeds.readSpeed(service);
-        const domains = sumByDomain(usable, nowMs);
+        const domains = sumByDomain(filterOpen(usable, nowMs), nowMs);
         const far = [...domains].filter(([domain]) => findDistance(domain) === Distance.OtherRegion);
         const near = [...domains].filter(([domain]) => findDistance(domain) !== Distance.OtherRegion);
         // Views have the endpoints of the own region one by one; of the others only what all nodes do for the service.
         const nearInFlight = near.reduce((sum, [, { inFlight }]) => sum + inFlight, 0);
         const farInFlight = Math.max(0, news.readLoad(service).inFlight - nearInFlight);
         const farSlots = far.reduce((sum, [, { slots }]) => sum + slots, 0);
-        return [...domains].map(([domain, sums]) => {
+        return [...domains].map(([domain, sums]): DomainLoad => {
             const distance = findDistance(domain);
             const inFlight =
                 distance === Distance.OtherRegion
                     ? Math.max(sums.inFlight, (farInFlight * sums.slots) / Math.max(1, farSlots))
                     : sums.inFlight;
-            const view = {
-                roundTripMs: sums.roundTripMs,
-                slots: sums.slots,
-                occupancy: inFlight,
-                pendingTokens: sums.pendingTokens / sums.endpoints,
-                cachedTokens: 0,
-                pace: sums.pace / sums.endpoints,
+            const estimateMs = (occupancy: number) => {
+                const view = {
+                    roundTripMs: sums.roundTripMs,
+                    slots: sums.slots,
+                    occupancy,
+                    pendingTokens: sums.pendingTokens / sums.endpoints,
+                    cachedTokens: 0,
+                    pace: sums.pace / sums.endpoints,
+                };
+                return estimateFirstPartMs(view, NO_PROMPT, speed) + sums.biasMs / sums.endpoints;
             };
             return {
                 domain,
                 isSameRegion: distance === Distance.SameRegion,
                 slots: sums.slots,
                 inFlight,
-                expectedMs: estimateFirstPartMs(view, NO_PROMPT, speed) + sums.biasMs / sums.endpoints,
+                ownInFlight: sums.ownInFlight,
+                expectedMs: estimateMs(inFlight),
+                estimateInFlight: expectedMs => findInput(estimateMs, expectedMs, sums.slots * INVERSE_SLOTS_MAX),
             };
         });
     };
-    /** Decides the state at the next request, and on what ground if that is a new decision; keeps nothing. */
-    const decideState = (
-        service: string,
-        routeObjectiveMs: number,
+    /** Decides on the windows for the next request, and on what ground if they are new ones; changes nothing. */
+    const decideWindows = (
+        state: ServiceState,
+        { service, objectiveMs }: Pick<DomainQuestion, "service" | "objectiveMs">,
         readUsable: () => readonly EndpointRecord[],
-    ): { readonly state: ServiceState; readonly ground?: DecisionGround } => {
+    ): { readonly spillover: Spillover; readonly ground?: DecisionGround } => {
         const nowMs = clock.readMonotonicMs();
-        const state = states.get(service) ?? { spillover: NO_SPILLOVER, objectiveMs: routeObjectiveMs };
-        const objectiveMs = Math.min(state.objectiveMs, routeObjectiveMs);
-        if (states.has(service) && nowMs - state.spillover.atMs < DECISION_PERIOD_MS) {
-            return { state: { ...state, objectiveMs } };
+        if (nowMs - state.spillover.atMs < DECISION_PERIOD_MS) {
+            return { spillover: state.spillover };
         }
+        const strictestMs = Math.min(objectiveMs, state.objectives.readStrictest(nowMs));
         const loads = listLoads(service, readUsable(), nowMs);
         const own = loads.find(({ domain }) => domain === settings.failureDomain);
         const { nodes, reachable } = news.readUsage();
-        const isFresh = news.isInTouch() && reachable >= nodes * REACHABLE_SHARE_MIN;
-        const others = loads.filter(load => load !== own);
-        const spillover =
-            own === undefined
-                ? { ...NO_SPILLOVER, atMs: nowMs }
-                : decideSpillover(state.spillover, { nowMs, isFresh, objectiveMs, own, others });
-        return { state: { spillover, objectiveMs }, ground: { own, isFresh } };
+        const ground = {
+            own: own ?? buildEmptyLoad(settings.failureDomain),
+            objectiveMs: strictestMs,
+            isFresh: news.isInTouch() && reachable >= nodes * REACHABLE_SHARE_MIN,
+        };
+        const spillover = decideSpillover(state.spillover, {
+            ...ground,
+            nowMs,
+            nodesPerDomain: Math.max(1, nodes / Math.max(1, Object.keys(settings.regions).length)),
+            others: loads.filter(load => load !== own),
+        });
+        return { spillover, ground };
     };
-    const updateState = (service: string, routeObjectiveMs: number): Spillover => {
-        const wasOn = (states.get(service)?.spillover.share ?? 0) > 0;
-        const decision = decideState(service, routeObjectiveMs, () => directory.listUsable(service));
-        const { spillover, objectiveMs } = decision.state;
-        states.set(service, decision.state);
-        if (decision.ground === undefined) {
-            return spillover;
+    const updateState = (service: string, objectiveMs: number): ServiceState => {
+        const state = states.get(service) ?? createServiceState();
+        states.set(service, state);
+        state.objectives.recordRequest(objectiveMs, clock.readMonotonicMs());
+        const { spillover, ground } = decideWindows(state, { service, objectiveMs }, () =>
+            directory.listUsable(service),
+        );
+        if (ground === undefined) {
+            return state;
         }
-        const { own, isFresh } = decision.ground;
-        if (wasOn !== spillover.share > 0) {
-            log.info(wasOn ? "spillover ends" : "spillover begins", {
+        recordShare(state, spillover.atMs - state.spillover.atMs);
+        state.spillover = spillover;
+        metrics.setSpilloverShare(service, state.share);
+        if (state.share > (state.isOn ? SHARE_OFF : SHARE_ON) !== state.isOn) {
+            const { own, isFresh } = ground;
+            log.info(state.isOn ? "spillover ends" : "spillover begins", {
                 service,
-                expectedMs: Math.round(own?.expectedMs ?? 0),
-                objectiveMs,
-                inFlight: Math.round(own?.inFlight ?? 0),
-                slots: own?.slots ?? 0,
+                expectedMs: Math.round(own.expectedMs),
+                objectiveMs: ground.objectiveMs,
+                inFlight: Math.round(own.inFlight),
+                slots: own.slots,
                 isFresh,
             });
+            state.isOn = !state.isOn;
         }
-        metrics.setSpilloverShare(service, spillover.share);
-        return spillover;
+        return state;
     };
-    const drawDomain = ({ shares }: Spillover): string => {
-        let left = random.drawFraction();
-        for (const [domain, share] of shares) {
-            left -= share;
-            if (left < 0) {
-                return domain;
-            }
+    /** Lists the chance of each failure domain; the own one comes last, with what the others leave. */
+    const listChances = (spillover: Spillover, takers: readonly EndpointRecord[]) => {
+        const inFlight = new Map<string, number>();
+        for (const { endpoint, ownInFlight } of takers) {
+            inFlight.set(endpoint.failureDomain, (inFlight.get(endpoint.failureDomain) ?? 0) + ownInFlight);
         }
-        return settings.failureDomain;
+        const shares = [...computeDomainShares(spillover, settings.failureDomain, inFlight)];
+        const left = shares.reduce((sum, [, share]) => sum + share, 0);
+        return [...shares, [settings.failureDomain, Math.max(0, 1 - left)] as const];
     };
-    const filterDomain = (drawn: string, takers: readonly EndpointRecord[]) => {
+    const drawDomain = (spillover: Spillover, takers: readonly EndpointRecord[]): string => {
+        let left = random.drawFraction();
+        const drawn = listChances(spillover, takers).find(([, chance]) => (left -= chance) < 0);
+        return drawn?.[0] ?? settings.failureDomain;
+    };
+    const filterSound = (takers: readonly EndpointRecord[]): readonly EndpointRecord[] => {
         const nowMs = clock.readMonotonicMs();
-        const sound = takers.filter(record => buildEndpointView(record, [], nowMs).failureRate < FAILING_SHARE);
-        const usable = sound.length > 0 ? sound : takers;
-        const listIn = (domain: string) => usable.filter(({ endpoint }) => endpoint.failureDomain === domain);
-        return [listIn(drawn), listIn(settings.failureDomain)].find(list => list.length > 0) ?? usable;
+        const sound = takers.filter(record => readFailureRate(record, nowMs) < FAILING_SHARE);
+        return sound.length > 0 ? sound : takers;
+    };
+    /** Filters the endpoints of a failure domain; without any there, those of the own one, else all. */
+    const filterDomain = (domain: string, takers: readonly EndpointRecord[]): readonly EndpointRecord[] =>
+        [domain, settings.failureDomain]
+            .map(listed => takers.filter(({ endpoint }) => endpoint.failureDomain === listed))
+            .find(list => list.length > 0) ?? takers;
+    const filterDrawnDomain = (service: string, objectiveMs: number, takers: readonly EndpointRecord[]) => {
+        const sound = filterSound(takers);
+        const state = updateState(service, objectiveMs);
+        const drawn = drawDomain(state.spillover, sound);
+        state.sent++;
+        state.left += drawn === settings.failureDomain ? 0 : 1;
+        return filterDomain(drawn, sound);
     };
     const isOn = (takers: readonly EndpointRecord[]): boolean =>
         settings.hasSpillover === true && takers.some(({ pace }) => pace !== undefined);
@@ -212,7 +323,7 @@
                 return takers;
             }
             try {
-                return filterDomain(drawDomain(updateState(service, objectiveMs)), takers);
+                return filterDrawnDomain(service, objectiveMs, takers);
             } catch (error) {
                 options.reportFailure(FailureOwner.Request, error, { service });
                 return takers;
@@ -222,11 +333,16 @@
             if (!isOn(takers)) {
                 return [{ domain: undefined, chance: 1, records: takers }];
             }
-            const { shares } = decideState(service, objectiveMs, () => usable).state.spillover;
-            const own = 1 - [...shares.values()].reduce((sum, share) => sum + share, 0);
-            return [[settings.failureDomain, own] as const, ...shares]
+            const state = states.get(service) ?? createServiceState();
+            const { spillover } = decideWindows(state, { service, objectiveMs }, () => usable);
+            const sound = filterSound(takers);
+            return listChances(spillover, sound)
                 .filter(([, chance]) => chance > 0)
-                .map(([domain, chance]) => ({ domain, chance, records: filterDomain(domain, takers) }));
+                .map(([drawn, chance]) => {
+                    const records = filterDomain(drawn, sound);
+                    const isThere = records.every(({ endpoint }) => endpoint.failureDomain === drawn);
+                    return { domain: isThere ? drawn : undefined, chance, records };
+                });
         },
         recordAttempt: ({ endpoint }) =>
             metrics.countAttemptDistance(endpoint.service, findDistance(endpoint.failureDomain)),
@@ -242,7 +358,7 @@
     return domains;
 }
 
-const EMPTY = { endpoints: 0, slots: 0, inFlight: 0, pendingTokens: 0, biasMs: 0, pace: 0 };
+const EMPTY = { endpoints: 0, slots: 0, inFlight: 0, ownInFlight: 0, pendingTokens: 0, biasMs: 0, pace: 0 };
 
 function sumRecord(before: typeof EMPTY | undefined, record: EndpointRecord, nowMs: number) {
     const view = buildEndpointView(record, [], nowMs);
@@ -250,7 +366,8 @@
     return {
         endpoints: sums.endpoints + 1,
         slots: sums.slots + view.slots,
-        inFlight: sums.inFlight + view.occupancy,
+        inFlight: sums.inFlight + estimateInFlight(record, nowMs),
+        ownInFlight: sums.ownInFlight + record.ownInFlight,
         pendingTokens: sums.pendingTokens + view.pendingTokens,
         biasMs: sums.biasMs + view.biasMs,
         pace: sums.pace + (view.pace ?? USUAL_PACE),
--- a/src/gateway/rollouts/createRollouts.ts
+++ b/src/gateway/rollouts/createRollouts.ts
@@ -319,7 +319,8 @@
             };
         },
         isServing: ({ service, version }) => {
-            const { move, rejected } = readVersions(service);
+            // Keeps nothing for an unknown service: explanations ask as well.
+            const { move, rejected } = services.get(service) ?? createVersions(service);
             const isOnTrial = move?.order.target === version && move.phase === RolloutPhase.Trial;
             return !isOnTrial && !rejected.has(version);
         },
