--- a/src/decisions/gateway/accountQuotas.test.ts
+++ b/src/decisions/gateway/accountQuotas.test.ts
@@ -1,25 +1,15 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { QUOTA_ACCOUNT, QUOTA_POLICY } from "./_testing/quotaFixture";
 import { createRandom } from "../../base/createRandom";
-import type { GatewayAccount } from "../../model/gateway";
 import { makeFleetUsage } from "./_testing/makeFleetUsage";
 import { type QuotaSimulation, simulateQuotas } from "./_testing/simulateQuotas";
 import { createAccountQuotas } from "./accountQuotas";
 
-const ACCOUNT: GatewayAccount = {
-    name: "county",
-    keys: ["k"],
-    priority: undefined,
-    quotaPerSecond: 100,
-    quotaBurst: 50,
-    countsTokens: true,
-    defaultTokens: 1,
-};
-const POLICY = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 45 };
 const QUOTA = 850;
 const BOUND = QUOTA * 1.1 + 45;
 const GRANTED_SHARE = 0.95;
-const SEVEN = { account: ACCOUNT, policy: POLICY, nodes: 7, failureDomains: 3 };
+const SEVEN = { account: QUOTA_ACCOUNT, policy: QUOTA_POLICY, nodes: 7, failureDomains: 3 };
 const THIRTY = { ...SEVEN, nodes: 30, failureDomains: 6 };
 /** Sizes from a thousandth to a twentieth of the quota, in turn. */
 const MIXED_SIZES = [1_000, 1_000, 1_000, 1_000, 20, 250, 250, 1_000, 100];
@@ -78,11 +68,11 @@
     // Guards against: small requests are refused so that large ones of the same account are admitted.
     it("is granted to small and large requests alike", () => {
         const random = createRandom(3);
-        const quotas = createAccountQuotas(POLICY, undefined, random);
+        const quotas = createAccountQuotas(QUOTA_POLICY, undefined, random);
         const counts = { 1: { asked: 0, admitted: 0 }, 15: { asked: 0, admitted: 0 } };
         for (let nowMs = 0; nowMs < 60_000; nowMs += 20) {
             const amount = random.drawFraction() < 0.7 ? 1 : 15;
-            const isAdmitted = quotas.charge(ACCOUNT, amount, makeFleetUsage(), nowMs);
+            const isAdmitted = quotas.charge(QUOTA_ACCOUNT, amount, makeFleetUsage(), nowMs);
             if (nowMs > 20_000) {
                 counts[amount].asked++;
                 counts[amount].admitted += Number(isAdmitted);
@@ -101,12 +91,12 @@
 // Guards against: a request that waited and was refused takes its refund out of the window later than its charge.
 describe("the refund of a request that waited", () => {
     it("doesn't raise the quota when the charge has left the window", () => {
-        const quotas = createAccountQuotas(POLICY, undefined, createRandom(1));
+        const quotas = createAccountQuotas(QUOTA_POLICY, undefined, createRandom(1));
         const fleet = makeFleetUsage();
-        assert.ok(quotas.charge(ACCOUNT, 900, fleet, 1_000));
-        assert.ok(!quotas.charge(ACCOUNT, 900, fleet, 1_500));
-        quotas.refund(ACCOUNT.name, 900, 1_000);
-        assert.ok(quotas.charge(ACCOUNT, 900, fleet, 2_300));
-        assert.ok(!quotas.charge(ACCOUNT, 400, fleet, 9_500));
+        assert.ok(quotas.charge(QUOTA_ACCOUNT, 900, fleet, 1_000));
+        assert.ok(!quotas.charge(QUOTA_ACCOUNT, 900, fleet, 1_500));
+        quotas.refund(QUOTA_ACCOUNT.name, 900, 1_000);
+        assert.ok(quotas.charge(QUOTA_ACCOUNT, 900, fleet, 2_300));
+        assert.ok(!quotas.charge(QUOTA_ACCOUNT, 400, fleet, 9_500));
     });
 });
--- a/src/decisions/gateway/restartedQuotas.test.ts
+++ b/src/decisions/gateway/restartedQuotas.test.ts
@@ -1,23 +1,18 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { GatewayAccount } from "../../model/gateway";
+import { QUOTA_ACCOUNT, QUOTA_POLICY } from "./_testing/quotaFixture";
 import { type QuotaSimulation, simulateQuotas } from "./_testing/simulateQuotas";
 
-const ACCOUNT: GatewayAccount = {
-    name: "county",
-    keys: ["k"],
-    priority: undefined,
-    quotaPerSecond: 100,
-    quotaBurst: 50,
-    countsTokens: true,
-    defaultTokens: 1,
-};
-const POLICY = { quotaWindowMs: 8_000, quotaOverrun: 0.1, quotaSlack: 45 };
 const BOUND = 850 * 1.1 + 45;
 
 function simulateSeeds(simulation: Partial<QuotaSimulation> & { readonly nodes: number }, seeds: number) {
     const killed = Array.from({ length: simulation.nodes }, (_unused, index) => index);
-    const fleet = { account: ACCOUNT, policy: POLICY, failureDomains: simulation.nodes > 10 ? 6 : 3, killed };
+    const fleet = {
+        account: QUOTA_ACCOUNT,
+        policy: QUOTA_POLICY,
+        failureDomains: simulation.nodes > 10 ? 6 : 3,
+        killed,
+    };
     const results = Array.from({ length: seeds }, (_unused, seed) => simulateQuotas({ ...fleet, ...simulation, seed }));
     return {
         maximum: Math.max(...results.map(({ maximum }) => maximum)),
