--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -6,6 +6,7 @@
 import {
     endGateways,
     findFreePort,
+    makeAttemptId,
     makeFolder,
     now,
     sendRequest,
@@ -146,7 +147,9 @@
                 const at = (index + Math.floor(index / 3)) % gateways.length;
                 const url = `${kind.prefix}${index}`;
                 const body = kind === UNSAFE ? `posting ${index}` : undefined;
-                const options = { method: kind.method, host: HOST, url, key: KEY, deadlineMs: DEADLINE_MS, body };
+                const id = makeAttemptId();
+                note(`sent     ${id} ${kind.method} ${url} to ${gateways[at].name}`);
+                const options = { id, method: kind.method, host: HOST, url, key: KEY, deadlineMs: DEADLINE_MS, body };
                 sent.push(
                     sendRequest(gateways[at], { ...options, agent: agents[at] }).then(result => {
                         requests.push({ ...result, isUnsafe: kind === UNSAFE, gateway: gateways[at].name });
--- a/review/standins-2/standins.mjs
+++ b/review/standins-2/standins.mjs
@@ -116,9 +116,9 @@
     return {
         address: `127.0.0.1:${port}`,
         /** Writes a row as the operator, a runner or another writer does, who are not bound by what the system may write. */
-        put: (table, key, value) => {
+        put: (table, key, value, part = "") => {
             revision++;
-            write({ table, key, value: Buffer.from(JSON.stringify(value)).toString("base64") }, revision);
+            write({ table, part, key, value: Buffer.from(JSON.stringify(value)).toString("base64") }, revision);
             wake();
         },
         remove: (table, key) => {
@@ -349,9 +349,11 @@
 
 let requests = 0;
 
-/** Sends one client attempt, with an id of its own, and gives how it ended; never rejects. */
-export function sendRequest(gateway, { method, host, url, key, deadlineMs, body, agent = false }) {
-    const id = (0x1000_0000_0000 + ++requests * 0x9e37_79b1).toString(16).padStart(16, "0");
+/** Makes the id of a client attempt. */
+export const makeAttemptId = () => (0x1000_0000_0000 + ++requests * 0x9e37_79b1).toString(16).padStart(16, "0");
+
+/** Sends one client attempt and gives how it ended; never rejects. */
+export function sendRequest(gateway, { id, method, host, url, key, deadlineMs, body, agent = false }) {
     const startedAtMs = now();
     return new Promise(resolve => {
         const finish = end => resolve({ id, startedAtMs, endedAtMs: now(), ...end });
